--- /dev/null
+++ b/tools/definePackages.mjs
@@ -0,0 +1,119 @@
+/**
+ * Writes package.json, tsconfig.json for each workspace package from one table, so that
+ * dependencies between packages stand in one place and point one way.
+ */
+import { mkdirSync, writeFileSync, existsSync } from 'node:fs';
+
+const versions = {
+  nact: '^7.6.2',
+  '@trpc/server': '^11.0.0',
+  '@trpc/client': '^11.0.0',
+  zod: '^4.0.0',
+  'smol-toml': '^1.4.0',
+  'hdr-histogram-js': '^3.0.0',
+  'pure-rand': '^7.0.0',
+  murmurhash: '^2.0.1',
+  pino: '^10.0.0',
+  'prom-client': '^15.1.0',
+  undici: '^7.0.0',
+  clipanion: '^3.2.1',
+  '@msgpack/msgpack': '^3.0.0',
+  'fast-check': '^4.0.0',
+  '@sinonjs/fake-timers': '^15.0.0',
+  openai: '^6.0.0',
+};
+
+/** name: [own packages it depends on, libraries, binary name] */
+const packages = {
+  common: [[], ['pino', 'murmurhash', 'pure-rand', 'nact']],
+  resources: [['common'], ['zod']],
+  policy: [['common', 'resources'], ['pure-rand']],
+  platform: [['common'], ['undici', 'zod']],
+  upstream: [['common'], ['undici', 'zod']],
+  timeline: [['common'], []],
+  protocol: [
+    ['common', 'resources', 'timeline'],
+    ['@trpc/server', '@trpc/client', 'zod', 'undici', '@msgpack/msgpack'],
+  ],
+  membership: [['common', 'protocol', 'platform', 'timeline'], ['nact']],
+  configuration: [
+    ['common', 'resources', 'protocol', 'platform', 'membership', 'timeline'],
+    ['nact', 'zod'],
+  ],
+  claims: [['common', 'platform', 'timeline'], ['nact', 'zod']],
+  ledger: [['common', 'platform', 'protocol', 'membership', 'timeline'], ['nact', 'zod']],
+  sessions: [['common', 'platform', 'protocol', 'membership', 'timeline'], ['zod']],
+  routing: [
+    [
+      'common', 'resources', 'policy', 'platform', 'upstream', 'timeline', 'protocol',
+      'membership', 'configuration', 'claims', 'ledger', 'sessions',
+    ],
+    ['hdr-histogram-js', 'zod'],
+  ],
+  daemon: [
+    [
+      'common', 'resources', 'policy', 'platform', 'upstream', 'timeline', 'protocol',
+      'membership', 'configuration', 'claims', 'ledger', 'sessions', 'routing',
+    ],
+    ['smol-toml', 'zod', 'pino', 'prom-client', 'hdr-histogram-js', '@trpc/server', 'clipanion', 'nact'],
+    'snipehavend',
+  ],
+  cli: [['common', 'resources', 'timeline'], ['clipanion', 'undici', 'smol-toml', 'zod'], 'snipectl'],
+  standins: [['common'], ['undici', 'zod', 'pure-rand']],
+  demo: [['common', 'resources', 'standins', 'daemon', 'cli'], ['openai', 'undici', 'hdr-histogram-js', 'pure-rand']],
+  bench: [
+    ['common', 'resources', 'policy', 'standins', 'daemon', 'protocol', 'demo'],
+    ['undici', 'hdr-histogram-js', 'pure-rand'],
+  ],
+  proofs: [
+    [
+      'common', 'resources', 'policy', 'platform', 'upstream', 'timeline', 'protocol', 'membership',
+      'configuration', 'claims', 'ledger', 'sessions', 'routing', 'daemon', 'standins', 'demo',
+    ],
+    ['fast-check', '@sinonjs/fake-timers', 'pure-rand', 'undici'],
+  ],
+};
+const privatePackages = new Set(['standins', 'demo', 'bench', 'proofs']);
+
+const toJson = (value) => `${JSON.stringify(value, null, 2)}\n`;
+
+Object.entries(packages).forEach(([name, [own, libraries, bin]]) => {
+  const folder = `packages/${name}`;
+  mkdirSync(`${folder}/src`, { recursive: true });
+  const dependencies = {};
+  own.forEach((other) => {
+    dependencies[`@snipehaven/${other}`] = '0.1.0';
+  });
+  libraries.forEach((library) => {
+    dependencies[library] = versions[library];
+  });
+  const manifest = {
+    name: `@snipehaven/${name}`,
+    version: '0.1.0',
+    license: 'Apache-2.0',
+    type: 'module',
+    ...(privatePackages.has(name) ? { private: true } : {}),
+    main: 'dist/index.js',
+    types: 'dist/index.d.ts',
+    ...(bin ? { bin: { [bin]: `dist/${bin}.js` } } : {}),
+    dependencies,
+  };
+  writeFileSync(`${folder}/package.json`, toJson(manifest));
+  writeFileSync(
+    `${folder}/tsconfig.json`,
+    toJson({
+      extends: '../../tsconfig.base.json',
+      compilerOptions: { rootDir: 'src', outDir: 'dist', tsBuildInfoFile: 'dist/.tsbuildinfo' },
+      include: ['src'],
+      references: own.map((other) => ({ path: `../${other}` })),
+    }),
+  );
+  if (!existsSync(`${folder}/src/index.ts`)) {
+    writeFileSync(`${folder}/src/index.ts`, 'export {};\n');
+  }
+});
+
+writeFileSync(
+  'tsconfig.json',
+  toJson({ files: [], references: Object.keys(packages).map((name) => ({ path: `packages/${name}` })) }),
+);
