Add types and first versions of model choice, evidence and roll-outs

Cause: the daemon needs the interface of the decisions to be written against. Change: pure functions for evidence cells, pooled quality, plans, exposure grants, the guard.

--- /dev/null
+++ b/packages/policy/src/evidence/constants.ts
@@ -0,0 +1,22 @@
+/** Settings of the evidence about versions. */
+
+/** Scores from 0 to 1 are counted in this many bins of equal width. */
+export const SCORE_BIN_COUNT = 20;
+
+/** Counters are kept per epoch, so that old ones can be weighed less without breaking the merge. */
+export const EPOCH_MS = 6 * 3_600_000;
+
+/** Evidence counts half after this time. */
+export const EVIDENCE_HALF_LIFE_MS = 24 * 3_600_000;
+
+/** Epochs older than this many are dropped. */
+export const KEPT_EPOCHS = 16;
+
+/** Ratings that the whole task's evidence for a version counts for in one team's estimate. */
+export const TASK_POOL_WEIGHT = 60;
+
+/** Ratings that the version's evidence over all tasks counts for in one task's estimate. */
+export const VERSION_POOL_WEIGHT = 4;
+
+/** Chance of a wrong verdict that the drift test may reach over a version's whole life. */
+export const DRIFT_ALPHA = 0.001;
--- /dev/null
+++ b/packages/policy/src/modelChoice/candidateEstimate.ts
@@ -0,0 +1,30 @@
+/** What a candidate would cost, take and achieve for one request. */
+import { addPrior, type QualityEvidence } from '../evidence/index.js';
+import type { PlanInput, VersionCandidate } from './types.js';
+
+const TOKENS_PER_PRICE_UNIT = 1_000_000;
+
+/** A candidate with the request's figures. */
+export interface CandidateEstimate {
+  readonly candidate: VersionCandidate;
+  readonly evidence: QualityEvidence;
+  readonly costMicroUsd: number;
+  readonly durationMs: number;
+}
+
+const getCost = (candidate: VersionCandidate, input: PlanInput): number => {
+  const prompt = input.promptTokens * candidate.inputMicroUsdPerMillionTokens;
+  const answer = input.expectedCompletionTokens * candidate.outputMicroUsdPerMillionTokens;
+  return (prompt + answer) / TOKENS_PER_PRICE_UNIT;
+};
+
+/** Estimates one candidate. */
+export const estimateCandidate = (
+  candidate: VersionCandidate,
+  input: PlanInput,
+): CandidateEstimate => ({
+  candidate,
+  evidence: addPrior(candidate.evidence, candidate.priorQuality),
+  costMicroUsd: getCost(candidate, input),
+  durationMs: candidate.firstTokenMs + input.expectedCompletionTokens * candidate.msPerToken,
+});
--- /dev/null
+++ b/packages/policy/src/modelChoice/constants.ts
@@ -0,0 +1,17 @@
+/** Settings of the model choice. */
+import type { ChoiceSettings } from './types.js';
+
+/** Settings in force. Earlier ones are kept by the bench. */
+export const defaultChoiceSettings: ChoiceSettings = {
+  confidence: 0.9,
+  strictConfidence: 0.99,
+  minProvenWeight: 30,
+  explorationShare: 0.05,
+  explorationAcceptScore: 0.85,
+  latencyScaleMs: 60_000,
+  ratingShare: 0.02,
+  unprovenRatingShare: 0.2,
+  wellProvenWeight: 200,
+  escalationCorrelation: 0.5,
+  escalationPriorWeight: 8,
+};
--- /dev/null
+++ b/packages/policy/src/modelChoice/index.ts
@@ -0,0 +1,3 @@
+export * from './constants.js';
+export * from './planRequest.js';
+export * from './types.js';
--- /dev/null
+++ b/packages/policy/src/modelChoice/planRequest.ts
@@ -0,0 +1,160 @@
+/** Chooses the plan of least expected cost among those that meet the team's target. */
+import { SCORE_BIN_COUNT } from '../evidence/index.js';
+import { estimateCandidate, type CandidateEstimate } from './candidateEstimate.js';
+import { defaultChoiceSettings } from './constants.js';
+import { planExploration } from './planExploration.js';
+import { createCascadeOption, createDirectOption, type PlanOption } from './planOption.js';
+import type { ChoiceSettings, PlanInput, PlanReason, RequestPlan } from './types.js';
+
+const noPlan: RequestPlan = {
+  steps: [],
+  reason: 'noCandidate',
+  expectedCostMicroUsd: 0,
+  expectedMs: 0,
+  qualityLowerBound: 0,
+  shouldRateAfterRelease: false,
+};
+
+const getConfidence = (input: PlanInput, settings: ChoiceSettings): number =>
+  input.team.isStrict ? settings.strictConfidence : settings.confidence;
+
+const listCascades = (
+  estimates: readonly CandidateEstimate[],
+  input: PlanInput,
+  settings: ChoiceSettings,
+): readonly PlanOption[] => {
+  if (!input.team.allowsCascade || !input.isRaterUp) {
+    return [];
+  }
+  const confidence = getConfidence(input, settings);
+  const isProven = (estimate: CandidateEstimate): boolean =>
+    estimate.evidence.weight >= settings.minProvenWeight;
+  const proven = estimates.filter(isProven);
+  const options: PlanOption[] = [];
+  proven.forEach((first) => {
+    proven
+      .filter((next) => next.costMicroUsd > first.costMicroUsd)
+      .forEach((next) => {
+        for (let bin = 1; bin < SCORE_BIN_COUNT; bin += 1) {
+          options.push(createCascadeOption(first, next, bin, input, settings, confidence));
+        }
+      });
+  });
+  return options;
+};
+
+/** Cost and time on one scale: 1 is the cost of the dearest candidate at full weight. */
+const createObjective = (
+  input: PlanInput,
+  settings: ChoiceSettings,
+  dearestMicroUsd: number,
+): ((option: PlanOption) => number) => {
+  const { cost, latency } = input.team.weights;
+  const costScale = Math.max(dearestMicroUsd, 1);
+  return (option) =>
+    (cost * option.costMicroUsd) / costScale +
+    (latency * option.expectedMs) / settings.latencyScaleMs;
+};
+
+const pickLeast = <Item>(
+  items: readonly Item[],
+  getValue: (item: Item) => number,
+): Item | undefined => {
+  let best: Item | undefined;
+  let bestValue = Infinity;
+  items.forEach((item) => {
+    const value = getValue(item);
+    if (value < bestValue || best === undefined) {
+      best = item;
+      bestValue = value;
+    }
+  });
+  return best;
+};
+
+const toPlan = (
+  option: PlanOption,
+  reason: PlanReason,
+  shouldRateAfterRelease: boolean,
+): RequestPlan => ({
+  steps: option.steps,
+  reason,
+  expectedCostMicroUsd: option.costMicroUsd,
+  expectedMs: option.expectedMs,
+  qualityLowerBound: option.qualityLowerBound,
+  shouldRateAfterRelease,
+});
+
+/** Whether to spend a rating on the released answer, so that evidence grows and drift shows. */
+const decideRating = (
+  estimate: CandidateEstimate | undefined,
+  input: PlanInput,
+  settings: ChoiceSettings,
+): boolean => {
+  if (!input.isRaterUp || !estimate) {
+    return false;
+  }
+  const isWellProven = estimate.candidate.evidence.ownWeight >= settings.wellProvenWeight;
+  const share = isWellProven ? settings.ratingShare : settings.unprovenRatingShare;
+  return input.random.next() < share;
+};
+
+/** The best plan when none is sure to meet the target: the best proven, else the dearest. */
+const planFallback = (
+  estimates: readonly CandidateEstimate[],
+  directOptions: readonly PlanOption[],
+): readonly [PlanOption, PlanReason] | undefined => {
+  const hasEvidence = estimates.some((estimate) => estimate.evidence.weight > 0);
+  if (hasEvidence) {
+    const best = pickLeast(directOptions, (option) => -option.qualityLowerBound);
+    return best && [best, 'bestAvailable'];
+  }
+  const dearest = pickLeast(directOptions, (option) => -option.costMicroUsd);
+  return dearest && [dearest, 'noEvidence'];
+};
+
+const chooseOption = (
+  estimates: readonly CandidateEstimate[],
+  input: PlanInput,
+  settings: ChoiceSettings,
+): readonly [PlanOption, PlanReason] | undefined => {
+  const confidence = getConfidence(input, settings);
+  const directOptions = estimates.map((estimate) => createDirectOption(estimate, confidence));
+  const options = [...directOptions, ...listCascades(estimates, input, settings)];
+  const sufficient = options.filter(
+    (option) =>
+      option.qualityLowerBound >= input.team.qualityTarget && option.worstMs <= input.remainingMs,
+  );
+  const dearest = Math.max(...estimates.map((estimate) => estimate.costMicroUsd));
+  const best = pickLeast(sufficient, createObjective(input, settings, dearest));
+  if (best) {
+    return [best, best.steps.length > 1 ? 'cascade' : 'direct'];
+  }
+  return planFallback(estimates, directOptions);
+};
+
+const planPinned = (
+  estimates: readonly CandidateEstimate[],
+  settings: ChoiceSettings,
+): readonly [PlanOption, PlanReason] | undefined => {
+  const pinned = estimates.find((estimate) => estimate.candidate.isPinned);
+  return pinned && [createDirectOption(pinned, settings.confidence), 'pinned'];
+};
+
+/** Plans how one request is answered. A session's pin goes before everything else. */
+export const planRequest = (input: PlanInput): RequestPlan => {
+  const settings = input.settings ?? defaultChoiceSettings;
+  const estimates = input.candidates.map((candidate) => estimateCandidate(candidate, input));
+  const chosen = planPinned(estimates, settings) ?? chooseOption(estimates, input, settings);
+  if (!chosen) {
+    return noPlan;
+  }
+  const [option, reason] = chosen;
+  const explored =
+    reason === 'pinned' ? undefined : planExploration(option, estimates, input, settings);
+  const final = explored ?? option;
+  const last = final.steps[final.steps.length - 1];
+  const answering = estimates.find((estimate) => estimate.candidate.version === last?.version);
+  const shouldRate = decideRating(answering, input, settings);
+  return toPlan(final, explored ? 'exploration' : reason, shouldRate);
+};
--- /dev/null
+++ b/packages/policy/src/rollout/index.ts
@@ -0,0 +1,6 @@
+export * from './assignRollout.js';
+export * from './constants.js';
+export * from './evaluateGuard.js';
+export * from './planGrants.js';
+export * from './progress.js';
+export * from './types.js';
