Policy: first upstream choice, health, limits, admission and retries

Cause: the daemon needs the decisions of DESIGN section 9 as pure functions. Change: types and the simplest versions; shares of a limit as leases with a promise not to fall back early; start-time fair queueing for admission.

--- a/packages/policy/src/limits/index.ts
+++ b/packages/policy/src/limits/index.ts
@@ -1,1 +1,8 @@
-export {};
+/** Limits, their division among daemons, and admission under overload. */
+export * from './chooseAdmission.js';
+export * from './divideLimit.js';
+export * from './getRetryAfterMs.js';
+export * from './shareAllocator.js';
+export * from './shareHolder.js';
+export * from './takeTokens.js';
+export * from './types.js';
--- /dev/null
+++ b/packages/policy/src/limits/shedRequests.ts
@@ -0,0 +1,76 @@
+/** Which requests are given up, at once, when there is no room or no time for them. */
+import type { Random } from '@snipehaven/common';
+import { REFUSAL_FADE_MS } from './constants.js';
+import { getDrainPerSecond, getExpectedWaitMs } from './expectedWait.js';
+import { listWaitingTeams, removeRequests } from './fairOrder.js';
+import { getRetryAfterMs } from './getRetryAfterMs.js';
+import type {
+  AdmissionRefusal,
+  AdmissionRefusalReason,
+  AdmissionRequest,
+  AdmissionSettings,
+  AdmissionState,
+} from './types.js';
+
+/** Whether the request would get its turn after its deadline. */
+export const isTooLate = (
+  state: AdmissionState,
+  settings: AdmissionSettings,
+  request: AdmissionRequest,
+  nowMs: number,
+): boolean => nowMs + getExpectedWaitMs(state, settings, request) >= request.deadlineAtMs;
+
+const countRefusal = (state: AdmissionState, nowMs: number): AdmissionState => {
+  const fade = Math.exp((state.refusalsAtMs - nowMs) / REFUSAL_FADE_MS);
+  return { ...state, recentRefusals: state.recentRefusals * fade + 1, refusalsAtMs: nowMs };
+};
+
+/** Counts a refusal and gives it its time to come back. */
+export const refuse = (
+  state: AdmissionState,
+  settings: AdmissionSettings,
+  request: AdmissionRequest,
+  reason: AdmissionRefusalReason,
+  nowMs: number,
+  random: Random,
+): { readonly state: AdmissionState; readonly refusal: AdmissionRefusal } => {
+  const counted = countRefusal(state, nowMs);
+  const retryAfterMs = getRetryAfterMs({
+    queued: counted.queued,
+    drainPerSecond: getDrainPerSecond(counted, settings),
+    recentRefusals: counted.recentRefusals,
+    random,
+  });
+  return { state: counted, refusal: { request, reason, retryAfterMs } };
+};
+
+/** Takes all waiting requests out that can't be reached in time any more. */
+export const shedTooLate = (
+  state: AdmissionState,
+  settings: AdmissionSettings,
+  nowMs: number,
+  random: Random,
+): { readonly state: AdmissionState; readonly refused: readonly AdmissionRefusal[] } => {
+  const late = listWaitingTeams(state)
+    .flatMap(([, queue]) => queue.waiting)
+    .filter((request) => isTooLate(state, settings, request, nowMs));
+  if (late.length === 0) {
+    return { state, refused: [] };
+  }
+  const refused: AdmissionRefusal[] = [];
+  let current = removeRequests(state, new Set(late.map((request) => request.id)));
+  late.forEach((request) => {
+    const result = refuse(current, settings, request, 'tooLate', nowMs, random);
+    current = result.state;
+    refused.push(result.refusal);
+  });
+  return { state: current, refused };
+};
+
+/** Of the team that waits for most work by its weight, the last request of the lowest priority. */
+export const findDisplaceable = (state: AdmissionState): AdmissionRequest | undefined => {
+  const [largest] = listWaitingTeams(state)
+    .map(([, queue]) => queue)
+    .sort((a, b) => b.waiting.length / b.weight - a.waiting.length / a.weight);
+  return largest?.waiting.at(-1);
+};
--- /dev/null
+++ b/packages/policy/src/upstreamChoice/chooseUpstream.ts
@@ -0,0 +1,52 @@
+/** Chooses the upstream for one attempt of a request. */
+import { findAffinityOwner } from './findAffinityOwner.js';
+import { listCandidates, needsProbe } from './listCandidates.js';
+import { DEFAULT_CHOICE_RULE, choiceRules } from './rules/choiceRules.js';
+import type {
+  UpstreamChoice,
+  UpstreamChoiceInput,
+  UpstreamChoiceReason,
+  UpstreamView,
+} from './types.js';
+
+const choose = (upstream: UpstreamView, reason: UpstreamChoiceReason): UpstreamChoice => ({
+  upstream: upstream.id,
+  reason,
+});
+
+const chooseAmong = (
+  candidates: readonly UpstreamView[],
+  input: UpstreamChoiceInput,
+): UpstreamChoice | undefined => {
+  const probe = candidates.find((upstream) => needsProbe(upstream, input.nowMs));
+  if (probe) {
+    return choose(probe, 'probe');
+  }
+  const [only] = candidates;
+  if (only === undefined) {
+    return undefined;
+  }
+  if (candidates.length === 1) {
+    return choose(only, 'onlyCandidate');
+  }
+  const owner = findAffinityOwner(candidates, input);
+  if (owner) {
+    return choose(owner, 'affinity');
+  }
+  const rule = choiceRules[input.rule ?? DEFAULT_CHOICE_RULE];
+  return choose(rule.choose(candidates, input), 'leastLoaded');
+};
+
+/**
+ * The upstream to send to, of the local data centre while one there is usable. Undefined when no
+ * upstream may take the request now: spill (see `retry/`) or answer at once.
+ */
+export const chooseUpstream = (input: UpstreamChoiceInput): UpstreamChoice | undefined => {
+  const candidates = listCandidates(input);
+  const local = candidates.filter((upstream) => upstream.dataCentre === input.localDataCentre);
+  if (local.length > 0) {
+    return chooseAmong(local, input);
+  }
+  const remote = chooseAmong(candidates, input);
+  return remote && { ...remote, reason: 'otherDataCentre' };
+};
--- /dev/null
+++ b/packages/policy/src/upstreamChoice/concurrency/adjustConcurrency.ts
@@ -0,0 +1,37 @@
+/** The adaptive limit of own requests in flight at one upstream. */
+import { CONCURRENCY_INITIAL, CONCURRENCY_MAX, CONCURRENCY_MIN } from '../constants.js';
+import type {
+  ConcurrencyHandler,
+  ConcurrencyRule,
+  ConcurrencySample,
+  ConcurrencyState,
+} from '../types.js';
+import { aimd } from './aimd.js';
+import { gradient } from './gradient.js';
+
+const concurrencyRules: Readonly<Record<ConcurrencyRule, ConcurrencyHandler>> = { aimd, gradient };
+
+/** The rule in force. */
+export const DEFAULT_CONCURRENCY_RULE: ConcurrencyRule = 'aimd';
+
+/** A limit to start from. */
+export const createConcurrency = (limit: number = CONCURRENCY_INITIAL): ConcurrencyState => ({
+  limit,
+  baseFirstTokenMs: 0,
+  recentFirstTokenMs: 0,
+  samples: 0,
+});
+
+/** The limit after one more sample. */
+export const adjustConcurrency = (
+  state: ConcurrencyState,
+  sample: ConcurrencySample,
+  rule: ConcurrencyRule = DEFAULT_CONCURRENCY_RULE,
+): ConcurrencyState => {
+  const adjusted = concurrencyRules[rule].adjust(state, sample);
+  const limit = Math.min(CONCURRENCY_MAX, Math.max(CONCURRENCY_MIN, adjusted.limit));
+  return { ...adjusted, limit };
+};
+
+/** The limit as a whole number, for `UpstreamView.maxConcurrency`. */
+export const getMaxConcurrency = (state: ConcurrencyState): number => Math.floor(state.limit);
