--- a/packages/upstream/src/serviceClient.ts
+++ b/packages/upstream/src/serviceClient.ts
@@ -43,7 +43,7 @@
       this.#pools.getPool(call.url),
       call.url,
       {
-        method: call.method as 'POST',
+        method: call.method,
         path: call.path,
         headers: getHeaders(call),
         headersTimeout: call.timeoutMs,
--- a/tools/definePackages.mjs
+++ b/tools/definePackages.mjs
@@ -165,6 +165,7 @@
     version: '0.1.0',
     license: 'Apache-2.0',
     type: 'module',
+    engines: { node: '>=20.20' },
     ...(privatePackages.has(name) ? { private: true } : {}),
     main: 'dist/index.js',
     types: 'dist/index.d.ts',
