--- /dev/null
+++ b/packages/ledger/src/constants.ts
@@ -0,0 +1,46 @@
+/** Names and bounds of the usage ledger. */
+import type { LedgerSettings } from './types.js';
+
+/** Rows of batches: `ledger/<ledger incarnation>/<seq>`. */
+export const LEDGER_PREFIX = 'ledger/';
+/** Rows of cursors: `ledgerCursor/<ledger incarnation>`. */
+export const CURSOR_PREFIX = 'ledgerCursor/';
+/** Objects that batches went to while the table was away. */
+export const SPILL_PREFIX = 'ledger-spill/';
+/** Batch numbers are padded so that keys sort by them. */
+export const SEQ_DIGITS = 10;
+/** Joins an incarnation and the count of its ledgers after the first. */
+export const LEDGER_SUFFIX_SEPARATOR = '~';
+/** Settled records that are remembered after their flush, to notice a second settlement. */
+export const REMEMBERED_SETTLEMENTS = 4_096;
+/** Rows of one page that a reader scans. */
+export const SCAN_PAGE_ROWS = 100;
+
+/**
+ * At 400 daemons a flush each 10 s is 40 transactions of two rows a second, a quarter of the table's
+ * write rate; in between two VMs hold each record.
+ */
+export const DEFAULT_LEDGER_SETTINGS: LedgerSettings = {
+  flushIntervalMs: 10_000,
+  maxBatchEntries: 500,
+  batchGapMs: 2_000,
+  maxPendingRecords: 20_000,
+  spillThresholdRecords: 5_000,
+  maxSpillEntries: 2_000,
+  replicateBatchMs: 2,
+  replicateTimeoutMs: 300,
+  maxMessageRecords: 500,
+  forgetDelayMs: 5_000,
+  peerPenaltyMs: 5_000,
+  maxPeerPenaltyMs: 300_000,
+  checkIntervalMs: 1_000,
+  adoptAfterMs: 5_000,
+  maxClosingEntries: 1_000,
+  platformTimeoutMs: 5_000,
+  engineTimeoutMs: 2_000,
+  engineAttempts: 5,
+  engineRetryMs: 1_000,
+  engineRetentionMs: 60_000,
+  adoptionParallelism: 8,
+  stopTimeoutMs: 10_000,
+};
--- a/packages/ledger/src/types.ts
+++ b/packages/ledger/src/types.ts
@@ -1,5 +1,16 @@
 /** Usage records: opened at admission, settled once, folded into bills as a set union. */
-import type { OpenUsage, UsageEntry, UsageLine, UsageStream } from '@snipehaven/protocol';
+import type { Logger, Random } from '@snipehaven/common';
+import type { MembershipView } from '@snipehaven/membership';
+import type { ObjectStoreClient, TableClient } from '@snipehaven/platform';
+import type {
+  OpenUsage,
+  PeerTransport,
+  UsageEntry,
+  UsageLine,
+  UsageStream,
+} from '@snipehaven/protocol';
+import type { TimelineRecorder } from '@snipehaven/timeline';
+import type { EngineClient } from '@snipehaven/upstream';
 
 /** What is known when a record is settled. */
 export interface Settlement {
@@ -47,3 +58,58 @@
   /** The folded entries themselves. */
   listEntries(query: BillingQuery): Promise<readonly UsageEntry[]>;
 }
+
+/** Bounds and intervals of a daemon's ledger. */
+export interface LedgerSettings {
+  /** Mean time between flushes. */
+  readonly flushIntervalMs: number;
+  /** Entries in one row of the table; that many flush at once. */
+  readonly maxBatchEntries: number;
+  /** Least time between two batches while a backlog drains, so that daemons don't flood the table. */
+  readonly batchGapMs: number;
+  /** Open and unflushed records together; `open` refuses beyond. */
+  readonly maxPendingRecords: number;
+  /** Settled records beyond this go to the object store while the table is away. */
+  readonly spillThresholdRecords: number;
+  readonly maxSpillEntries: number;
+  /** How long changes wait for company before they go to the peer. */
+  readonly replicateBatchMs: number;
+  /** A peer that has not answered by then is passed over. */
+  readonly replicateTimeoutMs: number;
+  readonly maxMessageRecords: number;
+  /** How long the word that records may be forgotten waits for a message to ride along with. */
+  readonly forgetDelayMs: number;
+  /** How long a peer that did not answer is passed over; doubles with each failure in a row. */
+  readonly peerPenaltyMs: number;
+  readonly maxPeerPenaltyMs: number;
+  /** Time between looks at who is dead and which peer is best. */
+  readonly checkIntervalMs: number;
+  /** How long an owner must be dead before its records are adopted. */
+  readonly adoptAfterMs: number;
+  /** Entries written with the closing of an owner's cursor; more go through the adopter's ledger. */
+  readonly maxClosingEntries: number;
+  readonly platformTimeoutMs: number;
+  readonly engineTimeoutMs: number;
+  /** How often an engine is asked for one stream before it counts as silent. */
+  readonly engineAttempts: number;
+  readonly engineRetryMs: number;
+  /** How long engines keep an ended stream; only before that does "unknown" prove "not started". */
+  readonly engineRetentionMs: number;
+  /** Open records of a dead owner that are asked for at the same time. */
+  readonly adoptionParallelism: number;
+  readonly stopTimeoutMs: number;
+}
+
+export interface ReplicatedUsageLedgerOptions {
+  /** The incarnation of this process. */
+  readonly self: string;
+  readonly table: TableClient;
+  readonly objectStore: ObjectStoreClient;
+  readonly transport: PeerTransport;
+  readonly membership: MembershipView;
+  readonly engines: Pick<EngineClient, 'getState' | 'cancel'>;
+  readonly timeline: TimelineRecorder;
+  readonly logger: Logger;
+  readonly random: Random;
+  readonly settings?: Partial<LedgerSettings>;
+}
