--- /dev/null
+++ b/packages/claims/src/transactionBatcher.ts
@@ -0,0 +1,177 @@
+/** Group commit: transactions that wait together go to the table in one call. */
+import { PlatformOutcomeUnknownError, PlatformRefusedError } from '@snipehaven/platform';
+import type { TableClient, TableTransaction, TransactionResult } from '@snipehaven/platform';
+import { NotSentError } from './errors.js';
+import type { ClaimSettings } from './types.js';
+
+interface Entry {
+  readonly transaction: TableTransaction;
+  /** Not sent after this moment. */
+  readonly giveUpAtMs: number;
+  readonly resolve: (result: TransactionResult) => void;
+  readonly reject: (error: unknown) => void;
+}
+
+type BatcherSettings = Pick<
+  ClaimSettings,
+  'groupCommitMs' | 'maxBatch' | 'maxBatchesInFlight' | 'maxQueuedTransactions' | 'retryAfterMs'
+>;
+
+/** What one batcher has sent. */
+export interface BatcherCounts {
+  readonly calls: number;
+  readonly transactions: number;
+  readonly rateLimited: number;
+  readonly queued: number;
+}
+
+const BATCH_GROWTH = 4;
+
+const isRateLimit = (error: unknown): error is PlatformRefusedError & { retryAfterMs: number } =>
+  error instanceof PlatformRefusedError && error.retryAfterMs !== undefined;
+
+const settleEntry = (entry: Entry, result: TransactionResult | undefined): void => {
+  if (result) {
+    entry.resolve(result);
+  } else {
+    entry.reject(new PlatformOutcomeUnknownError('the table gave no result'));
+  }
+};
+
+/**
+ * Sends transactions in bounded batches, few of them in flight. Over the table's rate limit the batch
+ * waits its `Retry-After` and shrinks: a batch above the table's burst would be refused for ever.
+ */
+export class TransactionBatcher {
+  readonly #table: TableClient;
+
+  readonly #settings: BatcherSettings;
+
+  #queue: Entry[] = [];
+
+  #timer: NodeJS.Timeout | undefined;
+
+  #inFlight = 0;
+
+  #batchLimit: number;
+
+  #pausedUntilMs = 0;
+
+  #calls = 0;
+
+  #transactions = 0;
+
+  #rateLimited = 0;
+
+  constructor(table: TableClient, settings: BatcherSettings) {
+    this.#table = table;
+    this.#settings = settings;
+    this.#batchLimit = settings.maxBatch;
+  }
+
+  get counts(): BatcherCounts {
+    return {
+      calls: this.#calls,
+      transactions: this.#transactions,
+      rateLimited: this.#rateLimited,
+      queued: this.#queue.length,
+    };
+  }
+
+  /**
+   * Resolves with the transaction's own result. Rejects with `NotSentError` when it was never sent, else
+   * with the platform's errors; `PlatformOutcomeUnknownError` holds for all of the batch.
+   */
+  submit(transaction: TableTransaction, giveUpAtMs: number): Promise<TransactionResult> {
+    if (this.#queue.length >= this.#settings.maxQueuedTransactions) {
+      return Promise.reject(new NotSentError('queue is full', this.#getRetryAfterMs()));
+    }
+    if (this.#pausedUntilMs > giveUpAtMs) {
+      return Promise.reject(new NotSentError('over the rate limit', this.#getRetryAfterMs()));
+    }
+    return new Promise((resolve, reject) => {
+      this.#queue.push({ transaction, giveUpAtMs, resolve, reject });
+      this.#schedule();
+    });
+  }
+
+  #getRetryAfterMs(): number {
+    return Math.max(this.#settings.retryAfterMs, this.#pausedUntilMs - Date.now());
+  }
+
+  #schedule(): void {
+    const isBusy = this.#inFlight >= this.#settings.maxBatchesInFlight;
+    if (this.#timer || isBusy || this.#queue.length === 0) {
+      return;
+    }
+    const isFull = this.#queue.length >= this.#batchLimit;
+    const waitMs = Math.max(
+      isFull ? 0 : this.#settings.groupCommitMs,
+      this.#pausedUntilMs - Date.now(),
+    );
+    this.#timer = setTimeout(() => {
+      this.#timer = undefined;
+      void this.#sendNext();
+    }, waitMs);
+  }
+
+  async #sendNext(): Promise<void> {
+    const batch = this.#takeBatch();
+    if (batch.length > 0) {
+      this.#inFlight += 1;
+      await this.#send(batch);
+      this.#inFlight -= 1;
+    }
+    this.#schedule();
+  }
+
+  #takeBatch(): readonly Entry[] {
+    const nowMs = Date.now();
+    const expired = this.#queue.filter((entry) => entry.giveUpAtMs < nowMs);
+    expired.forEach((entry) =>
+      entry.reject(new NotSentError('waited too long', this.#getRetryAfterMs())),
+    );
+    const waiting = this.#queue.filter((entry) => entry.giveUpAtMs >= nowMs);
+    this.#queue = waiting.slice(this.#batchLimit);
+    return waiting.slice(0, this.#batchLimit);
+  }
+
+  async #send(batch: readonly Entry[]): Promise<void> {
+    this.#calls += 1;
+    this.#transactions += batch.length;
+    try {
+      const results = await this.#table.transact(batch.map((entry) => entry.transaction));
+      this.#batchLimit = Math.min(this.#settings.maxBatch, this.#batchLimit + BATCH_GROWTH);
+      batch.forEach((entry, index) => settleEntry(entry, results[index]));
+    } catch (error) {
+      this.#handleFailure(batch, error);
+    }
+  }
+
+  #handleFailure(batch: readonly Entry[], error: unknown): void {
+    if (!isRateLimit(error)) {
+      batch.forEach((entry) => entry.reject(error));
+      return;
+    }
+    this.#rateLimited += 1;
+    this.#transactions -= batch.length;
+    this.#batchLimit = Math.max(1, Math.floor(batch.length / 2));
+    this.#pausedUntilMs = Math.max(this.#pausedUntilMs, Date.now() + error.retryAfterMs);
+    this.#queue = [...batch, ...this.#queue];
+    this.#rejectHopeless();
+  }
+
+  /** Refuses at once what could only be sent after its time. */
+  #rejectHopeless(): void {
+    const isHopeless = (entry: Entry): boolean => entry.giveUpAtMs < this.#pausedUntilMs;
+    const hopeless = this.#queue.filter(isHopeless);
+    this.#queue = this.#queue.filter((entry) => !isHopeless(entry));
+    hopeless.forEach((entry) =>
+      entry.reject(new NotSentError('over the rate limit', this.#getRetryAfterMs())),
+    );
+  }
+}
+
+/** Whether the error proves that the transaction has not been, and will not be, carried out. */
+export const isProvenNotDone = (error: unknown): error is NotSentError | PlatformRefusedError =>
+  error instanceof NotSentError || error instanceof PlatformRefusedError;
