--- /dev/null
+++ b/packages/membership/src/records/broadcastQueue.ts
@@ -0,0 +1,41 @@
+/** Changed records on their way to others, each sent along a bounded number of times. */
+import type { Member } from '@snipehaven/protocol';
+import { TRANSMITS_PER_LOG_SIZE } from '../constants.js';
+
+interface Broadcast {
+  readonly member: Member;
+  sentCount: number;
+}
+
+const getSendLimit = (size: number): number =>
+  TRANSMITS_PER_LOG_SIZE * Math.ceil(Math.log10(size + 1));
+
+export class BroadcastQueue {
+  readonly #broadcasts = new Map<string, Broadcast>();
+
+  /** Queues a record in place of an older one of the same incarnation. */
+  add(member: Member): void {
+    this.#broadcasts.set(member.incarnation, { member, sentCount: 0 });
+  }
+
+  /** Takes the least sent records that the receiver did not just tell of itself. */
+  take(limit: number, size: number, told: ReadonlySet<string>): readonly Member[] {
+    const taken = [...this.#broadcasts.values()]
+      .filter((broadcast) => !told.has(broadcast.member.incarnation))
+      .sort((a, b) => a.sentCount - b.sentCount)
+      .slice(0, limit);
+    taken.forEach((broadcast) => this.#countSend(broadcast, size));
+    return taken.map((broadcast) => broadcast.member);
+  }
+
+  clear(): void {
+    this.#broadcasts.clear();
+  }
+
+  #countSend(broadcast: Broadcast, size: number): void {
+    broadcast.sentCount += 1;
+    if (broadcast.sentCount >= getSendLimit(size)) {
+      this.#broadcasts.delete(broadcast.member.incarnation);
+    }
+  }
+}
--- /dev/null
+++ b/packages/membership/src/records/listeners.ts
@@ -0,0 +1,31 @@
+/** Functions that want to hear of something. */
+import { getErrorMessage, type Logger } from '@snipehaven/common';
+
+export class Listeners<Event> {
+  readonly #listeners = new Set<(event: Event) => void>();
+
+  readonly #logger: Logger;
+
+  constructor(logger: Logger) {
+    this.#logger = logger;
+  }
+
+  /** Adds a listener; returns the function that removes it. */
+  add(listener: (event: Event) => void): () => void {
+    this.#listeners.add(listener);
+    return () => {
+      this.#listeners.delete(listener);
+    };
+  }
+
+  /** Tells all; one that throws does not keep the others from hearing. */
+  tell(event: Event): void {
+    this.#listeners.forEach((listener) => {
+      try {
+        listener(event);
+      } catch (error) {
+        this.#logger.error({ error: getErrorMessage(error) }, 'membership listener failed');
+      }
+    });
+  }
+}
--- a/packages/protocol/src/membership/messages.ts
+++ b/packages/protocol/src/membership/messages.ts
@@ -23,12 +23,20 @@
   topics: z.record(z.string(), z.unknown()),
   /** The sender's hybrid time. */
   at: z.object({ wallMs: z.number(), counter: z.number() }),
+  /** Digest of all live members that the sender knows; equal ones need no repair. */
+  digest: z.number(),
+  /** Digests of parts of them, sent to find where two differ; the answer holds those parts. */
+  buckets: z.array(z.number()).optional(),
 });
 
 export type Exchange = z.infer<typeof exchangeSchema>;
 
 /** Asks a peer to probe a member that did not answer the asker. */
-export const probeSchema = z.object({ address: z.string() });
+export const probeSchema = z.object({
+  address: z.string(),
+  /** The life asked for; without it any answer at the address counts. */
+  incarnation: z.string().optional(),
+});
 
 export type Probe = z.infer<typeof probeSchema>;
 
