--- /dev/null
+++ b/packages/configuration/src/contactTracker.ts
@@ -0,0 +1,59 @@
+/** When this daemon last heard from whom; all moments by the runtime's clock. */
+export class ContactTracker {
+  readonly startedAtMs = Date.now();
+
+  /** When the table last answered this daemon or one that it heard from. */
+  #tableKnownAtMs: number | undefined;
+
+  /** When this daemon last heard from anyone who could have a higher revision. */
+  #aheadAtMs = this.startedAtMs;
+
+  #hasHeardPeer = false;
+
+  #isConfirmed = false;
+
+  /** Whether any peer has been heard since the start. */
+  get hasHeardPeer(): boolean {
+    return this.#hasHeardPeer;
+  }
+
+  /** Whether the table or a peer with a configuration has been heard since the start. */
+  get isConfirmed(): boolean {
+    return this.#isConfirmed;
+  }
+
+  noteTable(): void {
+    this.#tableKnownAtMs = Date.now();
+    this.#aheadAtMs = Date.now();
+    this.#isConfirmed = true;
+  }
+
+  /** Notes a peer; `tableAgeMs` tells how long ago it knew the table to answer. */
+  notePeer(hasConfiguration: boolean, isAhead: boolean, tableAgeMs: number | undefined): void {
+    this.#hasHeardPeer = true;
+    this.#isConfirmed ||= hasConfiguration;
+    if (isAhead) {
+      this.#aheadAtMs = Date.now();
+    }
+    if (tableAgeMs !== undefined) {
+      this.#tableKnownAtMs = Math.max(this.#tableKnownAtMs ?? 0, Date.now() - tableAgeMs);
+    }
+  }
+
+  /** How long ago the table was known to answer; undefined: never. */
+  getTableAgeMs(): number | undefined {
+    return this.#tableKnownAtMs === undefined
+      ? undefined
+      : Math.max(0, Date.now() - this.#tableKnownAtMs);
+  }
+
+  /** How long nobody who may know more has been heard. */
+  getAloneMs(): number {
+    return Date.now() - this.#aheadAtMs;
+  }
+
+  isStale(staleAfterMs: number): boolean {
+    const ageMs = this.getTableAgeMs() ?? Date.now() - this.startedAtMs;
+    return ageMs > staleAfterMs;
+  }
+}
--- /dev/null
+++ b/packages/configuration/src/safeMoves/joinSafeMoves.ts
@@ -0,0 +1,23 @@
+/** The join of safe moves: commutative, associative and idempotent. */
+import type { SafeMove } from '@snipehaven/protocol';
+
+/** Orders moves of equal generation and state, so that all daemons keep the same one. */
+const compareTexts = (a: SafeMove, b: SafeMove): number => {
+  const textOfA = `${a.by}\u0000${a.reason}`;
+  const textOfB = `${b.by}\u0000${b.reason}`;
+  return textOfA < textOfB ? -1 : Number(textOfA > textOfB);
+};
+
+/**
+ * Positive when `a` beats `b`: the higher generation wins, then the active one, so that a withdrawal beats
+ * a lift that did not know of it; then the earlier one.
+ */
+export const compareSafeMoves = (a: SafeMove, b: SafeMove): number =>
+  a.generation - b.generation ||
+  Number(a.isActive) - Number(b.isActive) ||
+  b.atMs - a.atMs ||
+  compareTexts(b, a);
+
+/** The one of two moves of the same key that counts. */
+export const joinSafeMoves = (a: SafeMove, b: SafeMove): SafeMove =>
+  compareSafeMoves(a, b) >= 0 ? a : b;
--- a/packages/configuration/src/types.ts
+++ b/packages/configuration/src/types.ts
@@ -12,6 +12,8 @@
   /** Makes a repeated write harmless: the same id never writes twice. */
   readonly clientRequestId: string;
   readonly isDryRun?: boolean;
+  /** Who asks; kept in safe moves. */
+  readonly by?: string;
 }
 
 /** How far a revision has come, from what members report applied. */
--- /dev/null
+++ b/packages/configuration/src/writePlan.ts
@@ -0,0 +1,101 @@
+/** What a write does to a resource, and the table transaction that does it. */
+import { createHash } from 'node:crypto';
+import { isDeepStrictEqual } from 'node:util';
+import type { Random } from '@snipehaven/common';
+import type { TableTransaction } from '@snipehaven/platform';
+import type { Kind, Resource, ResourceChange, ResourceManifest } from '@snipehaven/resources';
+import { HEAD_KEY, UID_DIGITS } from './constants.js';
+import { getChangeKey, getRequestKey, getResourceKey, type Head } from './rows.js';
+
+/** A write as an operator asked for it; without a spec it deletes. */
+export interface WriteRequest {
+  readonly kind: Kind;
+  readonly name: string;
+  readonly resourceVersion?: number;
+  readonly spec?: ResourceManifest['spec'];
+  readonly clientRequestId: string;
+  readonly isDryRun: boolean;
+}
+
+/** What the table held when the write was planned. */
+export interface WriteBase {
+  readonly head: Head;
+  readonly present: Resource | undefined;
+  readonly rowVersion: number;
+}
+
+/** Tells a repeated request from another one under the same id. */
+export const digestRequest = ({ kind, name, spec }: WriteRequest): string =>
+  createHash('sha256')
+    .update(JSON.stringify([kind, name, spec ?? null]))
+    .digest('base64url');
+
+/** Whether the resource is already as asked for, so that nothing need be written. */
+export const isAlreadyWritten = (request: WriteRequest, present: Resource | undefined): boolean =>
+  present !== undefined && isDeepStrictEqual(present.spec, request.spec);
+
+const createUid = (random: Random): string =>
+  Array.from({ length: UID_DIGITS }, () => random.nextInt(36).toString(36)).join('');
+
+/** The resource that the write makes; a resource made anew under an old name gets another uid. */
+export const buildResource = (
+  { kind, name, spec }: WriteRequest & { readonly spec: ResourceManifest['spec'] },
+  { head, present }: WriteBase,
+  random: Random,
+): Resource => {
+  const nowMs = Date.now();
+  return {
+    kind,
+    metadata: {
+      name,
+      uid: present?.metadata.uid ?? createUid(random),
+      resourceVersion: head.revision + 1,
+      generation: (present?.metadata.generation ?? 0) + 1,
+      createdAtMs: present?.metadata.createdAtMs ?? nowMs,
+      updatedAtMs: nowMs,
+    },
+    spec,
+  };
+};
+
+/** The next change of the configuration. */
+export const buildChange = (
+  request: WriteRequest,
+  base: WriteBase,
+  random: Random,
+): ResourceChange => {
+  const { kind, name, spec } = request;
+  const change = { revision: base.head.revision + 1, kind, name };
+  return spec === undefined
+    ? change
+    : { ...change, resource: buildResource({ ...request, spec }, base, random) };
+};
+
+/**
+ * The head's condition makes every write follow the one before it: a write whose answer was lost and that
+ * arrives late finds a newer head and does nothing. The request row's condition refuses a second write
+ * under the same client request id, whatever others wrote in between.
+ */
+export const buildTransaction = (
+  request: WriteRequest,
+  base: WriteBase,
+  change: ResourceChange,
+): TableTransaction => {
+  const resourceKey = getResourceKey(request.kind, request.name);
+  const requestKey = getRequestKey(request.clientRequestId);
+  const { revision } = change;
+  const { clientRequestId } = request;
+  return {
+    conditions: [
+      { key: HEAD_KEY, version: base.head.version },
+      { key: resourceKey, version: base.rowVersion },
+      { key: requestKey, version: 0 },
+    ],
+    writes: [
+      { key: HEAD_KEY, value: { revision } },
+      { key: resourceKey, value: change.resource ?? null },
+      { key: getChangeKey(revision), value: { change, clientRequestId } },
+      { key: requestKey, value: { revision, digest: digestRequest(request) } },
+    ],
+  };
+};
