Stand-ins: orders apart from the engine, forwarder, process, tests

Cause: silence by corking ended with the response, which uncorks its socket; a slow version missed its token by rounding; a run could die with its last token.

--- a/packages/standins/src/control.ts
+++ b/packages/standins/src/control.ts
@@ -40,6 +40,25 @@
     .optional(),
 });
 
+/** Speeds and sizes of an engine; see `EngineSizes`. */
+export const engineSizesSchema = z
+  .strictObject({
+    tokenMs: durationMs,
+    tokenMsPerRunning: durationMs,
+    prefillMsPerToken: durationMs,
+    chunkTokens: z.int().min(1),
+    maxRunning: z.int().min(1),
+    maxQueued: z.int().min(0),
+    kvTokens: z.int().min(1),
+    cacheTokens: z.int().min(0),
+    cacheEventDelayMs: durationMs,
+    cacheEventLossRate: rate,
+    loadPeriodMs: durationMs,
+    versionLoadMs: durationMs,
+    keepStreamMs: durationMs,
+  })
+  .partial();
+
 export const engineControlSchema = commonControlSchema.extend({
   engineFaults: z
     .strictObject({
@@ -61,24 +80,7 @@
     })
     .partial()
     .optional(),
-  sizes: z
-    .strictObject({
-      tokenMs: durationMs,
-      tokenMsPerRunning: durationMs,
-      prefillMsPerToken: durationMs,
-      chunkTokens: z.int().min(1),
-      maxRunning: z.int().min(1),
-      maxQueued: z.int().min(0),
-      kvTokens: z.int().min(1),
-      cacheTokens: z.int().min(0),
-      cacheEventDelayMs: durationMs,
-      cacheEventLossRate: rate,
-      loadPeriodMs: durationMs,
-      versionLoadMs: durationMs,
-      keepStreamMs: durationMs,
-    })
-    .partial()
-    .optional(),
+  sizes: engineSizesSchema.optional(),
   leaving: z.boolean().optional(),
   /** All running streams die. */
   crashStreams: z.boolean().optional(),
@@ -98,7 +100,7 @@
   leaving: z.boolean().optional(),
 });
 
-const vmSchema = z.strictObject({
+export const vmSchema = z.strictObject({
   name: z.string(),
   role: z.enum(['entry', 'upstream']),
   dataCentre: z.string(),
--- a/packages/standins/src/engine.ts
+++ b/packages/standins/src/engine.ts
@@ -1,5 +1,5 @@
 /** Core of a model engine: continuous batching, resumable streams, prefix cache, orders. */
-import { createRandom, sleep, type Random } from '@snipehaven/common';
+import { createRandom, type Random } from '@snipehaven/common';
 import { Batch } from './batch.js';
 import {
   DEFAULT_CACHE_EVENT_DELAY_MS,
@@ -7,17 +7,15 @@
   DEFAULT_LOAD_PERIOD_MS,
 } from './constants.js';
 import { EngineLoadReport } from './engineLoadReport.js';
+import { EngineOrders } from './engineOrders.js';
 import type {
   EngineFaults,
   EngineLoad,
   EngineOptions,
   EngineOrder,
-  EngineOrderKind,
   EngineRequest,
   EngineSizes,
   EngineTruth,
-  FetchWeights,
-  OrderTruth,
   StartedStream,
   StreamAnswer,
   StreamListener,
@@ -25,14 +23,7 @@
   StreamTruth,
   Unsubscribe,
 } from './engineTypes.js';
-import {
-  DuplicateStreamError,
-  InvalidCallError,
-  NotStartedError,
-  RateLimitedError,
-  StaleFenceError,
-  UnknownStreamError,
-} from './errors.js';
+import { DuplicateStreamError, NotStartedError, UnknownStreamError } from './errors.js';
 import { FaultGate } from './faultGate.js';
 import { pickGiven } from './pickGiven.js';
 import { PrefixCache } from './prefixCache.js';
@@ -65,9 +56,7 @@
   versionFaults: {},
 };
 
-const DEFAULT_ROLE = 'both';
 const REFUSED_RETRY_AFTER_MS = 1000;
-const WEIGHTS_RETRY_MS = 500;
 
 /** The counts of the truth, added to as things happen. */
 interface EngineCounts {
@@ -96,30 +85,28 @@
   completionTokens: 0,
 });
 
+const pickSizes = (options: EngineOptions): Partial<EngineSizes> => {
+  const names = Object.keys(DEFAULT_ENGINE_SIZES) as (keyof EngineSizes)[];
+  return pickGiven(Object.fromEntries(names.map((name) => [name, options[name]])));
+};
+
 /** An engine, usable in-process. Its methods don't pass the gate: callers at an edge do. */
 export class EngineCore {
   readonly gate: FaultGate;
 
   readonly #random: Random;
 
-  readonly #checksFences: boolean;
-
   readonly #refusesWhenLeaving: boolean;
 
   readonly #recordsStreams: boolean;
 
-  readonly #fetchWeights: FetchWeights | undefined;
-
   readonly #cache: PrefixCache;
 
   readonly #batch: Batch;
 
   readonly #loadReport: EngineLoadReport;
 
-  readonly #versions: Set<string>;
-
-  /** Versions on their way in; aborted when they are ordered out again. */
-  readonly #loading = new Map<string, AbortController>();
+  readonly #orders: EngineOrders;
 
   readonly #runs = new Map<string, StreamRun>();
 
@@ -129,18 +116,12 @@
   /** What became of the forgotten runs, where streams are recorded. */
   readonly #archive: StreamTruth[] = [];
 
-  readonly #orders: OrderTruth[] = [];
-
   readonly #counts = createCounts();
 
   #sizes: EngineSizes;
 
   #faults = NO_ENGINE_FAULTS;
 
-  #role = DEFAULT_ROLE;
-
-  #highestFence = 0;
-
   #leavingSinceMs: number | undefined;
 
   #bootMs = Date.now();
@@ -149,12 +130,10 @@
     this.#random = options.random ?? createRandom(1);
     this.gate = new FaultGate(this.#random);
     this.#sizes = { ...DEFAULT_ENGINE_SIZES, ...pickSizes(options) };
-    this.#versions = new Set(options.versions);
-    this.#checksFences = options.checksFences ?? true;
     this.#refusesWhenLeaving = options.refusesWhenLeaving ?? false;
     this.#recordsStreams = options.recordsStreams ?? true;
-    this.#fetchWeights = options.fetchWeights;
     this.#cache = new PrefixCache(this.#getCacheOptions(), this.#random);
+    this.#orders = this.#createOrders(options);
     this.#batch = new Batch(
       this.#sizes,
       (run) => this.#useCache(run),
@@ -213,16 +192,9 @@
     return this.#cache.listEvents(afterSeq);
   }
 
-  /** Obeys an order, or throws {@link StaleFenceError} where fences are checked. */
+  /** Obeys an order, or throws a `StaleFenceError` where fences are checked. */
   order(order: EngineOrder): void {
-    const isStale = order.fence < this.#highestFence;
-    const isObeyed = !(isStale && this.#checksFences);
-    this.#orders.push({ ...order, atMs: Date.now(), isObeyed });
-    if (!isObeyed) {
-      throw new StaleFenceError(this.#highestFence);
-    }
-    this.#highestFence = Math.max(this.#highestFence, order.fence);
-    this.#orderHandlers[order.kind](order);
+    this.#orders.accept(order);
   }
 
   /** Begins or ends to leave. */
@@ -245,6 +217,7 @@
     this.#cache.setOptions(this.#getCacheOptions());
     this.#loadReport.setPeriod(this.#sizes.loadPeriodMs);
     this.#batch.setSizes(this.#sizes);
+    this.#orders.setVersionLoadMs(this.#sizes.versionLoadMs);
   }
 
   /** Crashes all streams that run. */
@@ -258,13 +231,13 @@
     this.crashStreams();
     [...this.#runs.values()].forEach((run) => this.#forget(run));
     this.#ended = [];
-    this.#versions.forEach((version) => this.#cache.dropVersion(version));
+    this.#orders.versions.forEach((version) => this.#cache.dropVersion(version));
     this.#bootMs = Date.now();
   }
 
   /** Stops all timers. */
   stop(): void {
-    this.#loading.forEach((controller) => controller.abort());
+    this.#orders.stop();
     this.#batch.clear();
   }
 
@@ -273,26 +246,29 @@
     return {
       gate: this.gate.getTruth(),
       bootMs: this.#bootMs,
-      versions: [...this.#versions],
-      role: this.#role,
+      versions: [...this.#orders.versions],
+      role: this.#orders.role,
       ...this.#counts,
       running: this.#batch.runningCount,
       queued: this.#batch.queuedCount,
-      orders: this.#orders,
+      orders: this.#orders.history,
       prefixes: this.#cache.listPrefixes(),
       streams: hasStreams && this.#recordsStreams ? this.#listStreams() : [],
     };
   }
 
-  readonly #orderHandlers: Readonly<Record<EngineOrderKind, (order: EngineOrder) => void>> = {
-    loadVersion: (order) => {
-      void this.#loadVersion(getOrderedVersion(order));
-    },
-    unloadVersion: (order) => this.#unloadVersion(getOrderedVersion(order)),
-    setRole: ({ role }) => {
-      this.#role = role ?? DEFAULT_ROLE;
-    },
-  };
+  #createOrders(options: EngineOptions): EngineOrders {
+    return new EngineOrders(
+      {
+        versions: options.versions,
+        checksFences: options.checksFences ?? true,
+        fetchWeights: options.fetchWeights,
+        beforeChange: () => this.#loadReport.refresh(),
+        onUnload: (version) => this.#cache.dropVersion(version),
+      },
+      this.#sizes.versionLoadMs,
+    );
+  }
 
   #getRun(streamId: string): StreamRun {
     this.#forgetEnded();
@@ -321,7 +297,7 @@
   }
 
   #getRefusal({ versionId }: EngineRequest): string | undefined {
-    if (!this.#versions.has(versionId)) {
+    if (!this.#orders.versions.has(versionId)) {
       return `version ${versionId} is not loaded`;
     }
     if (this.#batch.isFull) {
@@ -420,7 +396,7 @@
       running: this.#batch.runningCount,
       queued: this.#batch.queuedCount,
       kvUsedPct: this.#batch.kvUsedPct,
-      versions: [...this.#versions],
+      versions: [...this.#orders.versions],
       leaving: this.isLeaving,
     };
   }
@@ -432,55 +408,4 @@
       eventLossRate: this.#sizes.cacheEventLossRate,
     };
   }
-
-  async #loadVersion(version: string): Promise<void> {
-    if (this.#versions.has(version) || this.#loading.has(version)) {
-      return;
-    }
-    const controller = new AbortController();
-    this.#loading.set(version, controller);
-    await this.#waitForWeights(version, controller.signal);
-    await sleep(this.#sizes.versionLoadMs, controller.signal);
-    if (!controller.signal.aborted) {
-      this.#loadReport.refresh();
-      this.#loading.delete(version);
-      this.#versions.add(version);
-    }
-  }
-
-  /** The weight store limits its rate and may be down: the engine asks again until it has them. */
-  async #waitForWeights(version: string, signal: AbortSignal): Promise<void> {
-    while (this.#fetchWeights && !signal.aborted) {
-      try {
-        await this.#fetchWeights(version);
-        return;
-      } catch (error) {
-        await sleep(getWeightsRetryMs(error), signal);
-      }
-    }
-  }
-
-  #unloadVersion(version: string): void {
-    this.#loadReport.refresh();
-    this.#loading.get(version)?.abort();
-    this.#loading.delete(version);
-    this.#versions.delete(version);
-    this.#cache.dropVersion(version);
-  }
-}
-
-function getWeightsRetryMs(error: unknown): number {
-  return error instanceof RateLimitedError ? error.retryAfterMs : WEIGHTS_RETRY_MS;
-}
-
-function getOrderedVersion(order: EngineOrder): string {
-  if (order.version === undefined) {
-    throw new InvalidCallError(`${order.kind} needs a version`);
-  }
-  return order.version;
-}
-
-function pickSizes(options: EngineOptions): Partial<EngineSizes> {
-  const names = Object.keys(DEFAULT_ENGINE_SIZES) as (keyof EngineSizes)[];
-  return pickGiven(Object.fromEntries(names.map((name) => [name, options[name]])));
 }
--- a/packages/standins/src/engineServer.ts
+++ b/packages/standins/src/engineServer.ts
@@ -13,7 +13,7 @@
   StreamEnd,
   StreamListener,
 } from './engineTypes.js';
-import { NotFoundError, RunFailedError } from './errors.js';
+import { ConnectionLostError, NotFoundError, RunFailedError } from './errors.js';
 import {
   breakConnection,
   getHeader,
@@ -108,6 +108,11 @@
   return { streamId: decodeURIComponent(streamId), action };
 };
 
+const runErrors: Readonly<Record<Exclude<StreamEnd, 'done'>, () => Error>> = {
+  cancelled: () => new RunFailedError('run was cancelled'),
+  broken: () => new ConnectionLostError('run broke'),
+};
+
 /** Answers with the whole text once the run has ended. */
 const waitForAnswer = (started: StartedStream): Promise<EdgeReply> =>
   new Promise((resolve, reject) => {
@@ -117,7 +122,7 @@
         if (end === 'done') {
           resolve({ status: 200, body: toCompletion(started.getAnswer()) });
         } else {
-          reject(new RunFailedError(`run was ${end}`));
+          reject(runErrors[end]());
         }
       },
     });
--- a/packages/standins/src/engineTypes.ts
+++ b/packages/standins/src/engineTypes.ts
@@ -57,7 +57,9 @@
 /** Fetches a version's weights; resolves to their size. */
 export type FetchWeights = (version: string) => Promise<number>;
 
-export interface EngineOptions extends Partial<EngineSizes> {
+type OptionalSizes = { readonly [Name in keyof EngineSizes]?: EngineSizes[Name] | undefined };
+
+export interface EngineOptions extends OptionalSizes {
   /** `model@version` of each loaded version. */
   readonly versions: readonly string[];
   readonly checksFences?: boolean | undefined;
--- a/packages/standins/src/httpEdge.ts
+++ b/packages/standins/src/httpEdge.ts
@@ -204,12 +204,13 @@
 };
 
 /**
- * Makes a connection go silent for good: nothing more is read from it and all further writes stay
- * in memory, while it stays open. The peer notices only by its own timeout.
+ * Makes a connection go silent for good: nothing more is read from it or written to it, while it
+ * stays open. The peer notices only by its own timeout. Corking would not do, as the end of a
+ * response uncorks its socket.
  */
 const silenceSocket = (socket: Socket): void => {
   silentSockets.add(socket);
-  socket.cork();
+  Object.assign(socket, { write: () => true, end: () => socket, destroySoon: () => {} });
   socket.pause();
   socket.on('resume', () => socket.pause());
 };
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -13,6 +13,8 @@
 export * from './raterServer.js';
 export * from './service.js';
 export * from './serviceServer.js';
+export * from './silentForwarder.js';
+export * from './standinsConfig.js';
 export * from './startStandins.js';
 export * from './table.js';
 export * from './tableServer.js';
--- a/packages/standins/src/rater.ts
+++ b/packages/standins/src/rater.ts
@@ -9,7 +9,9 @@
   type Rating,
 } from './quality.js';
 
-export interface RaterOptions extends Partial<QualityOptions> {
+export interface RaterOptions extends Omit<QualityOptions, 'seed'> {
+  /** Seeds the quality table. */
+  readonly seed?: number | undefined;
   /** How late scores are published, plus up to the spread. */
   readonly ratingDelayMs?: number | undefined;
   readonly ratingDelaySpreadMs?: number | undefined;
--- a/packages/standins/src/startStandins.ts
+++ b/packages/standins/src/startStandins.ts
@@ -43,6 +43,22 @@
   stop(): Promise<void>;
 }
 
+/** Where each stand-in listens, for other processes. */
+export interface StandinAddresses {
+  readonly tableUrl?: string | undefined;
+  readonly objectStoreUrl?: string | undefined;
+  readonly vmListUrl?: string | undefined;
+  readonly raterUrl?: string | undefined;
+  readonly weightStoreUrl?: string | undefined;
+  readonly engines: readonly NamedUrl[];
+  readonly services: readonly NamedUrl[];
+}
+
+export interface NamedUrl {
+  readonly name: string;
+  readonly url: string;
+}
+
 const DEFAULT_SEED = 1;
 
 const startEngine = async (
@@ -67,6 +83,19 @@
   return { name, url: server.url, core, server };
 };
 
+const toNamedUrl = ({ name, url }: NamedUrl): NamedUrl => ({ name, url });
+
+/** Lists the addresses of running stand-ins. */
+export const getAddresses = ({ platform, engines, services }: Standins): StandinAddresses => ({
+  tableUrl: platform?.table.url,
+  objectStoreUrl: platform?.objectStore.url,
+  vmListUrl: platform?.vmList.url,
+  raterUrl: platform?.rater.url,
+  weightStoreUrl: platform?.weightStore.url,
+  engines: engines.map(toNamedUrl),
+  services: services.map(toNamedUrl),
+});
+
 /** Starts the platform, engines and services; resolves when all listen. */
 export const startStandins = async (options: StandinsOptions = {}): Promise<Standins> => {
   const seed = options.seed ?? DEFAULT_SEED;
--- a/packages/standins/src/streamRun.ts
+++ b/packages/standins/src/streamRun.ts
@@ -53,10 +53,6 @@
 
   readonly totalTokens: number;
 
-  /** Tokens each step gives it. */
-  readonly tokensPerStep: number;
-
-
   duplicateStarts = 0;
 
   /** On the monotonic clock. */
@@ -74,6 +70,11 @@
 
   readonly #head: string;
 
+  readonly #stepsPerToken: number;
+
+  /** The run dies with this token. */
+  readonly #crashAtTokens: number;
+
   #endedMs: number | undefined;
 
   #readyAtMs = Infinity;
@@ -84,7 +85,7 @@
 
   #isCrashed = false;
 
-  #credit = 0;
+  #steps = 0;
 
   #producedTokens = 0;
 
@@ -102,8 +103,9 @@
     this.#promptDigest = getPromptDigest(this.promptText);
     const fault = this.#getFault(plan.versionFault);
     this.#faultKind = fault?.kind;
-    this.tokensPerStep = fault?.kind === 'slow' ? 1 / fault.slowFactor : 1;
+    this.#stepsPerToken = fault?.kind === 'slow' ? fault.slowFactor : 1;
     this.totalTokens = this.#getTotalTokens();
+    this.#crashAtTokens = this.#getCrashAtTokens();
     this.#head = this.#createHead();
   }
 
@@ -141,14 +143,12 @@
 
   /** Takes part in one step; true when it has ended. */
   step(): boolean {
-    this.#credit += this.tokensPerStep;
-    if (this.#credit < 1) {
+    this.#steps += 1;
+    if (Math.floor(this.#steps / this.#stepsPerToken) <= this.#producedTokens) {
       return false;
     }
-    this.#credit -= 1;
     this.#producedTokens += 1;
-    const { crashAt } = this.#plan;
-    if (crashAt !== undefined && this.#producedTokens >= crashAt * this.totalTokens) {
+    if (this.#producedTokens >= this.#crashAtTokens) {
       this.#end('cancelled');
       this.#isCrashed = true;
       return true;
@@ -236,6 +236,12 @@
     return this.request.maxTokens ?? getDefaultCompletionTokens(this.#promptDigest);
   }
 
+  /** Never the last token, unless it is the only one. */
+  #getCrashAtTokens(): number {
+    const { crashAt } = this.#plan;
+    return crashAt === undefined ? Infinity : Math.max(1, Math.floor(crashAt * this.totalTokens));
+  }
+
   #createHead(): string {
     const { streamId, versionId } = this.request;
     const created = Math.floor(this.#startedMs / MS_PER_SECOND);
