--- /dev/null
+++ b/packages/bench/src/policy/choice/rounds.ts
@@ -0,0 +1,26 @@
+/** Earlier decision tables of ours, kept so that each round can be compared with the last ones. */
+import type { ChoiceSettings } from '@snipehaven/policy';
+
+/** One round's settings. */
+export interface ChoiceRound {
+  readonly name: string;
+  readonly settings: ChoiceSettings;
+}
+
+/** Round 0: the first version. */
+const round0: ChoiceSettings = {
+  confidence: 0.9,
+  strictConfidence: 0.99,
+  minProvenWeight: 30,
+  explorationShare: 0.05,
+  explorationAcceptScore: 0.85,
+  latencyScaleMs: 60_000,
+  ratingShare: 0.02,
+  unprovenRatingShare: 0.2,
+  wellProvenWeight: 200,
+  escalationCorrelation: 0.5,
+  escalationPriorWeight: 8,
+};
+
+/** All earlier rounds, oldest first. */
+export const choiceRounds: readonly ChoiceRound[] = [{ name: 'ours-r0', settings: round0 }];
--- a/packages/policy/src/evidence/constants.ts
+++ b/packages/policy/src/evidence/constants.ts
@@ -18,5 +18,5 @@
 /** Ratings that the version's evidence over all tasks counts for in one task's estimate. */
 export const VERSION_POOL_WEIGHT = 4;
 
-/** Chance of a wrong verdict that the drift test may reach over a version's whole life. */
-export const DRIFT_ALPHA = 0.001;
+/** Ratings between two false drift alarms of one task and version, on average and at least. */
+export const DRIFT_ALARM_RATINGS = 100_000;
--- a/packages/policy/src/evidence/eProcess.ts
+++ b/packages/policy/src/evidence/eProcess.ts
@@ -15,7 +15,7 @@
 }
 
 /** Stakes, as parts of the wealth that a value of 0 loses; their wealths are averaged. */
-const STAKES = [0.01, 0.02, 0.04, 0.08, 0.15, 0.3, 0.5, 0.75];
+export const STAKES = [0.01, 0.02, 0.04, 0.08, 0.15, 0.3, 0.5, 0.75];
 
 /** Keeps the stakes finite where the null hypothesis allows next to nothing. */
 const MIN_NULL_MEAN = 0.005;
--- a/packages/policy/src/evidence/evidenceCell.ts
+++ b/packages/policy/src/evidence/evidenceCell.ts
@@ -11,7 +11,7 @@
 } from './types.js';
 
 /** A cell that knows nothing. */
-export const emptyCell: EvidenceCell = { shares: [] };
+export const emptyCell: EvidenceCell = { era: 0, shares: [] };
 
 /** Counts of nothing. */
 export const createEmptyCounts = (): OutcomeCounts => ({
@@ -73,10 +73,10 @@
 };
 
 const isSameShare = (a: EvidenceShare, b: EvidenceShare): boolean =>
-  a.source === b.source && a.epoch === b.epoch;
+  a.source === b.source && a.epoch === b.epoch && a.era === b.era;
 
 const compareShares = (a: EvidenceShare, b: EvidenceShare): number =>
-  a.epoch - b.epoch || (a.source < b.source ? -1 : Number(a.source > b.source));
+  a.era - b.era || a.epoch - b.epoch || (a.source < b.source ? -1 : Number(a.source > b.source));
 
 const putShare = (
   cell: EvidenceCell,
@@ -85,10 +85,10 @@
 ): EvidenceCell => {
   const old = cell.shares.find((other) => isSameShare(other, share));
   if (!old) {
-    return { shares: [...cell.shares, share].sort(compareShares) };
+    return { ...cell, shares: [...cell.shares, share].sort(compareShares) };
   }
   const combined = { ...share, counts: combine(old.counts, share.counts) };
-  return { shares: cell.shares.map((other) => (other === old ? combined : other)) };
+  return { ...cell, shares: cell.shares.map((other) => (other === old ? combined : other)) };
 };
 
 /** Counts one outcome. Only the source itself may count under its name. */
@@ -98,19 +98,32 @@
   outcome: Outcome,
   nowMs: number,
 ): EvidenceCell =>
-  putShare(cell, { source, epoch: getEpoch(nowMs), counts: countOutcome(outcome) }, addCounts);
+  putShare(
+    cell,
+    { source, epoch: getEpoch(nowMs), era: cell.era, counts: countOutcome(outcome) },
+    addCounts,
+  );
 
 /**
  * Joins what two daemons know: commutative, associative and idempotent, so that messages may come
  * late, twice or out of order.
  */
 export const mergeCells = (a: EvidenceCell, b: EvidenceCell): EvidenceCell =>
-  b.shares.reduce((cell, share) => putShare(cell, share, joinCounts), a);
+  b.shares.reduce((cell, share) => putShare(cell, share, joinCounts), {
+    ...a,
+    era: Math.max(a.era, b.era),
+  });
+
+/** Starts a new era after a drift; a join keeps the highest, so that the alarm spreads. */
+export const startEra = (cell: EvidenceCell, era: number): EvidenceCell => ({
+  ...cell,
+  era: Math.max(cell.era, era),
+});
 
 /** Drops epochs that have no weight any more. */
 export const dropOldEpochs = (cell: EvidenceCell, nowMs: number): EvidenceCell => {
   const oldest = getEpoch(nowMs) - KEPT_EPOCHS;
-  return { shares: cell.shares.filter((share) => share.epoch > oldest) };
+  return { ...cell, shares: cell.shares.filter((share) => share.epoch > oldest) };
 };
 
 /**
@@ -121,7 +134,7 @@
 export const aggregateCell = (cell: EvidenceCell, source: string): EvidenceCell =>
   cell.shares.reduce<EvidenceCell>(
     (aggregate, share) => putShare(aggregate, { ...share, source }, addCounts),
-    emptyCell,
+    { ...emptyCell, era: cell.era },
   );
 
 const getEpochWeight = (epoch: number, nowMs: number): number => {
@@ -132,9 +145,11 @@
 const scaleCounts = (counts: OutcomeCounts, factor: number): WeightedCounts =>
   combineCounts(counts, counts, (count) => count * factor);
 
-/** Sums the shares of all sources, older epochs weighed less by the half-life. */
+/** Sums the era's shares of all sources, older epochs weighed less by the half-life. */
 export const foldCell = (cell: EvidenceCell, nowMs: number): WeightedCounts =>
-  cell.shares.reduce<WeightedCounts>(
-    (sum, share) => addCounts(sum, scaleCounts(share.counts, getEpochWeight(share.epoch, nowMs))),
-    createEmptyCounts(),
-  );
+  cell.shares
+    .filter((share) => share.era === cell.era)
+    .reduce<WeightedCounts>(
+      (sum, share) => addCounts(sum, scaleCounts(share.counts, getEpochWeight(share.epoch, nowMs))),
+      createEmptyCounts(),
+    );
--- a/packages/policy/src/evidence/scoreBins.ts
+++ b/packages/policy/src/evidence/scoreBins.ts
@@ -14,16 +14,22 @@
 export const emptyBins = (): number[] => new Array<number>(SCORE_BIN_COUNT).fill(0);
 
 /** Sum of a histogram's counts. */
-export const sumBins = (bins: readonly number[]): number =>
-  bins.reduce((sum, count) => sum + count, 0);
+export const sumBins = (bins: readonly number[]): number => {
+  let sum = 0;
+  for (const count of bins) {
+    sum += count;
+  }
+  return sum;
+};
 
 /** Mean score of a histogram; 0 for an empty one. */
 export const getBinMean = (bins: readonly number[]): number => {
   const total = sumBins(bins);
-  if (total === 0) {
-    return 0;
-  }
-  return bins.reduce((sum, count, bin) => sum + count * getBinScore(bin), 0) / total;
+  let scoreSum = 0;
+  bins.forEach((count, bin) => {
+    scoreSum += count * getBinScore(bin);
+  });
+  return total === 0 ? 0 : scoreSum / total;
 };
 
 /** Variance of a histogram's scores; 0 for an empty one. */
--- a/packages/policy/src/evidence/types.ts
+++ b/packages/policy/src/evidence/types.ts
@@ -46,6 +46,8 @@
   readonly source: string;
   /** Number of the epoch since 1970. */
   readonly epoch: number;
+  /** How often the version had drifted when this was counted. */
+  readonly era: number;
   readonly counts: OutcomeCounts;
 }
 
@@ -54,6 +56,8 @@
  * the maximum of each count, shares of different ones stand side by side.
  */
 export interface EvidenceCell {
+  /** Rises when a drift is noticed; counts of earlier eras no longer speak for the version. */
+  readonly era: number;
   readonly shares: readonly EvidenceShare[];
 }
 
--- a/packages/policy/src/modelChoice/planOption.ts
+++ b/packages/policy/src/modelChoice/planOption.ts
@@ -38,18 +38,15 @@
   readonly squareMass: number;
 }
 
-const getAcceptedPart = (scoreShares: readonly number[], firstBin: number): AcceptedPart => {
-  let acceptShare = 0;
-  let scoreMass = 0;
-  let squareMass = 0;
-  for (let bin = firstBin; bin < scoreShares.length; bin += 1) {
-    const share = scoreShares[bin] ?? 0;
-    const score = getBinScore(bin);
-    acceptShare += share;
-    scoreMass += share * score;
-    squareMass += share * score * score;
-  }
-  return { acceptShare, scoreMass, squareMass };
+const nothingAccepted: AcceptedPart = { acceptShare: 0, scoreMass: 0, squareMass: 0 };
+
+const acceptBin = (accepted: AcceptedPart, bin: number, share: number): AcceptedPart => {
+  const score = getBinScore(bin);
+  return {
+    acceptShare: accepted.acceptShare + share,
+    scoreMass: accepted.scoreMass + share * score,
+    squareMass: accepted.squareMass + share * score * score,
+  };
 };
 
 const getCascadeLowerBound = (
@@ -66,27 +63,47 @@
   return mean - getNormalQuantile(confidence) * deviation;
 };
 
-/** The cascade that releases the first answer from the bin on, and else asks the next version. */
-export const createCascadeOption = (
+/** The request's fixed figures that all its cascades share. */
+export interface CascadeContext {
+  readonly input: PlanInput;
+  readonly settings: ChoiceSettings;
+  readonly confidence: number;
+}
+
+const createCascadeOption = (
   first: CandidateEstimate,
   next: CandidateEstimate,
   firstBin: number,
-  input: PlanInput,
-  settings: ChoiceSettings,
-  confidence: number,
+  accepted: AcceptedPart,
+  context: CascadeContext,
 ): PlanOption => {
-  const accepted = getAcceptedPart(first.evidence.scoreShares, firstBin);
-  const escalateShare = 1 - accepted.acceptShare;
-  const escalation = estimateEscalation(next, escalateShare, settings);
-  const triedMs = first.durationMs + input.ratingMs;
+  const { ratingMs, ratingCostMicroUsd } = context.input;
+  const escalateShare = Math.max(0, 1 - accepted.acceptShare);
+  const escalation = estimateEscalation(next, escalateShare, context.settings);
+  const triedMs = first.durationMs + ratingMs;
   return {
     steps: [
       { version: first.candidate.version, acceptAboveScore: firstBin / SCORE_BIN_COUNT },
       { version: next.candidate.version },
     ],
-    costMicroUsd: first.costMicroUsd + input.ratingCostMicroUsd + escalateShare * next.costMicroUsd,
+    costMicroUsd: first.costMicroUsd + ratingCostMicroUsd + escalateShare * next.costMicroUsd,
     expectedMs: triedMs + escalateShare * next.durationMs,
     worstMs: triedMs + next.durationMs,
-    qualityLowerBound: getCascadeLowerBound(first, accepted, escalation, confidence),
+    qualityLowerBound: getCascadeLowerBound(first, accepted, escalation, context.confidence),
   };
 };
+
+/** The cascades of two versions, one for each score from which on the first answer is released. */
+export const listCascadeOptions = (
+  first: CandidateEstimate,
+  next: CandidateEstimate,
+  context: CascadeContext,
+): readonly PlanOption[] => {
+  const options: PlanOption[] = [];
+  let accepted = nothingAccepted;
+  for (let bin = SCORE_BIN_COUNT - 1; bin > 0; bin -= 1) {
+    accepted = acceptBin(accepted, bin, first.evidence.scoreShares[bin] ?? 0);
+    options.push(createCascadeOption(first, next, bin, accepted, context));
+  }
+  return options;
+};
--- a/packages/policy/src/modelChoice/planRequest.ts
+++ b/packages/policy/src/modelChoice/planRequest.ts
@@ -1,9 +1,8 @@
 /** Chooses the plan of least expected cost among those that meet the team's target. */
-import { SCORE_BIN_COUNT } from '../evidence/index.js';
 import { estimateCandidate, type CandidateEstimate } from './candidateEstimate.js';
 import { defaultChoiceSettings } from './constants.js';
 import { planExploration } from './planExploration.js';
-import { createCascadeOption, createDirectOption, type PlanOption } from './planOption.js';
+import { createDirectOption, listCascadeOptions, type PlanOption } from './planOption.js';
 import type { ChoiceSettings, PlanInput, PlanReason, RequestPlan } from './types.js';
 
 const noPlan: RequestPlan = {
@@ -26,21 +25,13 @@
   if (!input.team.allowsCascade || !input.isRaterUp) {
     return [];
   }
-  const confidence = getConfidence(input, settings);
-  const isProven = (estimate: CandidateEstimate): boolean =>
-    estimate.evidence.weight >= settings.minProvenWeight;
-  const proven = estimates.filter(isProven);
-  const options: PlanOption[] = [];
-  proven.forEach((first) => {
+  const context = { input, settings, confidence: getConfidence(input, settings) };
+  const proven = estimates.filter(({ evidence }) => evidence.weight >= settings.minProvenWeight);
+  return proven.flatMap((first) =>
     proven
       .filter((next) => next.costMicroUsd > first.costMicroUsd)
-      .forEach((next) => {
-        for (let bin = 1; bin < SCORE_BIN_COUNT; bin += 1) {
-          options.push(createCascadeOption(first, next, bin, input, settings, confidence));
-        }
-      });
-  });
-  return options;
+      .flatMap((next) => listCascadeOptions(first, next, context)),
+  );
 };
 
 /** Cost and time on one scale: 1 is the cost of the dearest candidate at full weight. */
