--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -59,6 +59,17 @@
     rules: runtimeRules,
   },
   { files: ['**/*.ts'], rules: typescriptRules },
+  {
+    // Files are read before the daemon serves anyone; a second signal must end it whatever is open.
+    files: [
+      'packages/daemon/src/settings/**',
+      'packages/daemon/src/listeners.ts',
+      'packages/*/src/{snipehavend,snipectl,main}.ts',
+      'packages/{bench,demo,proofs}/**',
+      'tools/**',
+    ],
+    rules: { 'n/no-sync': 'off', 'n/no-process-exit': 'off' },
+  },
   {
     files: ['**/*.test.ts', 'tools/**', 'packages/{bench,demo,standins,proofs}/**'],
     rules: { 'import-x/no-extraneous-dependencies': 'off' },
--- /dev/null
+++ b/packages/daemon/src/daemonCore.ts
@@ -0,0 +1,307 @@
+/**
+ * All of a daemon but its listeners: wired from interfaces, so that tests run the real code over fakes
+ * and one process can hold several daemons.
+ */
+import {
+  asId,
+  onViolation,
+  startActorSystem,
+  stopActorSystem,
+  type ActorSystem,
+  type DataCentreId,
+  type IncarnationId,
+  type Logger,
+  type Random,
+} from '@snipehaven/common';
+import { TableClaimStore } from '@snipehaven/claims';
+import { ConfigurationReplica } from '@snipehaven/configuration';
+import { ReplicatedUsageLedger, TableLedgerReader } from '@snipehaven/ledger';
+import { Membership, TableLeaseKeeper } from '@snipehaven/membership';
+import type {
+  ObjectStoreClient,
+  RaterClient,
+  TableClient,
+  VmListClient,
+} from '@snipehaven/platform';
+import type { PeerHandlers, PeerTransport } from '@snipehaven/protocol';
+import { LocalEvidenceBook, StableAssigner } from '@snipehaven/rollouts';
+import {
+  AdmissionGate,
+  LatencyBook,
+  RequestRouter,
+  TeamLimiter,
+  UpstreamRegistry,
+  UpstreamWatcher,
+  type RoutingSettings,
+  type UpstreamWatcherSettings,
+} from '@snipehaven/routing';
+import {
+  HmacSessionTokens,
+  ReplicatedPinDirectory,
+  type HmacSessionTokensOptions,
+} from '@snipehaven/sessions';
+import { HybridClock, Timeline } from '@snipehaven/timeline';
+import type { EngineClient, ServiceClient } from '@snipehaven/upstream';
+import { getMaxRunning } from './maxRunning.js';
+import { DaemonMetrics } from './metrics/daemonMetrics.js';
+
+/** Who the daemon is. */
+export interface DaemonIdentity {
+  readonly vm: string;
+  readonly dataCentre: string;
+  /** `ip:port` at which peers reach the inner protocol. */
+  readonly peerAddress: string;
+  readonly incarnation: IncarnationId;
+}
+
+export interface DaemonCoreSettings {
+  readonly seeds: readonly string[];
+  readonly probeIntervalMs: number;
+  readonly routing: RoutingSettings;
+  readonly upstreams: UpstreamWatcherSettings;
+  readonly maxQueued: number;
+  readonly session: HmacSessionTokensOptions;
+}
+
+/** The outside as the daemon sees it. */
+export interface DaemonCoreOptions {
+  readonly identity: DaemonIdentity;
+  readonly settings: DaemonCoreSettings;
+  readonly table: TableClient;
+  readonly objectStore: ObjectStoreClient;
+  readonly vmList: VmListClient;
+  readonly rater: RaterClient;
+  readonly engines: EngineClient;
+  readonly services: ServiceClient;
+  readonly transport: PeerTransport;
+  readonly logger: Logger;
+  readonly random: Random;
+}
+
+export class DaemonCore {
+  readonly membership: Membership;
+
+  readonly leases: TableLeaseKeeper;
+
+  readonly configuration: ConfigurationReplica;
+
+  readonly claims: TableClaimStore;
+
+  readonly ledger: ReplicatedUsageLedger;
+
+  readonly ledgerReader: TableLedgerReader;
+
+  readonly pins: ReplicatedPinDirectory;
+
+  readonly registry: UpstreamRegistry;
+
+  readonly gate: AdmissionGate;
+
+  readonly router: RequestRouter;
+
+  readonly timeline: Timeline;
+
+  readonly metrics: DaemonMetrics;
+
+  /** What the daemon answers to its peers. */
+  readonly peerHandlers: PeerHandlers;
+
+  readonly #options: DaemonCoreOptions;
+
+  readonly #actors: ActorSystem = startActorSystem();
+
+  readonly #watcher: UpstreamWatcher;
+
+  readonly #stopWatchingViolations: () => void;
+
+  constructor(options: DaemonCoreOptions) {
+    const { identity, settings, table, objectStore, logger, random, transport } = options;
+    this.#options = options;
+    const clock = new HybridClock();
+    const { vm, dataCentre, incarnation } = identity;
+    this.timeline = new Timeline({ vm, dataCentre, incarnation }, clock);
+    const { timeline } = this;
+    this.membership = new Membership({
+      self: { vm, dataCentre, incarnation, address: identity.peerAddress },
+      seeds: settings.seeds,
+      transport,
+      vmList: options.vmList,
+      timeline,
+      logger,
+      random,
+      clock,
+      settings: { probeIntervalMs: settings.probeIntervalMs },
+    });
+    const { membership } = this;
+    const base = { table, objectStore, transport, membership, timeline, logger, random };
+    this.leases = new TableLeaseKeeper({ table, incarnation, timeline, logger });
+    this.configuration = new ConfigurationReplica({ ...base, actorSystem: this.#actors });
+    this.configuration.topics.forEach((topic) => membership.registerTopic(topic));
+    this.claims = new TableClaimStore({
+      ...base,
+      incarnation,
+      isIncarnationAlive: (other) => membership.isIncarnationAlive(other),
+    });
+    this.ledger = new ReplicatedUsageLedger({
+      ...base,
+      self: incarnation,
+      engines: options.engines,
+    });
+    this.ledgerReader = new TableLedgerReader({ table, objectStore });
+    this.pins = new ReplicatedPinDirectory(base);
+    this.registry = new UpstreamRegistry({
+      localDataCentre: asId<DataCentreId>(dataCentre),
+      random,
+      timeline,
+      getDaemonCount: () => membership.listLocal().length,
+    });
+    this.gate = new AdmissionGate(() => this.#getAdmissionSettings(), random);
+    this.metrics = new DaemonMetrics(this.#listGauges());
+    this.router = this.#createRouter();
+    this.#watcher = new UpstreamWatcher({
+      registry: this.registry,
+      engines: options.engines,
+      vmList: options.vmList,
+      localDataCentre: dataCentre,
+      logger,
+      random,
+      settings: settings.upstreams,
+    });
+    this.peerHandlers = {
+      membership: membership.handlers,
+      configuration: this.configuration.handlers,
+      usage: this.ledger.handlers,
+      sessions: this.pins.handlers,
+      timeline: {
+        listEvents: (query) => Promise.resolve({ events: timeline.list(query) }),
+      },
+    };
+    this.#stopWatchingViolations = onViolation((promise, detail) => {
+      timeline.record('invariantViolated', {}, { promise, detail });
+      logger.error({ promise, detail }, 'a promise is broken');
+    });
+  }
+
+  /** Whether callers may be served: there is a configuration, however old. */
+  get isServing(): boolean {
+    return this.configuration.getStatus().hasConfiguration;
+  }
+
+  start(): void {
+    this.timeline.record('daemonStarted', {});
+    this.membership.start();
+    this.configuration.start();
+    this.ledger.start();
+    this.pins.start();
+    this.#watcher.start();
+  }
+
+  /** Finishes what runs, hands over and leaves; resolves with what was left undone. */
+  async stop(deadlineMs: number): Promise<ShutdownReport> {
+    this.timeline.record('daemonStopping', {});
+    const isIdle = await this.#waitUntilIdle(deadlineMs);
+    this.#watcher.stop();
+    await this.pins.stop();
+    const unflushedRecords = await this.ledger.stop();
+    this.configuration.stop();
+    this.claims.stop();
+    await this.membership.leave();
+    this.#stopWatchingViolations();
+    stopActorSystem(this.#actors);
+    return { unfinishedRequests: isIdle ? 0 : this.router.active, unflushedRecords };
+  }
+
+  /** Stops at once as a killed process would, for tests. */
+  kill(): void {
+    this.#watcher.stop();
+    this.membership.stop();
+    this.configuration.stop();
+    this.claims.stop();
+    this.#stopWatchingViolations();
+    stopActorSystem(this.#actors);
+  }
+
+  async #waitUntilIdle(deadlineMs: number): Promise<boolean> {
+    let timer: NodeJS.Timeout | undefined;
+    const timeout = new Promise<boolean>((resolve) => {
+      timer = setTimeout(() => resolve(false), deadlineMs);
+    });
+    const idle = this.router.waitUntilIdle().then(() => true);
+    const isIdle = await Promise.race([idle, timeout]);
+    clearTimeout(timer);
+    return isIdle;
+  }
+
+  #getAdmissionSettings(): { readonly maxRunning: number; readonly maxQueued: number } {
+    const { dataCentre } = this.#options.identity;
+    const maxRunning = getMaxRunning(
+      this.registry.list(),
+      dataCentre,
+      this.membership.listLocal().length,
+    );
+    return { maxRunning, maxQueued: this.#options.settings.maxQueued };
+  }
+
+  #createRouter(): RequestRouter {
+    const { identity, settings, engines, services, rater, logger, random } = this.#options;
+    return new RequestRouter({
+      incarnation: identity.incarnation,
+      dataCentre: asId<DataCentreId>(identity.dataCentre),
+      configuration: this.configuration,
+      safeMoves: this.configuration.safeMoves,
+      claims: this.claims,
+      ledger: this.ledger,
+      tokens: new HmacSessionTokens(settings.session),
+      pins: this.pins,
+      evidence: new LocalEvidenceBook(rater, logger),
+      assigner: new StableAssigner(this.configuration),
+      engines,
+      services,
+      registry: this.registry,
+      latency: new LatencyBook(),
+      gate: this.gate,
+      limiter: new TeamLimiter(() => 1 / this.membership.listAlive().length),
+      metrics: this.metrics,
+      timeline: this.timeline,
+      logger,
+      random,
+      settings: settings.routing,
+    });
+  }
+
+  #listGauges(): ConstructorParameters<typeof DaemonMetrics>[0] {
+    return [
+      {
+        name: 'snipehaven_requests_running',
+        help: 'Requests that run.',
+        read: () => this.gate.running,
+      },
+      {
+        name: 'snipehaven_requests_queued',
+        help: 'Requests that wait for room.',
+        read: () => this.gate.queued,
+      },
+      {
+        name: 'snipehaven_members_alive',
+        help: 'Daemons held alive.',
+        read: () => this.membership.listAlive().length,
+      },
+      {
+        name: 'snipehaven_configuration_revision',
+        help: 'Applied revision.',
+        read: () => this.configuration.getStatus().revision,
+      },
+      {
+        name: 'snipehaven_ledger_pending_records',
+        help: 'Usage records not yet lasting.',
+        read: () => this.ledger.getPendingCount(),
+      },
+    ];
+  }
+}
+
+/** What a shutdown could not finish. */
+export interface ShutdownReport {
+  readonly unfinishedRequests: number;
+  readonly unflushedRecords: number;
+}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from './daemon.js';
+export * from './daemonCore.js';
+export * from './settings/index.js';
--- /dev/null
+++ b/packages/daemon/src/listeners.ts
@@ -0,0 +1,72 @@
+/** HTTP servers of the daemon, with TLS where the settings ask for it. */
+import { readFileSync } from 'node:fs';
+import { createServer, type RequestListener, type Server } from 'node:http';
+import { createServer as createTlsServer } from 'node:https';
+import type { AddressInfo } from 'node:net';
+import type { ListenerSettings } from './settings/index.js';
+
+export interface ListenerBounds {
+  readonly maxHeaderBytes: number;
+  readonly requestTimeoutMs: number;
+}
+
+const KEEP_ALIVE_TIMEOUT_MS = 65_000;
+
+const createHttpServer = (
+  settings: ListenerSettings,
+  bounds: ListenerBounds,
+  handler: RequestListener,
+): Server => {
+  const options = {
+    maxHeaderSize: bounds.maxHeaderBytes,
+    requestTimeout: bounds.requestTimeoutMs,
+    headersTimeout: bounds.requestTimeoutMs,
+    keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+  };
+  if (settings.tls === undefined) {
+    return createServer(options, handler);
+  }
+  const cert = readFileSync(settings.tls.certFile);
+  const key = readFileSync(settings.tls.keyFile);
+  return createTlsServer({ ...options, cert, key }, handler);
+};
+
+/** One listening server. */
+export class Listener {
+  readonly #server: Server;
+
+  readonly #settings: ListenerSettings;
+
+  constructor(settings: ListenerSettings, bounds: ListenerBounds, handler: RequestListener) {
+    this.#settings = settings;
+    this.#server = createHttpServer(settings, bounds, handler);
+  }
+
+  /** `ip:port` once it listens. */
+  get address(): string {
+    const { address, port } = this.#server.address() as AddressInfo;
+    return address.includes(':') ? `[${address}]:${port}` : `${address}:${port}`;
+  }
+
+  listen(): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen(this.#settings.port, this.#settings.address, () => {
+        this.#server.off('error', reject);
+        resolve();
+      });
+    });
+  }
+
+  /** Takes no more connections; resolves when the open ones have ended, by force after a while. */
+  close(graceMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      const timer = setTimeout(() => this.#server.closeAllConnections(), graceMs);
+      this.#server.close(() => {
+        clearTimeout(timer);
+        resolve();
+      });
+      this.#server.closeIdleConnections();
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/settings/index.ts
@@ -0,0 +1,4 @@
+export * from './describeSettings.js';
+export * from './errors.js';
+export * from './readSettings.js';
+export * from './settingsSchema.js';
--- /dev/null
+++ b/packages/demo/src/standinsClient.ts
@@ -0,0 +1,25 @@
+/** Asks the stand-ins for the truth and makes them misbehave. */
+import { request } from 'undici';
+
+const call = async (url: string, method: 'GET' | 'POST', body?: unknown): Promise<unknown> => {
+  const answer = await request(url, {
+    method,
+    ...(body === undefined
+      ? {}
+      : { body: JSON.stringify(body), headers: { 'content-type': 'application/json' } }),
+  });
+  const text = await answer.body.text();
+  if (answer.statusCode >= 300) {
+    throw new Error(`${method} ${url} answered ${answer.statusCode}: ${text}`);
+  }
+  return text === '' ? undefined : JSON.parse(text);
+};
+
+/** Changes the faults of the stand-in at the URL. */
+export const controlStandin = async (url: string, control: unknown): Promise<void> => {
+  await call(`${url}/control`, 'POST', control);
+};
+
+/** What really happened at the stand-in. */
+export const readTruth = async <Truth>(url: string): Promise<Truth> =>
+  (await call(`${url}/truth`, 'GET')) as Truth;
--- /dev/null
+++ b/packages/rollouts/src/types.ts
@@ -0,0 +1,64 @@
+/** Evidence and roll-outs as the request path sees them. */
+import type { VersionId } from '@snipehaven/common';
+import type { PriorQuality, QualityEvidence } from '@snipehaven/policy';
+
+/** Which answers a piece of evidence is about. */
+export interface EvidenceSubject {
+  readonly team: string;
+  readonly task: string;
+  readonly version: VersionId;
+  /** An answer that replaced a cheaper one which was rated too low. */
+  readonly isEscalated: boolean;
+}
+
+/** How an answer ended. */
+export interface AnswerEnding {
+  readonly end: 'complete' | 'error' | 'empty' | 'cut';
+  readonly firstTokenMs: number;
+  readonly totalMs: number;
+}
+
+/** An answer for the rater. */
+export interface AnswerSample {
+  readonly requestId: string;
+  readonly prompt: string;
+  readonly answer: string;
+}
+
+export interface EvidenceBook {
+  /** Pooled evidence, this daemon's and its peers'. */
+  getEvidence(subject: EvidenceSubject, prior: PriorQuality): QualityEvidence;
+  recordEnding(subject: EvidenceSubject, ending: AnswerEnding): void;
+  recordScore(subject: EvidenceSubject, score: number): void;
+  /** Sends an answer to the rater in the background; its score comes back late or never. */
+  submitSample(subject: EvidenceSubject, sample: AnswerSample): void;
+  /** Rates in line, for a cascade; throws when the rater does not answer in time. */
+  rateNow(subject: EvidenceSubject, sample: AnswerSample, timeoutMs: number): Promise<number>;
+  isRaterUp(): boolean;
+}
+
+/** Who asks for an assignment. */
+export interface AssignmentAudience {
+  readonly isStrict: boolean;
+  readonly allowsExploration: boolean;
+  readonly allowsCascade: boolean;
+  readonly isSession: boolean;
+}
+
+/** What a model's roll-out decides for one new session or sessionless request. */
+export interface ModelAssignment {
+  /** The version of the model to use. */
+  readonly version: VersionId;
+  /** Versions of the model that must not be used instead. */
+  readonly hidden: readonly VersionId[];
+  readonly isCandidate: boolean;
+  /** Rate before release; the stable version answers where the score is too low. */
+  readonly isGated: boolean;
+  readonly stableVersion: VersionId;
+  readonly candidateVersion: VersionId;
+}
+
+export interface RolloutAssigner {
+  /** Undefined: no roll-out of the model is under way. */
+  assign(model: string, audience: AssignmentAudience): ModelAssignment | undefined;
+}
--- /dev/null
+++ b/packages/routing/src/admission.ts
@@ -0,0 +1,77 @@
+/** Takes a request through its team's limits and the daemon's fair queue. */
+import { asId, type TeamId } from '@snipehaven/common';
+import type { Resource } from '@snipehaven/resources';
+import type { RoutingDependencies } from './dependencies.js';
+import { Refusal } from './refusal.js';
+import type { RequestSignal } from './requestSignal.js';
+import type { RunTracker } from './runTracker.js';
+import type { LimitOutcome, LimitReservation } from './teamLimiter.js';
+import type { RequestOptions } from './types.js';
+
+export interface AdmissionInput {
+  readonly requestId: string;
+  readonly team: Resource<'Team'>;
+  readonly options: RequestOptions;
+  readonly expectedCostMicroUsd: number;
+}
+
+/** The places a request holds while it runs. */
+export interface Admission {
+  release(actualCostMicroUsd: number): void;
+}
+
+const limitMessages = {
+  rate: 'the team sends too many requests',
+  concurrency: 'the team has too many requests running',
+  spend: "the team's spending limit is used up",
+} as const;
+
+const reserve = (
+  deps: RoutingDependencies,
+  tracker: RunTracker,
+  input: AdmissionInput,
+): LimitReservation => {
+  const outcome: LimitOutcome = deps.limiter.reserve(input.team, input.expectedCostMicroUsd);
+  if (outcome.kind === 'allowed') {
+    return outcome.reservation;
+  }
+  const kind = outcome.limit === 'spend' ? 'spendLimited' : 'rateLimited';
+  const { retryAfterMs } = outcome;
+  throw new Refusal(kind, limitMessages[outcome.limit], tracker, { retryAfterMs });
+};
+
+/** Resolves when the request may run; throws the final refusal at once otherwise. */
+export const admit = async (
+  deps: RoutingDependencies,
+  tracker: RunTracker,
+  signal: RequestSignal,
+  input: AdmissionInput,
+): Promise<Admission> => {
+  const reservation = reserve(deps, tracker, input);
+  const outcome = await deps.gate.admit(
+    {
+      id: input.requestId,
+      team: asId<TeamId>(input.team.metadata.name),
+      weight: input.team.spec.weight,
+      priority: input.options.priority,
+      cost: 1,
+      arrivedAtMs: Date.now(),
+      deadlineAtMs: input.options.deadlineAtMs,
+    },
+    signal.signal,
+  );
+  if (outcome.kind !== 'admitted') {
+    reservation.release(0);
+    throw outcome.kind === 'refused'
+      ? new Refusal('overloaded', `no room: ${outcome.reason}`, tracker, {
+          retryAfterMs: outcome.retryAfterMs,
+        })
+      : new Refusal('callerGone', 'the caller has gone', tracker);
+  }
+  return {
+    release: (actualCostMicroUsd) => {
+      reservation.release(actualCostMicroUsd);
+      outcome.release();
+    },
+  };
+};
--- /dev/null
+++ b/packages/routing/src/chatRun.ts
@@ -0,0 +1,519 @@
+/** One chat request, from admission to the end of its answer. */
+import { createHash } from 'node:crypto';
+import { asId, invariant, type VersionId } from '@snipehaven/common';
+import type { Claim, StoredAnswer } from '@snipehaven/claims';
+import type { PlanStep } from '@snipehaven/policy';
+import type { EvidenceSubject } from '@snipehaven/rollouts';
+import type { Pin } from '@snipehaven/sessions';
+import { DONE_DATA } from '@snipehaven/upstream';
+import { toCompletionBody, toCompletionChunks, type CompletionFields } from './answerAssembler.js';
+import { getPromptText } from './chatBody.js';
+import {
+  PLAN_HEADER,
+  PREFIX_CHARS,
+  PREFIX_DIGEST_CHARS,
+  REPLAYED_HEADER,
+  REQUEST_ID_HEADER,
+  SESSION_HEADER,
+  SESSION_MOVED_HEADER,
+  VERSION_HEADER,
+} from './constants.js';
+import type { RoutingDependencies } from './dependencies.js';
+import { hashRequest, takeClaim } from './claimGuard.js';
+import { HeldConsumer, LiveConsumer } from './eventConsumers.js';
+import { admit, type Admission } from './admission.js';
+import { planChat, type ChatPlan } from './planChat.js';
+import { Refusal } from './refusal.js';
+import { RequestSignal } from './requestSignal.js';
+import { RunTracker } from './runTracker.js';
+import { resolveSession, type SessionState } from './sessionResolver.js';
+import { isVersionAllowed } from './teamDirectory.js';
+import { NoUpstreamError, StepRunner, type RetryAllowance, type StepAnswer } from './stepRunner.js';
+import type { AnswerHeaders, AnswerSink, ChatRequest } from './types.js';
+import { UsageAccount } from './usageAccount.js';
+
+const getPrefixKey = (promptText: string): string =>
+  createHash('sha256')
+    .update(promptText.slice(0, PREFIX_CHARS))
+    .digest('hex')
+    .slice(0, PREFIX_DIGEST_CHARS);
+
+const MAX_REPLANS = 4;
+
+export class ChatRun {
+  readonly #deps: RoutingDependencies;
+
+  readonly #request: ChatRequest;
+
+  readonly #sink: AnswerSink;
+
+  readonly #retries: RetryAllowance;
+
+  readonly #tracker = new RunTracker();
+
+  readonly #signal: RequestSignal;
+
+  readonly #account: UsageAccount;
+
+  readonly #promptText: string;
+
+  readonly #startedAtMs = Date.now();
+
+  #claim: Claim | undefined;
+
+  constructor(
+    deps: RoutingDependencies,
+    request: ChatRequest,
+    sink: AnswerSink,
+    retries: RetryAllowance,
+  ) {
+    this.#deps = deps;
+    this.#request = request;
+    this.#sink = sink;
+    this.#retries = retries;
+    this.#signal = new RequestSignal(request.options.deadlineAtMs, sink.callerGone);
+    this.#promptText = getPromptText(request.body);
+    const { team } = request.identity;
+    this.#account = new UsageAccount(deps.ledger, {
+      requestId: request.requestId,
+      requestKey: request.options.idempotencyKey ?? request.requestId,
+      team: team.metadata.name,
+      teamUid: team.metadata.uid,
+    });
+  }
+
+  /** Answers or refuses the request; never throws. */
+  async execute(): Promise<void> {
+    let admission: Admission | undefined;
+    try {
+      if (await this.#replayClaimed()) {
+        return;
+      }
+      const session = await resolveSession(this.#request, this.#deps);
+      admission = await this.#admit(session);
+      await this.#answer(session);
+    } catch (error) {
+      await this.#refuse(error);
+    } finally {
+      admission?.release(this.#account.costMicroUsd);
+      this.#signal.dispose();
+    }
+  }
+
+  /** Takes the claim of a request that must run once only; true where an earlier answer was sent. */
+  async #replayClaimed(): Promise<boolean> {
+    const { options, identity, body, requestId } = this.#request;
+    if (options.isIdempotent) {
+      return false;
+    }
+    const outcome = await takeClaim(this.#deps, this.#tracker, {
+      teamUid: identity.team.metadata.uid,
+      key: options.idempotencyKey ?? requestId,
+      bodyHash: hashRequest('chat', JSON.stringify(body)),
+      deadlineAtMs: options.deadlineAtMs,
+    });
+    if (outcome.kind === 'finished') {
+      this.#replay(outcome.answer);
+      return true;
+    }
+    this.#claim = outcome.claim;
+    // The answer is kept for the caller's retry, so the run goes on without the caller.
+    this.#signal.detachCaller();
+    return false;
+  }
+
+  #replay(answer: StoredAnswer): void {
+    const headers = { ...this.#getBaseHeaders(), [REPLAYED_HEADER]: 'true' };
+    if (this.#request.body.stream !== true) {
+      this.#sink.send(answer.status, answer.contentType, answer.body, headers);
+      return;
+    }
+    const fields = JSON.parse(answer.body) as {
+      model: string;
+      choices: [{ message: { content: string }; finish_reason: string }];
+      usage: { prompt_tokens: number; completion_tokens: number };
+    };
+    this.#sink.begin(headers);
+    void this.#sink.writeEvents([
+      ...toCompletionChunks(
+        {
+          requestId: this.#request.requestId,
+          version: fields.model,
+          text: fields.choices[0].message.content,
+          finishReason: fields.choices[0].finish_reason,
+          usage: {
+            promptTokens: fields.usage.prompt_tokens,
+            completionTokens: fields.usage.completion_tokens,
+          },
+        },
+        this.#includesUsage,
+      ),
+      DONE_DATA,
+    ]);
+    this.#sink.end();
+  }
+
+  async #admit(session: SessionState): Promise<Admission> {
+    const plan = this.#plan(session, []);
+    return admit(this.#deps, this.#tracker, this.#signal, {
+      requestId: this.#request.requestId,
+      team: this.#request.identity.team,
+      options: this.#request.options,
+      expectedCostMicroUsd: plan.expectedCostMicroUsd,
+    });
+  }
+
+  #plan(session: SessionState, excluded: readonly VersionId[]): ChatPlan {
+    const plan = planChat(
+      { request: this.#request, session, promptText: this.#promptText, excluded },
+      this.#deps,
+    );
+    if (plan.steps.length === 0) {
+      throw this.#createNoPlanRefusal(excluded);
+    }
+    return plan;
+  }
+
+  #createNoPlanRefusal(excluded: readonly VersionId[]): Refusal {
+    const wished = this.#request.body.model;
+    const { team } = this.#request.identity;
+    const isKnown = this.#deps.configuration
+      .getView()
+      .list('ModelVersion')
+      .some(({ metadata }) => wished === 'auto' || metadata.name.startsWith(wished));
+    const isAllowed = wished === 'auto' || this.#isWishAllowed(wished);
+    if (!isKnown) {
+      return new Refusal('unknownModel', `model ${wished} does not exist`, this.#tracker);
+    }
+    if (!isAllowed) {
+      const message = `team ${team.metadata.name} may not use ${wished}`;
+      return new Refusal('forbidden', message, this.#tracker);
+    }
+    const detail = excluded.length > 0 ? `, tried ${excluded.join(', ')}` : '';
+    return new Refusal('noUpstream', `no version can answer now${detail}`, this.#tracker);
+  }
+
+  #isWishAllowed(wished: string): boolean {
+    const { team } = this.#request.identity;
+    return this.#deps.configuration
+      .getView()
+      .list('ModelVersion')
+      .filter(({ metadata }) => metadata.name === wished || metadata.name.startsWith(`${wished}@`))
+      .some(({ metadata }) => isVersionAllowed(team, metadata.name));
+  }
+
+  /** Spills to the next version that meets the target while nothing has run and none has room. */
+  async #answer(session: SessionState): Promise<void> {
+    const excluded: VersionId[] = [];
+    for (let tries = 0; ; tries += 1) {
+      const plan = this.#plan(session, excluded);
+      try {
+        await this.#runPlan(plan, session);
+        return;
+      } catch (error) {
+        const first = plan.steps[0]?.version;
+        const canSpill =
+          error instanceof NoUpstreamError &&
+          error.verdict === 'notRun' &&
+          session.kind !== 'pinned';
+        if (!canSpill || first === undefined || tries >= MAX_REPLANS) {
+          throw error;
+        }
+        excluded.push(first);
+      }
+    }
+  }
+
+  async #runPlan(plan: ChatPlan, session: SessionState): Promise<void> {
+    const { requestId, identity } = this.#request;
+    const versions = plan.steps.map((step) => step.version).join(' > ');
+    const team = identity.team.metadata.name;
+    this.#deps.timeline.record(
+      'requestPlanned',
+      { requestId, team },
+      { versions, reason: plan.reason },
+    );
+    const settled = await this.#pinFirst(session, plan);
+    for (const [index, step] of settled.steps.entries()) {
+      const isLast = index === settled.steps.length - 1;
+      const answer = await this.#runStep(step, isLast, settled, session);
+      if (answer !== undefined) {
+        await this.#finish(answer, settled, index);
+        return;
+      }
+    }
+  }
+
+  /**
+   * What goes wrong: two first requests of a session that carries only the caller's own id run at once and
+   * get different versions. The pin is therefore taken before the run, and the earlier one counts.
+   */
+  async #pinFirst(session: SessionState, plan: ChatPlan): Promise<ChatPlan> {
+    const { callerSession } = this.#request.options;
+    const version = plan.steps[0]?.version;
+    if (callerSession === undefined || session.kind === 'pinned' || version === undefined) {
+      return plan;
+    }
+    const wished = this.#createPin(version, session);
+    const pin = await this.#deps.pins.pin(wished);
+    if (pin.version === version) {
+      return plan;
+    }
+    const pinned: SessionState = { kind: 'pinned', pin };
+    return this.#plan(pinned, []);
+  }
+
+  #createPin(version: VersionId, session: SessionState): Pin {
+    const { options, requestId, identity } = this.#request;
+    const previous = session.kind === 'new' ? undefined : session.pin;
+    const isSame = previous?.version === version;
+    return {
+      teamUid: identity.team.metadata.uid,
+      session: previous?.session ?? options.callerSession ?? requestId,
+      model: version.slice(0, version.lastIndexOf('@')),
+      version,
+      startedAtMs: previous?.startedAtMs ?? Date.now(),
+      generation: (previous?.generation ?? 0) + (isSame ? 0 : 1),
+    };
+  }
+
+  /** Undefined where the answer was rated too low and the next step must answer. */
+  async #runStep(
+    step: PlanStep,
+    isLast: boolean,
+    plan: ChatPlan,
+    session: SessionState,
+  ): Promise<StepAnswer | undefined> {
+    this.#assertAllowed(step.version, session);
+    const isJudged = step.acceptAboveScore !== undefined && !isLast;
+    const isLive = this.#request.body.stream === true && !isJudged;
+    const headers = this.#getHeaders(step.version, plan, session);
+    const consumer = isLive
+      ? new LiveConsumer(this.#sink, headers, this.#includesUsage)
+      : new HeldConsumer();
+    const runner = new StepRunner(this.#deps, this.#createContext(session), this.#retries);
+    const answer = await this.#runRecorded(runner, step, consumer);
+    if (isJudged && !(await this.#isAccepted(answer, step))) {
+      this.#noteEscalation(answer);
+      return undefined;
+    }
+    await this.#settle(answer);
+    await this.#release(answer, consumer, headers);
+    return answer;
+  }
+
+  #createContext(session: SessionState): ConstructorParameters<typeof StepRunner>[1] {
+    const sessionKey =
+      session.kind === 'new' ? this.#request.options.callerSession : session.pin.session;
+    return {
+      request: this.#request,
+      promptText: this.#promptText,
+      prefixKey: getPrefixKey(this.#promptText),
+      sessionKey,
+      tracker: this.#tracker,
+      signal: this.#signal,
+      account: this.#account,
+    };
+  }
+
+  async #runRecorded(
+    runner: StepRunner,
+    step: PlanStep,
+    consumer: LiveConsumer | HeldConsumer,
+  ): Promise<StepAnswer> {
+    const subject = this.#getSubject(step.version, false);
+    const startedAtMs = Date.now();
+    try {
+      const answer = await runner.run(step, consumer);
+      const end = answer.text === '' ? 'empty' : 'complete';
+      this.#deps.evidence.recordEnding(subject, {
+        end,
+        firstTokenMs: answer.firstTokenMs,
+        totalMs: answer.totalMs,
+      });
+      return answer;
+    } catch (error) {
+      const hasRun = error instanceof Refusal && error.code === 'upstreamFailed';
+      if (hasRun) {
+        const totalMs = Date.now() - startedAtMs;
+        const end = consumer.hasReleased ? 'cut' : 'error';
+        this.#deps.evidence.recordEnding(subject, { end, firstTokenMs: totalMs, totalMs });
+      }
+      throw error;
+    }
+  }
+
+  #getSubject(version: VersionId, isEscalated: boolean): EvidenceSubject {
+    const team = this.#request.identity.team.metadata.name;
+    return { team, task: this.#request.options.task, version, isEscalated };
+  }
+
+  #assertAllowed(version: VersionId, session: SessionState): void {
+    invariant(
+      isVersionAllowed(this.#request.identity.team, version),
+      'allowedVersion',
+      `${this.#request.requestId} planned on ${version}`,
+    );
+    invariant(
+      session.kind !== 'pinned' || session.pin.version === version,
+      'sessionKeepsVersion',
+      `${this.#request.requestId} planned on ${version}`,
+    );
+  }
+
+  /** Without a rating in time the dearer version answers: no cascade on faith. */
+  async #isAccepted(answer: StepAnswer, step: PlanStep): Promise<boolean> {
+    const subject = this.#getSubject(answer.version, false);
+    try {
+      const score = await this.#deps.evidence.rateNow(
+        subject,
+        { requestId: this.#request.requestId, prompt: this.#promptText, answer: answer.text },
+        this.#deps.settings.ratingTimeoutMs,
+      );
+      this.#deps.evidence.recordScore(subject, score);
+      return score > (step.acceptAboveScore ?? 0);
+    } catch {
+      return false;
+    }
+  }
+
+  #noteEscalation(answer: StepAnswer): void {
+    const { requestId } = this.#request;
+    this.#deps.timeline.record('attemptEscalated', { requestId, version: answer.version });
+  }
+
+  async #settle(answer: StepAnswer): Promise<void> {
+    const { requestId } = this.#request;
+    await this.#account.ensureHeld();
+    await this.#account.settle('answered');
+    this.#deps.timeline.record(
+      'usageSettled',
+      { requestId, version: answer.version },
+      { costMicroUsd: this.#account.costMicroUsd },
+    );
+  }
+
+  async #release(
+    answer: StepAnswer,
+    consumer: LiveConsumer | HeldConsumer,
+    headers: AnswerHeaders,
+  ): Promise<void> {
+    const fields = this.#toFields(answer);
+    if (consumer instanceof LiveConsumer) {
+      consumer.begin();
+      await this.#sink.writeEvents([DONE_DATA]);
+      this.#sink.end();
+      return;
+    }
+    if (this.#request.body.stream === true) {
+      this.#sink.begin(headers);
+      const chunks = toCompletionChunks(fields, this.#includesUsage);
+      await this.#sink.writeEvents([...chunks, DONE_DATA]);
+      this.#sink.end();
+      return;
+    }
+    this.#sink.send(200, 'application/json', toCompletionBody(fields), headers);
+  }
+
+  async #finish(answer: StepAnswer, plan: ChatPlan, stepIndex: number): Promise<void> {
+    const { requestId } = this.#request;
+    const subject = { requestId, version: answer.version, upstream: answer.upstream };
+    this.#deps.timeline.record('answerFinished', subject, { totalMs: answer.totalMs });
+    this.#deps.metrics.recordAnswer({
+      team: this.#request.identity.team.metadata.name,
+      version: answer.version,
+      firstTokenMs: answer.firstTokenMs,
+      totalMs: Date.now() - this.#startedAtMs,
+      completionTokens: answer.usage.completionTokens,
+      costMicroUsd: this.#account.costMicroUsd,
+    });
+    if (plan.shouldRateAfterRelease || stepIndex > 0) {
+      this.#deps.evidence.submitSample(this.#getSubject(answer.version, stepIndex > 0), {
+        requestId,
+        prompt: this.#promptText,
+        answer: answer.text,
+      });
+    }
+    if (this.#claim !== undefined) {
+      await this.#deps.claims.finish(this.#claim, {
+        status: 200,
+        contentType: 'application/json',
+        body: toCompletionBody(this.#toFields(answer)),
+        encoding: 'utf8',
+        version: answer.version,
+      });
+    }
+  }
+
+  #toFields(answer: StepAnswer): CompletionFields {
+    const { requestId } = this.#request;
+    const { version, text, finishReason, usage } = answer;
+    return { requestId, version, text, finishReason, usage };
+  }
+
+  get #includesUsage(): boolean {
+    return this.#request.body.stream_options?.include_usage === true;
+  }
+
+  #getBaseHeaders(): AnswerHeaders {
+    return { [REQUEST_ID_HEADER]: this.#request.requestId };
+  }
+
+  #getHeaders(version: VersionId, plan: ChatPlan, session: SessionState): AnswerHeaders {
+    const pin = this.#createPin(asId<VersionId>(version), session);
+    return {
+      ...this.#getBaseHeaders(),
+      [VERSION_HEADER]: version,
+      [PLAN_HEADER]: plan.reason,
+      [SESSION_HEADER]: this.#deps.tokens.issue(pin),
+      ...(session.kind === 'moving' ? { [SESSION_MOVED_HEADER]: session.reason } : {}),
+    };
+  }
+
+  async #refuse(error: unknown): Promise<void> {
+    const refusal = this.#toRefusal(error);
+    await this.#closeAccount(refusal);
+    await this.#closeClaim(refusal);
+    const { requestId } = this.#request;
+    const team = this.#request.identity.team.metadata.name;
+    const detail = { code: refusal.code, verdict: refusal.verdict };
+    this.#deps.timeline.record('requestRefused', { requestId, team }, detail);
+    this.#deps.metrics.recordRefusal(team, refusal.code);
+    this.#sink.refuse(refusal, this.#getBaseHeaders());
+  }
+
+  #toRefusal(error: unknown): Refusal {
+    if (error instanceof Refusal) {
+      return error;
+    }
+    const { requestId } = this.#request;
+    this.#deps.logger.error({ requestId, err: error }, 'request failed');
+    return new Refusal('upstreamFailed', 'internal error', this.#tracker, { cause: error });
+  }
+
+  async #closeAccount(refusal: Refusal): Promise<void> {
+    if (!this.#account.isOpen) {
+      return;
+    }
+    if (refusal.verdict === 'notRun') {
+      this.#account.discard();
+      return;
+    }
+    const outcome = this.#account.costMicroUsd > 0 ? 'partial' : 'unanswered';
+    await this.#account.settle(outcome).catch((error: unknown) => {
+      this.#deps.logger.error({ err: error }, 'settling failed');
+    });
+  }
+
+  async #closeClaim(refusal: Refusal): Promise<void> {
+    if (this.#claim === undefined) {
+      return;
+    }
+    const { claims } = this.#deps;
+    const closed =
+      refusal.verdict === 'notRun' ? claims.release(this.#claim) : claims.markUnknown(this.#claim);
+    await closed.catch((error: unknown) => {
+      this.#deps.logger.warn({ err: error }, 'closing a claim failed');
+    });
+  }
+}
--- /dev/null
+++ b/packages/routing/src/claimGuard.ts
@@ -0,0 +1,55 @@
+/** Takes the claim of a non-idempotent request, or says why it may not run. */
+import { createHash } from 'node:crypto';
+import type { Claim, ClaimOutcome, ClaimRequest, StoredAnswer } from '@snipehaven/claims';
+import { getErrorMessage } from '@snipehaven/common';
+import type { RoutingDependencies } from './dependencies.js';
+import { Refusal } from './refusal.js';
+import type { RunTracker } from './runTracker.js';
+
+/** The claim to run under, or the answer of the run that was. */
+export type ClaimResult =
+  | { readonly kind: 'claimed'; readonly claim: Claim }
+  | { readonly kind: 'finished'; readonly answer: StoredAnswer };
+
+/** The digest that tells whether two requests under one key ask for the same. */
+export const hashRequest = (scope: string, body: string | Uint8Array): string =>
+  createHash('sha256').update(scope).update('\0').update(body).digest('hex');
+
+type Obstacle = Exclude<ClaimOutcome, ClaimResult>;
+
+const obstacleRefusals: {
+  readonly [Name in Obstacle['kind']]: (
+    outcome: Extract<Obstacle, { kind: Name }>,
+    tracker: RunTracker,
+  ) => Refusal;
+} = {
+  inProgress: ({ retryAfterMs }, tracker) =>
+    new Refusal('inProgress', 'a request with this idempotency key is running', tracker, {
+      retryAfterMs,
+    }),
+  outcomeUnknown: (_outcome, tracker) =>
+    new Refusal('outcomeUnknown', 'nobody can tell whether the first request ran', tracker),
+  differentBody: (_outcome, tracker) =>
+    new Refusal('differentBody', 'the idempotency key was used with another body', tracker),
+};
+
+const toRefusal = (outcome: Obstacle, tracker: RunTracker): Refusal => {
+  const create = obstacleRefusals[outcome.kind] as (value: Obstacle, t: RunTracker) => Refusal;
+  return create(outcome, tracker);
+};
+
+/** Claims before anything is dispatched; throws a refusal, which is truly "not run" by this request. */
+export const takeClaim = async (
+  deps: Pick<RoutingDependencies, 'claims' | 'timeline'>,
+  tracker: RunTracker,
+  request: ClaimRequest,
+): Promise<ClaimResult> => {
+  const outcome = await deps.claims.claim(request).catch((error: unknown) => {
+    const message = `the claim could not be taken: ${getErrorMessage(error)}`;
+    throw new Refusal('platformAway', message, tracker, { cause: error });
+  });
+  if (outcome.kind === 'claimed' || outcome.kind === 'finished') {
+    return outcome;
+  }
+  throw toRefusal(outcome, tracker);
+};
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,1 +1,14 @@
-export {};
+export * from './admissionGate.js';
+export * from './chatBody.js';
+export * from './constants.js';
+export * from './dependencies.js';
+export * from './latencyBook.js';
+export * from './refusal.js';
+export * from './router.js';
+export * from './runTracker.js';
+export * from './teamDirectory.js';
+export * from './teamLimiter.js';
+export * from './types.js';
+export * from './upstreamEntry.js';
+export * from './upstreamRegistry.js';
+export * from './upstreamWatcher.js';
--- /dev/null
+++ b/packages/routing/src/planChat.ts
@@ -0,0 +1,174 @@
+/** Chooses the versions that answer a chat request, in order. */
+import { asId, getModelOfVersion, type VersionId } from '@snipehaven/common';
+import {
+  defaultChoiceSettings,
+  planRequest,
+  type PlanStep,
+  type RequestPlan,
+  type TeamChoiceSettings,
+  type VersionCandidate,
+} from '@snipehaven/policy';
+import type { Resource } from '@snipehaven/resources';
+import type { ModelAssignment } from '@snipehaven/rollouts';
+import { estimateCompletionTokens, estimatePromptTokens } from './chatBody.js';
+import { AUTO_MODEL, RATING_COST_MICRO_USD, RATING_EXPECTED_MS } from './constants.js';
+import type { RoutingDependencies } from './dependencies.js';
+import type { SessionState } from './sessionResolver.js';
+import { listAllowedVersions } from './teamDirectory.js';
+import type { ChatRequest } from './types.js';
+
+export interface PlanChatInput {
+  readonly request: ChatRequest;
+  readonly session: SessionState;
+  readonly promptText: string;
+  /** Versions that were found to have no upstream with room. */
+  readonly excluded: readonly VersionId[];
+}
+
+/** The plan of a chat request. */
+export interface ChatPlan {
+  readonly steps: readonly PlanStep[];
+  readonly reason: RequestPlan['reason'] | 'rollout';
+  readonly expectedCostMicroUsd: number;
+  readonly shouldRateAfterRelease: boolean;
+}
+
+/** A caller that names `model@version` has chosen itself: roll-outs of the model do not apply. */
+const VERSION_MARK = '@';
+
+type VersionResource = Resource<'ModelVersion'>;
+
+const getVersion = (resource: VersionResource): VersionId =>
+  asId<VersionId>(resource.metadata.name);
+
+const matchesWish = (wished: string, version: VersionId): boolean =>
+  wished === AUTO_MODEL || wished === version || wished === getModelOfVersion(version);
+
+/** The team's settings for the task of the request. */
+export const getTeamChoice = (request: ChatRequest, isSingleRun: boolean): TeamChoiceSettings => {
+  const { spec } = request.identity.team;
+  const task = spec.tasks[request.options.task];
+  return {
+    qualityTarget: task?.qualityTarget ?? spec.qualityTarget,
+    isStrict: task?.isStrict ?? false,
+    allowsCascade: spec.allowsCascade && !isSingleRun,
+    allowsExploration: spec.allowsExploration && !isSingleRun,
+    weights: spec.weights,
+  };
+};
+
+/** A request that may run once only, or whose session is pinned before it runs, has no cascade. */
+const isSingleRun = ({ options }: ChatRequest): boolean =>
+  !options.isIdempotent || options.callerSession !== undefined;
+
+const listUsable = (
+  input: PlanChatInput,
+  deps: RoutingDependencies,
+): readonly VersionResource[] => {
+  const { team } = input.request.identity;
+  return listAllowedVersions(deps.configuration.getView(), team).filter((resource) => {
+    const version = getVersion(resource);
+    return (
+      matchesWish(input.request.body.model, version) &&
+      !deps.safeMoves.isVersionBlocked(version) &&
+      !input.excluded.includes(version) &&
+      deps.registry.hasVersion(version)
+    );
+  });
+};
+
+const assignModels = (
+  input: PlanChatInput,
+  choice: TeamChoiceSettings,
+  usable: readonly VersionResource[],
+  deps: RoutingDependencies,
+): readonly ModelAssignment[] => {
+  const isExactWish = input.request.body.model.includes(VERSION_MARK);
+  if (input.session.kind === 'pinned' || isExactWish) {
+    return [];
+  }
+  const models = new Set(usable.map((resource) => getModelOfVersion(getVersion(resource))));
+  return [...models].flatMap((model) => {
+    const assignment = deps.assigner.assign(model, {
+      isStrict: choice.isStrict,
+      allowsExploration: choice.allowsExploration,
+      allowsCascade: choice.allowsCascade,
+      isSession: input.request.options.callerSession !== undefined,
+    });
+    return assignment ? [assignment] : [];
+  });
+};
+
+const toCandidate = (
+  resource: VersionResource,
+  input: PlanChatInput,
+  deps: RoutingDependencies,
+): VersionCandidate => {
+  const { spec } = resource;
+  const version = getVersion(resource);
+  const { task } = input.request.options;
+  const subject = { team: input.request.identity.team.metadata.name, task, version };
+  const prior = {
+    quality: spec.priorQualityByTask[task] ?? spec.priorQuality,
+    weight: spec.priorWeight,
+  };
+  return {
+    version,
+    inputMicroUsdPerMillionTokens: spec.inputMicroUsdPerMillionTokens,
+    outputMicroUsdPerMillionTokens: spec.outputMicroUsdPerMillionTokens,
+    evidence: deps.evidence.getEvidence({ ...subject, isEscalated: false }, prior),
+    ...deps.latency.get(version),
+    isPinned: input.session.kind === 'pinned',
+  };
+};
+
+const listCandidates = (
+  input: PlanChatInput,
+  usable: readonly VersionResource[],
+  assignments: readonly ModelAssignment[],
+): readonly VersionResource[] => {
+  const { session } = input;
+  if (session.kind === 'pinned') {
+    return usable.filter((resource) => getVersion(resource) === session.pin.version);
+  }
+  const hidden = new Set(assignments.flatMap((assignment) => assignment.hidden));
+  return usable.filter((resource) => !hidden.has(getVersion(resource)));
+};
+
+/** A candidate under a gate answers first and is rated; below the score the stable version answers. */
+const toGatedSteps = (assignment: ModelAssignment): readonly PlanStep[] => [
+  {
+    version: assignment.candidateVersion,
+    acceptAboveScore: defaultChoiceSettings.explorationAcceptScore,
+  },
+  { version: assignment.stableVersion },
+];
+
+const applyRollout = (plan: RequestPlan, assignments: readonly ModelAssignment[]): ChatPlan => {
+  const gated = assignments.find(
+    (assignment) => assignment.isGated && plan.steps[0]?.version === assignment.candidateVersion,
+  );
+  return gated ? { ...plan, reason: 'rollout', steps: toGatedSteps(gated) } : plan;
+};
+
+/** Plans a request; no steps where nothing that the team may use can answer. */
+export const planChat = (input: PlanChatInput, deps: RoutingDependencies): ChatPlan => {
+  const { request } = input;
+  const choice = getTeamChoice(request, isSingleRun(request));
+  const usable = listUsable(input, deps);
+  const assignments = assignModels(input, choice, usable, deps);
+  const candidates = listCandidates(input, usable, assignments);
+  const plan = planRequest({
+    task: request.options.task,
+    team: choice,
+    candidates: candidates.map((resource) => toCandidate(resource, input, deps)),
+    promptTokens: estimatePromptTokens(input.promptText),
+    expectedCompletionTokens: estimateCompletionTokens(request.body),
+    ratingCostMicroUsd: RATING_COST_MICRO_USD,
+    ratingMs: RATING_EXPECTED_MS,
+    remainingMs: request.options.deadlineAtMs - Date.now(),
+    isRaterUp: deps.evidence.isRaterUp(),
+    random: deps.random,
+  });
+  return applyRollout(plan, assignments);
+};
--- /dev/null
+++ b/packages/routing/src/sessionResolver.ts
@@ -0,0 +1,52 @@
+/** Finds the session that a request belongs to, and whether its version still holds. */
+import type { SafeMoves } from '@snipehaven/configuration';
+import type { Pin, PinDirectory, SessionTokens } from '@snipehaven/sessions';
+import { isVersionAllowed } from './teamDirectory.js';
+import type { ChatRequest } from './types.js';
+
+/** Why a session cannot stay on its version. */
+export type MoveReason = 'withdrawn' | 'notAllowed';
+
+/** The session of a request. */
+export type SessionState =
+  /** The first request of a session, or none at all. */
+  | { readonly kind: 'new' }
+  | { readonly kind: 'pinned'; readonly pin: Pin }
+  /** The pinned version may not be used any more: the session moves once. */
+  | { readonly kind: 'moving'; readonly pin: Pin; readonly reason: MoveReason };
+
+export interface SessionResolverOptions {
+  readonly tokens: SessionTokens;
+  readonly pins: PinDirectory;
+  readonly safeMoves: SafeMoves;
+}
+
+const findPin = async (
+  request: ChatRequest,
+  { tokens, pins }: SessionResolverOptions,
+): Promise<Pin | undefined> => {
+  const { sessionToken, callerSession } = request.options;
+  const { uid } = request.identity.team.metadata;
+  if (sessionToken !== undefined) {
+    const pin = tokens.verify(sessionToken);
+    return pin?.teamUid === uid ? pin : undefined;
+  }
+  return callerSession === undefined ? undefined : pins.find(uid, callerSession);
+};
+
+/** Resolves the session; a pin never overrides a withdrawal or the team's permissions. */
+export const resolveSession = async (
+  request: ChatRequest,
+  options: SessionResolverOptions,
+): Promise<SessionState> => {
+  const pin = await findPin(request, options);
+  if (pin === undefined) {
+    return { kind: 'new' };
+  }
+  if (options.safeMoves.isVersionBlocked(pin.version)) {
+    return { kind: 'moving', pin, reason: 'withdrawn' };
+  }
+  return isVersionAllowed(request.identity.team, pin.version)
+    ? { kind: 'pinned', pin }
+    : { kind: 'moving', pin, reason: 'notAllowed' };
+};
--- a/tools/definePackages.mjs
+++ b/tools/definePackages.mjs
@@ -11,7 +11,7 @@
   zod: '^4.0.0',
   'smol-toml': '^1.4.0',
   'hdr-histogram-js': '^3.0.0',
-  'pure-rand': '^7.0.0',
+  'pure-rand': '^8.0.0',
   'eventsource-parser': '^3.0.0',
   murmurhash: '^2.0.1',
   pino: '^10.0.0',
