Add the replicated usage ledger

Cause: a daemon's records must outlive it, be billed once, and wait bounded while the platform is away. Change: records are held by the owner and one peer on another VM, flushed in batches under a cursor moved by compare-and-set, spilled to the object store in an outage, adopted when the owner is dead. Replication messages carry the ledger's incarnation and a rising number, and may begin a copy anew.

--- /dev/null
+++ b/packages/ledger/src/adopter.ts
@@ -0,0 +1,206 @@
+/** Settles the records of dead owners whose copies this daemon holds. */
+import { getErrorMessage, type Logger, type Random } from '@snipehaven/common';
+import type { MembershipView } from '@snipehaven/membership';
+import type { TableClient } from '@snipehaven/platform';
+import type { OpenUsage, UsageEntry } from '@snipehaven/protocol';
+import type { TimelineRecorder } from '@snipehaven/timeline';
+import { closeCursor } from './closeCursor.js';
+import { createToken } from './createToken.js';
+import { DeathConfirmer } from './deathConfirmer.js';
+import { askEngines, getAdoptedSettlement, type AccountEngines } from './engineAccounts.js';
+import type { HeldRecord, HeldRecords } from './heldRecords.js';
+import type { RecordBook } from './recordBook.js';
+import type { Replicator } from './replicator.js';
+import type { LedgerSettings } from './types.js';
+
+export interface AdopterOptions {
+  readonly self: string;
+  readonly held: HeldRecords;
+  readonly book: RecordBook;
+  readonly replicator: Replicator;
+  readonly table: TableClient;
+  readonly engines: AccountEngines;
+  readonly membership: MembershipView;
+  readonly timeline: TimelineRecorder;
+  readonly logger: Logger;
+  readonly random: Random;
+  readonly settings: LedgerSettings;
+  /** Called with entries that last in the platform now. */
+  readonly onLasting: (entries: readonly UsageEntry[]) => void;
+}
+
+/** A copy of an open record. */
+interface HeldOpen {
+  readonly held: HeldRecord;
+  readonly usage: OpenUsage;
+}
+
+const listOpen = (records: readonly HeldRecord[]): readonly HeldOpen[] =>
+  records.flatMap((held) =>
+    held.record.kind === 'open' ? [{ held, usage: held.record.usage }] : [],
+  );
+
+const listEntries = (records: readonly HeldRecord[]): readonly UsageEntry[] =>
+  records.flatMap((held) => (held.record.kind === 'settled' ? [held.record.entry] : []));
+
+export class Adopter {
+  readonly #options: AdopterOptions;
+
+  readonly #deaths: DeathConfirmer;
+
+  readonly #underWay = new Set<string>();
+
+  #isStopped = false;
+
+  constructor(options: AdopterOptions) {
+    this.#options = options;
+    this.#deaths = new DeathConfirmer(options.settings);
+  }
+
+  /** An owner's message is a sign of life, whatever membership says. */
+  noteAlive(owner: string): void {
+    this.#deaths.noteAlive(owner);
+  }
+
+  /** Begins to adopt the records of owners that are dead by now. */
+  check(): void {
+    const { held, membership } = this.#options;
+    this.#deaths
+      .check(held.listOwners(), (owner) => membership.isIncarnationAlive(owner))
+      .filter((owner) => !this.#underWay.has(owner))
+      .forEach((owner) => {
+        void this.#adopt(owner);
+      });
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+  }
+
+  async #adopt(owner: string): Promise<void> {
+    const { held, logger } = this.#options;
+    this.#underWay.add(owner);
+    try {
+      await this.#adoptRecords(owner, held.list(owner));
+      held.dropEmptyOwner(owner);
+      this.#deaths.forget(owner);
+    } catch (error) {
+      logger.error({ owner, error: getErrorMessage(error) }, 'adoption failed');
+    } finally {
+      this.#underWay.delete(owner);
+    }
+  }
+
+  async #adoptRecords(owner: string, records: readonly HeldRecord[]): Promise<void> {
+    if (records.length === 0) {
+      return;
+    }
+    const entries = listEntries(records);
+    const open = listOpen(records);
+    await this.#takeOver(records);
+    await this.#closeLedger(owner, entries);
+    const settled = records.filter((held) => held.record.kind === 'settled');
+    this.#options.held.dropAdopted(owner, settled);
+    await this.#settleAll(owner, open);
+    const detail = { owner, settled: entries.length, open: open.length };
+    this.#options.timeline.record('usageAdopted', {}, detail);
+  }
+
+  /**
+   * What goes wrong: the adopter dies too while it asks the engines, and nobody knows of the records any
+   * more. They become its own records first, with a copy on its own peer, which adopts them in turn.
+   */
+  async #takeOver(records: readonly HeldRecord[]): Promise<void> {
+    const { book, replicator } = this.#options;
+    const copies = records.map(({ record }) => {
+      const id = record.kind === 'open' ? record.usage.requestId : record.entry.requestId;
+      if (record.kind === 'open' && book.getRecord(id)?.kind === 'settled') {
+        return Promise.resolve();
+      }
+      book.adopt(record);
+      return replicator.replicate(id);
+    });
+    await Promise.all(copies);
+  }
+
+  /** What the closing does not write goes the way of the own entries; twice would do no harm. */
+  async #closeLedger(owner: string, entries: readonly UsageEntry[]): Promise<void> {
+    const { held, table, random, self, settings, onLasting } = this.#options;
+    const written = entries.slice(0, settings.maxClosingEntries);
+    const result = await closeCursor({
+      table,
+      ledger: held.getLedger(owner),
+      entries: written,
+      closedBy: self,
+      token: createToken(self, random),
+      timeoutMs: settings.platformTimeoutMs,
+      isOwnerAlive: () => this.#isBack(owner),
+    });
+    if (result === 'closed') {
+      onLasting(written);
+    }
+  }
+
+  async #settleAll(owner: string, open: readonly HeldOpen[]): Promise<void> {
+    const queue = [...open];
+    const work = async (): Promise<void> => {
+      for (let next = queue.shift(); next; next = queue.shift()) {
+        await this.#settleOrGiveBack(owner, next);
+      }
+    };
+    const { adoptionParallelism } = this.#options.settings;
+    await Promise.all(Array.from({ length: adoptionParallelism }, work));
+  }
+
+  /** An owner that is back goes on with its request: no more of its runs are cancelled. */
+  async #settleOrGiveBack(owner: string, { held, usage }: HeldOpen): Promise<void> {
+    if (this.#isStopped) {
+      return;
+    }
+    if (this.#isBack(owner)) {
+      this.#drop(usage.requestId);
+      return;
+    }
+    await this.#settle(usage, held.receivedAtMs);
+    this.#options.held.dropAdopted(owner, [held]);
+  }
+
+  async #settle(usage: OpenUsage, receivedAtMs: number): Promise<void> {
+    const { engines, settings, book, replicator, self } = this.#options;
+    const accounts = await askEngines(engines, { usage, receivedAtMs }, settings);
+    const settlement = getAdoptedSettlement(accounts);
+    if (book.getRecord(usage.requestId)?.kind !== 'open') {
+      return;
+    }
+    if (!settlement) {
+      this.#drop(usage.requestId);
+      return;
+    }
+    book.settle(usage.requestId, settlement, { settledBy: self, isAdopted: true });
+    this.#recordSettled(usage, settlement.outcome, accounts);
+    await replicator.replicate(usage.requestId);
+  }
+
+  #recordSettled(
+    usage: OpenUsage,
+    outcome: string,
+    accounts: Awaited<ReturnType<typeof askEngines>>,
+  ): void {
+    const unknownRuns = accounts.filter((account) => account.kind === 'unknown').length;
+    const subject = { requestId: usage.requestId, team: usage.team };
+    this.#options.timeline.record('usageSettled', subject, {
+      outcome,
+      isAdopted: true,
+      unknownRuns,
+    });
+  }
+
+  #drop(requestId: string): void {
+    this.#options.book.giveBack(requestId);
+    this.#options.replicator.forget(requestId);
+  }
+
+  #isBack(owner: string): boolean {
+    return this.#options.membership.isIncarnationAlive(owner);
+  }
+}
--- /dev/null
+++ b/packages/ledger/src/replicatedUsageLedger.test.ts
@@ -0,0 +1,313 @@
+import { install, type Clock } from '@sinonjs/fake-timers';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { setInvariantsFatal } from '@snipehaven/common';
+import type { UsageEntry } from '@snipehaven/protocol';
+import { LedgerFullError } from './errors.js';
+import {
+  createSettlement,
+  createState,
+  createUsage,
+  FakeCluster,
+  type FakeDaemon,
+} from './testKit.js';
+
+setInvariantsFatal(true);
+
+const MINUTE_MS = 60_000;
+const HOUR_MS = 60 * MINUTE_MS;
+
+let clock: Clock;
+test.before.each(() => {
+  clock = install({ now: 1_000_000 });
+});
+test.after.each(() => {
+  clock.uninstall();
+});
+
+/** Lets virtual time pass until the promise settles. */
+const wait = async <Result>(promise: Promise<Result>): Promise<Result> => {
+  const state = { isDone: false };
+  const done = promise.finally(() => {
+    state.isDone = true;
+  });
+  done.catch(() => undefined);
+  while (!state.isDone) {
+    await clock.tickAsync(1);
+  }
+  return done;
+};
+
+const assertRejects = async (call: Promise<unknown>, message: RegExp): Promise<void> => {
+  const error = await call.catch((caught: unknown) => caught);
+  assert.instance(error, Error);
+  assert.match((error as Error).message, message);
+};
+
+const open = (daemon: FakeDaemon, requestId: string, requestKey = requestId): Promise<void> =>
+  wait(daemon.ledger.open(createUsage(requestId, requestKey)));
+
+const settle = (daemon: FakeDaemon, requestId: string, tokens: number): Promise<void> =>
+  wait(daemon.ledger.settle(requestId, createSettlement(requestId, tokens)));
+
+/** Each folded entry as `key outcome tokens`. */
+const readBills = async (cluster: FakeCluster): Promise<readonly string[]> =>
+  (await wait(cluster.readEntries()))
+    .map((entry: UsageEntry) => {
+      const tokens = entry.lines.reduce((sum, line) => sum + line.completionTokens, 0);
+      return `${entry.requestKey} ${entry.outcome} ${tokens}`;
+    })
+    .sort();
+
+const startPair = async (
+  count = 3,
+  settings = {},
+): Promise<{ cluster: FakeCluster; owner: FakeDaemon; holder: FakeDaemon }> => {
+  const cluster = new FakeCluster(count, settings);
+  const owner = cluster.daemons[0] as FakeDaemon;
+  await open(owner, 'r1');
+  return { cluster, owner, holder: cluster.getHolder(owner) };
+};
+
+const isClosed = (cluster: FakeCluster, owner: FakeDaemon): boolean =>
+  JSON.stringify(cluster.table.rows.get(`ledgerCursor/${owner.member.incarnation}`)).includes(
+    '"closed"',
+  );
+
+test('a settled record is flushed once and forgotten by the peer', async () => {
+  const { cluster, owner } = await startPair();
+  await settle(owner, 'r1', 7);
+  assert.is(await wait(owner.ledger.flush()), 0);
+  await clock.tickAsync(MINUTE_MS);
+  assert.equal(await readBills(cluster), ['r1 answered 7']);
+  assert.is(cluster.table.writes, 2);
+  assert.is(
+    cluster.daemons.reduce((sum, daemon) => sum + daemon.ledger.getHeldCount(), 0),
+    0,
+  );
+});
+
+test('opening or settling a record twice violates an invariant', async () => {
+  const { owner } = await startPair();
+  await assertRejects(owner.ledger.open(createUsage('r1')), /opened twice/);
+  await settle(owner, 'r1', 7);
+  await settle(owner, 'r1', 7);
+  await assertRejects(settle(owner, 'r1', 8), /settled again/);
+  assert.throws(() => owner.ledger.discard('r1'), /discarded after/);
+});
+
+// Symptom: an answer that a caller got whole is never billed, or billed by what the engine holds.
+// Sequence: owner settles, the peer has the settlement, the owner is killed before its flush.
+// Cause: only the owner would have written the entry; its peer must close the cursor and write it.
+test('an owner killed after settling is billed by its own settlement', async () => {
+  const { cluster, owner, holder } = await startPair();
+  cluster.engines.streams.set('r1', createState('finished', 99));
+  await settle(owner, 'r1', 7);
+  cluster.kill(owner);
+  await clock.tickAsync(MINUTE_MS);
+  assert.equal(await readBills(cluster), ['r1 answered 7']);
+  assert.ok(isClosed(cluster, owner));
+  assert.ok(holder.events.includes('usageAdopted'));
+});
+
+// Symptom: a run goes on at the engine for nobody, and what the caller got of it is not billed.
+// Sequence: owner killed while one run is under way and another was opened but not sent.
+// Cause: nobody settles. The peer asks the engine, cancels, and drops what is proven not started.
+test('an owner killed before settling is billed by the account of the engine', async () => {
+  const { cluster, owner } = await startPair();
+  await open(owner, 'neverStarted');
+  cluster.engines.streams.set('r1', createState('running', 3));
+  cluster.kill(owner);
+  await clock.tickAsync(MINUTE_MS);
+  assert.equal(await readBills(cluster), ['r1 partial 3']);
+  assert.is(cluster.engines.streams.get('r1')?.state, 'cancelled');
+  assert.is(
+    cluster.listLive().reduce((sum, one) => sum + one.ledger.getPendingCount(), 0),
+    0,
+  );
+});
+
+// Symptom: one request is billed twice, as partial by the adopter and as answered by the owner.
+// Sequence: owner paused past its death, adopted, then back; it settles and flushes what it has.
+// Cause: two settlements of one key; and the owner's old cursor is closed, so it must start anew.
+test('a paused owner that comes back after its adoption bills once, and its answer wins', async () => {
+  const { cluster, owner } = await startPair();
+  await settle(owner, 'r1', 7);
+  await open(owner, 'r2');
+  cluster.engines.streams.set('r2', createState('finished', 4));
+  cluster.pause(owner);
+  await clock.tickAsync(MINUTE_MS);
+  assert.equal(await readBills(cluster), ['r1 answered 7', 'r2 partial 4']);
+  cluster.resume(owner);
+  await settle(owner, 'r2', 5);
+  await clock.tickAsync(MINUTE_MS);
+  assert.equal(await readBills(cluster), ['r1 answered 7', 'r2 answered 5']);
+  const moved = [...cluster.table.rows].filter(([key]) => key.startsWith('ledger/vm1#1~2/'));
+  assert.is(moved.length, 1);
+  assert.not.ok(JSON.stringify(moved).includes('"r1"'));
+});
+
+// Symptom: rows with the same entries under two numbers; cursor and rows disagree.
+// Sequence: the table commits a batch, the reply is lost, the owner tries again.
+// Cause: the owner can't tell a lost reply from a lost request without reading its token back.
+test('a batch whose reply was lost is written once', async () => {
+  const { cluster, owner } = await startPair();
+  await settle(owner, 'r1', 7);
+  cluster.table.lostReplies = 2;
+  await wait(owner.ledger.flush());
+  await clock.tickAsync(MINUTE_MS);
+  assert.is(owner.ledger.getPendingCount(), 0);
+  assert.is(cluster.table.writes, 2);
+  assert.equal(await readBills(cluster), ['r1 answered 7']);
+});
+
+// Symptom: memory grows without end, or records are lost, while the platform is away for an hour.
+// Sequence: table down; batches go to the object store; that goes down too; requests go on coming.
+// Cause: nothing bounds what waits. Beyond the bound a request must be refused before it runs.
+test('an hour without the table: spilled, then bounded, then all is billed', async () => {
+  const settings = { maxPendingRecords: 50, spillThresholdRecords: 20, maxSpillEntries: 10 };
+  const { cluster, owner } = await startPair(3, settings);
+  await settle(owner, 'r1', 1);
+  cluster.table.isDown = true;
+  let answered = 1;
+  const run = async (): Promise<void> => {
+    const id = `s${answered + 1}`;
+    await open(owner, id);
+    await settle(owner, id, 1);
+    answered += 1;
+  };
+  for (let minute = 0; minute < 60; minute += 1) {
+    await run();
+    await run();
+    await clock.tickAsync(MINUTE_MS);
+  }
+  assert.ok(cluster.objectStore.objects.size > 0);
+  assert.ok(owner.ledger.getPendingCount() <= 22);
+  cluster.objectStore.isDown = true;
+  const refusal = await (async () => {
+    for (;;) {
+      await run();
+    }
+  })().catch((error: unknown) => error);
+  assert.instance(refusal, LedgerFullError);
+  assert.ok((refusal as LedgerFullError).retryAfterMs > 0);
+  assert.is(owner.ledger.getPendingCount(), 50);
+  cluster.table.isDown = false;
+  cluster.objectStore.isDown = false;
+  await clock.tickAsync(HOUR_MS);
+  assert.is((await readBills(cluster)).length, answered);
+});
+
+// Symptom: records have no copy although other VMs live; or admissions wait for a dead peer.
+// Sequence: the peer is killed; later the owner is killed too.
+// Cause: the copy must move to the next peer as soon as one call fails, with all that is open.
+test('after its peer was killed an owner is adopted by the next one', async () => {
+  const { cluster, owner, holder } = await startPair();
+  cluster.kill(holder);
+  await open(owner, 'r2');
+  await settle(owner, 'r2', 5);
+  await settle(owner, 'r1', 7);
+  cluster.kill(owner);
+  await clock.tickAsync(MINUTE_MS);
+  assert.equal(await readBills(cluster), ['r1 answered 7', 'r2 answered 5']);
+});
+
+// Symptom: the last daemon alive refuses or delays all requests.
+// Sequence: the only other daemon is killed; another one joins later.
+// Cause: no VM is left to hold a copy. Serving goes on, told on the time line, until one joins.
+test('an owner without any peer goes on alone until one joins', async () => {
+  const { cluster, owner, holder } = await startPair(2);
+  cluster.kill(holder);
+  await open(owner, 'r2');
+  assert.ok(owner.events.includes('platformLost'));
+  const joined = cluster.add('vm9');
+  await clock.tickAsync(MINUTE_MS);
+  assert.ok(owner.events.includes('platformBack'));
+  assert.is(joined.ledger.getHeldCount(), 2);
+});
+
+// Symptom: two rows hold the same entry and both are billed.
+// Sequence: the owner's write is under way when it is paused; it commits; the adopter writes too.
+// Cause: owner and adopter can't see each other. The union by key makes the second write harmless.
+test('a batch written by both owner and adopter is billed once', async () => {
+  const { cluster, owner } = await startPair();
+  await settle(owner, 'r1', 7);
+  const flushed = owner.ledger.flush();
+  cluster.pause(owner);
+  await clock.tickAsync(MINUTE_MS);
+  cluster.resume(owner);
+  await wait(flushed);
+  await clock.tickAsync(MINUTE_MS);
+  assert.equal(await readBills(cluster), ['r1 answered 7']);
+  assert.is(owner.ledger.getPendingCount(), 0);
+});
+
+// Symptom: a caller pays for the broken answer and for the one that its retry got.
+// Sequence: owner killed in mid answer; the caller retries at another daemon under its key.
+// Cause: two daemons, two request ids, one key: the fold bills the answer that came whole.
+test('a retry of a broken answer at another daemon is one bill', async () => {
+  const { cluster, owner, holder } = await startPair();
+  cluster.engines.streams.set('r1', createState('running', 3));
+  cluster.kill(owner);
+  await open(holder, 'retry', 'r1');
+  await settle(holder, 'retry', 8);
+  await clock.tickAsync(MINUTE_MS);
+  assert.equal(await readBills(cluster), ['r1 answered 8']);
+});
+
+// Symptom: a team is charged for tokens that nobody counted; or the record stays open for ever.
+// Sequence: owner killed; the engine of its run does not answer the adopter either.
+// Cause: without the engine's account any charge is a guess: after bounded tries it is none.
+test('a run whose engine stays silent is settled unanswered at no cost', async () => {
+  const { cluster, owner } = await startPair();
+  cluster.engines.isSilent = true;
+  cluster.kill(owner);
+  await clock.tickAsync(5 * MINUTE_MS);
+  assert.equal(await readBills(cluster), ['r1 unanswered 0']);
+});
+
+// Symptom: a run is dropped as never started though it ran and ended long ago.
+// Sequence: owner killed two minutes after it opened the record; the engine has forgotten the run.
+// Cause: engines answer "unknown" for both; after their time of keeping it proves nothing.
+test('an engine that may have forgotten a run proves nothing', async () => {
+  const { cluster, owner } = await startPair();
+  await clock.tickAsync(2 * MINUTE_MS);
+  cluster.kill(owner);
+  await clock.tickAsync(MINUTE_MS);
+  assert.equal(await readBills(cluster), ['r1 unanswered 0']);
+});
+
+// Symptom: records of a dead owner vanish.
+// Sequence: owner killed; the adopter is killed while a silent engine keeps it waiting.
+// Cause: the adopter alone knew them. They are its own records first, so its peer adopts in turn.
+test('an adopter killed in mid adoption is adopted itself', async () => {
+  const { cluster, owner, holder } = await startPair(4);
+  await open(owner, 'r2');
+  await settle(owner, 'r2', 5);
+  cluster.table.isDown = true;
+  cluster.engines.isSilent = true;
+  cluster.kill(owner);
+  await clock.tickAsync(15_000);
+  cluster.kill(holder);
+  cluster.engines.isSilent = false;
+  cluster.engines.streams.set('r1', createState('running', 3));
+  cluster.table.isDown = false;
+  await clock.tickAsync(2 * MINUTE_MS);
+  assert.equal(await readBills(cluster), ['r1 partial 3', 'r2 answered 5']);
+});
+
+test('a graceful stop without the platform leaves the rest to the peer', async () => {
+  const { cluster, owner } = await startPair();
+  cluster.table.isDown = true;
+  cluster.objectStore.isDown = true;
+  await settle(owner, 'r1', 7);
+  assert.is(await wait(owner.ledger.stop()), 1);
+  await assertRejects(owner.ledger.open(createUsage('late')), /opens no more/);
+  cluster.kill(owner);
+  cluster.table.isDown = false;
+  cluster.objectStore.isDown = false;
+  await clock.tickAsync(MINUTE_MS);
+  assert.equal(await readBills(cluster), ['r1 answered 7']);
+});
+
+test.run();
--- /dev/null
+++ b/packages/ledger/src/replicatedUsageLedger.ts
@@ -0,0 +1,255 @@
+/** The usage ledger of one daemon: its own records, and the copies it holds for others. */
+import {
+  getErrorMessage,
+  spawnHandlerActor,
+  startActorSystem,
+  stopActorSystem,
+  type ActorSystem,
+  type HandlerActor,
+} from '@snipehaven/common';
+import type { OpenUsage, UsageEntry, UsageHandlers, UsageStream } from '@snipehaven/protocol';
+import { Adopter } from './adopter.js';
+import { DEFAULT_LEDGER_SETTINGS } from './constants.js';
+import { LedgerFullError, LedgerStoppedError } from './errors.js';
+import { HeldRecords } from './heldRecords.js';
+import { LedgerFlusher } from './ledgerFlusher.js';
+import { LedgerSpiller } from './ledgerSpiller.js';
+import { RecordBook } from './recordBook.js';
+import { Replicator } from './replicator.js';
+import type {
+  LedgerSettings,
+  ReplicatedUsageLedgerOptions,
+  Settlement,
+  UsageLedger,
+} from './types.js';
+import { withTimeout } from './withTimeout.js';
+
+/** `backlog` writes one batch and spills if need be; `all` writes until nothing is left or a try fails. */
+interface FlushMessage {
+  readonly type: 'backlog' | 'all';
+  readonly done: () => void;
+}
+
+/** Intervals vary by this share, so that daemons don't flush in step. */
+const JITTER_SHARE = 0.2;
+
+export class ReplicatedUsageLedger implements UsageLedger {
+  /** Answers other daemons' messages. */
+  readonly handlers: UsageHandlers = {
+    replicate: async (message) => {
+      if (this.#state === 'stopped') {
+        throw new LedgerStoppedError('this daemon holds no more copies');
+      }
+      this.#adopter.noteAlive(message.owner);
+      return { held: this.#held.apply(message) };
+    },
+  };
+
+  readonly #options: ReplicatedUsageLedgerOptions;
+
+  readonly #settings: LedgerSettings;
+
+  readonly #system: ActorSystem = startActorSystem();
+
+  readonly #book = new RecordBook();
+
+  readonly #held = new HeldRecords();
+
+  readonly #replicator: Replicator;
+
+  readonly #flusher: LedgerFlusher;
+
+  readonly #spiller: LedgerSpiller;
+
+  readonly #adopter: Adopter;
+
+  readonly #flushActor: HandlerActor<FlushMessage>;
+
+  #state: 'running' | 'stopping' | 'stopped' = 'running';
+
+  #flushTimer: NodeJS.Timeout | undefined;
+
+  #checkTimer: NodeJS.Timeout | undefined;
+
+  #endListening: (() => void) | undefined;
+
+  constructor(options: ReplicatedUsageLedgerOptions) {
+    this.#options = options;
+    this.#settings = { ...DEFAULT_LEDGER_SETTINGS, ...options.settings };
+    const onLasting = (entries: readonly UsageEntry[]): void => this.#onLasting(entries);
+    const shared = { ...options, book: this.#book, settings: this.#settings, onLasting };
+    this.#flusher = new LedgerFlusher(shared);
+    this.#spiller = new LedgerSpiller(shared);
+    const getLedger = (): string => this.#flusher.ledger;
+    this.#replicator = new Replicator({ ...shared, system: this.#system, getLedger });
+    this.#adopter = new Adopter({ ...shared, held: this.#held, replicator: this.#replicator });
+    this.#flushActor = spawnHandlerActor<FlushMessage>(
+      this.#system,
+      'usageFlusher',
+      {
+        backlog: (message) => this.#run(message, () => this.#flushBacklog()),
+        all: (message) => this.#run(message, () => this.#flushAll()),
+      },
+      (error) => options.logger.error({ error: getErrorMessage(error) }, 'flush failed'),
+    );
+  }
+
+  /** Begins to flush and to watch over owners and peers. */
+  start(): void {
+    this.#scheduleFlush();
+    this.#checkTimer = setInterval(() => this.#check(), this.#settings.checkIntervalMs);
+    this.#checkTimer.unref();
+    this.#endListening = this.#options.membership.onChange(() => this.#replicator.check());
+  }
+
+  async open(usage: OpenUsage): Promise<void> {
+    this.#assertRoom();
+    this.#book.open(usage);
+    await this.#replicator.replicate(usage.requestId);
+  }
+
+  async addStream(requestId: string, stream: UsageStream): Promise<void> {
+    this.#book.addStream(requestId, stream);
+    await this.#replicator.replicate(requestId);
+  }
+
+  async settle(requestId: string, settlement: Settlement): Promise<void> {
+    const settler = { settledBy: this.#options.self, isAdopted: false };
+    const entry = this.#book.settle(requestId, settlement, settler);
+    if (entry) {
+      const { outcome, costMicroUsd } = entry;
+      const subject = { requestId, team: entry.team };
+      this.#options.timeline.record('usageSettled', subject, { outcome, costMicroUsd });
+    }
+    if (this.#book.getRecord(requestId)) {
+      await this.#replicator.replicate(requestId);
+    }
+  }
+
+  discard(requestId: string): void {
+    if (this.#book.discard(requestId)) {
+      this.#replicator.forget(requestId);
+    }
+  }
+
+  getPendingCount(): number {
+    return this.#book.pendingCount;
+  }
+
+  /** Copies of other daemons' records held here. */
+  getHeldCount(): number {
+    return this.#held.count();
+  }
+
+  async flush(): Promise<number> {
+    await this.#tellFlush('all');
+    return this.getPendingCount();
+  }
+
+  /**
+   * Stops: opens nothing more, flushes, spills what the table does not take, and makes sure that the peer
+   * holds the rest. Resolves with the count of records left to the peer.
+   */
+  async stop(): Promise<number> {
+    if (this.#state !== 'running') {
+      return this.getPendingCount();
+    }
+    this.#state = 'stopping';
+    this.#adopter.stop();
+    clearTimeout(this.#flushTimer);
+    clearInterval(this.#checkTimer);
+    this.#endListening?.();
+    await this.#handOver();
+    this.#state = 'stopped';
+    this.#replicator.stop();
+    this.#flushActor.stop();
+    stopActorSystem(this.#system);
+    return this.getPendingCount();
+  }
+
+  async #handOver(): Promise<void> {
+    const { stopTimeoutMs } = this.#settings;
+    try {
+      await withTimeout(this.#handOverAll(), stopTimeoutMs, 'handing over');
+    } catch (error) {
+      const detail = { error: getErrorMessage(error), left: this.getPendingCount() };
+      this.#options.logger.warn(detail, 'usage records were left behind');
+    }
+  }
+
+  async #handOverAll(): Promise<void> {
+    await this.flush();
+    if (this.#book.settledCount > 0) {
+      await this.#spiller.spillAbove(0);
+    }
+    await this.#replicator.replicateAll();
+  }
+
+  #assertRoom(): void {
+    if (this.#state !== 'running') {
+      throw new LedgerStoppedError('this daemon opens no more records');
+    }
+    const { maxPendingRecords, flushIntervalMs } = this.#settings;
+    const count = this.getPendingCount();
+    if (count >= maxPendingRecords) {
+      throw new LedgerFullError(count, flushIntervalMs);
+    }
+  }
+
+  #onLasting(entries: readonly UsageEntry[]): void {
+    this.#book.removeLasting(entries);
+    entries
+      .filter((entry) => !this.#book.getRecord(entry.requestId))
+      .forEach((entry) => this.#replicator.forget(entry.requestId));
+  }
+
+  #check(): void {
+    this.#replicator.check();
+    this.#adopter.check();
+  }
+
+  /** A full batch left over is written after a short gap, anything less at the next interval. */
+  #scheduleFlush(): void {
+    const { maxBatchEntries, batchGapMs, flushIntervalMs } = this.#settings;
+    const hasBacklog = this.#book.settledCount >= maxBatchEntries;
+    const meanMs = hasBacklog ? batchGapMs : flushIntervalMs;
+    const jitter = 1 + JITTER_SHARE * (2 * this.#options.random.next() - 1);
+    this.#flushTimer = setTimeout(() => this.#onFlushDue(), meanMs * jitter);
+    this.#flushTimer.unref();
+  }
+
+  #onFlushDue(): void {
+    void this.#tellFlush('backlog').then(() => {
+      if (this.#state === 'running') {
+        this.#scheduleFlush();
+      }
+    });
+  }
+
+  #tellFlush(type: FlushMessage['type']): Promise<void> {
+    return new Promise((done) => {
+      this.#flushActor.tell({ type, done });
+    });
+  }
+
+  async #run(message: FlushMessage, flush: () => Promise<void>): Promise<void> {
+    try {
+      await flush();
+    } finally {
+      message.done();
+    }
+  }
+
+  async #flushBacklog(): Promise<void> {
+    if ((await this.#flusher.flushBatch()) === 'failed') {
+      await this.#spiller.spillAbove(this.#settings.spillThresholdRecords);
+    }
+  }
+
+  async #flushAll(): Promise<void> {
+    let result = await this.#flusher.flushBatch();
+    while (result === 'flushed' || result === 'revived') {
+      result = await this.#flusher.flushBatch();
+    }
+  }
+}
--- /dev/null
+++ b/packages/ledger/src/replicator.ts
@@ -0,0 +1,301 @@
+/**
+ * Keeps a copy of the book's records on one peer. Changes that come within a few milliseconds, or while a
+ * call is under way, go in one message.
+ */
+import {
+  getErrorMessage,
+  spawnHandlerActor,
+  type ActorSystem,
+  type HandlerActor,
+  type Logger,
+} from '@snipehaven/common';
+import type { MembershipView } from '@snipehaven/membership';
+import type { Member, PeerTransport, ReplicateUsage } from '@snipehaven/protocol';
+import type { TimelineRecorder } from '@snipehaven/timeline';
+import { DueTimer } from './dueTimer.js';
+import { PeerChoice } from './peerChoice.js';
+import { PeerReleases } from './peerReleases.js';
+import type { RecordBook } from './recordBook.js';
+import type { LedgerSettings } from './types.js';
+import { Waiters } from './waiters.js';
+import { withTimeout } from './withTimeout.js';
+
+export interface ReplicatorOptions {
+  readonly self: string;
+  readonly system: ActorSystem;
+  readonly book: RecordBook;
+  readonly transport: PeerTransport;
+  readonly membership: MembershipView;
+  readonly timeline: TimelineRecorder;
+  readonly logger: Logger;
+  readonly settings: LedgerSettings;
+  /** The incarnation of the own ledger, which changes after a revival. */
+  readonly getLedger: () => string;
+}
+
+interface SendMessage {
+  readonly type: 'send';
+}
+
+/** One message on its way: what it carries and who waits for it. */
+interface Sending {
+  readonly message: ReplicateUsage;
+  readonly ids: readonly string[];
+  readonly waiters: ReadonlyMap<string, readonly (() => void)[]>;
+}
+
+const takeFirst = (ids: Set<string>, limit: number): readonly string[] => {
+  const taken = [...ids].slice(0, limit);
+  taken.forEach((id) => ids.delete(id));
+  return taken;
+};
+
+export class Replicator {
+  readonly #options: ReplicatorOptions;
+
+  readonly #choice: PeerChoice;
+
+  readonly #releases: PeerReleases;
+
+  readonly #actor: HandlerActor<SendMessage>;
+
+  readonly #waiters = new Waiters();
+
+  /** Changed since the peer's copy. */
+  readonly #dirty = new Set<string>();
+
+  /** Gone from the book, still at the peer. */
+  readonly #forgotten = new Set<string>();
+
+  /** What the peer holds. */
+  readonly #copied = new Set<string>();
+
+  readonly #timer = new DueTimer(() => this.#actor.tell({ type: 'send' }));
+
+  #peer: Member | undefined;
+
+  #needsFull = true;
+
+  /** Whether the peer has had the whole book since it became the peer. */
+  #isWhole = false;
+
+  #isSending = false;
+
+  #isAlone = false;
+
+  #seq = 0;
+
+  #resyncedAtMs = -Infinity;
+
+  constructor(options: ReplicatorOptions) {
+    this.#options = options;
+    this.#choice = new PeerChoice(options.membership, options.settings);
+    this.#releases = new PeerReleases(options.membership, (peer) =>
+      this.#call(peer, this.#createEnvelope(true)),
+    );
+    this.#actor = spawnHandlerActor<SendMessage>(
+      options.system,
+      'usageReplicator',
+      { send: () => this.#sendAll() },
+      (error) => options.logger.error({ error: getErrorMessage(error) }, 'replication failed'),
+    );
+  }
+
+  /** The peer that holds the copy. */
+  get peer(): Member | undefined {
+    return this.#peer;
+  }
+
+  /** Brings the peer's copy of a record up to date; resolves when it is, or no peer is alive. */
+  replicate(requestId: string): Promise<void> {
+    this.#dirty.add(requestId);
+    const done = this.#waiters.wait(requestId);
+    this.#schedule(this.#options.settings.replicateBatchMs);
+    return done;
+  }
+
+  /** Tells the peer, with some later message, that a record is no more. */
+  forget(requestId: string): void {
+    this.#dirty.delete(requestId);
+    this.#waiters.resolve(requestId);
+    if (this.#copied.has(requestId)) {
+      this.#forgotten.add(requestId);
+      this.#schedule(this.#options.settings.forgetDelayMs);
+    }
+  }
+
+  /** Looks whether another peer is best by now; if so, all that is in the book goes to it. */
+  check(): void {
+    this.#choice.refresh();
+    const hasRecords = this.#options.book.pendingCount > 0;
+    if (this.#isWhole || !hasRecords) {
+      this.#releases.sendDue();
+    }
+    if (hasRecords && this.#choice.getBest()?.incarnation !== this.#peer?.incarnation) {
+      this.#schedule(0);
+    }
+  }
+
+  /** Resolves when the peer holds the whole book, or no peer is alive. */
+  async replicateAll(): Promise<void> {
+    await Promise.all(this.#options.book.listIds().map((id) => this.replicate(id)));
+  }
+
+  stop(): void {
+    this.#timer.clear();
+    this.#actor.stop();
+    this.#waiters.resolveAll();
+  }
+
+  #schedule(delayMs: number): void {
+    if (!this.#isSending) {
+      this.#timer.set(delayMs);
+    }
+  }
+
+  async #sendAll(): Promise<void> {
+    this.#isSending = true;
+    try {
+      do {
+        await this.#sendNext();
+      } while (this.#dirty.size > 0);
+    } finally {
+      this.#isSending = false;
+    }
+    if (this.#forgotten.size > 0) {
+      this.#schedule(this.#options.settings.forgetDelayMs);
+    }
+  }
+
+  async #sendNext(): Promise<void> {
+    const peer = this.#choosePeer();
+    if (!peer) {
+      this.#goOnAlone();
+      return;
+    }
+    const sending = this.#takeNext();
+    if (sending.ids.length === 0 && sending.message.forgotten.length === 0) {
+      return;
+    }
+    try {
+      const { held } = await this.#call(peer, sending.message);
+      this.#onAnswered(peer, sending, held);
+    } catch (error) {
+      this.#onUnanswered(peer, sending, error);
+    }
+  }
+
+  #choosePeer(): Member | undefined {
+    const best = this.#choice.getBest();
+    if (best?.incarnation !== this.#peer?.incarnation) {
+      this.#releases.add(this.#peer);
+      this.#releases.cancel(best);
+      this.#peer = best;
+      this.#beginCopy();
+    }
+    return best;
+  }
+
+  #beginCopy(): void {
+    this.#needsFull = true;
+    this.#isWhole = false;
+    this.#copied.clear();
+    this.#forgotten.clear();
+    this.#options.book.listIds().forEach((id) => this.#dirty.add(id));
+  }
+
+  /** With no other VM alive there is nobody to hold a copy: serving goes on, and the time line says so. */
+  #goOnAlone(): void {
+    if (!this.#isAlone) {
+      this.#isAlone = true;
+      this.#options.timeline.record('platformLost', {}, { service: 'usageReplica' });
+      this.#options.logger.warn('no peer holds a copy of the usage records');
+    }
+    this.#dirty.clear();
+    this.#waiters.resolveAll();
+  }
+
+  #onAccompanied(peer: Member): void {
+    this.#choice.pardon(peer);
+    if (this.#isAlone) {
+      this.#isAlone = false;
+      this.#options.timeline.record('platformBack', {}, { service: 'usageReplica', vm: peer.vm });
+    }
+  }
+
+  #takeNext(): Sending {
+    const { book, settings } = this.#options;
+    const ids = takeFirst(this.#dirty, settings.maxMessageRecords);
+    const records = ids.map((id) => book.getRecord(id));
+    const message = {
+      ...this.#createEnvelope(this.#needsFull),
+      opened: records.flatMap((record) => (record?.kind === 'open' ? [record.usage] : [])),
+      settled: records.flatMap((record) => (record?.kind === 'settled' ? [record.entry] : [])),
+      forgotten: [...takeFirst(this.#forgotten, settings.maxMessageRecords)],
+    };
+    return { message, ids, waiters: this.#waiters.take(ids) };
+  }
+
+  #createEnvelope(isFull: boolean): ReplicateUsage {
+    this.#seq += 1;
+    const { self, getLedger } = this.#options;
+    const empty = { opened: [], settled: [], forgotten: [] };
+    return { owner: self, ledger: getLedger(), seq: this.#seq, isFull, ...empty };
+  }
+
+  /** `getPeer` for each call: the transport may have dropped the connection after a failure. */
+  #call(peer: Member, message: ReplicateUsage): Promise<{ readonly held: number }> {
+    return withTimeout(
+      this.#options.transport.getPeer(peer.address).usage.replicate(message),
+      this.#options.settings.replicateTimeoutMs,
+      `replication to ${peer.vm}`,
+    );
+  }
+
+  #onAnswered(peer: Member, sending: Sending, held: number): void {
+    const { message } = sending;
+    this.#needsFull = false;
+    [...message.opened, ...message.settled].forEach((record) => this.#noteCopied(record.requestId));
+    message.forgotten.forEach((id) => this.#copied.delete(id));
+    sending.waiters.forEach((resolves) => resolves.forEach((resolve) => resolve()));
+    this.#isWhole ||= this.#dirty.size === 0;
+    this.#onAccompanied(peer);
+    this.#checkCopy(peer, held);
+  }
+
+  /** A record may have left the book while the message was under way. */
+  #noteCopied(requestId: string): void {
+    this.#copied.add(requestId);
+    if (!this.#options.book.getRecord(requestId)) {
+      this.#forgotten.add(requestId);
+    }
+  }
+
+  /**
+   * What goes wrong: the peer lost its copy (it adopted the records while this process was paused, or was
+   * replaced at its address) and later messages carry only changes, so the older records have no
+   * copy. One notices that it holds another count than it was sent: the copy begins anew.
+   */
+  #checkCopy(peer: Member, held: number): void {
+    const isDue = Date.now() - this.#resyncedAtMs >= this.#options.settings.checkIntervalMs;
+    if (held === this.#copied.size || !isDue) {
+      return;
+    }
+    const counts = { vm: peer.vm, held, expected: this.#copied.size };
+    this.#options.logger.warn(counts, 'the peer lost its copy of usage records');
+    this.#resyncedAtMs = Date.now();
+    this.#beginCopy();
+  }
+
+  /** Whether the message took effect is unknown: the next peer gets everything. */
+  #onUnanswered(peer: Member, sending: Sending, error: unknown): void {
+    const detail = { vm: peer.vm, error: getErrorMessage(error) };
+    this.#options.logger.warn(detail, 'the peer of the usage records did not answer');
+    this.#choice.penalise(peer);
+    this.#releases.add(peer);
+    this.#peer = undefined;
+    sending.ids.forEach((id) => this.#dirty.add(id));
+    this.#waiters.putBack(sending.waiters);
+    this.#beginCopy();
+  }
+}
--- a/packages/protocol/src/usage/messages.ts
+++ b/packages/protocol/src/usage/messages.ts
@@ -54,9 +54,20 @@
 
 export type UsageEntry = z.infer<typeof usageEntrySchema>;
 
-/** What changed in the owner's records since its last message. */
+/**
+ * What changed in the owner's records since its last message. What goes wrong without `seq`: a message that
+ * timed out arrives after later ones and opens records anew that were forgotten, and an adopter would
+ * ask for them once more. The peer drops any message whose `seq` is not above the last.
+ */
 export const replicateUsageSchema = z.object({
+  /** The incarnation of the owner's process. */
   owner: z.string(),
+  /** The incarnation of the owner's ledger: whose cursor an adopter closes. */
+  ledger: z.string(),
+  /** Rises with each message of the owner, to whichever peer. */
+  seq: z.number(),
+  /** The peer drops what it held of the owner before: the copy begins anew. */
+  isFull: z.boolean(),
   opened: z.array(openUsageSchema),
   settled: z.array(usageEntrySchema),
   /** Records that the peer may forget: flushed, or nothing ran. */
@@ -66,5 +77,6 @@
 export type ReplicateUsage = z.infer<typeof replicateUsageSchema>;
 
 export interface UsageHandlers {
+  /** Resolves with the count of the owner's records held now, from which the owner sees a lost copy. */
   replicate(message: ReplicateUsage): Promise<{ readonly held: number }>;
 }
