--- a/packages/membership/src/lease/heldLease.ts
+++ b/packages/membership/src/lease/heldLease.ts
@@ -2,6 +2,7 @@
 import { LEASE_MARGIN } from '../constants.js';
 import type { Lease } from '../types.js';
 import { startElapsedTime } from './elapsedTime.js';
+import type { LeaseRow, VersionedLeaseRow } from './leaseRow.js';
 
 /** The time a holder may count on, from the moment before the write that took or extended the lease. */
 export interface LeaseTerm {
@@ -18,15 +19,21 @@
 const isRunning = (term: LeaseTerm): boolean =>
   term.getElapsedMs() < term.durationMs * (1 - LEASE_MARGIN);
 
+type ReleaseListener = (lease: HeldLease) => Promise<void>;
+
 export class HeldLease implements Lease {
   readonly name: string;
 
+  readonly holder: string;
+
   readonly fence: number;
 
+  readonly #onRelease: ReleaseListener;
+
   /** Version of the row as this holder last wrote it. */
-  version: number;
+  #version: number;
 
-  renewals = 0;
+  #renewals = 0;
 
   #term: LeaseTerm;
 
@@ -35,23 +42,29 @@
 
   #isEnded = false;
 
-  readonly #onRelease: (lease: HeldLease) => Promise<void>;
-
   constructor(
     name: string,
-    fence: number,
-    version: number,
+    row: Pick<LeaseRow, 'fence'> & { readonly holder: string; readonly version: number },
     term: LeaseTerm,
-    onRelease: (lease: HeldLease) => Promise<void>,
+    onRelease: ReleaseListener,
   ) {
     this.name = name;
-    this.fence = fence;
-    this.version = version;
+    this.holder = row.holder;
+    this.fence = row.fence;
+    this.#version = row.version;
     this.#term = term;
     this.#onRelease = onRelease;
   }
 
-  /** The shortest of the terms counts as long as it is open which of them the table holds. */
+  get version(): number {
+    return this.#version;
+  }
+
+  get renewals(): number {
+    return this.#renewals;
+  }
+
+  /** While it is open which term the table holds, the shortest counts. */
   isHeld(): boolean {
     if (!this.#isEnded && ![this.#term, ...this.#unsure].every(isRunning)) {
       this.#isEnded = true;
@@ -66,19 +79,31 @@
     }
   }
 
+  /** Whether a row is this very lease: only its holder writes under its fence. */
+  isRow(row: VersionedLeaseRow): boolean {
+    return row.value?.holder === this.holder && row.value.fence === this.fence;
+  }
+
   /** Notes an extension on its way. */
   addUnsure(term: LeaseTerm): void {
     this.#unsure.push(term);
   }
 
-  /** Takes the extension that is known to be in the table; those sent before it are settled too. */
+  /** Takes in the row as an earlier write of this holder left it, whose reply was lost. */
+  catchUp(row: VersionedLeaseRow): void {
+    this.#version = row.version;
+    this.#renewals = row.value?.renewals ?? this.#renewals;
+  }
+
+  /** Takes the extension that is in the table for sure; writes sent before it can't follow it. */
   extend(term: LeaseTerm, version: number): void {
     this.#term = term;
     this.#unsure = [];
-    this.version = version;
+    this.#version = version;
+    this.#renewals += 1;
   }
 
-  /** Ends it for good: another holds it, or nobody can tell any more. */
+  /** Ends it for good: another holds it. */
   end(): void {
     this.#isEnded = true;
   }
--- a/packages/membership/src/lease/tableLeaseKeeper.ts
+++ b/packages/membership/src/lease/tableLeaseKeeper.ts
@@ -1,18 +1,17 @@
 /** Leases with fencing numbers, kept as rows of the platform's table. */
 import { getErrorMessage, type Logger } from '@snipehaven/common';
-import {
-  isPlatformError,
-  PlatformOutcomeUnknownError,
-  type TableClient,
-} from '@snipehaven/platform';
+import { isPlatformError, type TableClient } from '@snipehaven/platform';
 import type { TimelineRecorder } from '@snipehaven/timeline';
+import { LeaseRowMalformedError } from '../errors.js';
 import type { Lease, LeaseKeeper } from '../types.js';
-import { HeldLease, startTerm, type LeaseTerm } from './heldLease.js';
+import { HeldLease, startTerm } from './heldLease.js';
 import { LeaseObservations } from './leaseObservations.js';
-import { getLeaseKey, restoreLeaseRow, type LeaseRow, type VersionedLeaseRow } from './leaseRow.js';
+import type { VersionedLeaseRow } from './leaseRow.js';
+import { LeaseTable, type LeaseWriteResult } from './leaseTable.js';
 
 export interface TableLeaseKeeperOptions {
   readonly table: TableClient;
+  /** This life of the process; one keeper for each, for it takes rows of this name for its own. */
   readonly incarnation: string;
   readonly timeline: TimelineRecorder;
   readonly logger: Logger;
@@ -21,6 +20,8 @@
 export class TableLeaseKeeper implements LeaseKeeper {
   readonly #options: TableLeaseKeeperOptions;
 
+  readonly #table: LeaseTable;
+
   readonly #held = new Map<string, HeldLease>();
 
   readonly #observations = new LeaseObservations();
@@ -28,12 +29,15 @@
   /** The last step of each lease's queue: steps of one lease run one after another. */
   readonly #queues = new Map<string, Promise<unknown>>();
 
-  #writeCount = 0;
-
   constructor(options: TableLeaseKeeperOptions) {
     this.#options = options;
+    this.#table = new LeaseTable(options.table, options.incarnation);
   }
 
+  /**
+   * Takes or extends the lease. To take over another's, call again and again: it is watched from the
+   * first call on. While the table is away an own lease that still runs is given back unextended.
+   */
   async acquire(name: string, durationMs: number): Promise<Lease | undefined> {
     return this.#enqueue(name, () => this.#tryAcquire(name, durationMs));
   }
@@ -41,12 +45,10 @@
   async #tryAcquire(name: string, durationMs: number): Promise<Lease | undefined> {
     try {
       const held = this.#getHeld(name);
-      return held
-        ? await this.#extend(held, durationMs)
-        : await this.#take(await this.#read(name), name, durationMs);
+      return held ? await this.#extend(held, durationMs) : await this.#take(name, durationMs);
     } catch (error) {
-      this.#options.logger.warn({ lease: name, error: getErrorMessage(error) }, 'no lease');
-      if (isPlatformError(error)) {
+      if (isPlatformError(error) || error instanceof LeaseRowMalformedError) {
+        this.#warn('lease not taken nor extended', name, error);
         return this.#getHeld(name);
       }
       throw error;
@@ -63,22 +65,26 @@
     return held;
   }
 
-  async #take(
-    row: VersionedLeaseRow,
-    name: string,
-    durationMs: number,
-  ): Promise<Lease | undefined> {
+  async #take(name: string, durationMs: number): Promise<Lease | undefined> {
+    const row = await this.#table.read(name);
     if (!this.#isFree(row, name)) {
       return undefined;
     }
+    const holder = this.#options.incarnation;
     const fence = (row.value?.fence ?? 0) + 1;
     const term = startTerm(durationMs);
-    const version = await this.#write(name, row.version, { fence, durationMs, renewals: 0 });
-    return version === undefined ? undefined : this.#hold(name, fence, version, term);
+    const draft = { holder, fence, durationMs, renewals: 0 };
+    const result = await this.#table.write(name, row.version, draft);
+    if (result.kind === 'changed') {
+      return undefined;
+    }
+    const { version } = result;
+    const onRelease = (lease: HeldLease): Promise<void> => this.#release(lease);
+    return this.#hold(new HeldLease(name, { holder, fence, version }, term, onRelease));
   }
 
   /**
-   * A row of this very process that it does not hold any more lapsed or was taken by a write that it gave
+   * A row of this very process that it does not hold any more lapsed, or was taken by a write that it gave
    * up: nobody else acts on it, so it may be taken again, under a higher fence.
    */
   #isFree(row: VersionedLeaseRow, name: string): boolean {
@@ -91,43 +97,60 @@
     );
   }
 
+  #hold(lease: HeldLease): Lease | undefined {
+    this.#observations.forget(lease.name);
+    this.#held.set(lease.name, lease);
+    this.#options.timeline.record('leaseAcquired', {}, { lease: lease.name, fence: lease.fence });
+    return this.#getHeld(lease.name);
+  }
+
   async #extend(held: HeldLease, durationMs: number): Promise<Lease | undefined> {
-    const { name, fence } = held;
-    const renewals = held.renewals + 1;
     const term = startTerm(durationMs);
     held.addUnsure(term);
-    const version = await this.#write(name, held.version, { fence, durationMs, renewals });
-    if (version === undefined) {
+    const result = await this.#rewrite(held, held.holder, durationMs);
+    if (result.kind === 'written') {
+      held.extend(term, result.version);
+    } else {
       held.end();
-      this.#drop(held);
-      return undefined;
     }
-    held.renewals = renewals;
-    held.extend(term, version);
-    return this.#getHeld(name);
-  }
-
-  #hold(name: string, fence: number, version: number, term: LeaseTerm): Lease | undefined {
-    const lease = new HeldLease(name, fence, version, term, (held) => this.#release(held));
-    this.#observations.forget(name);
-    this.#held.set(name, lease);
-    this.#options.timeline.record('leaseAcquired', {}, { lease: name, fence });
-    return this.#getHeld(name);
+    return this.#getHeld(held.name);
   }
 
   async #release(held: HeldLease): Promise<void> {
     await this.#enqueue(held.name, async () => {
       this.#drop(held);
-      const { name, fence, version, renewals } = held;
       try {
-        await this.#write(name, version, { fence, durationMs: 0, renewals }, null);
+        await this.#rewrite(held, null, 0);
       } catch (error) {
         // Others wait until it has lapsed, as if this process had died.
-        this.#options.logger.warn({ lease: name, error: getErrorMessage(error) }, 'not released');
+        this.#warn('lease not released', held.name, error);
       }
     });
   }
 
+  /** Writes an own row anew; once more when just an own write of a lost reply had come between. */
+  async #rewrite(
+    held: HeldLease,
+    holder: string | null,
+    durationMs: number,
+  ): Promise<LeaseWriteResult> {
+    const write = (): Promise<LeaseWriteResult> => {
+      const { name, version, fence, renewals } = held;
+      return this.#table.write(name, version, {
+        holder,
+        fence,
+        durationMs,
+        renewals: renewals + 1,
+      });
+    };
+    const result = await write();
+    if (result.kind === 'changed' && held.isRow(result.row)) {
+      held.catchUp(result.row);
+      return write();
+    }
+    return result;
+  }
+
   #drop(held: HeldLease): void {
     if (this.#held.get(held.name) === held) {
       this.#held.delete(held.name);
@@ -135,62 +158,13 @@
     }
   }
 
-  async #read(name: string): Promise<VersionedLeaseRow> {
-    const [row] = await this.#options.table.read([getLeaseKey(name)]);
-    return row
-      ? { version: row.version, value: restoreLeaseRow(name, row.value) }
-      : { version: 0, value: undefined };
-  }
-
-  /** Writes on condition of the version; resolves with the new one, undefined when the row changed. */
-  async #write(
-    name: string,
-    version: number,
-    row: Pick<LeaseRow, 'fence' | 'durationMs' | 'renewals'>,
-    holder: string | null = this.#options.incarnation,
-  ): Promise<number | undefined> {
-    const key = getLeaseKey(name);
-    this.#writeCount += 1;
-    const token = `${this.#options.incarnation}/${this.#writeCount}`;
-    const write = { key, value: { ...row, holder, token } };
-    try {
-      const [result] = await this.#options.table.transact([
-        { conditions: [{ key, version }], writes: [write] },
-      ]);
-      return result?.kind === 'committed' ? result.versions[0]?.version : undefined;
-    } catch (error) {
-      if (error instanceof PlatformOutcomeUnknownError) {
-        return this.#readBack(name, version, token, error);
-      }
-      throw error;
-    }
-  }
-
-  /**
-   * What goes wrong: the table took the write and the reply was lost; taken for a failure, the lease would be
-   * nobody's until it lapsed. One notices a duty that rests after a slow reply. The row tells:
-   * it carries the token of the write, or still has the version before it.
-   */
-  async #readBack(
-    name: string,
-    version: number,
-    token: string,
-    cause: unknown,
-  ): Promise<number | undefined> {
-    const row = await this.#read(name);
-    if (row.value?.token === token) {
-      return row.version;
-    }
-    if (row.version === version) {
-      // Still open: the write may arrive yet.
-      throw cause;
-    }
-    return undefined;
+  #warn(text: string, lease: string, error: unknown): void {
+    this.#options.logger.warn({ lease, error: getErrorMessage(error) }, text);
   }
 
   #enqueue<Value>(name: string, step: () => Promise<Value>): Promise<Value> {
     const previous = this.#queues.get(name) ?? Promise.resolve();
-    const current = previous.then(step, step);
+    const current = previous.then(step);
     this.#queues.set(
       name,
       current.catch(() => undefined),
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -171,6 +171,10 @@
     return this.#records.table.list();
   }
 
+  getMember(incarnation: string): Member | undefined {
+    return this.#records.table.get(incarnation);
+  }
+
   isIncarnationAlive(incarnation: string): boolean {
     const member = this.#records.table.get(incarnation);
     return member !== undefined && isLive(member);
@@ -289,9 +293,14 @@
     this.#logger.warn({ pausedMs }, 'the process stood still');
     this.#records.suspicions.extendAll(pausedMs);
     if (pausedMs > this.#settings.forgetAfterMs / 2) {
-      this.#records.startOver();
+      this.#startOver();
     }
     this.#records.refute();
     this.#pauses.tell(pausedMs);
   }
+
+  #startOver(): void {
+    this.#healer.remember(this.listMembers().map((member) => member.address));
+    this.#records.startOver();
+  }
 }
--- a/packages/membership/src/records/broadcastQueue.ts
+++ b/packages/membership/src/records/broadcastQueue.ts
@@ -4,7 +4,7 @@
 
 interface Broadcast {
   readonly member: Member;
-  sentCount: number;
+  readonly sentCount: number;
 }
 
 const getSendLimit = (size: number): number =>
@@ -32,10 +32,11 @@
     this.#broadcasts.clear();
   }
 
-  #countSend(broadcast: Broadcast, size: number): void {
-    broadcast.sentCount += 1;
-    if (broadcast.sentCount >= getSendLimit(size)) {
-      this.#broadcasts.delete(broadcast.member.incarnation);
+  #countSend({ member, sentCount }: Broadcast, size: number): void {
+    if (sentCount + 1 >= getSendLimit(size)) {
+      this.#broadcasts.delete(member.incarnation);
+    } else {
+      this.#broadcasts.set(member.incarnation, { member, sentCount: sentCount + 1 });
     }
   }
 }
--- a/packages/membership/src/records/bucketDigests.ts
+++ b/packages/membership/src/records/bucketDigests.ts
@@ -14,6 +14,8 @@
 const hashRecord = (member: Member): number =>
   hashText(`${member.incarnation}\u0000${member.refutation}\u0000${member.address}`);
 
+/** Exclusive or: order does not matter, and taking the same in twice takes it out. */
+// eslint-disable-next-line no-bitwise
 const combine = (a: number, b: number): number => (a ^ b) >>> 0;
 
 /**
--- a/packages/membership/src/records/suspicions.ts
+++ b/packages/membership/src/records/suspicions.ts
@@ -3,8 +3,8 @@
 import type { MembershipSettings } from '../types.js';
 
 interface Suspicion {
-  deadlineMs: number;
-  isHastened: boolean;
+  readonly deadlineMs: number;
+  readonly isHastened: boolean;
 }
 
 type SuspicionSettings = Pick<MembershipSettings, 'suspicionMs' | 'remoteSuspicionFactor'>;
@@ -38,14 +38,15 @@
       return;
     }
     const nowMs = performance.now();
-    suspicion.deadlineMs = nowMs + (suspicion.deadlineMs - nowMs) * factor;
-    suspicion.isHastened = true;
+    const deadlineMs = nowMs + (suspicion.deadlineMs - nowMs) * factor;
+    this.#suspicions.set(incarnation, { deadlineMs, isHastened: true });
   }
 
   /** Gives all suspects further time. */
   extendAll(byMs: number): void {
-    this.#suspicions.forEach((suspicion) => {
-      suspicion.deadlineMs += byMs;
+    this.#suspicions.forEach((suspicion, incarnation) => {
+      const deadlineMs = suspicion.deadlineMs + byMs;
+      this.#suspicions.set(incarnation, { ...suspicion, deadlineMs });
     });
   }
 
--- a/packages/membership/src/rounds/healer.ts
+++ b/packages/membership/src/rounds/healer.ts
@@ -25,6 +25,8 @@
 
   #hinted: readonly string[] = [];
 
+  #remembered: readonly string[] = [];
+
   constructor(
     records: MemberRecords,
     exchanger: Exchanger,
@@ -46,6 +48,11 @@
     this.#hinted = addresses;
   }
 
+  /** Addresses of members whose records were dropped. */
+  remember(addresses: readonly string[]): void {
+    this.#remembered = addresses;
+  }
+
   /** Tries one address. */
   async run(): Promise<void> {
     const address = pickRandom(this.#listCandidates(), this.#random);
@@ -67,7 +74,8 @@
     const { table } = this.#records;
     const taken = new Set(table.listLive().map((member) => member.address));
     const dead = table.list().filter((member) => member.state === 'dead');
-    const all = [...this.#seeds, ...this.#hinted, ...dead.map((member) => member.address)];
+    const ended = dead.map((member) => member.address);
+    const all = [...this.#seeds, ...this.#hinted, ...this.#remembered, ...ended];
     return [...new Set(all)].filter((address) => !taken.has(address));
   }
 }
--- a/packages/membership/src/types.ts
+++ b/packages/membership/src/types.ts
@@ -64,6 +64,8 @@
   listRelays(): readonly Member[];
   /** Whether a process's life is still believed to go on. */
   isIncarnationAlive(incarnation: string): boolean;
+  /** What is known of a life; undefined: not met yet, or ended long ago and forgotten. */
+  getMember(incarnation: string): Member | undefined;
   /** The member of the own data centre that does the duty for all: rendezvous over live ones. */
   getDutyOwner(duty: string): Member;
   ownsDuty(duty: string): boolean;
