Bench upstream choice, admission and retries

Change: seeded scenarios on a virtual clock that drive the decision code; baselines; waiting requests are given up by one walk of the fair order, so that one given up no longer counts as work ahead of the rest.

--- /dev/null
+++ b/packages/bench/src/policy/upstreams/index.ts
@@ -0,0 +1,2 @@
+/** Scenarios of upstream choice, limits and retries. */
+export { getUpstreamScenarios } from './getUpstreamScenarios.js';
--- a/packages/policy/src/limits/chooseAdmission.ts
+++ b/packages/policy/src/limits/chooseAdmission.ts
@@ -1,12 +1,12 @@
 /** Admits, queues or refuses requests; whoever is refused gets the final answer at once. */
 import type { Random } from '@snipehaven/common';
 import { SERVICE_TIME_WEIGHT } from './constants.js';
-import { getExpectedWaitMs } from './expectedWait.js';
 import { chargeTeam, dequeue, enqueue, removeRequests } from './fairOrder.js';
-import { findDisplaceable, isTooLate, refuse, shedTooLate } from './shedRequests.js';
+import { getExpectedWaitMs } from './fairSchedule.js';
+import { findDisplaceable, refuse, shedTooLate } from './shedRequests.js';
 import type {
   AdmissionNext,
-  AdmissionRefusalReason,
+  AdmissionRefusal,
   AdmissionRequest,
   AdmissionResult,
   AdmissionSettings,
@@ -24,47 +24,44 @@
   refusalsAtMs: nowMs,
 });
 
-const refuseNow = (
+const findRefusal = (
+  refusals: readonly AdmissionRefusal[],
+  { id }: AdmissionRequest,
+): AdmissionRefusal | undefined => refusals.find(({ request }) => request.id === id);
+
+/** Gives up whatever has no time or no room, the new request perhaps among it. */
+const shed = (
   state: AdmissionState,
   settings: AdmissionSettings,
-  request: AdmissionRequest,
-  reason: AdmissionRefusalReason,
   nowMs: number,
   random: Random,
-): AdmissionResult => {
-  const { state: counted, refusal } = refuse(state, settings, request, reason, nowMs, random);
-  const { retryAfterMs } = refusal;
-  return { state: counted, decision: { kind: 'refuse', reason, retryAfterMs }, displaced: [] };
-};
-
-const queueRequest = (
-  state: AdmissionState,
-  settings: AdmissionSettings,
-  request: AdmissionRequest,
-): AdmissionResult => {
-  const queued = enqueue(state, request);
-  const expectedWaitMs = getExpectedWaitMs(queued, settings, request);
-  return { state: queued, decision: { kind: 'queue', expectedWaitMs }, displaced: [] };
+): { readonly state: AdmissionState; readonly refused: readonly AdmissionRefusal[] } => {
+  const late = shedTooLate(state, settings, nowMs, random);
+  if (late.state.queued <= settings.maxQueued) {
+    return late;
+  }
+  const victim = findDisplaceable(late.state) as AdmissionRequest;
+  const without = removeRequests(late.state, new Set([victim.id]));
+  const result = refuse(without, settings, victim, 'queueFull', nowMs, random);
+  return { state: result.state, refused: [...late.refused, result.refusal] };
 };
 
-/** The queue is full: the request takes the place of another, or is refused itself. */
-const queueInFull = (
+const queueOrRefuse = (
   state: AdmissionState,
   settings: AdmissionSettings,
   request: AdmissionRequest,
   nowMs: number,
   random: Random,
 ): AdmissionResult => {
-  const withRequest = enqueue(state, request);
-  const victim = findDisplaceable(withRequest);
-  if (victim === undefined || victim.id === request.id) {
-    return refuseNow(state, settings, request, 'queueFull', nowMs, random);
+  const { state: left, refused } = shed(enqueue(state, request), settings, nowMs, random);
+  const own = findRefusal(refused, request);
+  if (own) {
+    const { reason, retryAfterMs } = own;
+    const displaced = refused.filter((refusal) => refusal !== own);
+    return { state: left, decision: { kind: 'refuse', reason, retryAfterMs }, displaced };
   }
-  const without = removeRequests(withRequest, new Set([victim.id]));
-  const result = refuse(without, settings, victim, 'queueFull', nowMs, random);
-  const expectedWaitMs = getExpectedWaitMs(result.state, settings, request);
-  const decision = { kind: 'queue', expectedWaitMs } as const;
-  return { state: result.state, decision, displaced: [result.refusal] };
+  const expectedWaitMs = getExpectedWaitMs(left, settings, request);
+  return { state: left, decision: { kind: 'queue', expectedWaitMs }, displaced: refused };
 };
 
 /** Decides on a request that has just come. */
@@ -75,20 +72,12 @@
   nowMs: number,
   random: Random,
 ): AdmissionResult => {
-  if (state.queued === 0 && state.running < settings.maxRunning) {
-    const charged = chargeTeam(state, request);
-    return {
-      state: { ...charged, running: state.running + 1 },
-      decision: { kind: 'run' },
-      displaced: [],
-    };
-  }
-  if (isTooLate(state, settings, request, nowMs)) {
-    return refuseNow(state, settings, request, 'tooLate', nowMs, random);
+  if (state.queued > 0 || state.running >= settings.maxRunning) {
+    return queueOrRefuse(state, settings, request, nowMs, random);
   }
-  return state.queued < settings.maxQueued
-    ? queueRequest(state, settings, request)
-    : queueInFull(state, settings, request, nowMs, random);
+  const charged = chargeTeam(state, request);
+  const running = { ...charged, running: state.running + 1 };
+  return { state: running, decision: { kind: 'run' }, displaced: [] };
 };
 
 /** The next request to run, if a slot is free. Call until `next` is left out. */
@@ -98,13 +87,16 @@
   nowMs: number,
   random: Random,
 ): AdmissionNext => {
-  const shed = shedTooLate(state, settings, nowMs, random);
-  const taken = shed.state.running < settings.maxRunning ? dequeue(shed.state) : undefined;
+  if (state.queued === 0) {
+    return { state, refused: [] };
+  }
+  const late = shedTooLate(state, settings, nowMs, random);
+  const taken = late.state.running < settings.maxRunning ? dequeue(late.state) : undefined;
   if (taken === undefined) {
-    return { state: shed.state, refused: shed.refused };
+    return { state: late.state, refused: late.refused };
   }
   const running = { ...taken.state, running: taken.state.running + 1 };
-  return { state: running, next: taken.request, refused: shed.refused };
+  return { state: running, next: taken.request, refused: late.refused };
 };
 
 /** A request has ended and held its slot for `serviceMs`. */
--- a/packages/policy/src/limits/shareAllocator.ts
+++ b/packages/policy/src/limits/shareAllocator.ts
@@ -31,8 +31,8 @@
 
 /** Frees the place of a member that the VM list has dropped: it is gone, not cut off. */
 export const forgetShareMember = (allocator: ShareAllocator, member: string): ShareAllocator => {
-  const { [member]: _forgotten, ...members } = allocator.members;
-  return { ...allocator, members };
+  const left = Object.entries(allocator.members).filter(([name]) => name !== member);
+  return { ...allocator, members: Object.fromEntries(left) };
 };
 
 const forgetSilent = (allocator: ShareAllocator, nowMs: number): ShareAllocator => {
--- a/packages/policy/src/limits/shedRequests.ts
+++ b/packages/policy/src/limits/shedRequests.ts
@@ -1,8 +1,9 @@
 /** Which requests are given up, at once, when there is no room or no time for them. */
 import type { Random } from '@snipehaven/common';
 import { REFUSAL_FADE_MS } from './constants.js';
-import { getDrainPerSecond, getExpectedWaitMs } from './expectedWait.js';
+
 import { listWaitingTeams, removeRequests } from './fairOrder.js';
+import { getDrainPerSecond, toWaitMs, walkFairSchedule } from './fairSchedule.js';
 import { getRetryAfterMs } from './getRetryAfterMs.js';
 import type {
   AdmissionRefusal,
@@ -12,13 +13,23 @@
   AdmissionState,
 } from './types.js';
 
-/** Whether the request would get its turn after its deadline. */
-export const isTooLate = (
+/** Waiting requests whose turn would come after their deadline. */
+const findTooLate = (
   state: AdmissionState,
   settings: AdmissionSettings,
-  request: AdmissionRequest,
   nowMs: number,
-): boolean => nowMs + getExpectedWaitMs(state, settings, request) >= request.deadlineAtMs;
+): readonly AdmissionRequest[] => {
+  const drainPerSecond = getDrainPerSecond(state, settings);
+  const late: AdmissionRequest[] = [];
+  walkFairSchedule(state, ({ request, costAhead }) => {
+    const isInTime = nowMs + toWaitMs(costAhead, drainPerSecond) < request.deadlineAtMs;
+    if (!isInTime) {
+      late.push(request);
+    }
+    return isInTime;
+  });
+  return late;
+};
 
 const countRefusal = (state: AdmissionState, nowMs: number): AdmissionState => {
   const fade = Math.exp((state.refusalsAtMs - nowMs) / REFUSAL_FADE_MS);
@@ -51,9 +62,7 @@
   nowMs: number,
   random: Random,
 ): { readonly state: AdmissionState; readonly refused: readonly AdmissionRefusal[] } => {
-  const late = listWaitingTeams(state)
-    .flatMap(([, queue]) => queue.waiting)
-    .filter((request) => isTooLate(state, settings, request, nowMs));
+  const late = findTooLate(state, settings, nowMs);
   if (late.length === 0) {
     return { state, refused: [] };
   }
--- a/packages/policy/src/upstreamChoice/concurrency/adjustConcurrency.ts
+++ b/packages/policy/src/upstreamChoice/concurrency/adjustConcurrency.ts
@@ -1,4 +1,7 @@
-/** The adaptive limit of own requests in flight at one upstream. */
+/**
+ * The adaptive limit of one upstream's requests in flight. It counts those of all daemons: with
+ * more daemons than slots at an engine, no limit on a daemon's own requests would bound the sum.
+ */
 import { CONCURRENCY_INITIAL, CONCURRENCY_MAX, CONCURRENCY_MIN } from '../constants.js';
 import type {
   ConcurrencyHandler,
--- a/packages/policy/src/upstreamChoice/concurrency/aimd.ts
+++ b/packages/policy/src/upstreamChoice/concurrency/aimd.ts
@@ -10,7 +10,7 @@
     if (sample.isRefused) {
       return { ...state, limit: state.limit * DECREASE };
     }
-    const isInUse = sample.inFlight >= state.limit * IN_USE;
+    const isInUse = sample.load >= state.limit * IN_USE;
     return isInUse ? { ...state, limit: state.limit + 1 / state.limit } : state;
   },
 };
--- a/packages/policy/src/upstreamChoice/concurrency/gradient.ts
+++ b/packages/policy/src/upstreamChoice/concurrency/gradient.ts
@@ -42,7 +42,7 @@
     if (followed.samples < WINDOW_SAMPLES) {
       return followed;
     }
-    const isInUse = sample.inFlight >= state.limit * IN_USE;
+    const isInUse = sample.load >= state.limit * IN_USE;
     const headroom = isInUse ? Math.sqrt(state.limit) : 0;
     const goal = state.limit * getGradient(followed) + headroom;
     return { ...followed, samples: 0, limit: state.limit + SMOOTHING * (goal - state.limit) };
--- a/packages/policy/src/upstreamChoice/findAffinityOwner.ts
+++ b/packages/policy/src/upstreamChoice/findAffinityOwner.ts
@@ -3,7 +3,7 @@
  * that is not overloaded, so that requests with a common prefix meet a warm cache, and one hot
  * prefix spills to the next upstream instead of queueing at the first.
  */
-import { rankByRendezvous } from '@snipehaven/common';
+import { getAffinityWeight, hashAffinityKey } from './affinityHash.js';
 import { AFFINITY_LOAD_FACTOR, AFFINITY_LOAD_SLACK } from './constants.js';
 import { getWeightedLoad } from './estimateLoad.js';
 import type { UpstreamChoiceInput, UpstreamView } from './types.js';
@@ -16,6 +16,15 @@
   return (sum / candidates.length) * AFFINITY_LOAD_FACTOR + AFFINITY_LOAD_SLACK;
 };
 
+const rankOwners = (key: string, candidates: readonly UpstreamView[]): readonly UpstreamView[] => {
+  const keyHash = hashAffinityKey(key);
+  return candidates
+    .map((upstream) => ({ upstream, weight: getAffinityWeight(keyHash, upstream.id) }))
+    .sort((a, b) => b.weight - a.weight)
+    .slice(0, MAX_OWNERS)
+    .map(({ upstream }) => upstream);
+};
+
 /** The upstream that the request's session or prefix should go to, if one has room. */
 export const findAffinityOwner = (
   candidates: readonly UpstreamView[],
@@ -26,10 +35,7 @@
     return undefined;
   }
   const bound = getLoadBound(candidates, nowMs);
-  const byId = new Map(candidates.map((upstream) => [upstream.id, upstream]));
-  const owners = rankByRendezvous(key, [...byId.keys()])
-    .slice(0, MAX_OWNERS)
-    .flatMap((id) => byId.get(id) ?? []);
+  const owners = rankOwners(key, candidates);
   const withRoom = owners.filter((owner) => getWeightedLoad(owner, nowMs) <= bound);
   return withRoom.find((owner) => owner.hasPrefixCached) ?? withRoom[0];
 };
--- a/packages/policy/src/upstreamChoice/index.ts
+++ b/packages/policy/src/upstreamChoice/index.ts
@@ -1,5 +1,7 @@
 /** Which upstream takes a request, and what is known of the upstreams' health and room. */
 export * from './chooseUpstream.js';
 export * from './concurrency/adjustConcurrency.js';
+export * from './estimateLoad.js';
+export * from './getMaxRunning.js';
 export * from './recordOutcome.js';
 export * from './types.js';
--- a/packages/policy/src/upstreamChoice/rules/interpretedLoad.ts
+++ b/packages/policy/src/upstreamChoice/rules/interpretedLoad.ts
@@ -7,6 +7,7 @@
  * upstream to upstream at the pace of the reports. Drawing by room makes the sum of all daemons'
  * choices level the pool, without any of them knowing what the others did.
  */
+import type { Random } from '@snipehaven/common';
 import { getKnownLoad, getSlowStartWeight } from '../estimateLoad.js';
 import type { UpstreamChoiceHandler, UpstreamChoiceInput, UpstreamView } from '../types.js';
 
@@ -47,6 +48,16 @@
   return { upstream, weight, load: getKnownLoad(upstream) / weight };
 };
 
+/** An index drawn in proportion to its weight. */
+const drawIndex = (weights: readonly number[], random: Random): number => {
+  let left = random.next() * weights.reduce((sum, weight) => sum + weight, 0);
+  const index = weights.findIndex((weight) => {
+    left -= weight;
+    return left < 0;
+  });
+  return Math.max(0, index);
+};
+
 /** Water filling over the requests that all daemons are expected to have sent. */
 export const interpretedLoad: UpstreamChoiceHandler = {
   choose(candidates, input) {
@@ -55,8 +66,6 @@
       .sort((a, b) => a.load - b.load);
     const level = findLevel(basins, getExpectedSends(candidates, input));
     const rooms = basins.map((basin) => Math.max(0, level - basin.load) * basin.weight);
-    let left = input.random.next() * rooms.reduce((sum, room) => sum + room, 0);
-    const index = rooms.findIndex((room) => (left -= room) < 0);
-    return (basins[Math.max(0, index)] as Basin).upstream;
+    return (basins[drawIndex(rooms, input.random)] as Basin).upstream;
   },
 };
--- a/packages/policy/src/upstreamChoice/types.ts
+++ b/packages/policy/src/upstreamChoice/types.ts
@@ -15,7 +15,7 @@
   readonly reportedQueued: number;
   /** When the engine took that report, by this daemon's clock; 0 without a report. */
   readonly reportAtMs: number;
-  /** This daemon's own limit of requests in flight at the upstream. */
+  /** The adaptive limit of the upstream's requests in flight, from all daemons together. */
   readonly maxConcurrency: number;
   /** Moving average of the time to the first token; 0 while unknown. */
   readonly firstTokenMs: number;
@@ -104,7 +104,7 @@
   readonly random: Random;
 }
 
-/** The adaptive limit of requests in flight at one upstream. */
+/** The adaptive limit of one upstream's requests in flight, from all daemons together. */
 export interface ConcurrencyState {
   readonly limit: number;
   /** Moving minimum of the time to the first token. */
@@ -118,8 +118,8 @@
 /** One finished attempt, as the adaptive limit sees it. */
 export interface ConcurrencySample {
   readonly firstTokenMs: number;
-  /** Own requests in flight at the upstream when this one was sent. */
-  readonly inFlight: number;
+  /** The upstream's known load, from all daemons, when the request was sent. */
+  readonly load: number;
   /** It refused for want of room, or timed out. */
   readonly isRefused: boolean;
 }
