--- /dev/null
+++ b/packages/daemon/src/operatorApi/index.ts
@@ -0,0 +1,3 @@
+export * from './errors.js';
+export * from './operatorHandler.js';
+export * from './types.js';
