Configuration: tests of failures, lift bound to what its operator saw, reports that do not swing

Change: a lift keeps the generation in force when it was asked for and gives way; a report that tells more stands for 10 s; a write whose turn comes after its deadline is refused untried; a peer that is cut off confirms no boot; safe moves are read again after an outage.

--- a/packages/configuration/src/configurationReplica.ts
+++ b/packages/configuration/src/configurationReplica.ts
@@ -139,7 +139,8 @@
     this.#poller = new Poller({
       ...parts,
       synchroniser,
-      passOn: (changes) => void this.#fanOut.passOn(changes),
+      passOn: (changes) => this.#fanOut.passOn(changes),
+      loadSafeMoves: () => this.safeMoves.table.load(),
     });
     this.#maintenance = new Maintenance({ ...parts, readiness: this.#readiness, snapshots });
     const revisionTopic = new RevisionTopic({
@@ -274,8 +275,8 @@
   }
 
   async #handleFetch({ afterRevision, withSafeMoves }: FetchChanges): Promise<FetchedChanges> {
-    if (!this.#readiness.isLoaded) {
-      throw new ConfigurationUnavailableError('no configuration has been loaded yet');
+    if (!this.#readiness.hasConfiguration()) {
+      throw new ConfigurationUnavailableError('no configuration is in force here yet');
     }
     const { view, headRevision } = this.#state;
     const base = {
--- a/packages/configuration/src/constants.ts
+++ b/packages/configuration/src/constants.ts
@@ -56,7 +56,7 @@
   pollReadsPerSecond: 30,
   minPollMs: 1_000,
   maxPollBackoffMs: 10_000,
-  staleAfterMs: 15_000,
+  staleAfterMs: 20_000,
   cutOffAfterMs: 5_000,
   peerGraceMs: 1_000,
   bootRetryMs: 250,
@@ -68,7 +68,7 @@
   maintenanceMs: 30_000,
   keptSnapshots: 3,
   relayWaitMs: 400,
-  reportFreshMs: 6_000,
+  reportFreshMs: 3_000,
   durableWaitMs: 500,
   safeMoveRepairMs: 2_000,
 };
--- a/packages/configuration/src/contactTracker.ts
+++ b/packages/configuration/src/contactTracker.ts
@@ -1,4 +1,14 @@
 /** When this daemon last heard from whom; all moments by the runtime's clock. */
+
+/** What one message of gossip tells of its sender. */
+export interface PeerContact {
+  /** It has a configuration, and contact with the table at first or second hand. */
+  readonly isInContact: boolean;
+  /** It has applied more than this daemon. */
+  readonly isAhead: boolean;
+  readonly tableAgeMs: number | undefined;
+}
+
 export class ContactTracker {
   readonly startedAtMs = Date.now();
 
@@ -17,7 +27,7 @@
     return this.#hasHeardPeer;
   }
 
-  /** Whether the table or a peer with a configuration has been heard since the start. */
+  /** Whether the table, or a peer in contact with it, has been heard since the start. */
   get isConfirmed(): boolean {
     return this.#isConfirmed;
   }
@@ -28,10 +38,19 @@
     this.#isConfirmed = true;
   }
 
-  /** Notes a peer; `tableAgeMs` tells how long ago it knew the table to answer. */
-  notePeer(hasConfiguration: boolean, isAhead: boolean, tableAgeMs: number | undefined): void {
+  /** Notes that a peer answered, without a word on whom it reaches. */
+  noteAnswer(): void {
+    this.#hasHeardPeer = true;
+  }
+
+  /**
+   * Notes a peer's gossip; `tableAgeMs` tells how long ago it knew the table to answer. A peer confirms a
+   * configuration only while it is in contact itself: one that is cut off may have booted from an old
+   * snapshot.
+   */
+  notePeer({ isInContact, isAhead, tableAgeMs }: PeerContact): void {
     this.#hasHeardPeer = true;
-    this.#isConfirmed ||= hasConfiguration;
+    this.#isConfirmed ||= isInContact;
     if (isAhead) {
       this.#aheadAtMs = Date.now();
     }
--- a/packages/configuration/src/poller.ts
+++ b/packages/configuration/src/poller.ts
@@ -19,7 +19,9 @@
   readonly logger: Logger;
   readonly settings: ConfigurationSettings;
   /** Gives changes that no push brought to the peers of the data centre. */
-  readonly passOn: (changes: readonly ResourceChange[]) => void;
+  readonly passOn: (changes: readonly ResourceChange[]) => Promise<void>;
+  /** Reads all safe moves from the table. */
+  readonly loadSafeMoves: () => Promise<void>;
 }
 
 export const POLL_DUTY = 'configurationPoll';
@@ -32,14 +34,17 @@
   readonly #options: PollerOptions;
 
   /**
-   * What goes wrong: data centres lose each other, each counts its own members alone, and all poll as often as
-   * a small deployment may; the table gets several times its share. The interval therefore follows the
-   * highest count of the last minutes.
+   * What goes wrong: data centres lose each other, each counts its own members alone, and all poll as
+   * often as a small deployment may; the table gets several times its share. The interval therefore
+   * follows the highest count of the last minutes.
    */
   #peakMembers = 1;
 
   #failures = 0;
 
+  /** After an outage, and after a boot from elsewhere, the table may know of more withdrawals. */
+  #needsSafeMoves = true;
+
   constructor(options: PollerOptions) {
     this.#options = options;
   }
@@ -76,14 +81,23 @@
 
   async #poll(): Promise<void> {
     try {
+      await this.#readSafeMoves();
       await this.#compareHead();
       this.#failures = 0;
     } catch (error) {
       this.#failures += 1;
+      this.#needsSafeMoves = true;
       this.#options.logger.warn({ fault: getErrorMessage(error) }, 'polling the table failed');
     }
   }
 
+  async #readSafeMoves(): Promise<void> {
+    if (this.#needsSafeMoves) {
+      await this.#options.loadSafeMoves();
+      this.#needsSafeMoves = false;
+    }
+  }
+
   async #compareHead(): Promise<void> {
     const { reader, state, contact } = this.#options;
     const head = await reader.readHead();
@@ -100,7 +114,7 @@
     await synchroniser.catchUpTo(headRevision);
     const changes = state.listChanges(before);
     if (changes && changes.length > 0 && membership.ownsDuty(POLL_DUTY)) {
-      passOn(changes);
+      await passOn(changes);
     }
   }
 }
--- a/packages/configuration/src/readiness.ts
+++ b/packages/configuration/src/readiness.ts
@@ -4,10 +4,11 @@
 import type { ReplicaState } from './replicaState.js';
 
 /**
- * What goes wrong: a new daemon loads an old snapshot while its peers are further; it would run requests under
- * permissions that were taken back. One notices answers by versions that a team no longer allows. It is
- * therefore not ready before it has reached the highest revision that it heard of from anyone, and has asked
- * someone besides the object store; only when nobody who knows more answers for a while, it serves what it has.
+ * What goes wrong: a new daemon loads an old snapshot while its peers are further; it would run requests
+ * under permissions that were taken back. One notices answers by versions that a team no longer allows.
+ * It is therefore not ready before it has reached the highest revision that it heard of from anyone, and
+ * has asked someone besides the object store; only when nobody who knows more answers for a while, it
+ * serves what it has.
  */
 export class Readiness {
   readonly #state: ReplicaState;
--- a/packages/configuration/src/revisionReports.ts
+++ b/packages/configuration/src/revisionReports.ts
@@ -4,9 +4,13 @@
 import type { DataCentreReport, Member, RevisionGossip } from '@snipehaven/protocol';
 import type { InForceStatus } from './types.js';
 
-const TAG_LENGTH = 6;
+const TAG_LENGTH = 5;
 const MAX_COUNTS = 6;
 const MAX_BEHIND = 5;
+/** So long a report that tells more counts more than a younger one. */
+const TRUSTED_MS = 10_000;
+/** Tags of the dead are dropped when there are more than this. */
+const MAX_TAGS_PER_MEMBER = 4;
 /** Old reports that each message repeats, so that a lost message is made good. */
 const REPEATED_TAGS = 3;
 
@@ -25,7 +29,7 @@
 type AppliedGroups = RevisionGossip['applied'];
 
 /** A short name of an incarnation: the full one would take most of the control budget. */
-export const getTag = (incarnation: string): string =>
+const createTag = (incarnation: string): string =>
   createHash('sha256').update(incarnation).digest('base64url').slice(0, TAG_LENGTH);
 
 const groupByRevision = (entries: readonly (readonly [string, number])[]): AppliedGroups => {
@@ -51,6 +55,19 @@
 const isSameReport = (a: DataCentreReport | undefined, b: DataCentreReport): boolean =>
   a !== undefined && JSON.stringify([a.counts, a.behind]) === JSON.stringify([b.counts, b.behind]);
 
+const sumRevisions = ({ counts }: DataCentreReport): number =>
+  counts.reduce((sum, { revision, count }) => sum + revision * count, 0);
+
+/**
+ * A report made later by a daemon that has heard less of its neighbours must not replace one that tells
+ * more, or the status would swing; but after a while the younger counts, since members come and go.
+ */
+const isBetter = (report: DataCentreReport, madeAtMs: number, held: HeldReport): boolean => {
+  const gained = sumRevisions(report) - sumRevisions(held.report);
+  const isHeldOld = Date.now() - held.madeAtMs > TRUSTED_MS;
+  return gained === 0 || isHeldOld ? madeAtMs >= held.madeAtMs : gained > 0;
+};
+
 /**
  * Within a data centre each daemon's applied revision travels by gossip; between data centres only counts
  * by revision do, so that the traffic of 400 daemons stays within the control budget. All reports are lower
@@ -66,8 +83,13 @@
 
   readonly #reports = new Map<string, HeldReport>();
 
+  /** Tags by incarnation, made once. */
+  readonly #tags = new Map<string, string>();
+
   #repeatFrom = 0;
 
+  #repeatedReport = 0;
+
   constructor(membership: MembershipView, freshMs: number) {
     this.#membership = membership;
     this.#freshMs = freshMs;
@@ -76,7 +98,7 @@
   /** Notes what a member of the own data centre said about itself. */
   observeMember({ dataCentre, incarnation }: Member, revision: number): void {
     if (dataCentre === this.#membership.self.dataCentre) {
-      this.#observeTag(getTag(incarnation), revision);
+      this.#observeTag(this.#getTag(incarnation), revision);
     }
   }
 
@@ -87,12 +109,12 @@
     );
   }
 
-  /** Keeps the younger of two reports of a data centre. */
+  /** Keeps the better of two reports of another data centre. */
   observeReport(report: DataCentreReport): void {
     const madeAtMs = Date.now() - report.ageMs;
     const held = this.#reports.get(report.dataCentre);
     const isOwn = report.dataCentre === this.#membership.self.dataCentre;
-    if (isOwn || (held && held.madeAtMs >= madeAtMs)) {
+    if (isOwn || (held && !isBetter(report, madeAtMs, held))) {
       return;
     }
     const changedAtMs = held && isSameReport(held.report, report) ? held.changedAtMs : Date.now();
@@ -108,7 +130,7 @@
       nowMs - changedAtMs <= this.#freshMs;
     const fresh = entries.filter(([, applied]) => isFresh(applied));
     const repeated = this.#pickRepeated(entries.filter(([, applied]) => !isFresh(applied)));
-    const own = [getTag(this.#membership.self.incarnation), ownRevision] as const;
+    const own = [this.#getTag(this.#membership.self.incarnation), ownRevision] as const;
     const others = [...fresh, ...repeated].map(([tag, { revision }]) => [tag, revision] as const);
     return groupByRevision([own, ...others]);
   }
@@ -119,7 +141,8 @@
     const held = [...this.#reports.values()];
     const fresh = held.filter(({ changedAtMs }) => nowMs - changedAtMs <= this.#freshMs);
     const old = held.filter(({ changedAtMs }) => nowMs - changedAtMs > this.#freshMs);
-    const repeated = old.length > 0 ? [old[this.#repeatFrom % old.length]] : [];
+    this.#repeatedReport += 1;
+    const repeated = old.length > 0 ? [old[this.#repeatedReport % old.length]] : [];
     return [...fresh, ...repeated]
       .filter((entry) => entry !== undefined)
       .map(({ report, madeAtMs }) => ({ ...report, ageMs: Math.max(0, nowMs - madeAtMs) }));
@@ -129,7 +152,7 @@
   buildOwnReport(ownRevision: number): DataCentreReport {
     const members = this.#listLocalRevisions(ownRevision);
     const revisions = members.map(({ revision }) => revision);
-    const highest = Math.max(...revisions);
+    const highest = Math.max(ownRevision, ...revisions);
     const behind = members
       .filter(({ revision }) => revision < highest)
       .map(({ incarnation }) => incarnation)
@@ -160,7 +183,7 @@
         local.length - behindLocal.length + appliedRemote.reduce((sum, count) => sum + count, 0),
       minRevision: hasUnknown
         ? 0
-        : Math.min(...local.map((member) => member.revision), ...minRemote),
+        : Math.min(ownRevision, ...local.map((member) => member.revision), ...minRemote),
       behind: [
         ...behindLocal.map(({ incarnation }) => incarnation),
         ...reports
@@ -180,6 +203,12 @@
     return counts.some((entry) => entry.revision < revision);
   }
 
+  #getTag(incarnation: string): string {
+    const known = this.#tags.get(incarnation) ?? createTag(incarnation);
+    this.#tags.set(incarnation, known);
+    return known;
+  }
+
   #observeTag(tag: string, revision: number): void {
     const held = this.#applied.get(tag);
     if (!held || revision > held.revision) {
@@ -199,12 +228,15 @@
       this.#membership
         .listLocal()
         .filter(({ incarnation }) => incarnation !== self.incarnation)
-        .map(({ incarnation }) => getTag(incarnation)),
+        .map(({ incarnation }) => this.#getTag(incarnation)),
     );
   }
 
   #dropDead(): void {
     const live = this.#listLiveTags();
+    if (this.#tags.size > MAX_TAGS_PER_MEMBER * (live.size + 1)) {
+      this.#tags.clear();
+    }
     [...this.#applied.keys()]
       .filter((tag) => !live.has(tag))
       .forEach((tag) => this.#applied.delete(tag));
@@ -219,7 +251,7 @@
       revision:
         incarnation === self.incarnation
           ? ownRevision
-          : (this.#applied.get(getTag(incarnation))?.revision ?? 0),
+          : (this.#applied.get(this.#getTag(incarnation))?.revision ?? 0),
     }));
   }
 
--- a/packages/configuration/src/revisionTopic.ts
+++ b/packages/configuration/src/revisionTopic.ts
@@ -1,6 +1,7 @@
 /** The gossip topic that compares revisions with each peer and repairs what pushes lost. */
 import type { GossipTopic, MembershipView } from '@snipehaven/membership';
 import { revisionGossipSchema, type Member, type RevisionGossip } from '@snipehaven/protocol';
+import type { ConfigurationSettings } from './constants.js';
 import type { ContactTracker } from './contactTracker.js';
 import { guardForm } from './restoreChange.js';
 import type { ReplicaState } from './replicaState.js';
@@ -13,6 +14,7 @@
   readonly reports: RevisionReports;
   readonly synchroniser: Synchroniser;
   readonly membership: MembershipView;
+  readonly settings: ConfigurationSettings;
   readonly hasConfiguration: () => boolean;
 }
 
@@ -41,10 +43,13 @@
   }
 
   mergePayload(payload: unknown, from: Member): void {
-    const { state, contact, reports, synchroniser } = this.#options;
+    const { state, contact, reports, synchroniser, settings } = this.#options;
+    const { staleAfterMs } = settings;
     const gossip = guardForm('gossip', () => revisionGossipSchema.parse(payload));
     const isAhead = gossip.revision > state.revision;
-    contact.notePeer(gossip.hasConfiguration, isAhead, gossip.tableAgeMs);
+    const { tableAgeMs = Infinity, hasConfiguration } = gossip;
+    const isInContact = hasConfiguration && tableAgeMs <= staleAfterMs;
+    contact.notePeer({ isInContact, isAhead, tableAgeMs: gossip.tableAgeMs });
     state.observeHead(Math.max(gossip.revision, gossip.headRevision));
     reports.observeMember(from, gossip.revision);
     reports.observeApplied(gossip.applied);
--- a/packages/configuration/src/safeMoves/safeMoveLift.ts
+++ b/packages/configuration/src/safeMoves/safeMoveLift.ts
@@ -28,7 +28,10 @@
 
   readonly #table: SafeMoveTable;
 
-  /** The move to write, under the generation that follows what the operator saw. */
+  /**
+   * The move to write, under the generation that follows the one in force here when the lift was asked
+   * for: what arrives while the table is read was unknown to the operator.
+   */
   #target: SafeMove | undefined;
 
   #mayHaveWritten = false;
@@ -37,6 +40,8 @@
     this.#request = request;
     this.#state = state;
     this.#table = table;
+    const seen = state.get(request.key)?.move;
+    this.#target = seen?.isActive ? this.#buildTarget(seen) : undefined;
   }
 
   /** Tries until the deadline; throws NotFound, Raced, Unavailable or OutcomeUnknown. */
@@ -80,8 +85,8 @@
   }
 
   /**
-   * What goes wrong: an operator withdraws a version again while another lifts the old withdrawal; a lift that
-   * simply took the next generation would undo the new withdrawal unseen. So the lift keeps to the
+   * What goes wrong: an operator withdraws a version again while another lifts the old withdrawal; a lift
+   * that simply took the next generation would undo the new withdrawal unseen. So the lift keeps to the
    * generation that it set out with, and gives way.
    */
   #checkNotRaced(present: SafeMove, target: SafeMove): void {
--- a/packages/configuration/src/safeMoves/safeMoveRegistry.ts
+++ b/packages/configuration/src/safeMoves/safeMoveRegistry.ts
@@ -131,8 +131,8 @@
   }
 
   /**
-   * What goes wrong: an operator lifts a withdrawal at one daemon, another withdraws again at one that has not
-   * heard of the lift; were a set mark left as it is, the lift would arrive and undo the second
+   * What goes wrong: an operator lifts a withdrawal at one daemon, another withdraws again at one that has
+   * not heard of the lift; were a set mark left as it is, the lift would arrive and undo the second
    * withdrawal. Each activation therefore takes the next generation, which at worst equals that of the lift,
    * and at equal generation the active mark wins.
    */
--- a/packages/configuration/src/synchroniser.ts
+++ b/packages/configuration/src/synchroniser.ts
@@ -110,6 +110,6 @@
       const resources = fetched.resources.map(restoreResource);
       state.installSnapshot({ revision: fetched.revision, resources });
     }
-    contact.notePeer(true, false, undefined);
+    contact.noteAnswer();
   }
 }
--- a/packages/configuration/src/withdrawals.ts
+++ b/packages/configuration/src/withdrawals.ts
@@ -53,8 +53,8 @@
 });
 
 /**
- * Applies a Withdrawal manifest: sets the mark, or lifts it where `isWithdrawn` is false. Setting never fails on
- * an old resourceVersion, for a withdrawal must not wait for its operator to read again.
+ * Applies a Withdrawal manifest: sets the mark, or lifts it where `isWithdrawn` is false. Setting never
+ * fails on an old resourceVersion, for a withdrawal must not wait for its operator to read again.
  */
 export const applyWithdrawal = async (
   safeMoves: SafeMoves,
--- a/packages/configuration/src/writer.ts
+++ b/packages/configuration/src/writer.ts
@@ -6,18 +6,8 @@
   type HandlerActor,
   type Random,
 } from '@snipehaven/common';
-import {
-  isPlatformError,
-  PlatformOutcomeUnknownError,
-  type TableClient,
-  type TableRow,
-} from '@snipehaven/platform';
-import {
-  ResourceInvalidError,
-  type Resource,
-  type ResourceChange,
-  type ResourceManifest,
-} from '@snipehaven/resources';
+import { isPlatformError, type TableClient, type TableRow } from '@snipehaven/platform';
+import { ResourceInvalidError, type Resource, type ResourceChange } from '@snipehaven/resources';
 import type { TimelineRecorder } from '@snipehaven/timeline';
 import { getBackoffMs } from './backoff.js';
 import { HEAD_KEY, type ConfigurationSettings } from './constants.js';
@@ -40,6 +30,7 @@
   type RequestRow,
 } from './rows.js';
 import type { Synchroniser } from './synchroniser.js';
+import { WriteProgress } from './writeProgress.js';
 import {
   buildChange,
   buildTransaction,
@@ -71,18 +62,11 @@
 interface WriteMessage {
   readonly type: 'write';
   readonly request: WriteRequest;
+  readonly deadlineMs: number;
   readonly resolve: (resource: Resource | undefined) => void;
   readonly reject: (error: unknown) => void;
 }
 
-/** What is known of one write over its tries. */
-interface WriteProgress {
-  readonly deadlineMs: number;
-  failures: number;
-  /** A try went out and no answer came since. */
-  mayHaveWritten: boolean;
-}
-
 interface ReadBase extends WriteBase {
   /** The row that an earlier try of the same request left. */
   readonly written: RequestRow | undefined;
@@ -96,6 +80,8 @@
 
   readonly #actor: HandlerActor<WriteMessage>;
 
+  #isStopped = false;
+
   constructor(options: WriterOptions) {
     this.#options = options;
     this.#actor = spawnHandlerActor<WriteMessage>(
@@ -109,35 +95,39 @@
   /** Writes or deletes; resolves with the resource as written. */
   write(request: WriteRequest): Promise<Resource | undefined> {
     return new Promise((resolve, reject) => {
-      this.#actor.tell({ type: 'write', request, resolve, reject });
+      const deadlineMs = Date.now() + this.#options.settings.writeDeadlineMs;
+      this.#actor.tell({ type: 'write', request, deadlineMs, resolve, reject });
     });
   }
 
+  /** Refuses what is still queued; the write under way goes on. */
   stop(): void {
-    this.#actor.stop();
+    this.#isStopped = true;
   }
 
-  async #handleWrite({ request, resolve, reject }: WriteMessage): Promise<void> {
+  async #handleWrite({ request, deadlineMs, resolve, reject }: WriteMessage): Promise<void> {
     try {
-      const outcome = await this.#tryUntilDeadline(request);
+      const outcome = await this.#tryUntilDeadline(request, deadlineMs);
       resolve(outcome.resource);
     } catch (error) {
       reject(error);
     }
   }
 
-  async #tryUntilDeadline(request: WriteRequest): Promise<WriteOutcome> {
+  /** A write whose turn comes after its deadline is refused untried: its operator has given up. */
+  async #tryUntilDeadline(request: WriteRequest, deadlineMs: number): Promise<WriteOutcome> {
     const { settings, random } = this.#options;
-    const deadlineMs = Date.now() + settings.writeDeadlineMs;
-    const progress: WriteProgress = { deadlineMs, failures: 0, mayHaveWritten: false };
+    const progress = new WriteProgress(deadlineMs);
+    if (this.#isStopped || progress.isOver()) {
+      throw Writer.#giveUp(request, progress, undefined);
+    }
     for (;;) {
       const outcome = await this.#tryOnce(request, progress);
       if (outcome) {
         return outcome;
       }
       const { retryBaseMs, retryMaxMs } = settings;
-      await sleep(getBackoffMs(progress.failures, retryBaseMs, retryMaxMs, random));
-      progress.failures += 1;
+      await sleep(getBackoffMs(progress.nextFailure(), retryBaseMs, retryMaxMs, random));
     }
   }
 
@@ -158,7 +148,7 @@
       }
       cause = error;
     }
-    if (Date.now() >= progress.deadlineMs) {
+    if (progress.isOver()) {
       throw Writer.#giveUp(request, progress, cause);
     }
     return undefined;
@@ -233,7 +223,7 @@
     }
     const { view } = this.#options.state;
     if (spec !== undefined) {
-      checkReferences({ kind, name, spec } as ResourceManifest, view);
+      checkReferences({ kind, name, spec }, view);
       return;
     }
     if (!present) {
@@ -255,7 +245,7 @@
         return undefined;
       }
     } catch (error) {
-      progress.mayHaveWritten ||= error instanceof PlatformOutcomeUnknownError;
+      progress.noteFault(error);
       throw error;
     }
     this.#accept(change);
@@ -279,7 +269,10 @@
       return { resource: this.#options.state.view.get(request.kind, request.name) };
     }
     const { change } = restoreChangeRow(row);
-    this.#accept(change);
+    if (change.revision > this.#options.state.revision) {
+      await this.#options.synchroniser.catchUpTo(change.revision);
+      this.#accept(change);
+    }
     return { resource: change.resource };
   }
 
