--- a/packages/demo/src/deployment.ts
+++ b/packages/demo/src/deployment.ts
@@ -133,9 +133,14 @@
     await replaced.process.firstLine;
   }
 
+  /** Shuts the daemons down gracefully. */
+  async stopDaemons(): Promise<void> {
+    await Promise.all(this.daemons.map((daemon) => daemon.process.stop(STOP_GRACE_MS)));
+  }
+
   /** Stops everything that this deployment started. */
   async stop(): Promise<void> {
-    await Promise.all(this.daemons.map((daemon) => daemon.process.stop(STOP_GRACE_MS)));
+    await this.stopDaemons();
     await this.#standins?.stop(STOP_GRACE_MS);
   }
 
--- a/packages/routing/src/stepRunner.ts
+++ b/packages/routing/src/stepRunner.ts
@@ -149,6 +149,7 @@
       run: {
         url: entry.spec.url,
         streamId: stream.streamId,
+        requestKey: request.options.idempotencyKey ?? requestId,
         body: toEngineBody(request.body, version),
         priority: request.options.priority,
         firstByteTimeoutMs: settings.firstByteTimeoutMs,
--- a/packages/upstream/src/engineClient.ts
+++ b/packages/upstream/src/engineClient.ts
@@ -4,6 +4,7 @@
   CONTROL_CALL_TIMEOUT_MS,
   DONE_DATA,
   PRIORITY_HEADER,
+  REQUEST_KEY_HEADER,
   STREAM_ID_HEADER,
 } from './constants.js';
 import {
@@ -50,6 +51,7 @@
       headers: {
         'content-type': 'application/json',
         [STREAM_ID_HEADER]: run.streamId,
+        [REQUEST_KEY_HEADER]: run.requestKey,
         [PRIORITY_HEADER]: String(run.priority),
       },
       headersTimeout: run.firstByteTimeoutMs,
--- a/packages/upstream/src/types.ts
+++ b/packages/upstream/src/types.ts
@@ -4,6 +4,8 @@
 export interface EngineRun {
   readonly url: string;
   readonly streamId: string;
+  /** What the caller's retries share, for upstreams that tell them apart. */
+  readonly requestKey: string;
   /** OpenAI's body as JSON text, `model` being `model@version` and `stream` true. */
   readonly body: string;
   /** 0 lowest to 9. */
