--- a/packages/claims/src/tableClaimStore.ts
+++ b/packages/claims/src/tableClaimStore.ts
@@ -127,12 +127,12 @@
     throw new AnswerNotKeptError(`answer of ${pending.rowKey} is not kept: ${result}`);
   }
 
-  release(claim: Claim): Promise<void> {
-    return this.#settle(this.#getHeld(claim), 'releasing', claim.fence);
+  async release(claim: Claim): Promise<void> {
+    await this.#settle(this.#getHeld(claim), 'releasing', claim.fence);
   }
 
-  markUnknown(claim: Claim): Promise<void> {
-    return this.#settle(this.#getHeld(claim), 'markingUnknown', claim.fence);
+  async markUnknown(claim: Claim): Promise<void> {
+    await this.#settle(this.#getHeld(claim), 'markingUnknown', claim.fence);
   }
 
   /** Deletes rows past their time, one page a call; throws the platform's errors. */
