Stand-ins: headers of a stream come with its first event

Cause: clients wait for the first token by their time limit for headers, and for later ones by the shorter one between chunks; with early headers a waiting stream fell under the latter.

--- a/packages/standins/src/engineServer.test.ts
+++ b/packages/standins/src/engineServer.test.ts
@@ -115,6 +115,23 @@
     assert.is((await post(setup, '/control', { nonsense: true })).statusCode, 400);
   }));
 
+test("a waiting stream's headers come with its first event", () =>
+  withEngine({ tokenMs: 100_000, maxRunning: 1 }, async (setup) => {
+    setup.core.start({ streamId: 'busy', versionId: VERSION, messages: [] });
+    let hasHeaders = false;
+    const waiting = chat(setup, 's').then((response) => {
+      hasHeaders = true;
+      return response;
+    });
+    while (setup.core.getTruth().started < 2) {
+      await get(setup, '/truth');
+    }
+    assert.not.ok(hasHeaders);
+    setup.core.setSizes({ tokenMs: 0 });
+    setup.core.cancel('busy');
+    assert.is((await waiting).statusCode, 200);
+  }));
+
 test('a reply lost after the start leaves the run going', () =>
   withEngine({}, async (setup) => {
     // Symptom: the connection breaks before any answer, yet the request runs.
--- a/packages/standins/src/engineServer.ts
+++ b/packages/standins/src/engineServer.ts
@@ -128,16 +128,13 @@
     });
   });
 
-/** Streams over the response until the stream or the connection ends. */
+/** Streams over the response until the stream or the connection ends; headers go with the first. */
 const stream = (call: EdgeCall, subscribe: (listener: StreamListener) => () => void): void => {
   const { response } = call;
   const listener = createSseListener(response);
   response.statusCode = 200;
   Object.entries(SSE_HEADERS).forEach(([name, value]) => response.setHeader(name, value));
   const unsubscribe = subscribe(listener);
-  if (!response.headersSent) {
-    response.flushHeaders();
-  }
   response.on('close', unsubscribe);
 };
 
