--- a/packages/demo/src/workload/sendAttempt.ts
+++ b/packages/demo/src/workload/sendAttempt.ts
@@ -47,11 +47,16 @@
   return { kind: 'broken', reason: error instanceof Error ? error.message : String(error) };
 };
 
-const getOptional = (headers: Headers, name: string): string | undefined =>
+/** The headers of an answer, whichever library made them. */
+interface AnswerHeaders {
+  get(name: string): string | null;
+}
+
+const getOptional = (headers: AnswerHeaders, name: string): string | undefined =>
   headers.get(name) ?? undefined;
 
 const toAnswer = (
-  headers: Headers,
+  headers: AnswerHeaders,
   text: string,
   usage: OpenAI.CompletionUsage | null | undefined,
 ): SeenAnswer => {
--- a/packages/demo/src/workload/workItems.ts
+++ b/packages/demo/src/workload/workItems.ts
@@ -180,8 +180,9 @@
     const suffix = random.next() < 0.5 ? 'own' : 'token';
     const session = isSession ? `session-${seed}-${index}-${suffix}` : undefined;
     const turns = isSession ? 2 + random.nextInt(SESSION_TURNS) : 1;
+    const first = index;
     const items = Array.from({ length: turns }, (_, turn) =>
-      createItem(kind, index + turn, random, seed, session),
+      createItem(kind, first + turn, random, seed, session),
     );
     conversations.push(items);
     index += turns;
