--- a/packages/cli/src/api/httpCaller.ts
+++ b/packages/cli/src/api/httpCaller.ts
@@ -1,8 +1,8 @@
 /** Calls of the operator API over HTTP, going from daemon to daemon until one answers. */
 import { Agent, request, type Dispatcher } from 'undici';
 import { z } from 'zod';
-import { getErrorMessage } from '@snipehaven/common';
-import { CALL_TIMEOUT_MS, CLIENT_REQUEST_ID_HEADER } from '../constants.js';
+import { getErrorMessage, sleep } from '@snipehaven/common';
+import { CALL_TIMEOUT_MS, CLIENT_REQUEST_ID_HEADER, RETRY_PAUSE_MS } from '../constants.js';
 import type { Endpoint } from '../contexts/selectEndpoint.js';
 import { ApiCallError, UnreachableError } from '../errors.js';
 
@@ -95,10 +95,17 @@
     return body;
   }
 
-  /** The answer's text, from the first daemon that works. */
+  /**
+   * The answer's text, from the first daemon that works. All are tried twice: a reply that was lost
+   * after a write is asked for again under the same client request id.
+   */
   async callText(call: ApiCall): Promise<string> {
     let lastError: unknown;
-    for (const base of this.#endpoint.urls) {
+    const { urls } = this.#endpoint;
+    for (const [attempt, base] of [...urls, ...urls].entries()) {
+      if (attempt === urls.length) {
+        await sleep(RETRY_PAUSE_MS);
+      }
       try {
         return await this.#callOne(base, call);
       } catch (error) {
--- /dev/null
+++ b/packages/cli/src/commands/configCheckCommand.ts
@@ -0,0 +1,33 @@
+/** `snipectl config check`: checks a daemon's settings file. */
+import { Command, Option } from 'clipanion';
+import { readText } from '../contexts/contextsFile.js';
+import { InvalidInputError } from '../errors.js';
+import { exitCodes, type ExitCode } from '../exitCodes.js';
+import { SnipectlCommand } from './snipectlCommand.js';
+
+export class ConfigCheckCommand extends SnipectlCommand {
+  static override paths = [['config', 'check']];
+
+  static override usage = Command.Usage({
+    category: 'System',
+    description: 'Check a settings file of snipehavend.',
+    examples: [['Before a roll of the VMs', '$0 config check snipehavend.toml']],
+  });
+
+  file = Option.String();
+
+  protected async act(): Promise<ExitCode> {
+    const { checkSettings } = this.context;
+    if (checkSettings === undefined) {
+      throw new InvalidInputError(
+        'this build cannot check settings: use snipehavend --check-config',
+      );
+    }
+    const issues = checkSettings(await readText(this.file), this.file);
+    if (issues.length > 0) {
+      throw new InvalidInputError(issues.join('\n'));
+    }
+    this.show({ file: this.file, isValid: true }, () => `${this.file} is valid\n`);
+    return exitCodes.ok;
+  }
+}
--- a/packages/cli/src/constants.ts
+++ b/packages/cli/src/constants.ts
@@ -15,6 +15,9 @@
 /** How long one call to one daemon may take. */
 export const CALL_TIMEOUT_MS = 10_000;
 
+/** Pause before all daemons are tried a second time. */
+export const RETRY_PAUSE_MS = 250;
+
 /** A watch that hears neither change nor bookmark for so long reconnects. */
 export const WATCH_SILENCE_MS = 8_000;
 
--- a/packages/timeline/src/page/timelineScript.ts
+++ b/packages/timeline/src/page/timelineScript.ts
@@ -82,13 +82,15 @@
 
   const drawEvents = (svg, events, toX) => {
     const lastX = new Map();
+    const faults = document.createElementNS(SVG, 'g');
     events.forEach((event, index) => {
       const x = toX(event.wallMs);
       const last = lastX.get(event.lane) || { x: -99, level: 0 };
       const level = x - last.x < RADIUS ? (last.level + 1) % 4 : 0;
       lastX.set(event.lane, { x, level });
       const y = TOP + event.lane * ROW + ROW / 2 + [0, -7, 7, 3.5][level];
-      const dot = add(svg, 'circle', { class: 'dot ' + event.group, cx: x, cy: y, r: RADIUS, 'data-index': index });
+      // Faults lie on top of what happened at the same moment.
+      const dot = add(event.group === 'fault' ? faults : svg, 'circle', { class: 'dot ' + event.group, cx: x, cy: y, r: RADIUS, 'data-index': index });
       add(dot, 'title', {}, new Date(event.wallMs).toISOString() + ' ' + event.type + '\\n' + event.facts);
       dot.addEventListener('click', () => {
         pick(index);
@@ -96,6 +98,7 @@
         if (row) row.scrollIntoView({ block: 'center' });
       });
     });
+    svg.appendChild(faults);
   };
 
   const addBrush = (svg, from, to, toX, height) => {
