--- a/packages/cli/src/api/watchChanges.ts
+++ b/packages/cli/src/api/watchChanges.ts
@@ -1,5 +1,4 @@
 /** Follows the configuration over broken connections, from daemon to daemon, without a gap. */
-import { createInterface } from 'node:readline';
 import type { Readable } from 'node:stream';
 import { sleep } from '@snipehaven/common';
 import { WATCH_RETRY_MS, WATCH_SILENCE_MS } from '../constants.js';
@@ -54,9 +53,21 @@
   }
 };
 
+/** Splits at line ends; the last line, cut without its end, is left out. */
+async function* splitLines(body: Readable): AsyncGenerator<string> {
+  const decoder = new TextDecoder();
+  let rest = '';
+  for await (const chunk of body) {
+    const lines = (rest + decoder.decode(chunk as Buffer, { stream: true })).split('\n');
+    rest = lines.pop() ?? '';
+    yield* lines;
+  }
+}
+
 async function* readLines(body: Readable, guard: SilenceGuard): AsyncGenerator<WatchLine> {
+  // A stream that is left early fails later, with nobody to hear of it: that would end the process.
   body.on('error', () => undefined);
-  for await (const text of createInterface({ input: body })) {
+  for await (const text of splitLines(body)) {
     guard.touch();
     const line = restoreLine(text);
     if (line === undefined) {
--- a/packages/cli/src/commands/completionCommand.ts
+++ b/packages/cli/src/commands/completionCommand.ts
@@ -2,6 +2,7 @@
 import { Command } from 'clipanion';
 import { kinds } from '@snipehaven/resources';
 import { BINARY_NAME } from '../constants.js';
+import type { SnipectlContext } from '../types.js';
 
 const OPTION_PATTERN = /--[a-z-]+/g;
 
@@ -55,7 +56,7 @@
   ].join('\n');
 };
 
-export class CompletionCommand extends Command {
+export class CompletionCommand extends Command<SnipectlContext> {
   static override paths = [['completion', 'bash']];
 
   static override usage = Command.Usage({
--- a/packages/cli/src/commands/configCheckCommand.ts
+++ b/packages/cli/src/commands/configCheckCommand.ts
@@ -17,13 +17,8 @@
   file = Option.String();
 
   protected async act(): Promise<ExitCode> {
-    const { checkSettings } = this.context;
-    if (checkSettings === undefined) {
-      throw new InvalidInputError(
-        'this build cannot check settings: use snipehavend --check-config',
-      );
-    }
-    const issues = checkSettings(await readText(this.file), this.file);
+    const text = await readText(this.file);
+    const issues = await this.context.checkSettings(text, this.file);
     if (issues.length > 0) {
       throw new InvalidInputError(issues.join('\n'));
     }
--- a/packages/cli/src/report/linePlot.ts
+++ b/packages/cli/src/report/linePlot.ts
@@ -55,7 +55,7 @@
   Array.from({ length: TIME_TICKS }, (_unused, tick) => {
     const index = Math.round((tick / (TIME_TICKS - 1)) * Math.max(0, count - 1));
     const label = formatClock(plot.fromMs + index * plot.bucketMs);
-    return `<text class="dim" x="${round(toX(index))}" y="${HEIGHT - LABEL_GAP}" text-anchor="middle">${label}</text>`;
+    return `<text class="dim" x="${round(toX(index))}" y="${HEIGHT - LABEL_GAP}" text-anchor="${tick === TIME_TICKS - 1 ? 'end' : 'middle'}">${label}</text>`;
   }).join('');
 
 const drawLine = ({ name, values }: PlotSeries, colour: string, { toX, toY }: Frame): string => {
--- a/packages/cli/src/report/reportPage.ts
+++ b/packages/cli/src/report/reportPage.ts
@@ -7,7 +7,7 @@
 
 const STYLE = `
 .plots { display: grid; grid-template-columns: repeat(auto-fit, minmax(480px, 1fr)); gap: 8px 32px; }
-figure { margin: 8px 0; } h3 { font-size: 14px; margin: 0 0 4px; } figcaption { color: var(--dim); }
+figure { margin: 8px 0; max-width: 690px; } h3 { font-size: 14px; margin: 0 0 4px; } figcaption { color: var(--dim); }
 .key { display: inline-flex; align-items: center; gap: 5px; margin-right: 16px; }
 .key::before { content: ""; width: 14px; height: 3px; background: var(--dot); }
 .cards { display: flex; flex-wrap: wrap; gap: 12px; margin: 12px 0; }
@@ -16,19 +16,30 @@
 .bad { color: #d0342c; }
 `;
 
-/** A cell; numbers stand to the right. */
-type Cell = string | number;
+/** An amount of money. */
+interface Money {
+  readonly costMicroUsd: number;
+}
 
-const toCell = (cell: Cell): string =>
-  typeof cell === 'number'
-    ? `<td class="number">${cell.toLocaleString('en')}</td>`
-    : `<td>${escapeHtml(cell)}</td>`;
+/** A cell; numbers and money stand to the right. */
+type Cell = string | number | Money;
+
+const isRightAligned = (cell: Cell | undefined): boolean =>
+  cell !== undefined && typeof cell !== 'string';
+
+const formatCell = (cell: Cell): string =>
+  typeof cell === 'object' ? formatUsd(cell.costMicroUsd) : cell.toLocaleString('en');
+
+const toCell = (cell: Cell): string => {
+  const attribute = isRightAligned(cell) ? ' class="number"' : '';
+  return `<td${attribute}>${escapeHtml(formatCell(cell))}</td>`;
+};
 
 const buildTable = (headings: readonly string[], rows: readonly (readonly Cell[])[]): string => {
   if (rows.length === 0) {
     return '<p>none in this period</p>';
   }
-  const isNumber = (column: number): boolean => typeof rows[0]?.[column] === 'number';
+  const isNumber = (column: number): boolean => isRightAligned(rows[0]?.[column]);
   const head = headings
     .map((text, column) => `<th${isNumber(column) ? ' class="number"' : ''}>${text}</th>`)
     .join('');
@@ -79,7 +90,7 @@
     row.requests,
     row.promptTokens,
     row.completionTokens,
-    formatUsd(row.costMicroUsd),
+    { costMicroUsd: row.costMicroUsd },
   ]);
   const headings = ['Team', 'Version', 'Requests', 'Prompt tokens', 'Answer tokens', 'Cost'];
   return `<h2>Cost</h2><div class="plots">${plots.join('')}</div>${buildTable(headings, rows)}`;
--- a/packages/cli/src/testSupport/runCli.ts
+++ b/packages/cli/src/testSupport/runCli.ts
@@ -3,8 +3,8 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { Readable, Writable } from 'node:stream';
+import { checkDaemonSettings } from '../checkDaemonSettings.js';
 import { runSnipectl } from '../runSnipectl.js';
-import type { SnipectlContext } from '../types.js';
 import { startFakeApi, type FakeApi } from './fakeApi.js';
 
 export interface CliRun {
@@ -17,7 +17,6 @@
   readonly stdin?: string;
   readonly env?: Readonly<Record<string, string>>;
   readonly isTerminal?: boolean;
-  readonly checkSettings?: NonNullable<SnipectlContext['checkSettings']>;
 }
 
 /** A stream that keeps what is written. */
@@ -41,7 +40,7 @@
 export const runCli = async (
   urls: readonly string[],
   args: readonly string[],
-  { stdin = '', env = {}, isTerminal = false, checkSettings }: CliOptions = {},
+  { stdin = '', env = {}, isTerminal = false }: CliOptions = {},
 ): Promise<CliRun> => {
   const stdout = new TextSink(isTerminal);
   const stderr = new TextSink(isTerminal);
@@ -51,7 +50,7 @@
     stdout,
     stderr,
     colorDepth: 1,
-    ...(checkSettings === undefined ? {} : { checkSettings }),
+    checkSettings: checkDaemonSettings,
   });
   return { exitCode, stdout: stdout.text, stderr: stderr.text };
 };
--- a/tools/definePackages.mjs
+++ b/tools/definePackages.mjs
@@ -111,7 +111,7 @@
     'snipehavend',
   ],
   cli: [
-    ['common', 'resources', 'timeline'],
+    ['common', 'resources', 'timeline', 'daemon'],
     ['clipanion', 'undici', 'smol-toml', 'zod'],
     'snipectl',
   ],
