Configuration: booting daemons know all withdrawals; a frozen boot does not count as cut off

Cause: trials that took one mechanism away at a time found two without a test: safe moves fetched from peers at boot, and read from the table after an outage. Change: tests of both; the wait of a booting daemon starts anew after a pause; one event for changes that came together; the state can be replaced, for proofs that take its order of revisions away.

--- a/packages/configuration/src/configurationReplica.test.ts
+++ b/packages/configuration/src/configurationReplica.test.ts
@@ -62,11 +62,12 @@
   'anti-entropy brings what pushes lose',
   withCluster(async (cluster) => {
     // Symptom: some daemons still serve the old configuration long after an apply.
-    // Sequence: all pushes of a change are lost.
+    // Sequence: all pushes of a change are lost, and the table goes away.
     // Cause: a push is sent once.
     const daemons = await cluster.addReadyDaemons(NINE);
     cluster.losePushes();
     await applyTeam(cluster, daemons[0] as TestDaemon, 0.7);
+    cluster.table.inject({ isDown: true });
     await cluster.advance(4_000);
     assert.equal(
       daemons.map(getTarget),
--- a/packages/configuration/src/configurationReplica.ts
+++ b/packages/configuration/src/configurationReplica.ts
@@ -57,6 +57,8 @@
   readonly logger: Logger;
   readonly random: Random;
   readonly actorSystem: ActorSystem;
+  /** Replaces the usual state; proofs take away its order of revisions and expect a violation. */
+  readonly state?: ReplicaState;
   /** Departures from the defaults. */
   readonly settings?: Partial<ConfigurationSettings>;
 }
@@ -101,12 +103,14 @@
 
   #wasStale = false;
 
+  #endPauseWatch: () => void = () => undefined;
+
   constructor(options: ConfigurationReplicaOptions) {
     this.#options = options;
     this.#settings = { ...DEFAULT_SETTINGS, ...options.settings };
     const base = { ...options, settings: this.#settings };
     this.safeMoves = new SafeMoveRegistry(base);
-    this.#state = new ReplicaState(this.#settings.keptChanges, options.logger);
+    this.#state = options.state ?? new ReplicaState(this.#settings.keptChanges, options.logger);
     this.#readiness = new Readiness(this.#state, this.#contact, this.#settings);
     this.#reports = new RevisionReports(options.membership, this.#settings.reportFreshMs);
     const reader = new TableReader(options.table);
@@ -166,10 +170,12 @@
     void this.safeMoves.run(signal);
     void this.#maintenance.run(signal);
     void this.#watchStaleness(signal);
+    this.#endPauseWatch = this.#options.membership.onPause(() => this.#contact.noteResumed());
   }
 
   stop(): void {
     this.#running.abort();
+    this.#endPauseWatch();
     this.#writer.stop();
   }
 
@@ -302,9 +308,12 @@
     }
   }
 
+  /** One event however many changes came at once: a boot must not push all else out of the ring. */
   #recordApplied(changes: readonly ResourceChange[]): void {
-    changes.forEach(({ revision, kind, name }) =>
-      this.#options.timeline.record('configurationApplied', {}, { revision, kind, name }),
-    );
+    const { revision } = this.#state;
+    const [first] = changes;
+    const detail = { revision, changes: changes.length };
+    const single = changes.length === 1 && first ? { kind: first.kind, name: first.name } : {};
+    this.#options.timeline.record('configurationApplied', {}, { ...detail, ...single });
   }
 }
--- a/packages/configuration/src/contactTracker.ts
+++ b/packages/configuration/src/contactTracker.ts
@@ -38,6 +38,14 @@
     this.#isConfirmed = true;
   }
 
+  /**
+   * Starts the wait for others anew: a process that was frozen while it booted has not been cut off, it
+   * has not listened.
+   */
+  noteResumed(): void {
+    this.#aheadAtMs = Date.now();
+  }
+
   /** Notes that a peer answered, without a word on whom it reaches. */
   noteAnswer(): void {
     this.#hasHeardPeer = true;
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -1,6 +1,7 @@
 export * from './configurationReplica.js';
 export { DEFAULT_SETTINGS, type ConfigurationSettings } from './constants.js';
 export * from './errors.js';
+export * from './replicaState.js';
 export * from './safeMoves/joinSafeMoves.js';
 export * from './safeMoves/safeMoveRegistry.js';
 export * from './types.js';
--- a/packages/configuration/src/safeMoves/safeMoveRegistry.ts
+++ b/packages/configuration/src/safeMoves/safeMoveRegistry.ts
@@ -171,8 +171,11 @@
   }
 
   #record(type: EventType, { key, generation, isActive, reason, by }: SafeMove): void {
-    const version = key.slice(key.indexOf('/') + 1);
+    const separatorAt = key.indexOf('/');
+    const subject = key.slice(separatorAt + 1);
+    const isVersion = BLOCKING_KINDS.some((kind) => kind === key.slice(0, separatorAt));
     const detail = { key, generation, isActive, reason, by };
-    this.#options.timeline.record(type, { version }, detail);
+    const about = isVersion ? { version: subject } : { upstream: subject };
+    this.#options.timeline.record(type, about, detail);
   }
 }
--- a/packages/configuration/src/safeMoves/safeMoves.test.ts
+++ b/packages/configuration/src/safeMoves/safeMoves.test.ts
@@ -8,7 +8,13 @@
 import { restoreManifest } from '@snipehaven/resources';
 import { SAFE_MOVE_PREFIX } from '../constants.js';
 import { ConfigurationUnavailableError, SafeMoveRacedError } from '../errors.js';
-import { buildRollout, buildVersion, createClusterTest, type TestDaemon } from '../testKit.js';
+import {
+  buildRollout,
+  buildVersion,
+  createClusterTest,
+  type TestCluster,
+  type TestDaemon,
+} from '../testKit.js';
 import { joinSafeMoves } from './joinSafeMoves.js';
 import { SafeMoveState } from './safeMoveState.js';
 
@@ -168,6 +174,51 @@
   }),
 );
 
+/** Advances in small steps; the version must be blocked whenever the daemon is ready. */
+const checkUntilReady = async (cluster: TestCluster, daemon: TestDaemon): Promise<void> => {
+  for (let steps = 0; !daemon.replica.getStatus().hasConfiguration; steps += 1) {
+    assert.ok(steps < 400);
+    await cluster.advance(50);
+  }
+  assert.equal(listBlocked([daemon]), [true]);
+};
+
+test(
+  'a daemon that boots before a withdrawal is durable knows of it when it is ready',
+  withCluster(async (cluster) => {
+    // Symptom: a replaced VM gives work to a withdrawn version for a second or two.
+    // Sequence: withdrawn while the table is down; the table comes back, and a daemon boots at that moment.
+    // Cause: the table has all of the configuration but not yet this withdrawal, which peers hold.
+    const [old] = (await cluster.addReadyDaemons(['a1', 'a2'])) as [TestDaemon];
+    cluster.table.inject({ isDown: true });
+    await cluster.settle(withdraw(old));
+    await cluster.advance(30_000);
+    cluster.table.inject({ isDown: false });
+    await checkUntilReady(cluster, cluster.addDaemon('a3'));
+  }),
+);
+
+test(
+  'a daemon that booted from a snapshot reads the withdrawals when the table is back',
+  withCluster(async (cluster) => {
+    // Symptom: a daemon gives work to a version whose withdrawal has long been in the table.
+    // Sequence: a snapshot is saved, a version is withdrawn, all daemons are replaced during an outage of
+    // the table, and load the snapshot; the table comes back.
+    // Cause: the head revision tells nothing of safe moves.
+    const old = cluster.addDaemon('a1', { maintenanceMs: 1_000 });
+    await cluster.advance(4_000);
+    cluster.objectStore.setDown(true);
+    await cluster.settle(withdraw(old));
+    cluster.kill(old);
+    cluster.objectStore.setDown(false);
+    cluster.table.inject({ isDown: true });
+    const fresh = cluster.addDaemon('a1');
+    await cluster.advance(2_000);
+    cluster.table.inject({ isDown: false });
+    await checkUntilReady(cluster, fresh);
+  }),
+);
+
 [true, false].forEach((isWithdrawnFirst) => {
   test(
     `a withdrawal holds, ${isWithdrawnFirst ? 'raised after it' : 'raised before it'}`,
--- a/packages/configuration/src/writer.ts
+++ b/packages/configuration/src/writer.ts
@@ -1,5 +1,6 @@
 /** Writes resources to the table, one at a time. */
 import {
+  invariant,
   sleep,
   spawnHandlerActor,
   type ActorSystem,
@@ -280,6 +281,11 @@
     const { state, timeline, spread } = this.#options;
     state.applyChanges([change]);
     const { revision, kind, name } = change;
+    invariant(
+      state.revision >= revision,
+      'configurationNeverReverts',
+      `accepted revision ${revision} is not in force at ${state.revision}`,
+    );
     timeline.record('configurationAccepted', {}, { revision, kind, name });
     spread([change]);
   }
