--- a/packages/cli/src/api/httpCaller.ts
+++ b/packages/cli/src/api/httpCaller.ts
@@ -33,7 +33,8 @@
 });
 
 const OK_LIMIT = 400;
-const UNAVAILABLE_STATUS = 503;
+/** Answers after which another daemon may do better: cut off from the table, or not the one meant. */
+const passedOnStatuses: ReadonlySet<number> = new Set([421, 503]);
 
 const toUrl = (base: string, call: ApiCall): URL => {
   const url = new URL(call.path, base);
@@ -70,7 +71,7 @@
 };
 
 const isWorthNextDaemon = (error: unknown): boolean =>
-  !(error instanceof ApiCallError) || error.status === UNAVAILABLE_STATUS;
+  !(error instanceof ApiCallError) || passedOnStatuses.has(error.status);
 
 export class HttpCaller {
   readonly #endpoint: Endpoint;
--- a/packages/cli/src/commands/safeMoveCommands.ts
+++ b/packages/cli/src/commands/safeMoveCommands.ts
@@ -101,8 +101,9 @@
   static override usage = Command.Usage({
     category: 'Safe moves',
     description: 'Drain a VM of the system or an upstream.',
-    details: `A drained VM's daemon finishes its requests and leaves. A drained upstream gets no new
-      work until its drain is lifted.`,
+    details: `A drained VM's daemon finishes its requests and leaves; its URL must be among those of
+      the context, for only the daemon itself can stop. A drained upstream gets no new work until
+      its drain is lifted.`,
     examples: [
       ['A VM before its replacement', '$0 drain entry-3 --yes'],
       ['An upstream', '$0 drain engine-7 --type upstream'],
--- a/packages/cli/src/errors.ts
+++ b/packages/cli/src/errors.ts
@@ -35,6 +35,7 @@
   404: exitCodes.notFound,
   409: exitCodes.conflict,
   413: exitCodes.invalid,
+  421: exitCodes.unavailable,
   422: exitCodes.invalid,
   429: exitCodes.unavailable,
   502: exitCodes.unavailable,
--- a/packages/cli/src/output/formatStatus.ts
+++ b/packages/cli/src/output/formatStatus.ts
@@ -60,6 +60,7 @@
       'REASON',
     ],
     rollouts.map(toRolloutRow),
+    'no roll-out is under way',
   );
 
 const formatMarks = (status: StatusReply): string =>
@@ -75,6 +76,7 @@
         durability,
         move.reason,
       ]),
+    'no version or upstream is marked',
   );
 
 /** The state of the configuration, and the marks in force. */
@@ -87,10 +89,9 @@
   return `${toPrintable(head.trim())}\n\n${conditions}\n${formatMarks(status)}`;
 };
 
-/** One row a team and version, and the sum. */
+/** One row a team and version, and the sum of the costs; a cascade's request stands in two rows. */
 export const formatBilling = (rows: readonly BillingRow[]): string => {
   const total = rows.reduce((sum, row) => sum + row.costMicroUsd, 0);
-  const requests = rows.reduce((sum, row) => sum + row.requests, 0);
   const cells = rows.map((row) => [
     row.team,
     row.version,
@@ -99,7 +100,7 @@
     row.completionTokens,
     formatUsd(row.costMicroUsd),
   ]);
-  const sum = ['all', '', requests, '', '', formatUsd(total)];
+  const sum = ['all', '', '', '', '', formatUsd(total)];
   const headings = ['TEAM', 'VERSION', 'REQUESTS', 'PROMPT TOKENS', 'ANSWER TOKENS', 'COST'];
   return formatTable(headings, rows.length === 0 ? [] : [...cells, sum]);
 };
@@ -117,6 +118,7 @@
       Math.round(row.totalP50Ms),
       Math.round(row.totalP95Ms),
     ]),
+    'no answers measured',
   );
 
 const formatBill = ({ bill }: RequestReply): string => {
--- a/packages/cli/src/output/formatTable.ts
+++ b/packages/cli/src/output/formatTable.ts
@@ -25,9 +25,10 @@
 export const formatTable = (
   headings: readonly string[],
   rows: readonly (readonly unknown[])[],
+  emptyText = 'none',
 ): string => {
   if (rows.length === 0) {
-    return 'none\n';
+    return `${emptyText}\n`;
   }
   const cells = [headings, ...rows.map((row) => row.map(toPrintable))];
   const widths = getWidths(cells);
--- a/packages/cli/src/systemCommands.test.ts
+++ b/packages/cli/src/systemCommands.test.ts
@@ -1,7 +1,7 @@
 import { readFile } from 'node:fs/promises';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { fail, ok } from './testSupport/fakeApi.js';
+import { fail, ok, startFakeApi } from './testSupport/fakeApi.js';
 import { runCli, withCli } from './testSupport/runCli.js';
 import {
   createEvent,
@@ -45,6 +45,16 @@
   }),
 );
 
+test('a drain goes on to the daemon that it is meant for', async () => {
+  const [other, meant] = await Promise.all([startFakeApi(), startFakeApi()]);
+  other.handlers.set('POST /api/drain', () => fail(421, 'misdirected'));
+  meant.handlers.set('POST /api/drain', () => ok({ type: 'vm', target: 'entry-3' }));
+  const run = await runCli([other.url, meant.url], ['drain', 'entry-3', '--yes']);
+  assert.is(run.exitCode, 0);
+  assert.is(meant.calls.length, 1);
+  await Promise.all([other.close(), meant.close()]);
+});
+
 test(
   'rollout status, pause and resume; a race with another operator is read again',
   withCli(async ({ api, run }) => {
--- a/packages/daemon/src/operatorApi/actions/safeMoveActions.ts
+++ b/packages/daemon/src/operatorApi/actions/safeMoveActions.ts
@@ -92,7 +92,16 @@
   return isVm ? 'vm' : 'upstream';
 };
 
+/** Only the daemon itself can stop; any other one would report a drain that never happens. */
+const requireOwnVm = ({ membership }: OperatorDependencies, vm: string): void => {
+  if (vm !== membership.self.vm) {
+    const message = `${membership.self.vm} cannot drain ${vm}: ask the operator API of ${vm} itself`;
+    throw new OperatorApiError('misdirected', message);
+  }
+};
+
 const drainVm: DrainHandler = async ({ dependencies, operator }, target) => {
+  requireOwnVm(dependencies, target);
   await dependencies.drain(target, operator.name);
   return {};
 };
--- a/packages/daemon/src/operatorApi/errors.ts
+++ b/packages/daemon/src/operatorApi/errors.ts
@@ -14,6 +14,7 @@
   | 'unknown_kind'
   | 'conflict'
   | 'history_gone'
+  | 'misdirected'
   | 'too_many_watches';
 
 const statuses: Readonly<Record<OperatorErrorCode, number>> = {
@@ -27,6 +28,7 @@
   unknown_kind: 404,
   conflict: 409,
   history_gone: 410,
+  misdirected: 421,
   too_many_watches: 429,
 };
 
--- a/packages/daemon/src/operatorApi/types.ts
+++ b/packages/daemon/src/operatorApi/types.ts
@@ -112,7 +112,7 @@
   getMetricsText(): Promise<string>;
   getHealth(): HealthReport;
   getReadiness(): HealthReport;
-  /** Asks the daemon on the VM to finish what it has and leave. */
+  /** Makes this daemon finish what it has and leave; `vm` is always its own. */
   drain(vm: string, by: string): Promise<void>;
 }
 
