Rollouts: shared evidence, holder under a lease, granted assigner; wired in

Cause: roll-outs stood still on placeholders; each daemon knew the priors only. Change: counters of all daemons join by maximum and travel with membership's exchanges; one poller of each data centre hands scores to those who asked for them; a holder writes stages under its fence and plans grants; every daemon may quarantine on its own evidence. Conclusion: the request path gets its evidence and assignments from here on.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -198,7 +198,7 @@
       collectTimeline: (query) => collector.collect(query),
       getRequest: (requestId) => collector.getRequest(requestId),
       collectLatency: () => Promise.resolve(core.metrics.listLatency()),
-      listRolloutStatus: () => Promise.resolve([]),
+      listRolloutStatus: () => Promise.resolve(core.rollouts.listStatus()),
       getMetricsText: () => core.metrics.getText(),
       getHealth: () => ({ isOk: true, reasons: [] }),
       getReadiness: () => this.#getReadiness(core),
--- a/packages/daemon/src/daemonCore.ts
+++ b/packages/daemon/src/daemonCore.ts
@@ -24,7 +24,7 @@
   VmListClient,
 } from '@snipehaven/platform';
 import type { PeerHandlers, PeerTransport } from '@snipehaven/protocol';
-import { LocalEvidenceBook, StableAssigner } from '@snipehaven/rollouts';
+import { RolloutSystem } from '@snipehaven/rollouts';
 import {
   AdmissionGate,
   LatencyBook,
@@ -93,6 +93,8 @@
 
   readonly pins: ReplicatedPinDirectory;
 
+  readonly rollouts: RolloutSystem;
+
   readonly registry: UpstreamRegistry;
 
   readonly gate: AdmissionGate;
@@ -149,6 +151,15 @@
     });
     this.ledgerReader = new TableLedgerReader({ table, objectStore });
     this.pins = new ReplicatedPinDirectory(base);
+    this.rollouts = new RolloutSystem({
+      ...base,
+      leases: this.leases,
+      rater: options.rater,
+      configuration: this.configuration,
+      safeMoves: this.configuration.safeMoves,
+      actorSystem: this.#actors,
+    });
+    this.rollouts.topics.forEach((topic) => membership.registerTopic(topic));
     this.registry = new UpstreamRegistry({
       localDataCentre: asId<DataCentreId>(dataCentre),
       random,
@@ -171,6 +182,7 @@
       membership: membership.handlers,
       configuration: this.configuration.handlers,
       usage: this.ledger.handlers,
+      evidence: this.rollouts.handlers,
       sessions: this.pins.handlers,
       timeline: {
         listEvents: (query) => Promise.resolve({ events: timeline.list(query) }),
@@ -193,6 +205,7 @@
     this.configuration.start();
     this.ledger.start();
     this.pins.start();
+    this.rollouts.start();
     this.#watcher.start();
   }
 
@@ -201,6 +214,7 @@
     this.timeline.record('daemonStopping', {});
     const isIdle = await this.#waitUntilIdle(deadlineMs);
     this.#watcher.stop();
+    await this.rollouts.stop();
     await this.pins.stop();
     const unflushedRecords = await this.ledger.stop();
     this.configuration.stop();
@@ -214,6 +228,7 @@
   /** Stops at once as a killed process would, for tests. */
   kill(): void {
     this.#watcher.stop();
+    this.rollouts.kill();
     this.membership.stop();
     this.configuration.stop();
     this.claims.stop();
@@ -243,7 +258,7 @@
   }
 
   #createRouter(): RequestRouter {
-    const { identity, settings, engines, services, rater, logger, random } = this.#options;
+    const { identity, settings, engines, services, logger, random } = this.#options;
     return new RequestRouter({
       incarnation: identity.incarnation,
       dataCentre: asId<DataCentreId>(identity.dataCentre),
@@ -253,8 +268,8 @@
       ledger: this.ledger,
       tokens: new HmacSessionTokens(settings.session),
       pins: this.pins,
-      evidence: new LocalEvidenceBook(rater, logger),
-      assigner: new StableAssigner(this.configuration),
+      evidence: this.rollouts.evidence,
+      assigner: this.rollouts.assigner,
       engines,
       services,
       registry: this.registry,
--- a/packages/protocol/src/httpPeerTransport.ts
+++ b/packages/protocol/src/httpPeerTransport.ts
@@ -95,6 +95,7 @@
         pushSafeMoves: wrap(client.configuration.pushSafeMoves.mutate),
       },
       usage: { replicate: wrap(client.usage.replicate.mutate) },
+      evidence: { deliverScores: wrap(client.evidence.deliverScores.mutate) },
       sessions: {
         getPin: wrap(client.sessions.getPin.mutate),
         putPin: wrap(client.sessions.putPin.mutate),
--- a/packages/protocol/src/peerHandlers.ts
+++ b/packages/protocol/src/peerHandlers.ts
@@ -1,5 +1,6 @@
 /** All that one daemon answers to another, by concern. Its remote form has the same shape. */
 import type { ConfigurationHandlers } from './configuration/messages.js';
+import type { EvidenceHandlers } from './evidence/messages.js';
 import type { MembershipHandlers } from './membership/messages.js';
 import type { SessionHandlers } from './sessions/messages.js';
 import type { TimelineHandlers } from './timeline/messages.js';
@@ -9,6 +10,7 @@
   readonly membership: MembershipHandlers;
   readonly configuration: ConfigurationHandlers;
   readonly usage: UsageHandlers;
+  readonly evidence: EvidenceHandlers;
   readonly sessions: SessionHandlers;
   readonly timeline: TimelineHandlers;
 }
--- a/packages/protocol/src/peerRouter.ts
+++ b/packages/protocol/src/peerRouter.ts
@@ -5,6 +5,7 @@
   pushChangesSchema,
   pushSafeMovesSchema,
 } from './configuration/messages.js';
+import { deliverScoresSchema } from './evidence/messages.js';
 import { exchangeSchema, probeSchema } from './membership/messages.js';
 import type { PeerHandlers } from './peerHandlers.js';
 import { getPinSchema, putPinSchema } from './sessions/messages.js';
@@ -37,6 +38,11 @@
       .input(replicateUsageSchema)
       .mutation(({ ctx, input }) => ctx.usage.replicate(input)),
   }),
+  evidence: router({
+    deliverScores: procedure
+      .input(deliverScoresSchema)
+      .mutation(({ ctx, input }) => ctx.evidence.deliverScores(input)),
+  }),
   sessions: router({
     getPin: procedure.input(getPinSchema).mutation(({ ctx, input }) => ctx.sessions.getPin(input)),
     putPin: procedure.input(putPinSchema).mutation(({ ctx, input }) => ctx.sessions.putPin(input)),
--- /dev/null
+++ b/packages/rollouts/src/rollout/grantPlanner.ts
@@ -0,0 +1,114 @@
+/** Plans what each daemon may expose, from what the daemons report. */
+import { asId, type IncarnationId } from '@snipehaven/common';
+import type { MembershipView } from '@snipehaven/membership';
+import {
+  planGrants,
+  type DaemonExposure,
+  type RolloutDefinition,
+  type RolloutProgress,
+} from '@snipehaven/policy';
+import { GRANT_RENEW_MS, RETIRE_AFTER_MS, rolloutSettings } from '../constants.js';
+import type { RolloutStates } from './rolloutStates.js';
+import type { GrantMessage } from './types.js';
+
+export interface GrantPlanInput {
+  readonly definition: RolloutDefinition;
+  readonly progress: RolloutProgress;
+  readonly ratingCount: number;
+  readonly isRaterUp: boolean;
+}
+
+export class GrantPlanner {
+  readonly #states: RolloutStates;
+
+  readonly #membership: MembershipView;
+
+  /** When a daemon was first seen dead. */
+  readonly #deadSinceMs = new Map<string, number>();
+
+  #plan = 0;
+
+  #renewedAtMs = -Infinity;
+
+  constructor(states: RolloutStates, membership: MembershipView) {
+    this.#states = states;
+    this.#membership = membership;
+  }
+
+  /** Plans anew and puts the grants into the state, from where they spread. */
+  plan(input: GrantPlanInput): void {
+    const { definition, progress, ratingCount } = input;
+    const daemons = this.#listDaemons(definition.rolloutId, input.isRaterUp);
+    const grants = planGrants({
+      definition,
+      progress,
+      daemons,
+      ratingCount,
+      settings: rolloutSettings,
+    });
+    const isDue = Date.now() - this.#renewedAtMs >= GRANT_RENEW_MS;
+    const changed = grants.filter((grant) => isDue || this.#isChanged(grant));
+    if (changed.length === 0) {
+      return;
+    }
+    this.#plan += 1;
+    changed.forEach((grant) => this.#states.mergeGrant({ ...grant, plan: this.#plan }));
+    if (isDue) {
+      this.#renewedAtMs = Date.now();
+    }
+  }
+
+  #isChanged(grant: Omit<GrantMessage, 'plan'>): boolean {
+    const known = this.#states.getGrantMessage(grant.rolloutId, grant.incarnation);
+    return (
+      known?.fence !== grant.fence ||
+      known.grantedCount !== grant.grantedCount ||
+      known.sharePct !== grant.sharePct
+    );
+  }
+
+  #listDaemons(rolloutId: string, isRaterUp: boolean): readonly DaemonExposure[] {
+    const states = this.#states;
+    const incarnations = new Set([
+      ...this.#membership.listAlive().map(({ incarnation }) => incarnation),
+      ...states.listGrants(rolloutId).map(({ incarnation }) => incarnation),
+      ...states.listExposures(rolloutId).map(({ incarnation }) => incarnation),
+    ]);
+    return [...incarnations].map((incarnation) =>
+      this.#describe(rolloutId, incarnation, isRaterUp),
+    );
+  }
+
+  /**
+   * A dead daemon's answers that nobody judged hold their part of the budget, for they may be bad and were
+   * given. After a long time their ratings will not come any more, for only that daemon knew them again.
+   */
+  #describe(rolloutId: string, incarnation: string, isRaterUp: boolean): DaemonExposure {
+    const exposure = this.#states.getExposure(rolloutId, incarnation);
+    const grant = this.#states.getGrantMessage(rolloutId, incarnation);
+    const isLive = this.#membership.isIncarnationAlive(incarnation);
+    const grantedCount = Math.max(exposure?.grantedCount ?? 0, grant?.grantedCount ?? 0);
+    const exposedCount = exposure?.exposedCount ?? 0;
+    const isRetired = isRaterUp && this.#isLongDead(incarnation, isLive);
+    const judgedCount = isRetired
+      ? Math.max(grantedCount, exposedCount)
+      : (exposure?.judgedCount ?? 0);
+    return {
+      incarnation: asId<IncarnationId>(incarnation),
+      isLive,
+      grantedCount,
+      exposedCount,
+      judgedCount,
+    };
+  }
+
+  #isLongDead(incarnation: string, isLive: boolean): boolean {
+    if (isLive) {
+      this.#deadSinceMs.delete(incarnation);
+      return false;
+    }
+    const sinceMs = this.#deadSinceMs.get(incarnation) ?? Date.now();
+    this.#deadSinceMs.set(incarnation, sinceMs);
+    return Date.now() - sinceMs >= RETIRE_AFTER_MS;
+  }
+}
--- /dev/null
+++ b/packages/rollouts/src/rolloutSystem.ts
@@ -0,0 +1,83 @@
+/** Evidence and roll-outs of one daemon, wired together. */
+import type { ActorSystem, Logger, Random } from '@snipehaven/common';
+import type { ConfigurationStore, SafeMoves } from '@snipehaven/configuration';
+import type { GossipTopic, LeaseKeeper, MembershipView } from '@snipehaven/membership';
+import type { RaterClient, TableClient } from '@snipehaven/platform';
+import type { EvidenceHandlers, PeerTransport } from '@snipehaven/protocol';
+import type { TimelineRecorder } from '@snipehaven/timeline';
+import { GrantedRolloutAssigner } from './rollout/grantedRolloutAssigner.js';
+import { GuardWatch } from './rollout/guardWatch.js';
+import { RolloutCatalogue } from './rollout/rolloutCatalogue.js';
+import { RolloutRunner } from './rollout/rolloutRunner.js';
+import { RolloutStates } from './rollout/rolloutStates.js';
+import { RolloutTopic } from './rollout/rolloutTopic.js';
+import { SharedEvidenceBook } from './sharedEvidenceBook.js';
+import type { RolloutReport } from './types.js';
+
+export interface RolloutSystemOptions {
+  readonly table: TableClient;
+  readonly leases: LeaseKeeper;
+  readonly rater: RaterClient;
+  readonly transport: PeerTransport;
+  readonly membership: MembershipView;
+  readonly configuration: Pick<ConfigurationStore, 'getView'>;
+  readonly safeMoves: SafeMoves;
+  readonly actorSystem: ActorSystem;
+  readonly timeline: TimelineRecorder;
+  readonly logger: Logger;
+  readonly random: Random;
+}
+
+export class RolloutSystem {
+  readonly evidence: SharedEvidenceBook;
+
+  readonly assigner: GrantedRolloutAssigner;
+
+  readonly runner: RolloutRunner;
+
+  /** To be registered with membership. */
+  readonly topics: readonly GossipTopic[];
+
+  constructor(options: RolloutSystemOptions) {
+    const { membership } = options;
+    const catalogue = new RolloutCatalogue(options.configuration);
+    const states = new RolloutStates();
+    this.evidence = new SharedEvidenceBook({ ...options, catalogue, states });
+    const { ledger, cells } = this.evidence;
+    const isRaterUp = (): boolean => this.evidence.isRaterUp();
+    const shared = { ...options, catalogue, states, ledger, isRaterUp };
+    this.assigner = new GrantedRolloutAssigner({
+      ...shared,
+      incarnation: membership.self.incarnation,
+    });
+    this.runner = new RolloutRunner({ ...shared, guard: new GuardWatch(cells) });
+    const isDeclared = (rolloutId: string): boolean =>
+      catalogue.list().some(({ definition }) => definition.rolloutId === rolloutId);
+    this.topics = [this.evidence.topic, new RolloutTopic({ states, membership, isDeclared })];
+  }
+
+  /** What the daemon answers to its peers. */
+  get handlers(): EvidenceHandlers {
+    return this.evidence.handlers;
+  }
+
+  start(): void {
+    this.evidence.start();
+    this.runner.start();
+  }
+
+  async stop(): Promise<void> {
+    this.evidence.stop();
+    await this.runner.stop();
+  }
+
+  /** Stops as a killed process would. */
+  kill(): void {
+    this.evidence.stop();
+    this.runner.kill();
+  }
+
+  listStatus(): readonly RolloutReport[] {
+    return this.runner.listStatus();
+  }
+}
--- a/packages/rollouts/src/types.ts
+++ b/packages/rollouts/src/types.ts
@@ -43,6 +43,10 @@
   readonly allowsExploration: boolean;
   readonly allowsCascade: boolean;
   readonly isSession: boolean;
+  /** Makes a repeated question about the same request get the same answer, charged once. */
+  readonly requestId?: string;
+  /** Versions that may answer this request; a candidate that is none of them is not assigned. */
+  readonly usableVersions?: readonly string[];
 }
 
 /** What a model's roll-out decides for one new session or sessionless request. */
@@ -56,9 +60,35 @@
   readonly isGated: boolean;
   readonly stableVersion: VersionId;
   readonly candidateVersion: VersionId;
+  /** The candidate's answer must go to the rater, whatever the share of rated answers is. */
+  readonly shouldRate?: boolean;
 }
 
 export interface RolloutAssigner {
   /** Undefined: no roll-out of the model is under way. */
   assign(model: string, audience: AssignmentAudience): ModelAssignment | undefined;
+  /** Gives back what the request held of the grant and did not use; to be called when it has ended. */
+  release?(requestId: string): void;
+}
+
+/** How far a roll-out has come, for operators. */
+export interface RolloutReport {
+  readonly name: string;
+  readonly model: string;
+  readonly stableVersion: string;
+  readonly candidateVersion: string;
+  readonly phase: 'waiting' | 'running' | 'paused' | 'quarantined' | 'finished';
+  /** Index into the stages, from 0. */
+  readonly stage: number;
+  readonly stageCount: number;
+  readonly sharePct: number;
+  readonly stageRatings: number;
+  readonly minRatings: number;
+  /** Candidate answers started so far, over all daemons that this one heard of. */
+  readonly exposedCount: number;
+  readonly unjudgedCount: number;
+  readonly exposureBudget: number;
+  readonly candidateRating?: number;
+  readonly stableRating?: number;
+  readonly reason: string;
 }
