Claims: wait longer after each refusal for the rate; no window before group commit

Cause: over the table's rate every daemon came back at the named moment. And a window of 2 ms before a batch delayed lone claims without saving a write. Change: back-off that doubles with refusals in a row, by a random part; groupCommitMs 0, since calls in flight gather the next batch by themselves.

--- a/packages/claims/src/constants.ts
+++ b/packages/claims/src/constants.ts
@@ -12,7 +12,7 @@
   answerRetentionMs: DAY_MS,
   unknownRetentionMs: 7 * DAY_MS,
   maxInlineAnswerBytes: 8_192,
-  groupCommitMs: 2,
+  groupCommitMs: 0,
   maxBatch: 64,
   maxBatchesInFlight: 2,
   maxQueuedTransactions: 1_024,
--- a/packages/claims/src/tableClaimStore.ts
+++ b/packages/claims/src/tableClaimStore.ts
@@ -73,7 +73,7 @@
 
   constructor(options: TableClaimStoreOptions) {
     const settings = { ...DEFAULT_CLAIM_SETTINGS, ...options.settings };
-    const batcher = new TransactionBatcher(options.table, settings);
+    const batcher = new TransactionBatcher(options.table, settings, options.random);
     const shared = { ...options, settings, batcher };
     this.#options = options;
     this.#settings = settings;
--- a/packages/claims/src/transactionBatcher.ts
+++ b/packages/claims/src/transactionBatcher.ts
@@ -1,4 +1,5 @@
 /** Group commit: transactions that wait together go to the table in one call. */
+import type { Random } from '@snipehaven/common';
 import { PlatformOutcomeUnknownError, PlatformRefusedError } from '@snipehaven/platform';
 import type { TableClient, TableTransaction, TransactionResult } from '@snipehaven/platform';
 import { NotSentError } from './errors.js';
@@ -26,6 +27,8 @@
 }
 
 const BATCH_GROWTH = 4;
+const FIRST_BACKOFF_MS = 20;
+const MAX_BACKOFF_MS = 640;
 
 const isRateLimit = (error: unknown): error is PlatformRefusedError & { retryAfterMs: number } =>
   error instanceof PlatformRefusedError && error.retryAfterMs !== undefined;
@@ -40,13 +43,15 @@
 
 /**
  * Sends transactions in bounded batches, few of them in flight. Over the table's rate limit the batch
- * waits its `Retry-After` and shrinks: a batch above the table's burst would be refused for ever.
+ * waits its `Retry-After` and more, and shrinks: a batch above the table's burst would be refused for ever.
  */
 export class TransactionBatcher {
   readonly #table: TableClient;
 
   readonly #settings: BatcherSettings;
 
+  readonly #random: Random;
+
   #queue: Entry[] = [];
 
   #timer: NodeJS.Timeout | undefined;
@@ -57,15 +62,18 @@
 
   #pausedUntilMs = 0;
 
+  #backoffMs = 0;
+
   #calls = 0;
 
   #transactions = 0;
 
   #rateLimited = 0;
 
-  constructor(table: TableClient, settings: BatcherSettings) {
+  constructor(table: TableClient, settings: BatcherSettings, random: Random) {
     this.#table = table;
     this.#settings = settings;
+    this.#random = random;
     this.#batchLimit = settings.maxBatch;
   }
 
@@ -142,6 +150,7 @@
     try {
       const results = await this.#table.transact(batch.map((entry) => entry.transaction));
       this.#batchLimit = Math.min(this.#settings.maxBatch, this.#batchLimit + BATCH_GROWTH);
+      this.#backoffMs = Math.floor(this.#backoffMs / 2);
       batch.forEach((entry, index) => settleEntry(entry, results[index]));
     } catch (error) {
       this.#handleFailure(batch, error);
@@ -156,11 +165,22 @@
     this.#rateLimited += 1;
     this.#transactions -= batch.length;
     this.#batchLimit = Math.max(1, Math.floor(batch.length / 2));
-    this.#pausedUntilMs = Math.max(this.#pausedUntilMs, Date.now() + error.retryAfterMs);
+    this.#pause(error.retryAfterMs);
     this.#queue = [...batch, ...this.#queue];
     this.#rejectHopeless();
   }
 
+  /**
+   * What goes wrong: all daemons come back at the moment that the table named, most are refused again,
+   * and the table answers refusals only. One notices many more rate-limited calls than commits. Hence
+   * each waits longer after each refusal in a row, by a random part.
+   */
+  #pause(retryAfterMs: number): void {
+    this.#backoffMs = Math.min(MAX_BACKOFF_MS, Math.max(FIRST_BACKOFF_MS, this.#backoffMs * 2));
+    const pauseMs = retryAfterMs + this.#random.next() * this.#backoffMs;
+    this.#pausedUntilMs = Math.max(this.#pausedUntilMs, Date.now() + Math.ceil(pauseMs));
+  }
+
   /** Refuses at once what could only be sent after its time. */
   #rejectHopeless(): void {
     const isHopeless = (entry: Entry): boolean => entry.giveUpAtMs < this.#pausedUntilMs;
