--- /dev/null
+++ b/packages/sessions/src/pinFixture.ts
@@ -0,0 +1,200 @@
+/** Daemons with pin directories over one fake table and an in-memory transport; for tests. */
+import {
+  createSilentLogger,
+  rankByRendezvous,
+  setInvariantsFatal,
+  sleep,
+} from '@snipehaven/common';
+import type { MembershipView } from '@snipehaven/membership';
+import {
+  PlatformRefusedError,
+  type TableClient,
+  type TableRow,
+  type TableTransaction,
+  type TransactionResult,
+} from '@snipehaven/platform';
+import {
+  PeerUnreachableError,
+  type Member,
+  type PeerHandlers,
+  type SessionHandlers,
+} from '@snipehaven/protocol';
+import type { EventType } from '@snipehaven/timeline';
+import { getBucket, getBucketKey, getSessionKey } from './pinRow.js';
+import { DEFAULT_PIN_SETTINGS } from './constants.js';
+import { ReplicatedPinDirectory } from './replicatedPinDirectory.js';
+import type { Pin } from './types.js';
+
+const LATENCY_MS = 2;
+
+/** The platform's table, with outages. */
+export class FakePinTable implements TableClient {
+  readonly rows = new Map<string, TableRow>();
+
+  writeCount = 0;
+
+  readCount = 0;
+
+  async transact(transactions: readonly TableTransaction[]): Promise<readonly TransactionResult[]> {
+    await sleep(LATENCY_MS);
+    return transactions.map((transaction) => this.#apply(transaction));
+  }
+
+  async read(keys: readonly string[]): Promise<readonly TableRow[]> {
+    await sleep(LATENCY_MS);
+    this.readCount += keys.length;
+    return keys.flatMap((key) => this.rows.get(key) ?? []);
+  }
+
+  async scan(): Promise<readonly TableRow[]> {
+    return [];
+  }
+
+  #apply({ conditions, writes }: TableTransaction): TransactionResult {
+    const isMet = conditions.every(
+      ({ key, version }) => (this.rows.get(key)?.version ?? 0) === version,
+    );
+    if (!isMet) {
+      return { kind: 'conflict', rows: [] };
+    }
+    this.writeCount += writes.length;
+    writes.forEach(({ key, value }) => {
+      this.rows.set(key, { key, value, version: (this.rows.get(key)?.version ?? 0) + 1 });
+    });
+    return { kind: 'committed', versions: [] };
+  }
+}
+
+interface Daemon {
+  readonly member: Member;
+  readonly directory: ReplicatedPinDirectory;
+  readonly listeners: Set<(member: Member) => void>;
+}
+
+export class PinFixture {
+  readonly table = new FakePinTable();
+
+  readonly events: EventType[] = [];
+
+  readonly daemons = new Map<string, Daemon>();
+
+  /** Members that do not answer. */
+  readonly silent = new Set<string>();
+
+  readonly cutFromTable = new Set<string>();
+
+  /** Members that membership holds for dead. */
+  readonly noticed = new Set<string>();
+
+  constructor() {
+    setInvariantsFatal(true);
+  }
+
+  add(name: string, dataCentre = 'dc1'): ReplicatedPinDirectory {
+    const member: Member = {
+      vm: name,
+      dataCentre,
+      address: name,
+      incarnation: `${name}#1`,
+      refutation: 0,
+      state: 'alive',
+    };
+    const listeners = new Set<(changed: Member) => void>();
+    const directory = new ReplicatedPinDirectory({
+      membership: this.#createView(member, listeners),
+      transport: { getPeer: (address) => this.#getPeer(name, address) },
+      table: this.#createTableClient(name),
+      timeline: { record: (type) => this.events.push(type) },
+      logger: createSilentLogger(),
+    });
+    this.daemons.set(name, { member, directory, listeners });
+    this.#announce(member);
+    directory.start();
+    return directory;
+  }
+
+  /** Names of the owner and the replica of a session, as its data centre sees them. */
+  getHolders(pin: Pin, dataCentre = 'dc1'): readonly string[] {
+    const bucket = getBucket(
+      getSessionKey(pin.teamUid, pin.session),
+      DEFAULT_PIN_SETTINGS.bucketCount,
+    );
+    return this.#rank(getBucketKey(bucket), dataCentre).map(({ vm }) => vm);
+  }
+
+  get(name: string): ReplicatedPinDirectory {
+    return this.daemons.get(name)!.directory;
+  }
+
+  /** The daemon ends; the others notice later. Its writes to the table end too. */
+  kill(name: string): void {
+    this.silent.add(name);
+    this.cutFromTable.add(name);
+  }
+
+  notice(name: string): void {
+    this.noticed.add(name);
+    this.#announce(this.daemons.get(name)!.member);
+  }
+
+  /** Members of other data centres see nothing of each other. */
+  #rank(key: string, dataCentre: string): readonly Member[] {
+    const local = [...this.daemons.values()]
+      .map(({ member }) => member)
+      .filter((member) => member.dataCentre === dataCentre && !this.noticed.has(member.vm));
+    const names = local.map(({ vm }) => vm);
+    return rankByRendezvous(key, names).map((vm) => this.daemons.get(vm)!.member);
+  }
+
+  #createView(
+    self: Member,
+    listeners: Set<(member: Member) => void>,
+  ): Pick<MembershipView, 'self' | 'rankLocal' | 'listAlive' | 'onChange'> {
+    return {
+      self,
+      rankLocal: (key) => this.#rank(key, self.dataCentre),
+      listAlive: () => [...this.daemons.values()].map(({ member }) => member),
+      onChange: (listener) => {
+        listeners.add(listener);
+        return () => listeners.delete(listener);
+      },
+    };
+  }
+
+  #createTableClient(name: string): TableClient {
+    const reach = async <Answer>(call: () => Promise<Answer>): Promise<Answer> => {
+      if (this.cutFromTable.has(name)) {
+        throw new PlatformRefusedError('cut off');
+      }
+      return call();
+    };
+    return {
+      transact: (transactions) => reach(() => this.table.transact(transactions)),
+      read: (keys) => reach(() => this.table.read(keys)),
+      scan: () => reach(() => this.table.scan()),
+    };
+  }
+
+  #announce(member: Member): void {
+    this.daemons.forEach(({ listeners }) => listeners.forEach((listener) => listener(member)));
+  }
+
+  #getPeer(from: string, to: string): PeerHandlers {
+    const { handlers } = this.get(to);
+    const call =
+      <Input, Output>(run: (input: Input) => Promise<Output>) =>
+      async (input: Input): Promise<Output> => {
+        await sleep(1);
+        if (this.silent.has(to) || this.silent.has(from)) {
+          await sleep(1_000);
+          throw new PeerUnreachableError(to);
+        }
+        return run(input);
+      };
+    const sessions: SessionHandlers = {
+      getPin: call(handlers.getPin),
+      putPin: call(handlers.putPin),
+    };
+    return { sessions } as PeerHandlers;
+  }
+}
--- a/packages/sessions/src/pinMemory.ts
+++ b/packages/sessions/src/pinMemory.ts
@@ -1,6 +1,6 @@
 /** The pins that one daemon holds: bounded, least recently used first to go. */
 import { mergePins } from './choosePin.js';
-import { getBucket, getSessionKey, type PinsByKey, type StoredPin } from './pinRow.js';
+import { getBucket, getSessionKey, toPin, type PinsByKey, type StoredPin } from './pinRow.js';
 import type { Pin, PinSettings } from './types.js';
 
 export class PinMemory {
@@ -57,11 +57,11 @@
   merge(pin: Pin, usedAtMs: number): Pin {
     const present = this.#pins.get(getSessionKey(pin.teamUid, pin.session));
     const inForce = mergePins(present, pin) ?? pin;
-    if (inForce === present) {
-      return present;
+    if (present && inForce === present) {
+      return toPin(present);
     }
-    this.set(inForce, Math.max(usedAtMs, present?.usedAtMs ?? 0));
-    return inForce;
+    this.set(pin, Math.max(usedAtMs, present?.usedAtMs ?? 0));
+    return pin;
   }
 
   listBuckets(): readonly number[] {
--- a/packages/sessions/src/pinTable.ts
+++ b/packages/sessions/src/pinTable.ts
@@ -1,5 +1,5 @@
 /** Reads and writes rows of pins; requests never wait long for it. */
-import { getErrorMessage, sleep, type Logger } from '@snipehaven/common';
+import { getErrorMessage, type Logger } from '@snipehaven/common';
 import type { TableClient, TableRow, TransactionResult } from '@snipehaven/platform';
 import {
   getBucketKey,
@@ -10,6 +10,7 @@
   type PinsByKey,
 } from './pinRow.js';
 import type { PinSettings } from './types.js';
+import { withinTime } from './withinTime.js';
 
 export interface PinTableOptions {
   readonly table: TableClient;
@@ -57,10 +58,8 @@
     if (Date.now() < this.#askAgainAtMs) {
       return new Map();
     }
-    const timeout = new AbortController();
-    const slow = sleep(this.#options.settings.tableWaitMs, timeout.signal).then(() => undefined);
-    const rows = await Promise.race([this.#readRows([bucket]), slow]);
-    timeout.abort();
+    const { tableWaitMs } = this.#options.settings;
+    const rows = await withinTime(this.#readRows([bucket]), tableWaitMs);
     if (!rows) {
       this.#askAgainAtMs = Date.now() + this.#options.settings.tableRetryMs;
     }
