snipectl: colours of help and usage only on a terminal

Cause: help and usage errors were coloured in pipes, because the library looks at the environment. Change: the library is told; names in the time line's table do not wrap. Conclusion: output to files and pipes is plain.

--- a/packages/cli/src/commands/snipectlCommand.ts
+++ b/packages/cli/src/commands/snipectlCommand.ts
@@ -5,7 +5,7 @@
 import { selectEndpoint, type EndpointChoice } from '../contexts/selectEndpoint.js';
 import { ApiCallError, InvalidInputError, SnipectlError } from '../errors.js';
 import { exitCodes, type ExitCode } from '../exitCodes.js';
-import { createColours, type Colours } from '../output/colours.js';
+import { createColours, isTerminal, type Colours } from '../output/colours.js';
 import { formatDifferences } from '../output/formatResources.js';
 import type { SnipectlContext } from '../types.js';
 
@@ -47,7 +47,7 @@
   }
 
   protected get isTerminal(): boolean {
-    return 'isTTY' in this.context.stdout && this.context.stdout.isTTY === true;
+    return isTerminal(this.context.stdout);
   }
 
   protected get colours(): Colours {
--- a/packages/cli/src/output/colours.ts
+++ b/packages/cli/src/output/colours.ts
@@ -1,5 +1,7 @@
 /** Colours of a terminal; plain text elsewhere. */
 
+import type { Writable } from 'node:stream';
+
 /** Paints text, or leaves it as it is. */
 export interface Colours {
   good(text: string): string;
@@ -26,6 +28,13 @@
 
 const noColours: Colours = { good: plain, bad: plain, warn: plain, strong: plain };
 
+/** Whether the stream is a terminal. */
+export const isTerminal = (stream: Writable): boolean => 'isTTY' in stream && stream.isTTY === true;
+
+/** Colours are for terminals; NO_COLOR asks for none there either. */
+export const areColoursOn = (isOnTerminal: boolean, noColor: string | undefined): boolean =>
+  isOnTerminal && (noColor === undefined || noColor === '');
+
 /** Colours for a terminal; none for files, pipes, and where NO_COLOR asks for none. */
-export const createColours = (isTerminal: boolean, noColor: string | undefined): Colours =>
-  isTerminal && (noColor === undefined || noColor === '') ? terminalColours : noColours;
+export const createColours = (isOnTerminal: boolean, noColor: string | undefined): Colours =>
+  areColoursOn(isOnTerminal, noColor) ? terminalColours : noColours;
--- a/packages/cli/src/resourceCommands.test.ts
+++ b/packages/cli/src/resourceCommands.test.ts
@@ -202,6 +202,8 @@
     assert.match((await run(args, { isTerminal: true })).stderr, '\u001b');
     const env = { NO_COLOR: '1' };
     assert.not.match((await run(args, { isTerminal: true, env })).stderr, '\u001b');
+    assert.not.match((await run(['--help'])).stdout, '\u001b');
+    assert.not.match((await run(['frobnicate'])).stderr, '\u001b');
   }),
 );
 
--- a/packages/cli/src/testSupport/runCli.ts
+++ b/packages/cli/src/testSupport/runCli.ts
@@ -49,7 +49,7 @@
     stdin: Readable.from([stdin]),
     stdout,
     stderr,
-    colorDepth: 1,
+    colorDepth: 8,
     checkSettings: checkDaemonSettings,
   });
   return { exitCode, stdout: stdout.text, stderr: stderr.text };
--- a/packages/timeline/src/page/timelineScript.ts
+++ b/packages/timeline/src/page/timelineScript.ts
@@ -141,7 +141,7 @@
     const row = document.createElement('tr');
     row.dataset.index = index;
     const time = new Date(event.wallMs).toISOString().replace('T', ' ').slice(0, 23) + '+' + event.counter;
-    [['time', time], ['', lane.dataCentre], ['', lane.vm], ['type', event.type], ['facts', event.facts]]
+    [['time', time], ['name', lane.dataCentre], ['name', lane.vm], ['type', event.type], ['facts', event.facts]]
       .forEach(([name, text]) => {
         const cell = document.createElement('td');
         cell.className = name;
--- a/packages/timeline/src/page/timelineStyle.ts
+++ b/packages/timeline/src/page/timelineStyle.ts
@@ -13,7 +13,7 @@
 svg .dot.picked { stroke: var(--ink); stroke-width: 2; }
 svg .brush { fill: #2f7fd6; opacity: 0.18; }
 .missing { color: #d0342c; }
-td.time { white-space: nowrap; } td.type { white-space: nowrap; font-weight: 600; }
+td.time { white-space: nowrap; } td.type { white-space: nowrap; font-weight: 600; } td.name { white-space: nowrap; }
 td.facts { word-break: break-word; }
 tr.picked td { background: var(--band); }
 `;
