Prove candidates in the shadow before they answer anybody

Cause: any version that answers callers while it is unknown exposes at least as many answers as the guard needs; a tenth more failures takes thousands. Change: a shadow phase before the stages: the candidate answers a fifth of the idempotent requests beside the stable version, both answers are rated, nobody sees the candidate's. A betting test on the score differences of the same prompts quarantines or lets it pass at the operators' margin. The price is the shadow answers and, for such a fine margin, hours at 9 daemons.

--- a/packages/bench/src/policy/rollouts/perDaemonBudget.ts
+++ b/packages/bench/src/policy/rollouts/perDaemonBudget.ts
@@ -8,7 +8,7 @@
 
 /** The same guard as ours, without a budget over all daemons. */
 export const createPerDaemonBudget = (settings: RolloutSettings): RolloutPolicy => {
-  const guard = createOwnRollout('guard', settings);
+  const guard = createOwnRollout('guard', { ...settings, shadowSharePct: 0 });
   return {
     name: 'perDaemonBudget',
     createRun: (daemonCount): RolloutRun => {
@@ -18,7 +18,7 @@
         route: (daemon, nextRandom, view) => {
           const unjudged = (view.exposed[daemon] ?? 0) - (view.judged[daemon] ?? 0);
           const isFree = unjudged < ANSWERS_PER_DAEMON && nextRandom < SHARE;
-          return { isCandidate: isFree, isGated: false };
+          return { isCandidate: isFree, isShadow: false };
         },
         getEnd: () => run.getEnd(),
       };
--- a/packages/bench/src/policy/rollouts/rolloutPolicies.ts
+++ b/packages/bench/src/policy/rollouts/rolloutPolicies.ts
@@ -8,6 +8,8 @@
   readonly candidate: readonly OutcomeCounts[];
   readonly stable: readonly OutcomeCounts[];
   readonly ratingCount: number;
+  /** Score differences of prompts that both versions answered. */
+  readonly pairCounts: readonly number[];
   /** Candidate answers started, by daemon. */
   readonly exposed: readonly number[];
   /** Candidate answers with a known outcome, by daemon. */
@@ -17,8 +19,8 @@
 /** Where a new request goes. */
 export interface RolloutRoute {
   readonly isCandidate: boolean;
-  /** Answers below the gate's score are replaced by the stable version's. */
-  readonly isGated: boolean;
+  /** The candidate answers too, and nobody sees it. */
+  readonly isShadow: boolean;
 }
 
 export type RolloutEnd = 'quarantined' | 'finished';
@@ -38,5 +40,5 @@
   readonly createRun: (daemonCount: number) => RolloutRun;
 }
 
-export const toStable: RolloutRoute = { isCandidate: false, isGated: false };
-export const toCandidate: RolloutRoute = { isCandidate: true, isGated: false };
+export const toStable: RolloutRoute = { isCandidate: false, isShadow: false };
+export const toCandidate: RolloutRoute = { isCandidate: true, isShadow: false };
--- a/packages/bench/src/policy/rollouts/rounds.ts
+++ b/packages/bench/src/policy/rollouts/rounds.ts
@@ -15,7 +15,9 @@
   answersPerDaemonGrant: 4,
   budgetGrowth: 0.5,
   maxDaemonSharePct: 50,
-  gatedUntilRatings: 0,
+  shadowSharePct: 0,
+  shadowAlpha: 0.1,
+  minShadowPairs: 100,
 };
 
 /** All earlier rounds, oldest first. */
--- a/packages/bench/src/policy/summary.ts
+++ b/packages/bench/src/policy/summary.ts
@@ -11,6 +11,7 @@
   'goodputPct',
   'fairness',
   'minutesToFull',
+  'shadowAnswers',
 ] as const;
 
 type Figure = (typeof FIGURES)[number];
--- a/packages/bench/src/policy/types.ts
+++ b/packages/bench/src/policy/types.ts
@@ -18,6 +18,8 @@
   readonly fairness: number | null;
   /** Only for roll-outs of a good version: mean time until it has all traffic. */
   readonly minutesToFull?: number | null;
+  /** Only for roll-outs: answers made for the comparison alone, seen by nobody. */
+  readonly shadowAnswers?: number | null;
 }
 
 /** A situation in which several policies are compared. */
--- a/packages/policy/src/rollout/assignRollout.ts
+++ b/packages/policy/src/rollout/assignRollout.ts
@@ -1,4 +1,5 @@
 /** Assigns new sessions and sessionless requests to the candidate or the stable version. */
+import { defaultRolloutSettings } from './constants.js';
 import type { AssignmentInput, AssignmentReason, RolloutAssignment } from './types.js';
 
 const FULL_PCT = 100;
@@ -10,17 +11,6 @@
 const isInAudience = (input: AssignmentInput): boolean =>
   isLastStage(input) || (input.audience.allowsExploration && !input.audience.isStrict);
 
-/** A gated answer is rated before its release; without that the team or the rater forbids it. */
-const findGateReason = (input: AssignmentInput): AssignmentReason | undefined => {
-  if (!input.grant?.isGated) {
-    return undefined;
-  }
-  if (!input.audience.allowsCascade) {
-    return 'audience';
-  }
-  return input.isRaterUp ? undefined : 'raterDown';
-};
-
 /**
  * Without a grant a daemon exposes nothing. If each daemon were allowed a few answers of its own,
  * 400 of them would expose thousands before the first rating came back.
@@ -33,43 +23,67 @@
   return used > input.grant.grantedCount ? 'grantUsedUp' : undefined;
 };
 
-const findRefusal = (input: AssignmentInput): AssignmentReason | undefined => {
-  if (input.progress.phase !== 'running' || input.definition.isPaused) {
-    return 'notRunning';
-  }
-  if (!isInAudience(input)) {
-    return 'audience';
-  }
-  return findGrantReason(input) ?? findGateReason(input);
-};
-
 const assignStable = (input: AssignmentInput, reason: AssignmentReason): RolloutAssignment => ({
   version: input.definition.stableVersion,
   isCandidate: false,
-  isGated: false,
   chargedCount: 0,
   reason,
 });
 
-/** Decides for a new session or a sessionless request; requests within a session keep theirs. */
-export const assignRollout = (input: AssignmentInput): RolloutAssignment => {
-  const version = input.definition.candidateVersion;
-  if (input.progress.phase === 'finished') {
-    return { version, isCandidate: true, isGated: false, chargedCount: 0, reason: 'finished' };
+const assignCandidate = (
+  input: AssignmentInput,
+  reason: AssignmentReason,
+  chargedCount: number,
+): RolloutAssignment => ({
+  version: input.definition.candidateVersion,
+  isCandidate: true,
+  chargedCount,
+  reason,
+});
+
+const isWithinShare = (input: AssignmentInput, sharePct: number): boolean =>
+  input.random.next() * FULL_PCT < sharePct;
+
+/** The caller gets the stable version's answer; the candidate's is only rated. */
+const assignShadow = (input: AssignmentInput): RolloutAssignment => {
+  const { shadowSharePct } = input.settings ?? defaultRolloutSettings;
+  if (!input.isIdempotent) {
+    return assignStable(input, 'audience');
   }
-  const refusal = findRefusal(input);
-  if (refusal) {
-    return assignStable(input, refusal);
+  if (!input.isRaterUp) {
+    return assignStable(input, 'raterDown');
   }
-  if (input.random.next() * FULL_PCT >= (input.grant?.sharePct ?? 0)) {
+  if (!isWithinShare(input, shadowSharePct)) {
     return assignStable(input, 'outsideShare');
   }
-  const isGated = input.grant?.isGated ?? false;
-  return {
-    version,
-    isCandidate: true,
-    isGated,
-    chargedCount: input.expectedAnswers,
-    reason: 'assigned',
-  };
+  const shadowVersion = input.definition.candidateVersion;
+  return { ...assignStable(input, 'shadowed'), shadowVersion };
+};
+
+const assignStage = (input: AssignmentInput): RolloutAssignment => {
+  if (!isInAudience(input)) {
+    return assignStable(input, 'audience');
+  }
+  const refusal = findGrantReason(input);
+  if (refusal) {
+    return assignStable(input, refusal);
+  }
+  return isWithinShare(input, input.grant?.sharePct ?? 0)
+    ? assignCandidate(input, 'assigned', input.expectedAnswers)
+    : assignStable(input, 'outsideShare');
 };
+
+type PhaseHandler = (input: AssignmentInput) => RolloutAssignment;
+
+const phaseHandlers: Readonly<Record<AssignmentInput['progress']['phase'], PhaseHandler>> = {
+  shadow: assignShadow,
+  running: assignStage,
+  quarantined: (input) => assignStable(input, 'notRunning'),
+  finished: (input) => assignCandidate(input, 'finished', 0),
+};
+
+/** Decides for a new session or a sessionless request; requests within a session keep theirs. */
+export const assignRollout = (input: AssignmentInput): RolloutAssignment =>
+  input.definition.isPaused && input.progress.phase !== 'finished'
+    ? assignStable(input, 'notRunning')
+    : phaseHandlers[input.progress.phase](input);
--- a/packages/policy/src/rollout/constants.ts
+++ b/packages/policy/src/rollout/constants.ts
@@ -5,9 +5,11 @@
 export const defaultRolloutSettings: RolloutSettings = {
   quarantineAlpha: 0.01,
   advanceAlpha: 0.1,
-  stableBoundZ: 1,
+  stableBoundZ: 3,
   answersPerDaemonGrant: 4,
   budgetGrowth: 0.5,
   maxDaemonSharePct: 50,
-  gatedUntilRatings: 0,
+  shadowSharePct: 20,
+  shadowAlpha: 0.1,
+  minShadowPairs: 100,
 };
--- a/packages/policy/src/rollout/planGrants.ts
+++ b/packages/policy/src/rollout/planGrants.ts
@@ -93,6 +93,5 @@
     fence: input.progress.fence,
     grantedCount: daemon.grantedCount + (added[index] ?? 0),
     sharePct,
-    isGated: input.ratingCount < settings.gatedUntilRatings,
   }));
 };
--- a/packages/policy/src/rollout/progress.ts
+++ b/packages/policy/src/rollout/progress.ts
@@ -1,14 +1,22 @@
 /** Steps of a roll-out's state. All are written under the lease's fencing number. */
-import type { GuardResult, RolloutDefinition, RolloutProgress } from './types.js';
+import { defaultRolloutSettings } from './constants.js';
+import type {
+  GuardResult,
+  RolloutDefinition,
+  RolloutPhase,
+  RolloutProgress,
+  RolloutSettings,
+} from './types.js';
 
 /** The state of a roll-out that has just been declared. */
 export const startProgress = (
   definition: RolloutDefinition,
   fence: number,
   nowMs: number,
+  settings: RolloutSettings = defaultRolloutSettings,
 ): RolloutProgress => ({
   rolloutId: definition.rolloutId,
-  phase: 'running',
+  phase: settings.shadowSharePct > 0 ? 'shadow' : 'running',
   stage: 0,
   stageStartedAtMs: nowMs,
   ratingsAtStageStart: 0,
@@ -30,6 +38,9 @@
   ratingCount: number,
   nowMs: number,
 ): RolloutProgress => {
+  if (progress.phase === 'shadow') {
+    return { ...progress, phase: 'running', stageStartedAtMs: nowMs };
+  }
   if (progress.stage >= definition.stages.length - 1) {
     return { ...progress, phase: 'finished' };
   }
@@ -51,7 +62,7 @@
   result: GuardResult,
   nowMs: number,
 ): RolloutProgress => {
-  if (progress.phase !== 'running') {
+  if (progress.phase === 'quarantined' || progress.phase === 'finished') {
     return progress;
   }
   if (result.verdict === 'quarantine') {
@@ -61,12 +72,22 @@
   return mayAdvance ? advance(definition, progress, result.ratingCount, nowMs) : progress;
 };
 
-/** Joins two views of one roll-out: quarantine beats everything, then the later stage. */
-export const joinProgress = (a: RolloutProgress, b: RolloutProgress): RolloutProgress => {
-  if (a.phase === 'quarantined' || b.phase === 'quarantined') {
-    const base = a.phase === 'quarantined' ? a : b;
-    return { ...base, fence: Math.max(a.fence, b.fence) };
-  }
-  const isLater = b.fence > a.fence || (b.fence === a.fence && b.stage > a.stage);
-  return isLater ? b : a;
+const phaseRanks: Readonly<Record<RolloutPhase, number>> = {
+  shadow: 0,
+  running: 1,
+  finished: 2,
+  quarantined: 3,
 };
+
+/** Quarantine beats everything; otherwise a later fence does, then the later phase and stage. */
+const compareProgress = (a: RolloutProgress, b: RolloutProgress): number =>
+  Number(a.phase === 'quarantined') - Number(b.phase === 'quarantined') ||
+  a.fence - b.fence ||
+  phaseRanks[a.phase] - phaseRanks[b.phase] ||
+  a.stage - b.stage ||
+  a.stageStartedAtMs - b.stageStartedAtMs ||
+  a.ratingsAtStageStart - b.ratingsAtStageStart;
+
+/** Joins two views of one roll-out: commutative, associative and idempotent. */
+export const joinProgress = (a: RolloutProgress, b: RolloutProgress): RolloutProgress =>
+  compareProgress(a, b) >= 0 ? a : b;
--- a/packages/policy/src/rollout/types.ts
+++ b/packages/policy/src/rollout/types.ts
@@ -24,7 +24,11 @@
   readonly isPaused: boolean;
 }
 
-export type RolloutPhase = 'running' | 'quarantined' | 'finished';
+/**
+ * In the shadow phase the candidate answers in parallel and nobody sees its answers; while running
+ * it answers callers, by stages.
+ */
+export type RolloutPhase = 'shadow' | 'running' | 'quarantined' | 'finished';
 
 /** The state of a roll-out in the platform's table; all that the next holder needs. */
 export interface RolloutProgress {
@@ -48,8 +52,6 @@
   readonly grantedCount: number;
   /** Share of the daemon's new sessions and sessionless requests, in percent. */
   readonly sharePct: number;
-  /** Answers are rated before their release, the stable version answering where they score low. */
-  readonly isGated: boolean;
 }
 
 /** What a daemon reports to the holder; totals since the roll-out began. */
@@ -85,13 +87,17 @@
   readonly exposedCount: number;
   /** Answers charged at once: 1 without a session, else the expected length of a session. */
   readonly expectedAnswers: number;
+  /** Only idempotent requests may be run a second time in the shadow. */
+  readonly isIdempotent: boolean;
   readonly audience: RolloutAudience;
   readonly isRaterUp: boolean;
   readonly random: Random;
+  readonly settings?: RolloutSettings;
 }
 
 export type AssignmentReason =
   | 'assigned'
+  | 'shadowed'
   | 'finished'
   | 'notRunning'
   | 'audience'
@@ -104,8 +110,11 @@
 export interface RolloutAssignment {
   readonly version: VersionId;
   readonly isCandidate: boolean;
-  /** Rate before release, and answer by the stable version where the score is too low. */
-  readonly isGated: boolean;
+  /**
+   * Present: ask this version too, at the lowest priority and at the platform's expense, rate both
+   * answers, and release the assigned version's without waiting.
+   */
+  readonly shadowVersion?: VersionId;
   /** What to add to the daemon's `exposedCount`. */
   readonly chargedCount: number;
   readonly reason: AssignmentReason;
@@ -123,11 +132,13 @@
   readonly definition: RolloutDefinition;
   readonly progress: RolloutProgress;
   readonly strata: readonly GuardStratum[];
+  /** Score differences of prompts answered by both versions, folded over all daemons. */
+  readonly pairCounts?: readonly number[];
   readonly settings?: RolloutSettings;
 }
 
-/** What the guard watches. */
-export type GuardSignal = 'rating' | 'error' | 'empty' | 'cut' | 'slow';
+/** What the guard watches; `pair` compares both versions on the same prompts. */
+export type GuardSignal = 'pair' | 'rating' | 'error' | 'empty' | 'cut' | 'slow';
 
 export type GuardVerdict = 'continue' | 'quarantine' | 'advance';
 
@@ -143,6 +154,7 @@
   /** The signal with the highest e-value. */
   readonly strongestSignal: GuardSignal;
   readonly ratingCount: number;
+  readonly pairCount: number;
 }
 
 /** Settings of roll-outs. */
@@ -159,6 +171,10 @@
   readonly budgetGrowth: number;
   /** Most of a daemon's requests that go to the candidate before the last stage. */
   readonly maxDaemonSharePct: number;
-  /** Answers are rated before release until the candidate has this many ratings. */
-  readonly gatedUntilRatings: number;
+  /** Share of idempotent requests that the candidate answers in the shadow phase; 0: no such phase. */
+  readonly shadowSharePct: number;
+  /** Chance that the shadow phase is left although the candidate is worse by the margin. */
+  readonly shadowAlpha: number;
+  /** Pairs before the shadow phase is left, at least. */
+  readonly minShadowPairs: number;
 }
