Test that idle daemons save up no writes of pins, with enough daemons to tell

Cause: with four daemons the saved-up burst equals the rate, so the test passed without the bound. Change: sixteen daemons.

--- a/packages/sessions/src/replicatedPinDirectory.test.ts
+++ b/packages/sessions/src/replicatedPinDirectory.test.ts
@@ -244,6 +244,7 @@
 
 pins('writes stay under the rate shared by all daemons, many pins to a row', async (context) => {
   const { clock, fixture } = context;
+  Array.from({ length: 12 }, (_item, index) => fixture.add(`n${index}`));
   await clock.tickAsync(60_000);
   const sessions = Array.from({ length: 3_000 }, (_item, index) => `s${index}`);
   const calls = sessions.map((session) => fixture.get('a').pin(createPin({ session })));
@@ -254,7 +255,7 @@
     writesBySecond.push(fixture.table.writeCount - before);
   }
   await Promise.all(calls);
-  assert.ok(Math.max(...writesBySecond) <= 60 + NAMES.length, `${writesBySecond}`);
+  assert.ok(Math.max(...writesBySecond) <= 60 + fixture.daemons.size, `${writesBySecond}`);
   await clock.tickAsync(30_000);
   assert.ok(fixture.table.writeCount <= 1_024 + 60, `${fixture.table.writeCount} writes`);
   NAMES.forEach((name) => assert.is(fixture.get(name).counts.unwrittenBuckets, 0));
