--- a/packages/cli/src/api/schemas.ts
+++ b/packages/cli/src/api/schemas.ts
@@ -86,20 +86,18 @@
   safeMoves: z.array(safeMoveStatusSchema),
 });
 
-export const memberListSchema = z.looseObject({
-  members: z.array(
-    z.looseObject({
-      vm: z.string(),
-      dataCentre: z.string(),
-      address: z.string(),
-      incarnation: z.string(),
-      state: z.string(),
-      isSelf: z.boolean(),
-      isBehind: z.boolean(),
-    }),
-  ),
+export const memberSchema = z.looseObject({
+  vm: z.string(),
+  dataCentre: z.string(),
+  address: z.string(),
+  incarnation: z.string(),
+  state: z.string(),
+  isSelf: z.boolean(),
+  isBehind: z.boolean(),
 });
 
+export const memberListSchema = z.looseObject({ members: z.array(memberSchema) });
+
 export const rolloutStatusSchema = z.looseObject({
   name: z.string(),
   model: z.string(),
@@ -240,6 +238,7 @@
 export type ApplyReply = z.infer<typeof applyReplySchema>;
 export type SafeMoveReply = z.infer<typeof safeMoveReplySchema>;
 export type StatusReply = z.infer<typeof statusSchema>;
+export type MemberReply = z.infer<typeof memberSchema>;
 export type RolloutStatus = z.infer<typeof rolloutStatusSchema>;
 export type RequestReply = z.infer<typeof requestSchema>;
 export type ReportReply = z.infer<typeof reportSchema>;
--- a/packages/cli/src/commands/statusCommands.ts
+++ b/packages/cli/src/commands/statusCommands.ts
@@ -1,6 +1,7 @@
 /** `snipectl status`, `members`, `top` and `contexts`. */
 import { Command, Option } from 'clipanion';
 import type { OperatorApi } from '../api/operatorApi.js';
+import type { MemberReply } from '../api/schemas.js';
 import { REDRAW_MS } from '../constants.js';
 import { loadContexts } from '../contexts/selectEndpoint.js';
 import { InvalidInputError } from '../errors.js';
@@ -27,6 +28,16 @@
   }
 }
 
+const liveStates: ReadonlySet<string> = new Set(['alive', 'suspect']);
+
+/** Whether a live member has applied the newest revision; the others report nothing. */
+const getConfigurationState = ({ state, isBehind }: MemberReply): string => {
+  if (!liveStates.has(state)) {
+    return '-';
+  }
+  return isBehind ? 'behind' : 'applied';
+};
+
 export class MembersCommand extends SnipectlCommand {
   static override paths = [['members']];
 
@@ -45,7 +56,7 @@
           `${member.vm}${member.isSelf ? ' (asked)' : ''}`,
           member.dataCentre,
           member.state,
-          member.isBehind ? 'behind' : 'applied',
+          getConfigurationState(member),
           member.address,
           member.incarnation,
         ]),
--- a/packages/cli/src/systemCommands.test.ts
+++ b/packages/cli/src/systemCommands.test.ts
@@ -213,7 +213,17 @@
     api.handlers.set('GET /api/status', () => ok(createStatusReply('false')));
     api.handlers.set('GET /api/report', () => ok(createReport('studio')));
     const member = { vm: 'entry-1', dataCentre: 'dc-a', address: '127.0.0.1:1', state: 'alive' };
-    const members = [{ ...member, incarnation: 'entry-1#1', isSelf: true, isBehind: true }];
+    const members = [
+      { ...member, incarnation: 'entry-1#1', isSelf: true, isBehind: true },
+      {
+        ...member,
+        vm: 'entry-2',
+        state: 'left',
+        incarnation: 'e2',
+        isSelf: false,
+        isBehind: false,
+      },
+    ];
     api.handlers.set('GET /api/members', () => ok({ members }));
     const request = {
       requestId: 'r-1',
@@ -230,7 +240,9 @@
     api.handlers.set('GET /api/requests/r-1', () => ok(request));
     assert.match((await run(['billing', '--team', 'studio', '--since', '1d'])).stdout, '$1.5000');
     assert.match((await run(['status'])).stdout, 'withdraw/small@3');
-    assert.match((await run(['members'])).stdout, /entry-1 \(asked\) .*behind/);
+    const listed = (await run(['members'])).stdout;
+    assert.match(listed, /entry-1 \(asked\) .*behind/);
+    assert.match(listed, /entry-2 .*left +- /);
     const top = await run(['top', '--count', '2', '--interval', '10ms']);
     assert.is(top.stdout.split('behind: entry-2#1').length, 3);
     const described = (await run(['describe', 'request', 'r-1'])).stdout;
