Explore versions in the shadow instead of in front of callers

Cause: exploring cascades never tried versions dearer than the plan's first, strict tasks learnt nothing, and the next version of a cascade had no ratings of escalated prompts.

--- a/packages/bench/src/policy/choice/simulateChoice.ts
+++ b/packages/bench/src/policy/choice/simulateChoice.ts
@@ -62,6 +62,7 @@
   readonly request: RequestModel;
   readonly plan: RequestPlan;
   costMicroUsd: number;
+  isEscalated: boolean;
 }
 
 const getCost = (model: VersionModel, request: RequestModel): number =>
@@ -116,7 +117,33 @@
 
   #start(request: RequestModel): void {
     const plan = this.#planner(this.#createInput(request), request.team.team);
-    this.#runStep({ request, plan, costMicroUsd: 0 }, 0);
+    const running: RunningRequest = { request, plan, costMicroUsd: 0, isEscalated: false };
+    this.#runStep(running, 0);
+    if (plan.shadowVersion) {
+      this.#runShadow(running, plan.shadowVersion);
+    }
+  }
+
+  /** The shadow's cost falls on the request; its rating comes late like any other. */
+  #runShadow(running: RunningRequest, version: VersionId): void {
+    const { request } = running;
+    const { nowMs } = this.#queue;
+    const pool = this.#pools.get(version)!;
+    const run = pool.run(nowMs, request.promptTokens, request.completionTokens);
+    running.costMicroUsd += getCost(this.#models.get(version)!, request) + this.#rater.costMicroUsd;
+    const readableAtMs = drawRatingTime(this.#rater, run.finishedAtMs, this.#random);
+    if (readableAtMs !== undefined) {
+      this.#queue.schedule(readableAtMs, () => this.#rateShadow(running, version));
+    }
+  }
+
+  #rateShadow(running: RunningRequest, version: VersionId): void {
+    const score = this.#drawScore(running.request, version);
+    const keys = this.#getKeys(running.request, version);
+    this.#board.rate(keys.direct, score, this.#queue.nowMs);
+    if (running.isEscalated) {
+      this.#board.rate(keys.escalated, score, this.#queue.nowMs);
+    }
   }
 
   #createInput(request: RequestModel): PlanInput {
@@ -131,6 +158,7 @@
       ratingMs: this.#rater.inlineMs,
       remainingMs: task.deadlineMs,
       isRaterUp: isRaterUp(this.#rater, this.#queue.nowMs),
+      isIdempotent: true,
       random: this.#random,
     };
   }
@@ -155,6 +183,7 @@
 
   #runStep(running: RunningRequest, index: number): void {
     const step = running.plan.steps[index]!;
+    running.isEscalated ||= index > 0;
     const pool = this.#pools.get(step.version)!;
     const { request } = running;
     const startedAtMs = this.#queue.nowMs;
--- a/packages/policy/src/modelChoice/planRequest.ts
+++ b/packages/policy/src/modelChoice/planRequest.ts
@@ -1,7 +1,7 @@
 /** Chooses the plan of least expected cost among those that meet the team's target. */
 import { estimateCandidate, type CandidateEstimate } from './candidateEstimate.js';
 import { defaultChoiceSettings } from './constants.js';
-import { planExploration } from './planExploration.js';
+import { explore } from './explore.js';
 import { createDirectOption, listCascadeOptions, type PlanOption } from './planOption.js';
 import type { ChoiceSettings, PlanInput, PlanReason, RequestPlan } from './types.js';
 
@@ -141,11 +141,11 @@
     return noPlan;
   }
   const [option, reason] = chosen;
-  const explored =
-    reason === 'pinned' ? undefined : planExploration(option, estimates, input, settings);
-  const final = explored ?? option;
+  const explored = reason === 'pinned' ? {} : explore(option, estimates, input, settings);
+  const final = explored.option ?? option;
   const last = final.steps[final.steps.length - 1];
   const answering = estimates.find((estimate) => estimate.candidate.version === last?.version);
   const shouldRate = decideRating(answering, input, settings);
-  return toPlan(final, explored ? 'exploration' : reason, shouldRate);
+  const plan = toPlan(final, explored.option ? 'exploration' : reason, shouldRate);
+  return explored.shadowVersion ? { ...plan, shadowVersion: explored.shadowVersion } : plan;
 };
--- a/packages/policy/src/modelChoice/types.ts
+++ b/packages/policy/src/modelChoice/types.ts
@@ -50,6 +50,8 @@
   /** Time until the request's deadline. */
   readonly remainingMs: number;
   readonly isRaterUp: boolean;
+  /** Only idempotent requests are run a second time in the shadow; absent means it is not. */
+  readonly isIdempotent?: boolean;
   readonly random: Random;
   readonly settings?: ChoiceSettings;
 }
@@ -77,8 +79,17 @@
   readonly qualityLowerBound: number;
   /** Whether to send the released answer to the rater, for evidence. */
   readonly shouldRateAfterRelease: boolean;
+  /**
+   * Present: ask this version too, at the lowest priority and at the platform's expense; its answer
+   * is rated and never released. The rating counts as a direct one and, if the request escalates,
+   * as an escalated one too.
+   */
+  readonly shadowVersion?: VersionId;
 }
 
+/** How versions with too little evidence are tried. */
+export type ExplorationMode = 'cascade' | 'shadow';
+
 /** Settings of the model choice. */
 export interface ChoiceSettings {
   /** Confidence at which a plan must meet the team's target. */
@@ -86,8 +97,11 @@
   readonly strictConfidence: number;
   /** Ratings that make a version usable as the first of a cascade. */
   readonly minProvenWeight: number;
+  readonly explorationMode: ExplorationMode;
   /** Share of requests that try a version with too little evidence. */
   readonly explorationShare: number;
+  /** Ratings of a version at which the shadow mode tries it no more. */
+  readonly sufficientWeight: number;
   /** Score above which an explored version's answer is released. */
   readonly explorationAcceptScore: number;
   /** Latency that weighs as much as the dearest candidate's cost. */
