--- a/packages/membership/src/constants.ts
+++ b/packages/membership/src/constants.ts
@@ -15,8 +15,8 @@
   pauseThresholdMs: 1_000,
 };
 
-/** Records sent along with one message. */
-export const MAX_PIGGYBACK = 12;
+/** Records sent along with one message: full ones keep a member within its 6 KB/s. */
+export const MAX_PIGGYBACK = 6;
 /** Records of differing buckets sent in one message, but always one whole bucket. */
 export const MAX_REPAIR_MEMBERS = 64;
 export const BUCKETS = 64;
--- a/packages/membership/src/exchange/exchanger.ts
+++ b/packages/membership/src/exchange/exchanger.ts
@@ -59,7 +59,7 @@
   answer(message: Exchange): Exchange {
     const { records, topics } = this.#options;
     this.#takeIn(message);
-    const told = new Set(message.members.map((member) => member.incarnation));
+    const told = new Set([message.from, ...message.members].map((member) => member.incarnation));
     const members = [
       ...this.#listNews(told, message.from),
       ...this.#listDiffering(message.buckets),
@@ -87,6 +87,19 @@
     this.#meet(message.from);
     message.members.forEach((member) => records.merge(member, message.from));
     topics.merge(message.topics, message.from);
+    this.#spareKnown(message.digest);
+  }
+
+  /**
+   * What goes wrong: when many start at once, each record is sent on long after all have it, for minutes at
+   * the full size of messages. One notices control traffic above its budget in a settled network. Equal
+   * digests show that the peer needs none of the news of the living.
+   */
+  #spareKnown(digest: number): void {
+    const { table, broadcasts } = this.#options.records;
+    if (digest === table.digests.all) {
+      broadcasts.countKnown(table.listLive().length);
+    }
   }
 
   /** A message that arrives late may come from a life that has ended: only a first contact proves one. */
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -249,20 +249,24 @@
 
   #runProbes(): void {
     this.#pauseWatch.check();
+    this.#vmListRounds?.hastenUnlisted();
     this.#records.buryExpired();
     this.#records.table.forgetEnded(this.#settings.forgetAfterMs);
-    const others = this.#listLocalOthers();
-    const next = this.#records.findContested() ?? this.#order.next(others);
-    const targets = new Set([
-      ...(next ? [next] : []),
-      ...this.#records.nextDoubted(DOUBTED_PER_PERIOD),
-    ]);
-    targets.forEach((target) => this.#launch(this.#prober.probe(target, this.#repairer)));
+    this.#listProbed().forEach((member) =>
+      this.#launch(this.#prober.probe(member, this.#repairer)),
+    );
     if (this.#isAlone()) {
       this.#launch(this.#healer.run());
     }
   }
 
+  /** The next of the data centre in turn, and those that must hear of doubts elsewhere. */
+  #listProbed(): ReadonlySet<Member> {
+    const next = this.#order.next(this.#listLocalOthers());
+    const doubted = this.#records.nextDoubted(DOUBTED_PER_PERIOD);
+    return new Set(next ? [next, ...doubted] : doubted);
+  }
+
   #runHealing(): void {
     const healers = this.rankLocal('heal').slice(0, RELAYS_PER_DATA_CENTRE);
     if (!this.#isAlone() && healers.includes(this.self)) {
@@ -273,6 +277,8 @@
   #runVmList(): void {
     if (this.#vmListRounds && this.ownsDuty('vmList')) {
       this.#launch(this.#vmListRounds.run());
+    } else {
+      this.#vmListRounds?.forgetList();
     }
   }
 
--- a/packages/membership/src/records/broadcastQueue.ts
+++ b/packages/membership/src/records/broadcastQueue.ts
@@ -28,6 +28,13 @@
     return taken.map((broadcast) => broadcast.member);
   }
 
+  /** Counts records of the living as sent to a peer whose digest shows that it knows them all. */
+  countKnown(size: number): void {
+    [...this.#broadcasts.values()]
+      .filter((broadcast) => broadcast.member.state === 'alive')
+      .forEach((broadcast) => this.#countSend(broadcast, size));
+  }
+
   clear(): void {
     this.#broadcasts.clear();
   }
--- a/packages/membership/src/records/memberRecords.ts
+++ b/packages/membership/src/records/memberRecords.ts
@@ -79,16 +79,6 @@
     }
   }
 
-  /** A live member that shares its address with another: one of them is gone. */
-  findContested(): Member | undefined {
-    const seen = new Set<string>();
-    return this.listOthers().find((member) => {
-      const isContested = seen.has(member.address);
-      seen.add(member.address);
-      return isContested;
-    });
-  }
-
   /**
    * What goes wrong: a new VM starts at a dead one's address, and its answers make the dead one look
    * alive: duties and records stay with a process that is gone. One notices two live members at one
--- a/packages/membership/src/rounds/vmListRounds.ts
+++ b/packages/membership/src/rounds/vmListRounds.ts
@@ -1,7 +1,6 @@
 /** Reads the platform's list of VMs, which lags: a hint, never a verdict. */
 import { getErrorMessage, type Logger } from '@snipehaven/common';
 import type { ListedVm, VmListClient } from '@snipehaven/platform';
-import type { Member } from '@snipehaven/protocol';
 import { LISTED_GONE_FACTOR } from '../constants.js';
 import type { MemberRecords } from '../records/memberRecords.js';
 import type { Healer } from './healer.js';
@@ -20,6 +19,9 @@
 
   readonly #logger: Logger;
 
+  /** Addresses of live entry VMs as last read; undefined: unknown, which says nothing about anyone. */
+  #listed: ReadonlySet<string> | undefined;
+
   constructor(vmList: VmListClient, records: MemberRecords, healer: Healer, logger: Logger) {
     this.#vmList = vmList;
     this.#records = records;
@@ -27,27 +29,36 @@
     this.#logger = logger;
   }
 
+  /** Reads the list; one that can't be read leaves no old one behind. */
   async run(): Promise<void> {
     try {
-      this.#use(await this.#vmList.list());
+      this.#listed = VmListRounds.#collectAddresses(await this.#vmList.list());
+      this.#healer.hint([...this.#listed]);
     } catch (error) {
+      this.#listed = undefined;
       this.#logger.debug({ error: getErrorMessage(error) }, 'the list of VMs is away');
     }
   }
 
-  #use(vms: readonly ListedVm[]): void {
-    const listed = vms.filter((vm) => vm.role === 'entry' && vm.state === 'live');
-    const addresses = listed.map((vm) => vm.address);
-    this.#healer.hint(addresses);
-    this.#hastenUnlisted(new Set(addresses));
+  /** For a member that reads the list no more, since another has the duty now. */
+  forgetList(): void {
+    this.#listed = undefined;
   }
 
-  #hastenUnlisted(listed: ReadonlySet<string>): void {
-    const isSuspect = (member: Member): boolean => member.state === 'suspect';
+  /** Shortens the time of suspects that the list does not show as live. */
+  hastenUnlisted(): void {
+    const listed = this.#listed;
+    if (!listed) {
+      return;
+    }
     this.#records.table
       .listLive()
-      .filter(isSuspect)
-      .filter((member) => !listed.has(member.address))
+      .filter((member) => member.state === 'suspect' && !listed.has(member.address))
       .forEach((member) => this.#records.suspicions.hasten(member.incarnation, LISTED_GONE_FACTOR));
   }
+
+  static #collectAddresses(vms: readonly ListedVm[]): ReadonlySet<string> {
+    const live = vms.filter((vm) => vm.role === 'entry' && vm.state === 'live');
+    return new Set(live.map((vm) => vm.address));
+  }
 }
--- a/packages/membership/src/testing/localNetwork.ts
+++ b/packages/membership/src/testing/localNetwork.ts
@@ -17,6 +17,12 @@
 /** Whether the path between two addresses carries nothing. */
 type Cut = (from: string, to: string) => boolean;
 
+/** What one end sent and received: two messages for each call. */
+export interface Traffic {
+  readonly messages: number;
+  readonly bytes: number;
+}
+
 export interface TestMember {
   readonly membership: Membership;
   readonly address: string;
@@ -42,9 +48,8 @@
 
   isCut: Cut = () => false;
 
-  callCount = 0;
-
-  bodyBytes = 0;
+  /** Calls and bytes of bodies by address, at both ends of each call. */
+  readonly traffic = new Map<string, Traffic>();
 
   constructor(seed: number) {
     this.#seed = seed;
@@ -150,10 +155,15 @@
       await sleep(PEER_CALL_TIMEOUT_MS);
       throw new PeerUnreachableError(`${to}: no answer`);
     }
-    this.callCount += 0.5;
-    this.bodyBytes += JSON.stringify(body).length;
+    const bodyBytes = JSON.stringify(body).length;
+    [from, to].forEach((address) => this.#countMessage(address, bodyBytes));
     await sleep(LATENCY_MS);
   }
+
+  #countMessage(address: string, bodyBytes: number): void {
+    const { messages, bytes } = this.traffic.get(address) ?? { messages: 0, bytes: 0 };
+    this.traffic.set(address, { messages: messages + 1, bytes: bytes + bodyBytes });
+  }
 }
 
 /** `vm:state` of all that a member remembers, in order. */
