snipectl top reads nothing from the platform

Cause: each redraw of top asked for a report, which reads the ledger's rows twice; the table's reads are shared by all daemons. Change: /api/latency answers from the daemons alone; top uses it. Conclusion: an open top costs the table nothing.

--- a/packages/cli/src/api/operatorApi.ts
+++ b/packages/cli/src/api/operatorApi.ts
@@ -114,6 +114,10 @@
     return this.#call(schemas.rolloutListSchema, { method: 'GET', path: '/api/rollouts' });
   }
 
+  listLatency() {
+    return this.#call(schemas.latencyListSchema, { method: 'GET', path: '/api/latency' });
+  }
+
   explain(kind: string) {
     const path = `/api/explain/${encodeURIComponent(toKindName(kind))}`;
     return this.#call(schemas.explainSchema, { method: 'GET', path });
--- a/packages/cli/src/api/schemas.ts
+++ b/packages/cli/src/api/schemas.ts
@@ -203,6 +203,8 @@
   totalP95Ms: z.number(),
 });
 
+export const latencyListSchema = z.looseObject({ latency: z.array(latencyRowSchema) });
+
 export const reportSeriesSchema = z.looseObject({
   name: z.string(),
   requests: z.array(z.number()),
--- a/packages/cli/src/commands/statusCommands.ts
+++ b/packages/cli/src/commands/statusCommands.ts
@@ -66,8 +66,6 @@
   }
 }
 
-const TOP_PERIOD_MS = 5 * 60 * 1000;
-
 export class TopCommand extends SnipectlCommand {
   static override paths = [['top']];
 
@@ -99,9 +97,11 @@
   }
 
   private async draw(api: OperatorApi) {
-    const fromMs = Date.now() - TOP_PERIOD_MS;
-    const [status, report] = await Promise.all([api.getStatus(), api.getReport({ fromMs })]);
-    const { latency, rollouts } = report;
+    const [status, { latency }, { rollouts }] = await Promise.all([
+      api.getStatus(),
+      api.listLatency(),
+      api.listRollouts(),
+    ]);
     const text = this.isJson
       ? `${JSON.stringify({ status, latency, rollouts })}\n`
       : [formatStatus(status), formatLatency(latency), formatRollouts(rollouts)].join('\n');
--- a/packages/cli/src/systemCommands.test.ts
+++ b/packages/cli/src/systemCommands.test.ts
@@ -211,7 +211,9 @@
     const { billing } = createReport('studio');
     api.handlers.set('GET /api/billing', () => ok({ rows: billing }));
     api.handlers.set('GET /api/status', () => ok(createStatusReply('false')));
-    api.handlers.set('GET /api/report', () => ok(createReport('studio')));
+    const { latency, rollouts } = createReport('studio');
+    api.handlers.set('GET /api/latency', () => ok({ latency }));
+    api.handlers.set('GET /api/rollouts', () => ok({ rollouts }));
     const member = { vm: 'entry-1', dataCentre: 'dc-a', address: '127.0.0.1:1', state: 'alive' };
     const members = [
       { ...member, incarnation: 'entry-1#1', isSelf: true, isBehind: true },
--- a/packages/daemon/src/operatorApi/actions/statusActions.ts
+++ b/packages/daemon/src/operatorApi/actions/statusActions.ts
@@ -35,6 +35,12 @@
   return { type: 'json', status: 200, body: { rollouts: await dependencies.listRolloutStatus() } };
 };
 
+/** Answers with the latency of answers; unlike a report it reads nothing from the platform. */
+export const listLatency: OperatorAction = async ({ dependencies, query }) => {
+  restoreQuery(noQuerySchema, query);
+  return { type: 'json', status: 200, body: { latency: await dependencies.collectLatency() } };
+};
+
 /** Answers with the metrics in Prometheus's text format. */
 export const getMetrics: OperatorAction = async ({ dependencies }) => ({
   type: 'text',
--- a/packages/daemon/src/operatorApi/routes.ts
+++ b/packages/daemon/src/operatorApi/routes.ts
@@ -18,6 +18,7 @@
   getMetrics,
   getReadiness,
   getStatus,
+  listLatency,
   listMembers,
   listRollouts,
 } from './actions/statusActions.js';
@@ -46,6 +47,7 @@
   '/api/status': { GET: reading(getStatus) },
   '/api/members': { GET: reading(listMembers) },
   '/api/rollouts': { GET: reading(listRollouts) },
+  '/api/latency': { GET: reading(listLatency) },
   '/api/explain': { GET: reading(listKinds) },
   '/api/explain/:kind': { GET: reading(explain) },
   '/api/safe-moves': { GET: reading(listSafeMoves), POST: writing(activateSafeMove) },
