Upstream choice by own slots; affinity yields in a busy pool

Every daemon chose by the same old reports, and affinity sent to owners past their room; admission let requests wait at a daemon before a pool with free slots.

--- a/packages/bench/src/policy/upstreams/daemonModel.ts
+++ b/packages/bench/src/policy/upstreams/daemonModel.ts
@@ -1,7 +1,22 @@
 /** A simulated daemon: admission, choice, attempts and retries by the decision code itself. */
 import type { Random } from '@snipehaven/common';
-import { createRetryBudget, decideRetry, feedRetryBudget, getMaxRunning } from '@snipehaven/policy';
-import type { AttemptVerdict, OutcomeKind, RetryBudget, UpstreamView } from '@snipehaven/policy';
+import {
+  assignOwnSlots,
+  countPrefix,
+  createPrefixCounts,
+  createRetryBudget,
+  decideRetry,
+  feedRetryBudget,
+  getMaxRunning,
+  getPrefixShare,
+} from '@snipehaven/policy';
+import type {
+  AttemptVerdict,
+  OutcomeKind,
+  PrefixCounts,
+  RetryBudget,
+  UpstreamView,
+} from '@snipehaven/policy';
 import { createAdmissionModel } from './admissionModels.js';
 import type { AdmissionModel } from './admissionModels.js';
 import { AttemptedRun } from './attemptedRun.js';
@@ -54,6 +69,8 @@
 
   #listener: ResultListener;
 
+  #prefixes: PrefixCounts = createPrefixCounts();
+
   #gapMs = 0;
 
   #lastArrivalMs = 0;
@@ -77,7 +94,17 @@
     this.#daemonCount = setup.daemonCount;
     this.#choose = policy.createChoose(index);
     this.upstreams = world.engines.map(
-      (_, engine) => new UpstreamState(engine, policy.concurrency),
+      (_, engine) =>
+        new UpstreamState(engine, policy.concurrency, (limit) =>
+          policy.usesOwnSlots
+            ? assignOwnSlots({
+                limit,
+                upstreamIndex: engine,
+                daemonIndex: index,
+                daemonCount: setup.daemonCount,
+              })
+            : limit / setup.daemonCount,
+        ),
     );
     this.#views = this.upstreams.map(({ view }) => view);
     this.#admission = createAdmissionModel(policy.admission, {
@@ -91,6 +118,7 @@
   /** A request comes from a caller. */
   receive(request: SimulatedRequest): void {
     this.#followRate();
+    this.#prefixes = countPrefix(this.#prefixes, request.prefixKey);
     this.#budget = feedRetryBudget(this.#budget);
     this.#admission.offer(request, this.#events.nowMs);
   }
@@ -133,6 +161,7 @@
     const chosen = this.#choose({
       upstreams: views,
       prefixKey: request.prefixKey,
+      prefixShare: getPrefixShare(this.#prefixes, request.prefixKey),
       localDataCentre: LOCAL_DATA_CENTRE,
       nowMs: this.#events.nowMs,
       random: this.#random,
--- a/packages/bench/src/policy/upstreams/policies.ts
+++ b/packages/bench/src/policy/upstreams/policies.ts
@@ -7,10 +7,14 @@
 } from './baselines/choices.js';
 import type { ChooseFunction, OwnRules, PoolPolicy } from './types.js';
 
-const createOwn = (name: string, { rule, concurrency }: OwnRules): PoolPolicy => ({
+const createOwn = (
+  name: string,
+  { concurrency, usesOwnSlots, ...rules }: OwnRules,
+): PoolPolicy => ({
   name,
-  createChoose: () => (input) => chooseUpstream({ ...input, rule })?.upstream,
+  createChoose: () => (input) => chooseUpstream({ ...input, ...rules })?.upstream,
   usesHealth: true,
+  usesOwnSlots,
   concurrency,
   admission: 'fair',
 });
@@ -22,18 +26,40 @@
   name,
   createChoose,
   usesHealth: false,
+  usesOwnSlots: false,
   concurrency: 'none',
   admission: 'none',
 });
 
 const POLICIES: readonly PoolPolicy[] = [
-  createOwn('ours', { rule: 'twoChoices', concurrency: 'aimd' }),
-  createOwn('ours-interpreted', { rule: 'interpretedLoad', concurrency: 'aimd' }),
-  createOwn('ours-gradient', { rule: 'twoChoices', concurrency: 'gradient' }),
+  createOwn('ours', {
+    rule: 'interpretedLoad',
+    affinityRule: 'spreadOwners',
+    concurrency: 'reported',
+    usesOwnSlots: true,
+  }),
+  createOwn('ours-round3', {
+    rule: 'twoChoices',
+    affinityRule: 'warmSet',
+    concurrency: 'reported',
+    usesOwnSlots: false,
+  }),
+  createOwn('ours-round2', {
+    rule: 'twoChoices',
+    affinityRule: 'boundedOwner',
+    concurrency: 'reported',
+    usesOwnSlots: false,
+  }),
+  createOwn('ours-round1', {
+    rule: 'twoChoices',
+    affinityRule: 'boundedOwner',
+    concurrency: 'aimd',
+    usesOwnSlots: false,
+  }),
   createBaseline('round-robin', createRoundRobin),
   createBaseline('least-reported-load', createLeastReportedLoad),
   createBaseline('plain-two-choices', createPlainTwoChoices),
-  { ...createBaseline('fifo', createPlainTwoChoices), concurrency: 'aimd', admission: 'fifo' },
+  { ...createBaseline('fifo', createPlainTwoChoices), concurrency: 'reported', admission: 'fifo' },
 ];
 
 /** A policy by its name. */
--- a/packages/bench/src/policy/upstreams/scenarios/halfLost.ts
+++ b/packages/bench/src/policy/upstreams/scenarios/halfLost.ts
@@ -6,7 +6,8 @@
 const ENGINES = 12;
 const POLICIES = [
   'ours',
-  'ours-interpreted',
+  'ours-round3',
+  'ours-round1',
   'round-robin',
   'least-reported-load',
   'plain-two-choices',
--- a/packages/bench/src/policy/upstreams/types.ts
+++ b/packages/bench/src/policy/upstreams/types.ts
@@ -1,5 +1,10 @@
 /** Shapes of the upstream bench. */
-import type { ConcurrencyRule, UpstreamChoiceInput, UpstreamChoiceRule } from '@snipehaven/policy';
+import type {
+  AffinityRule,
+  ConcurrencyRule,
+  UpstreamChoiceInput,
+  UpstreamChoiceRule,
+} from '@snipehaven/policy';
 import type { UpstreamId } from '@snipehaven/common';
 import type { BenchRow } from '../types.js';
 
@@ -21,6 +26,8 @@
   /** Called once for each daemon, with its number. */
   readonly createChoose: (daemonIndex: number) => ChooseFunction;
   readonly usesHealth: boolean;
+  /** Whether a daemon sends to its own part of the slots first. */
+  readonly usesOwnSlots: boolean;
   readonly concurrency: ConcurrencyRule | 'none';
   readonly admission: AdmissionRule;
 }
@@ -28,6 +35,8 @@
 /** Names of our own policy's rules, kept to compare rounds. */
 export interface OwnRules {
   readonly rule: UpstreamChoiceRule;
+  readonly affinityRule: AffinityRule;
+  readonly usesOwnSlots: boolean;
   readonly concurrency: ConcurrencyRule | 'none';
 }
 
--- a/packages/bench/src/policy/upstreams/upstreamState.ts
+++ b/packages/bench/src/policy/upstreams/upstreamState.ts
@@ -39,8 +39,15 @@
 
   #rule: ConcurrencyRule | 'none';
 
-  constructor(index: number, rule: ConcurrencyRule | 'none') {
+  #getOwnSlots: (limit: number) => number;
+
+  constructor(
+    index: number,
+    rule: ConcurrencyRule | 'none',
+    getOwnSlots: (limit: number) => number,
+  ) {
     this.#rule = rule;
+    this.#getOwnSlots = getOwnSlots;
     this.view = {
       id: asId<UpstreamId>(`upstream-${index}`),
       dataCentre: LOCAL_DATA_CENTRE,
@@ -50,6 +57,7 @@
       reportedQueued: 0,
       reportAtMs: 0,
       maxConcurrency: rule === 'none' ? UNLIMITED : getMaxConcurrency(this.#concurrency),
+      ownSlots: rule === 'none' ? 0 : getOwnSlots(getMaxConcurrency(this.#concurrency)),
       firstTokenMs: 0,
       ejectedUntilMs: 0,
       slowStartSinceMs: 0,
@@ -108,10 +116,25 @@
     if (this.#rule !== 'none') {
       this.#concurrency = adjustConcurrency(
         this.#concurrency,
-        { firstTokenMs, load, isRefused },
+        {
+          firstTokenMs,
+          load,
+          isRefused,
+          reportedRunning: this.view.reportedRunning,
+          reportedQueued: this.view.reportedQueued,
+        },
         this.#rule,
       );
-      this.view.maxConcurrency = getMaxConcurrency(this.#concurrency);
+      this.#followLimit();
+    }
+  }
+
+  /** The daemon's slots follow the limit. */
+  #followLimit(): void {
+    const limit = getMaxConcurrency(this.#concurrency);
+    if (limit !== this.view.maxConcurrency) {
+      this.view.maxConcurrency = limit;
+      this.view.ownSlots = this.#getOwnSlots(limit);
     }
   }
 
--- a/packages/policy/src/limits/shedRequests.ts
+++ b/packages/policy/src/limits/shedRequests.ts
@@ -22,7 +22,9 @@
   const drainPerSecond = getDrainPerSecond(state, settings);
   const late: AdmissionRequest[] = [];
   walkFairSchedule(state, ({ request, costAhead }) => {
-    const isInTime = nowMs + toWaitMs(costAhead, drainPerSecond) < request.deadlineAtMs;
+    const waitMs = toWaitMs(costAhead, drainPerSecond);
+    const readyAtMs = nowMs + waitMs + state.serviceMs * request.cost;
+    const isInTime = readyAtMs < request.deadlineAtMs;
     if (!isInTime) {
       late.push(request);
     }
--- a/packages/policy/src/upstreamChoice/chooseUpstream.ts
+++ b/packages/policy/src/upstreamChoice/chooseUpstream.ts
@@ -1,5 +1,6 @@
 /** Chooses the upstream for one attempt of a request. */
-import { findAffinityOwner } from './findAffinityOwner.js';
+import { DEFAULT_AFFINITY_RULE, affinityRules } from './affinity/affinityRules.js';
+import { chooseOwnSlot } from './chooseOwnSlot.js';
 import { listCandidates, needsProbe } from './listCandidates.js';
 import { DEFAULT_CHOICE_RULE, choiceRules } from './rules/choiceRules.js';
 import type {
@@ -14,6 +15,15 @@
   reason,
 });
 
+const findOwner = (
+  candidates: readonly UpstreamView[],
+  input: UpstreamChoiceInput,
+): UpstreamView | undefined => {
+  const key = input.prefixKey ?? input.sessionKey;
+  const rule = affinityRules[input.affinityRule ?? DEFAULT_AFFINITY_RULE];
+  return key === undefined ? undefined : rule.findOwner(key, candidates, input);
+};
+
 const chooseAmong = (
   candidates: readonly UpstreamView[],
   input: UpstreamChoiceInput,
@@ -29,10 +39,14 @@
   if (candidates.length === 1) {
     return choose(only, 'onlyCandidate');
   }
-  const owner = findAffinityOwner(candidates, input);
+  const owner = findOwner(candidates, input);
   if (owner) {
     return choose(owner, 'affinity');
   }
+  const ownSlot = chooseOwnSlot(candidates, input);
+  if (ownSlot) {
+    return choose(ownSlot, 'ownSlot');
+  }
   const rule = choiceRules[input.rule ?? DEFAULT_CHOICE_RULE];
   return choose(rule.choose(candidates, input), 'leastLoaded');
 };
--- a/packages/policy/src/upstreamChoice/concurrency/adjustConcurrency.ts
+++ b/packages/policy/src/upstreamChoice/concurrency/adjustConcurrency.ts
@@ -11,11 +11,16 @@
 } from '../types.js';
 import { aimd } from './aimd.js';
 import { gradient } from './gradient.js';
+import { reported } from './reported.js';
 
-const concurrencyRules: Readonly<Record<ConcurrencyRule, ConcurrencyHandler>> = { aimd, gradient };
+const concurrencyRules: Readonly<Record<ConcurrencyRule, ConcurrencyHandler>> = {
+  aimd,
+  gradient,
+  reported,
+};
 
 /** The rule in force. */
-export const DEFAULT_CONCURRENCY_RULE: ConcurrencyRule = 'aimd';
+export const DEFAULT_CONCURRENCY_RULE: ConcurrencyRule = 'reported';
 
 /** A limit to start from. */
 export const createConcurrency = (limit: number = CONCURRENCY_INITIAL): ConcurrencyState => ({
--- a/packages/policy/src/upstreamChoice/rules/choiceRules.ts
+++ b/packages/policy/src/upstreamChoice/rules/choiceRules.ts
@@ -9,4 +9,4 @@
 };
 
 /** The rule in force. */
-export const DEFAULT_CHOICE_RULE: UpstreamChoiceRule = 'twoChoices';
+export const DEFAULT_CHOICE_RULE: UpstreamChoiceRule = 'interpretedLoad';
--- a/packages/policy/src/upstreamChoice/rules/interpretedLoad.ts
+++ b/packages/policy/src/upstreamChoice/rules/interpretedLoad.ts
@@ -17,14 +17,21 @@
   readonly load: number;
 }
 
+const sumOf = (
+  upstreams: readonly UpstreamView[],
+  pick: (upstream: UpstreamView) => number,
+): number => upstreams.reduce((sum, upstream) => sum + pick(upstream), 0);
+
+/** Requests that all daemons together have probably sent to the candidates since the reports. */
 const getExpectedSends = (
   candidates: readonly UpstreamView[],
-  { nowMs, daemonCount = 1, ownRequestsPerSecond = 0 }: UpstreamChoiceInput,
+  { upstreams, nowMs, daemonCount = 1, ownRequestsPerSecond = 0 }: UpstreamChoiceInput,
 ): number => {
-  const ages = candidates.map((upstream) => Math.max(0, nowMs - upstream.reportAtMs));
-  const meanAgeMs = ages.reduce((sum, age) => sum + age, 0) / ages.length;
-  const sent = (ownRequestsPerSecond * daemonCount * meanAgeMs) / 1_000;
-  return Math.max(1, sent);
+  const ageMs = sumOf(candidates, ({ reportAtMs }) => Math.max(0, nowMs - reportAtMs));
+  const seconds = ageMs / candidates.length / 1_000;
+  const byRate = (ownRequestsPerSecond * seconds * candidates.length) / upstreams.length;
+  const byCount = sumOf(candidates, ({ sentSinceReport }) => sentSinceReport);
+  return Math.max(1, daemonCount * Math.max(byRate, byCount));
 };
 
 /** The level at which the room below it, summed over the upstreams, holds `amount`. */
--- a/packages/policy/src/upstreamChoice/types.ts
+++ b/packages/policy/src/upstreamChoice/types.ts
@@ -17,6 +17,8 @@
   readonly reportAtMs: number;
   /** The adaptive limit of the upstream's requests in flight, from all daemons together. */
   readonly maxConcurrency: number;
+  /** This daemon's part of the upstream's slots, by `assignOwnSlots`; unused if left out. */
+  readonly ownSlots?: number;
   /** Moving average of the time to the first token; 0 while unknown. */
   readonly firstTokenMs: number;
   /** 0: healthy; in the future: ejected; in the past: one probe at a time may go there. */
@@ -32,12 +34,17 @@
 /** The rules a choice among usable upstreams can be made by. */
 export type UpstreamChoiceRule = 'twoChoices' | 'interpretedLoad';
 
+/** The rules by which requests with a common prefix go together. */
+export type AffinityRule = 'boundedOwner' | 'warmSet' | 'spreadOwners';
+
 /** One request's choice. */
 export interface UpstreamChoiceInput {
   readonly upstreams: readonly UpstreamView[];
   readonly sessionKey?: string;
   /** Names the request's prompt prefix; requests with the same one go together. */
   readonly prefixKey?: string;
+  /** The prefix's share of this daemon's requests; see `countPrefix`. */
+  readonly prefixShare?: number;
   readonly localDataCentre: DataCentreId;
   readonly nowMs: number;
   readonly random: Random;
@@ -50,11 +57,12 @@
   /** Whether the request may test an upstream that comes back; true if left out. */
   readonly canProbe?: boolean;
   readonly rule?: UpstreamChoiceRule;
+  readonly affinityRule?: AffinityRule;
 }
 
 /** Why the upstream was taken, for the time line. */
 export type UpstreamChoiceReason =
-  'affinity' | 'leastLoaded' | 'onlyCandidate' | 'probe' | 'otherDataCentre';
+  'affinity' | 'ownSlot' | 'leastLoaded' | 'onlyCandidate' | 'probe' | 'otherDataCentre';
 
 /** The chosen upstream. */
 export interface UpstreamChoice {
@@ -67,6 +75,21 @@
   choose(candidates: readonly UpstreamView[], input: UpstreamChoiceInput): UpstreamView;
 }
 
+/** Finds the upstream that requests with a key go to, if one has room. */
+export interface AffinityHandler {
+  findOwner(
+    key: string,
+    candidates: readonly UpstreamView[],
+    input: UpstreamChoiceInput,
+  ): UpstreamView | undefined;
+}
+
+/** Fading counts of a daemon's requests by prefix. */
+export interface PrefixCounts {
+  readonly counts: ReadonlyMap<string, number>;
+  readonly total: number;
+}
+
 /** How one attempt at an upstream ended, as far as the upstream's health is concerned. */
 export type OutcomeKind =
   /** It answered, or failed through the caller's fault. */
@@ -111,7 +134,7 @@
   readonly baseFirstTokenMs: number;
   /** Short moving average of the same. */
   readonly recentFirstTokenMs: number;
-  /** Samples since the last change by this window's rule. */
+  /** Samples since the gradient last moved the limit. */
   readonly samples: number;
 }
 
@@ -120,12 +143,15 @@
   readonly firstTokenMs: number;
   /** The upstream's known load, from all daemons, when the request was sent. */
   readonly load: number;
+  /** The upstream's last load report; 0 without one. */
+  readonly reportedRunning: number;
+  readonly reportedQueued: number;
   /** It refused for want of room, or timed out. */
   readonly isRefused: boolean;
 }
 
 /** The rules by which the limit can follow its samples. */
-export type ConcurrencyRule = 'aimd' | 'gradient';
+export type ConcurrencyRule = 'aimd' | 'gradient' | 'reported';
 
 /** Moves the limit by one sample. */
 export interface ConcurrencyHandler {
