--- a/packages/bench/src/policy/choice/policies.ts
+++ b/packages/bench/src/policy/choice/policies.ts
@@ -9,7 +9,7 @@
 import type { TaskModel } from '../world/deployments.js';
 import type { RaterModel } from '../world/rater.js';
 import { getStreamId, planClairvoyantly } from './clairvoyant.js';
-import { choiceRounds } from './rounds.js';
+import { choiceRounds, lastChoiceRounds } from './rounds.js';
 import { getMeanScore, type TeamTruth, type TrueScores } from './truth.js';
 import { versionModels } from '../world/versions.js';
 
@@ -88,10 +88,12 @@
   createPlanner: () => (input) => planRequest({ ...input, settings }),
 });
 
-/** All policies, ours first. */
-export const choicePolicies: readonly ChoicePolicy[] = [
+/** The policies, ours first; with all earlier rounds or only the last one. */
+export const listChoicePolicies = (withAllRounds: boolean): readonly ChoicePolicy[] => [
   createOwnPolicy('ours', defaultChoiceSettings),
-  ...choiceRounds.map(({ name, settings }) => createOwnPolicy(name, settings)),
+  ...(withAllRounds ? choiceRounds : lastChoiceRounds).map(({ name, settings }) =>
+    createOwnPolicy(name, settings),
+  ),
   createFixedPolicy('alwaysDearest', (count) => count - 1),
   createFixedPolicy('alwaysCheapest', () => 0),
   staticTable,
--- a/packages/bench/src/policy/rollouts/rounds.ts
+++ b/packages/bench/src/policy/rollouts/rounds.ts
@@ -22,3 +22,6 @@
 
 /** All earlier rounds, oldest first. */
 export const rolloutRounds: readonly RolloutRound[] = [{ name: 'ours-r0', settings: round0 }];
+
+/** The round before the settings in force; compared with them in every run. */
+export const lastRolloutRounds: readonly RolloutRound[] = rolloutRounds.slice(-1);
--- a/packages/policy/src/evidence/constants.ts
+++ b/packages/policy/src/evidence/constants.ts
@@ -7,10 +7,10 @@
 export const EPOCH_MS = 6 * 3_600_000;
 
 /** Evidence counts half after this time. */
-export const EVIDENCE_HALF_LIFE_MS = 24 * 3_600_000;
+export const EVIDENCE_HALF_LIFE_MS = 72 * 3_600_000;
 
 /** Epochs older than this many are dropped. */
-export const KEPT_EPOCHS = 16;
+export const KEPT_EPOCHS = 28;
 
 /** Ratings that the whole task's evidence for a version counts for in one team's estimate. */
 export const TASK_POOL_WEIGHT = 60;
