Keep the better entry when two adoptions of one request meet

A new daemon at a dead peer's address took the copy meant for the dead one and grew stale; later one daemon adopted both the owner's answered entry and the stale one's partial entry, and the later replaced the better. Change: replication names the incarnation meant, others refuse it; adopted entries of one request keep the winner of the fold. Conclusion: either change alone mends this case; both stay, for they mend two causes.

--- a/packages/ledger/src/errors.ts
+++ b/packages/ledger/src/errors.ts
@@ -18,6 +18,11 @@
   readonly code = 'ledger_stopped';
 }
 
+/** A message was meant for another life of the daemon at this address. */
+export class WrongPeerError extends SnipehavenError {
+  readonly code = 'wrong_peer';
+}
+
 /** A row or object of the ledger does not have its form. */
 export class LedgerDataError extends SnipehavenError {
   readonly code = 'ledger_data';
--- a/packages/ledger/src/recordBook.ts
+++ b/packages/ledger/src/recordBook.ts
@@ -2,7 +2,7 @@
 import { invariant } from '@snipehaven/common';
 import type { OpenUsage, UsageEntry, UsageStream } from '@snipehaven/protocol';
 import { REMEMBERED_SETTLEMENTS } from './constants.js';
-import { getEntryText } from './foldEntries.js';
+import { compareEntries, getEntryText } from './foldEntries.js';
 import type { Settlement } from './types.js';
 
 /** A record in the form that the peer keeps. */
@@ -112,10 +112,17 @@
     return this.#open.delete(requestId);
   }
 
-  /** Takes over a dead owner's record. */
+  /**
+   * Takes over a dead owner's record. What goes wrong: two chains of adoption end here, one with the owner's
+   * answered entry and one with an adopter's partial one; the later would replace the better. One
+   * notices an answered request billed as partial. The entry that wins the fold stays.
+   */
   adopt(record: BookRecord): void {
     if (record.kind === 'settled') {
-      this.#settled.set(record.entry.requestId, record.entry);
+      const present = this.#settled.get(record.entry.requestId);
+      if (!present || compareEntries(record.entry, present) < 0) {
+        this.#settled.set(record.entry.requestId, record.entry);
+      }
       return;
     }
     this.#open.set(record.usage.requestId, record.usage);
--- a/packages/ledger/src/replicatedUsageLedger.test.ts
+++ b/packages/ledger/src/replicatedUsageLedger.test.ts
@@ -212,6 +212,27 @@
   assert.equal(await readBills(cluster), ['r1 answered 7', 'r2 answered 5']);
 });
 
+// Symptom: an answered request is billed as partial, by an adopter with a stale copy.
+// Sequence: the peer dies and a new daemon takes its address before anybody notices; owner opens a record.
+// Cause: the new daemon took a copy meant for the dead one, which the owner knows nothing of.
+test('a new daemon at the address of a dead peer takes no copy meant for the other', async () => {
+  const { cluster, owner, holder } = await startPair(2);
+  cluster.kill(holder);
+  const replacement = cluster.add(holder.member.vm);
+  const message = { owner: owner.member.incarnation, peer: holder.member.incarnation, seq: 9 };
+  const empty = {
+    ledger: 'x',
+    isFull: true,
+    opened: [createUsage('r9')],
+    settled: [],
+    forgotten: [],
+  };
+  await assertRejects(replacement.ledger.handlers.replicate({ ...message, ...empty }), /meant for/);
+  await open(owner, 'r2');
+  await clock.tickAsync(MINUTE_MS);
+  assert.is(replacement.ledger.getHeldCount(), 2);
+});
+
 // Symptom: the last daemon alive refuses or delays all requests.
 // Sequence: the only other daemon is killed; another one joins later.
 // Cause: no VM is left to hold a copy. Serving goes on, told on the time line, until one joins.
--- a/packages/ledger/src/replicatedUsageLedger.ts
+++ b/packages/ledger/src/replicatedUsageLedger.ts
@@ -10,7 +10,7 @@
 import type { OpenUsage, UsageEntry, UsageHandlers, UsageStream } from '@snipehaven/protocol';
 import { Adopter } from './adopter.js';
 import { DEFAULT_LEDGER_SETTINGS } from './constants.js';
-import { LedgerFullError, LedgerStoppedError } from './errors.js';
+import { LedgerFullError, LedgerStoppedError, WrongPeerError } from './errors.js';
 import { HeldRecords } from './heldRecords.js';
 import { LedgerFlusher } from './ledgerFlusher.js';
 import { LedgerSpiller } from './ledgerSpiller.js';
@@ -34,12 +34,19 @@
 const JITTER_SHARE = 0.2;
 
 export class ReplicatedUsageLedger implements UsageLedger {
-  /** Answers other daemons' messages. */
+  /**
+   * Answers other daemons' messages. What goes wrong: a new daemon at a dead one's address takes the copy
+   * meant for the dead one; the owner moves on and never releases it, and the copy grows stale. One
+   * notices adopted entries beside the owner's. So a message for another incarnation is refused.
+   */
   readonly handlers: UsageHandlers = {
     replicate: async (message) => {
       if (this.#state === 'stopped') {
         throw new LedgerStoppedError('this daemon holds no more copies');
       }
+      if (message.peer !== this.#options.self) {
+        throw new WrongPeerError(`meant for ${message.peer}`);
+      }
       this.#adopter.noteAlive(message.owner);
       return { held: this.#held.apply(message) };
     },
--- a/packages/ledger/src/replicator.ts
+++ b/packages/ledger/src/replicator.ts
@@ -91,7 +91,7 @@
     this.#options = options;
     this.#choice = new PeerChoice(options.membership, options.settings);
     this.#releases = new PeerReleases(options.membership, (peer) =>
-      this.#call(peer, this.#createEnvelope(true)),
+      this.#call(peer, this.#createEnvelope(peer, true)),
     );
     this.#actor = spawnHandlerActor<SendMessage>(
       options.system,
@@ -173,7 +173,7 @@
       this.#goOnAlone();
       return;
     }
-    const sending = this.#takeNext();
+    const sending = this.#takeNext(peer);
     if (sending.ids.length === 0 && sending.message.forgotten.length === 0) {
       return;
     }
@@ -223,12 +223,12 @@
     }
   }
 
-  #takeNext(): Sending {
+  #takeNext(peer: Member): Sending {
     const { book, settings } = this.#options;
     const ids = takeFirst(this.#dirty, settings.maxMessageRecords);
     const records = ids.map((id) => book.getRecord(id));
     const message = {
-      ...this.#createEnvelope(this.#needsFull),
+      ...this.#createEnvelope(peer, this.#needsFull),
       opened: records.flatMap((record) => (record?.kind === 'open' ? [record.usage] : [])),
       settled: records.flatMap((record) => (record?.kind === 'settled' ? [record.entry] : [])),
       forgotten: [...takeFirst(this.#forgotten, settings.maxMessageRecords)],
@@ -236,11 +236,12 @@
     return { message, ids, waiters: this.#waiters.take(ids) };
   }
 
-  #createEnvelope(isFull: boolean): ReplicateUsage {
+  #createEnvelope(peer: Member, isFull: boolean): ReplicateUsage {
     this.#seq += 1;
     const { self, getLedger } = this.#options;
     const empty = { opened: [], settled: [], forgotten: [] };
-    return { owner: self, ledger: getLedger(), seq: this.#seq, isFull, ...empty };
+    const names = { owner: self, peer: peer.incarnation, ledger: getLedger() };
+    return { ...names, seq: this.#seq, isFull, ...empty };
   }
 
   /** `getPeer` for each call: the transport may have dropped the connection after a failure. */
--- a/packages/protocol/src/usage/messages.ts
+++ b/packages/protocol/src/usage/messages.ts
@@ -62,6 +62,8 @@
 export const replicateUsageSchema = z.object({
   /** The incarnation of the owner's process. */
   owner: z.string(),
+  /** The incarnation that is meant: a new daemon at a dead one's address refuses the message. */
+  peer: z.string(),
   /** The incarnation of the owner's ledger: whose cursor an adopter closes. */
   ledger: z.string(),
   /** Rises with each message of the owner, to whichever peer. */
