--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -92,7 +92,7 @@
     );
     await this.#transport?.close();
     await this.#pools.destroy();
-    return report ?? { unfinishedRequests: 0, unflushedRecords: 0 };
+    return report ?? { unfinishedRequests: 0, unflushedRecords: 0, unwrittenAnswers: 0 };
   }
 
   #createListener(slot: HandlerSlot): Listener {
--- a/packages/daemon/src/daemonCore.ts
+++ b/packages/daemon/src/daemonCore.ts
@@ -32,6 +32,7 @@
   TeamLimiter,
   UpstreamRegistry,
   UpstreamWatcher,
+  type RoutingDependencies,
   type RoutingSettings,
   type UpstreamWatcherSettings,
 } from '@snipehaven/routing';
@@ -76,8 +77,13 @@
   readonly transport: PeerTransport;
   readonly logger: Logger;
   readonly random: Random;
+  /** Replaces parts of the request path; the proofs show with it what breaks without a mechanism. */
+  readonly decorateRouting?: (dependencies: RoutingDependencies) => RoutingDependencies;
 }
 
+/** How long a shutdown waits for the table to take the last answers. */
+const CLAIM_FLUSH_MS = 5_000;
+
 export class DaemonCore {
   readonly membership: Membership;
 
@@ -116,6 +122,8 @@
 
   readonly #stopWatchingViolations: () => void;
 
+  #isStopping = false;
+
   constructor(options: DaemonCoreOptions) {
     const { identity, settings, table, objectStore, logger, random, transport } = options;
     this.#options = options;
@@ -194,9 +202,9 @@
     });
   }
 
-  /** Whether callers may be served: there is a configuration, however old. */
+  /** Whether new requests may come: there is a configuration, however old, and no shutdown. */
   get isServing(): boolean {
-    return this.configuration.getStatus().hasConfiguration;
+    return !this.#isStopping && this.configuration.getStatus().hasConfiguration;
   }
 
   start(): void {
@@ -209,20 +217,32 @@
     this.#watcher.start();
   }
 
-  /** Finishes what runs, hands over and leaves; resolves with what was left undone. */
+  /**
+   * Finishes what runs, hands over and leaves; resolves with what was left undone.
+   *
+   * What goes wrong: a request that comes over a kept-alive connection after the last one has ended, while
+   * records are handed over, would be cut off by the end of the process. From here on new requests are
+   * refused, not run, and go to another daemon.
+   */
   async stop(deadlineMs: number): Promise<ShutdownReport> {
     this.timeline.record('daemonStopping', {});
+    this.#isStopping = true;
     const isIdle = await this.#waitUntilIdle(deadlineMs);
     this.#watcher.stop();
     await this.rollouts.stop();
     await this.pins.stop();
+    const { unwritten: unwrittenAnswers } = await this.claims.flush(CLAIM_FLUSH_MS);
     const unflushedRecords = await this.ledger.stop();
     this.configuration.stop();
     this.claims.stop();
     await this.membership.leave();
     this.#stopWatchingViolations();
     stopActorSystem(this.#actors);
-    return { unfinishedRequests: isIdle ? 0 : this.router.active, unflushedRecords };
+    return {
+      unfinishedRequests: isIdle ? 0 : this.router.active,
+      unflushedRecords,
+      unwrittenAnswers,
+    };
   }
 
   /** Stops at once as a killed process would, for tests. */
@@ -259,7 +279,7 @@
 
   #createRouter(): RequestRouter {
     const { identity, settings, engines, services, logger, random } = this.#options;
-    return new RequestRouter({
+    const dependencies: RoutingDependencies = {
       incarnation: identity.incarnation,
       dataCentre: asId<DataCentreId>(identity.dataCentre),
       configuration: this.configuration,
@@ -281,7 +301,8 @@
       logger,
       random,
       settings: settings.routing,
-    });
+    };
+    return new RequestRouter(this.#options.decorateRouting?.(dependencies) ?? dependencies);
   }
 
   #listGauges(): ConstructorParameters<typeof DaemonMetrics>[0] {
@@ -319,4 +340,6 @@
 export interface ShutdownReport {
   readonly unfinishedRequests: number;
   readonly unflushedRecords: number;
+  /** Answers of non-idempotent requests that retries will not find. */
+  readonly unwrittenAnswers: number;
 }
--- a/packages/daemon/src/settings/settingsSchema.ts
+++ b/packages/daemon/src/settings/settingsSchema.ts
@@ -106,7 +106,9 @@
         .nonnegative()
         .default(2_000)
         .describe('Serving on while the balancer learns that the daemon is not ready.'),
-      deadlineMs: durationMs.default(60_000).describe('Longest wait for requests in progress.'),
+      deadlineMs: durationMs
+        .default(620_000)
+        .describe('Longest wait for requests in progress; above requests.maxDeadlineMs.'),
     })
     .prefault({})
     .describe('Graceful shutdown.'),
--- a/packages/daemon/src/snipehavend.ts
+++ b/packages/daemon/src/snipehavend.ts
@@ -40,7 +40,8 @@
     return EXIT_UNFINISHED;
   }
   logger.info(report, 'stopped');
-  return report.unfinishedRequests + report.unflushedRecords === 0 ? EXIT_OK : EXIT_UNFINISHED;
+  const left = report.unfinishedRequests + report.unflushedRecords + report.unwrittenAnswers;
+  return left === 0 ? EXIT_OK : EXIT_UNFINISHED;
 };
 
 class ServeCommand extends Command {
--- a/packages/routing/src/chatRun.ts
+++ b/packages/routing/src/chatRun.ts
@@ -19,7 +19,7 @@
   VERSION_HEADER,
 } from './constants.js';
 import type { RoutingDependencies } from './dependencies.js';
-import { hashRequest, takeClaim } from './claimGuard.js';
+import { hashRequest, keepAnswer, takeClaim } from './claimGuard.js';
 import { HeldConsumer, LiveConsumer } from './eventConsumers.js';
 import { admit, type Admission } from './admission.js';
 import { planChat, type ChatPlan } from './planChat.js';
@@ -244,7 +244,7 @@
       const isLast = index === settled.steps.length - 1;
       const answer = await this.#runStep(step, isLast, settled, session);
       if (answer !== undefined) {
-        await this.#finish(answer, settled, index);
+        this.#finish(answer, settled, index);
         return;
       }
     }
@@ -427,7 +427,7 @@
     this.#sink.send(200, 'application/json', toCompletionBody(fields), headers);
   }
 
-  async #finish(answer: StepAnswer, plan: ChatPlan, stepIndex: number): Promise<void> {
+  #finish(answer: StepAnswer, plan: ChatPlan, stepIndex: number): void {
     const { requestId } = this.#request;
     const subject = { requestId, version: answer.version, upstream: answer.upstream };
     this.#deps.timeline.record('answerFinished', subject, { totalMs: answer.totalMs });
@@ -447,7 +447,7 @@
       });
     }
     if (this.#claim !== undefined) {
-      await this.#deps.claims.finish(this.#claim, {
+      keepAnswer(this.#deps, this.#claim, {
         status: 200,
         contentType: 'application/json',
         body: toCompletionBody(this.#toFields(answer)),
--- a/packages/routing/src/claimGuard.ts
+++ b/packages/routing/src/claimGuard.ts
@@ -53,3 +53,17 @@
   }
   throw toRefusal(outcome, tracker);
 };
+
+/**
+ * Keeps the answer for the caller's retries, in the background: while the table is away it waits in
+ * memory, and neither the caller nor the request's place in the queue waits with it.
+ */
+export const keepAnswer = (
+  deps: Pick<RoutingDependencies, 'claims' | 'logger'>,
+  claim: Claim,
+  answer: StoredAnswer,
+): void => {
+  deps.claims.finish(claim, answer).catch((error: unknown) => {
+    deps.logger.warn({ error: getErrorMessage(error) }, 'an answer was not kept for retries');
+  });
+};
--- a/packages/routing/src/serviceRun.ts
+++ b/packages/routing/src/serviceRun.ts
@@ -11,7 +11,7 @@
   type ServiceAnswer,
 } from '@snipehaven/upstream';
 import { admit, type Admission } from './admission.js';
-import { hashRequest, takeClaim } from './claimGuard.js';
+import { hashRequest, keepAnswer, takeClaim } from './claimGuard.js';
 import { LEAVING_GRACE_MS, REPLAYED_HEADER, REQUEST_ID_HEADER } from './constants.js';
 import type { RoutingDependencies } from './dependencies.js';
 import { Refusal } from './refusal.js';
@@ -244,7 +244,7 @@
       costMicroUsd: this.#account.costMicroUsd,
     });
     if (this.#claim !== undefined) {
-      await this.#deps.claims.finish(this.#claim, toStoredAnswer(answer));
+      keepAnswer(this.#deps, this.#claim, toStoredAnswer(answer));
     }
   }
 
--- a/packages/routing/src/sessionResolver.ts
+++ b/packages/routing/src/sessionResolver.ts
@@ -28,8 +28,7 @@
   const { sessionToken, callerSession } = request.options;
   const { uid } = request.identity.team.metadata;
   if (sessionToken !== undefined) {
-    const pin = tokens.verify(sessionToken);
-    return pin?.teamUid === uid ? pin : undefined;
+    return tokens.verify(sessionToken, uid);
   }
   return callerSession === undefined ? undefined : pins.find(uid, callerSession);
 };
--- a/tools/definePackages.mjs
+++ b/tools/definePackages.mjs
@@ -3,6 +3,7 @@
  * dependencies between packages stand in one place and point one way.
  */
 import { mkdirSync, writeFileSync, existsSync } from 'node:fs';
+import { format } from 'prettier';
 
 const versions = {
   nact: '^7.6.2',
@@ -148,9 +149,10 @@
 };
 const privatePackages = new Set(['standins', 'demo', 'bench', 'proofs']);
 
-const toJson = (value) => `${JSON.stringify(value, null, 2)}\n`;
+const toJson = (value, parser = 'json') =>
+  format(JSON.stringify(value), { parser, printWidth: 100 });
 
-Object.entries(packages).forEach(([name, [own, libraries, bin]]) => {
+for (const [name, [own, libraries, bin]] of Object.entries(packages)) {
   const folder = `packages/${name}`;
   mkdirSync(`${folder}/src`, { recursive: true });
   const dependencies = {};
@@ -172,10 +174,10 @@
     ...(bin ? { bin: { [bin]: `dist/${bin}.js` } } : {}),
     dependencies,
   };
-  writeFileSync(`${folder}/package.json`, toJson(manifest));
+  writeFileSync(`${folder}/package.json`, await toJson(manifest, 'json-stringify'));
   writeFileSync(
     `${folder}/tsconfig.json`,
-    toJson({
+    await toJson({
       extends: '../../tsconfig.base.json',
       compilerOptions: { rootDir: 'src', outDir: 'dist', tsBuildInfoFile: 'dist/.tsbuildinfo' },
       include: ['src'],
@@ -185,11 +187,11 @@
   if (!existsSync(`${folder}/src/index.ts`)) {
     writeFileSync(`${folder}/src/index.ts`, 'export {};\n');
   }
-});
+}
 
 writeFileSync(
   'tsconfig.json',
-  toJson({
+  await toJson({
     files: [],
     references: Object.keys(packages).map((name) => ({ path: `packages/${name}` })),
   }),
