--- a/packages/demo/src/demoRun.ts
+++ b/packages/demo/src/demoRun.ts
@@ -1,21 +1,14 @@
 /** The main job: both sample deployments under load, a withdrawal, a killed daemon. */
-import { writeFileSync } from 'node:fs';
-import { dirname, join, resolve } from 'node:path';
-import { fileURLToPath } from 'node:url';
-import { TableLedgerReader } from '@snipehaven/ledger';
-import { HttpObjectStoreClient, HttpTableClient } from '@snipehaven/platform';
-import type { EngineTruth, ServiceTruth, StandinAddresses } from '@snipehaven/standins';
+import { applySample, operate } from './applySample.js';
+import { readLedger, waitForBills } from './bills.js';
 import { Deployment, type RunningDaemon } from './deployment.js';
-import { runSnipectl } from './runSnipectl.js';
 import {
   createSampleStandins,
-  createUpstreamManifests,
   dearestPrice,
   isAllowedBySample,
   sampleDataCentres,
 } from './sampleDeployment.js';
-import { readTruth } from './standinsClient.js';
-import { getFinalEnd } from './workload/callRecord.js';
+import { readUpstreamsTruth } from './standinsClient.js';
 import { Callers } from './workload/callers.js';
 import { judgeRun, type Verdict, type WithdrawalFact } from './workload/oracle.js';
 import { createWorkload } from './workload/workItems.js';
@@ -27,7 +20,6 @@
   readonly say: (line: string) => void;
 }
 
-const ROOT = resolve(dirname(fileURLToPath(import.meta.url)), '../../..');
 const WITHDRAWN_VERSION = 'analyst@1';
 /** A withdrawal must be in force everywhere so soon after the command has returned. */
 const WITHDRAWAL_GRACE_MS = 1_000;
@@ -35,8 +27,6 @@
 const MAX_ATTEMPTS = 12;
 const ATTEMPT_TIMEOUT_MS = 20_000;
 const PAUSE_MS = 30;
-const BILLS_TIMEOUT_MS = 60_000;
-const BILLS_POLL_MS = 1_000;
 const REPLACE_AFTER_MS = 1_500;
 
 const wait = (delayMs: number): Promise<void> =>
@@ -44,15 +34,6 @@
     setTimeout(done, delayMs);
   });
 
-/** Reads the folded ledger as an auditor would: from the platform alone. */
-export const readLedger = (
-  addresses: StandinAddresses,
-): ReturnType<TableLedgerReader['listEntries']> =>
-  new TableLedgerReader({
-    table: new HttpTableClient(addresses.tableUrl ?? ''),
-    objectStore: new HttpObjectStoreClient(addresses.objectStoreUrl ?? ''),
-  }).listEntries({});
-
 export class DemoRun {
   readonly deployment: Deployment;
 
@@ -77,16 +58,7 @@
     const { say, folder } = this.#options;
     await this.deployment.start();
     say(`${this.deployment.daemons.length} daemons and the stand-ins run`);
-    const upstreams = join(folder, 'upstreams.json');
-    const resources = createUpstreamManifests(this.deployment.addresses);
-    writeFileSync(upstreams, JSON.stringify({ resources }));
-    const files = [
-      join(ROOT, 'config/kowalczyk.toml'),
-      join(ROOT, 'config/caprock.toml'),
-      upstreams,
-    ];
-    await this.#snipectl(['apply', ...files.flatMap((file) => ['-f', file]), '--wait', 'inForce']);
-    await this.deployment.waitUntilAllReady();
+    await applySample(this.deployment, folder);
     say('the sample configuration is in force everywhere');
   }
 
@@ -108,31 +80,15 @@
     return this.#judge(records);
   }
 
-  /** The bills of a killed daemon come when its peer has adopted them. */
-  async #waitForBills(records: Callers['records']): Promise<void> {
-    const answered = records.filter((record) => getFinalEnd(record)?.kind === 'answered');
-    const giveUpAtMs = Date.now() + BILLS_TIMEOUT_MS;
-    while (Date.now() < giveUpAtMs) {
-      const entries = await readLedger(this.deployment.addresses);
-      const billed = new Set(entries.map((entry) => entry.requestKey));
-      if (answered.every((record) => billed.has(record.item.key))) {
-        return;
-      }
-      await wait(BILLS_POLL_MS);
-    }
-    this.#options.say(`some bills are missing after ${BILLS_TIMEOUT_MS} ms`);
-  }
-
   async #judge(records: Callers['records']): Promise<Verdict> {
     const { addresses } = this.deployment;
-    await this.#waitForBills(records);
+    if (!(await waitForBills(addresses, records))) {
+      this.#options.say('some bills are missing');
+    }
     await this.deployment.stopDaemons();
-    const read = <Truth>(list: readonly { readonly url: string }[]): Promise<Truth[]> =>
-      Promise.all(list.map(({ url }) => readTruth<Truth>(url)));
     return judgeRun({
       records,
-      engines: await read<EngineTruth>(addresses.engines),
-      services: await read<ServiceTruth>(addresses.services),
+      ...(await readUpstreamsTruth(addresses)),
       entries: await readLedger(addresses),
       withdrawals: this.#withdrawals,
       isAllowed: isAllowedBySample,
@@ -154,7 +110,7 @@
   }
 
   async #withdraw(): Promise<void> {
-    await this.#snipectl(['withdraw', WITHDRAWN_VERSION, '--reason', 'demo', '--yes']);
+    await operate(this.deployment, ['withdraw', WITHDRAWN_VERSION, '--reason', 'demo', '--yes']);
     const inForceAtMs = Date.now() + WITHDRAWAL_GRACE_MS;
     this.#withdrawals.push({ version: WITHDRAWN_VERSION, inForceAtMs });
     this.#options.say(`${WITHDRAWN_VERSION} is withdrawn in mid-run`);
@@ -169,12 +125,4 @@
     await this.deployment.waitUntilReady(daemon);
     this.#options.say(`${daemon.vm.name} is replaced`);
   }
-
-  async #snipectl(args: readonly string[]): Promise<void> {
-    const urls = this.deployment.daemons.map((daemon) => daemon.operatorsUrl);
-    const result = await runSnipectl(urls, args);
-    if (result.code !== 0) {
-      throw new Error(`snipectl ${args.join(' ')} ended with ${result.code}: ${result.output}`);
-    }
-  }
 }
--- a/packages/demo/src/deployment.ts
+++ b/packages/demo/src/deployment.ts
@@ -37,6 +37,8 @@
   readonly daemonNodeArgs?: readonly string[];
   /** Settings text appended for each daemon, for experiments. */
   readonly extraSettings?: string;
+  /** Further environment of a daemon's process, read at each start. */
+  readonly getDaemonEnvironment?: (vm: EntryVm) => Readonly<Record<string, string>>;
 }
 
 export interface RunningDaemon {
@@ -95,6 +97,11 @@
   /** Starts the stand-ins, then the daemons; resolves when the daemons listen. */
   async start(): Promise<void> {
     await this.startStandins();
+    await this.startDaemons();
+  }
+
+  /** Starts the daemons; the stand-ins run already. */
+  async startDaemons(): Promise<void> {
     this.daemons.push(...this.#vms.map((vm) => this.#spawnDaemon(vm)));
     await Promise.all(this.daemons.map((daemon) => daemon.process.firstLine));
   }
@@ -181,7 +188,7 @@
         script: scripts.daemon,
         nodeArgs: this.#options.daemonNodeArgs ?? [],
         args: ['-c', file],
-        env: daemonEnvironment,
+        env: { ...daemonEnvironment, ...this.#options.getDaemonEnvironment?.(vm) },
         logFile: join(this.#options.folder, `${vm.name}.log`),
       }),
     };
--- a/packages/demo/src/index.ts
+++ b/packages/demo/src/index.ts
@@ -1,3 +1,5 @@
+export * from './applySample.js';
+export * from './bills.js';
 export * from './daemonSettings.js';
 export * from './deployment.js';
 export * from './layout.js';
--- a/packages/demo/src/operatorClient.ts
+++ b/packages/demo/src/operatorClient.ts
@@ -8,15 +8,21 @@
   readonly body: unknown;
 }
 
+/** Longest silence of the operator API, where the call gives none. */
+const CALL_TIMEOUT_MS = 300_000;
+
 /** Calls the operator API; any status is an answer. */
 export const callOperatorApi = async (
   operatorsUrl: string,
   method: 'GET' | 'PUT' | 'POST' | 'DELETE',
   path: string,
   body?: unknown,
+  timeoutMs = CALL_TIMEOUT_MS,
 ): Promise<OperatorAnswer> => {
   const answer = await request(`${operatorsUrl}${path}`, {
     method,
+    headersTimeout: timeoutMs,
+    bodyTimeout: timeoutMs,
     headers: {
       authorization: `Bearer ${demoSecrets.operatorToken}`,
       'content-type': 'application/json',
--- a/packages/demo/src/workload/callers.ts
+++ b/packages/demo/src/workload/callers.ts
@@ -7,11 +7,13 @@
 
 export interface CallersOptions {
   readonly seed: number;
-  /** The daemons that the balancer holds ready. */
-  readonly listTargets: () => readonly RunningDaemon[];
+  /** The daemons that the balancer holds ready and may give the request to. */
+  readonly listTargets: (item: WorkItem) => readonly RunningDaemon[];
   readonly parallel: number;
   readonly maxAttempts: number;
   readonly attemptTimeoutMs: number;
+  /** Called after each attempt that was sent. */
+  readonly onAttempt?: (item: WorkItem, attempt: CallAttempt) => void;
   /** Called after each request, with the count so far. */
   readonly onDone?: (count: number) => void;
   /** Mean pause of a caller between requests. */
@@ -65,11 +67,11 @@
   }
 
   /** Sends all conversations, some side by side; resolves when all have ended. */
-  async run(conversations: readonly (readonly WorkItem[])[]): Promise<readonly CallRecord[]> {
-    const queue = [...conversations];
+  async run(conversations: Iterable<readonly WorkItem[]>): Promise<readonly CallRecord[]> {
+    const queue = conversations[Symbol.iterator]();
     const work = async (): Promise<void> => {
-      for (let next = queue.shift(); next; next = queue.shift()) {
-        await this.#converse(next);
+      for (let next = queue.next(); next.done !== true; next = queue.next()) {
+        await this.#converse(next.value);
       }
     };
     await Promise.all(Array.from({ length: this.#options.parallel }, work));
@@ -91,6 +93,15 @@
   }
 
   async #call(item: WorkItem, sessionToken: string | undefined): Promise<CallRecord> {
+    const attempts = await this.#submit(item, sessionToken);
+    const isAnswered = attempts.at(-1)?.end.kind === 'answered';
+    const isResubmitted = isAnswered && !item.isIdempotent && this.#random.next() < RESUBMIT_SHARE;
+    const further = isResubmitted ? await this.#submit(item, sessionToken) : [];
+    return { item, attempts: [...attempts, ...further] };
+  }
+
+  /** Tries until the request has ended, or too often. */
+  async #submit(item: WorkItem, sessionToken: string | undefined): Promise<readonly CallAttempt[]> {
     const attempts: CallAttempt[] = [];
     while (attempts.length < this.#options.maxAttempts) {
       const attempt = await this.#attempt(item, sessionToken);
@@ -101,22 +112,20 @@
       }
       await wait(delayMs);
     }
-    const isAnswered = attempts.at(-1)?.end.kind === 'answered';
-    if (isAnswered && !item.isIdempotent && this.#random.next() < RESUBMIT_SHARE) {
-      attempts.push(await this.#attempt(item, sessionToken));
-    }
-    return { item, attempts };
+    return attempts;
   }
 
   async #attempt(item: WorkItem, sessionToken: string | undefined): Promise<CallAttempt> {
     const startedAtMs = Date.now();
-    const daemon = pickRandom(this.#options.listTargets(), this.#random);
+    const daemon = pickRandom(this.#options.listTargets(item), this.#random);
     if (daemon === undefined) {
       const end: AttemptEnd = { kind: 'broken', reason: 'the balancer has no daemon' };
       return { vm: '', startedAtMs, endedAtMs: startedAtMs, end };
     }
     const timeoutMs = this.#options.attemptTimeoutMs;
     const end = await sendAttempt({ item, daemon, sessionToken, timeoutMs });
-    return { vm: daemon.vm.name, startedAtMs, endedAtMs: Date.now(), end };
+    const attempt = { vm: daemon.vm.name, startedAtMs, endedAtMs: Date.now(), end };
+    this.#options.onAttempt?.(item, attempt);
+    return attempt;
   }
 }
--- a/packages/demo/src/workload/oracle.ts
+++ b/packages/demo/src/workload/oracle.ts
@@ -6,13 +6,15 @@
   type ServiceTruth,
   type StreamTruth,
 } from '@snipehaven/standins';
-import { getFinalEnd, type CallRecord, type SeenAnswer } from './callRecord.js';
+import { getFinalEnd, type CallAttempt, type CallRecord, type SeenAnswer } from './callRecord.js';
 
 /** A withdrawal as the run made it. */
 export interface WithdrawalFact {
   readonly version: string;
   /** When the operator's command reported it in force. */
   readonly inForceAtMs: number;
+  /** When an operator began to lift it. */
+  readonly liftedAtMs?: number;
 }
 
 export interface OracleInput {
@@ -113,14 +115,32 @@
   (streams.get(key)?.length ?? 0) +
   services.reduce((sum, service) => sum + (service.runsByKey[key] ?? 0), 0);
 
+const isNotRun = ({ end }: CallAttempt): boolean =>
+  end.kind === 'refused' && end.verdict === 'notRun';
+
+/**
+ * While all attempts so far were refused as not run, nothing may have started, even where a later
+ * attempt ran. Engines tell when their runs started; services only count theirs.
+ */
+const judgeFirstRefusals = (
+  { item, attempts }: CallRecord,
+  streams: readonly StreamTruth[],
+  tally: Tally,
+): void => {
+  const firstOther = attempts.findIndex((attempt) => !isNotRun(attempt));
+  const lastRefusal = attempts[firstOther - 1];
+  const early = streams.filter(({ startedMs }) => startedMs < (lastRefusal?.endedAtMs ?? 0));
+  if (early.length > 0) {
+    tally.falseNotRun.push(`${item.key}: ${early.length} runs before the refusal ended`);
+  }
+};
+
 const judgeRuns = (record: CallRecord, runs: number, tally: Tally): void => {
   const { item, attempts } = record;
   if (!item.isIdempotent && runs > 1) {
     tally.ranTwice.push(`${item.key}: ${runs} runs`);
   }
-  const saysNotRun = attempts.every(
-    ({ end }) => end.kind === 'refused' && end.verdict === 'notRun',
-  );
+  const saysNotRun = attempts.every(isNotRun);
   if (saysNotRun && runs > 0) {
     tally.falseNotRun.push(`${item.key}: ${runs} runs`);
   }
@@ -146,7 +166,9 @@
 ): void => {
   const { key } = record.item;
   const isAnswered = listAnswers(record).length > 0;
-  if (isAnswered && entries.length !== 1) {
+  if (entries.length > 1) {
+    tally.misbilled.push(`${key}: ${entries.length} entries`);
+  } else if (isAnswered && entries.length !== 1) {
     tally.misbilled.push(`${key}: answered, ${entries.length} entries`);
   }
   if (runs === 0 && entries.length > 0) {
@@ -187,10 +209,11 @@
 };
 
 const judgeWithdrawals = (input: OracleInput, tally: Tally): void => {
-  input.withdrawals.forEach(({ version, inForceAtMs }) => {
+  input.withdrawals.forEach(({ version, inForceAtMs, liftedAtMs = Infinity }) => {
     input.engines
       .flatMap((engine) => engine.streams)
-      .filter((stream) => stream.versionId === version && stream.startedMs > inForceAtMs)
+      .filter((stream) => stream.versionId === version)
+      .filter(({ startedMs }) => startedMs > inForceAtMs && startedMs < liftedAtMs)
       .forEach((stream) => {
         tally.afterWithdrawal.push(
           `${stream.streamId}: ${stream.startedMs - inForceAtMs} ms after`,
@@ -245,6 +268,7 @@
     judgeAnswers(record, tally);
     judgeEnd(record, tally);
     judgeRuns(record, runs, tally);
+    judgeFirstRefusals(record, streamsByKey.get(record.item.key) ?? [], tally);
     judgeBill(record, runs, entriesByKey.get(record.item.key) ?? [], streamsById, tally);
   });
   judgeVersions(input.records, input, tally);
