Admission: short waits, last slots kept from the largest team

Cause: under overload requests waited until little of their deadline was left, so answers came too late; a flooding team held every slot.

--- a/packages/bench/src/policy/upstreams/daemonModel.ts
+++ b/packages/bench/src/policy/upstreams/daemonModel.ts
@@ -234,7 +234,11 @@
   }
 
   #endRun(run: AttemptedRun): void {
-    this.#admission.complete(this.#events.nowMs - run.admittedAtMs, this.#events.nowMs);
+    this.#admission.complete(
+      run.request,
+      this.#events.nowMs - run.admittedAtMs,
+      this.#events.nowMs,
+    );
   }
 
   #finish(run: AttemptedRun, kind: RequestResult['kind']): void {
--- a/packages/policy/src/limits/chooseAdmission.ts
+++ b/packages/policy/src/limits/chooseAdmission.ts
@@ -1,7 +1,7 @@
 /** Admits, queues or refuses requests; whoever is refused gets the final answer at once. */
 import type { Random } from '@snipehaven/common';
 import { SERVICE_TIME_WEIGHT } from './constants.js';
-import { chargeTeam, dequeue, enqueue, removeRequests } from './fairOrder.js';
+import { dequeue, enqueue, releaseSlot, removeRequests } from './fairOrder.js';
 import { getExpectedWaitMs } from './fairSchedule.js';
 import { findDisplaceable, refuse, shedTooLate } from './shedRequests.js';
 import type {
@@ -64,6 +64,16 @@
   return { state: left, decision: { kind: 'queue', expectedWaitMs }, displaced: refused };
 };
 
+/** Runs the new request if it is its turn: the others in line may lack a right to the free slot. */
+const runIfNext = (
+  state: AdmissionState,
+  { maxRunning }: AdmissionSettings,
+  { id }: AdmissionRequest,
+): AdmissionState | undefined => {
+  const taken = dequeue(state, maxRunning);
+  return taken?.request.id === id ? taken.state : undefined;
+};
+
 /** Decides on a request that has just come. */
 export const chooseAdmission = (
   state: AdmissionState,
@@ -72,12 +82,10 @@
   nowMs: number,
   random: Random,
 ): AdmissionResult => {
-  if (state.queued > 0 || state.running >= settings.maxRunning) {
-    return queueOrRefuse(state, settings, request, nowMs, random);
-  }
-  const charged = chargeTeam(state, request);
-  const running = { ...charged, running: state.running + 1 };
-  return { state: running, decision: { kind: 'run' }, displaced: [] };
+  const running = runIfNext(enqueue(state, request), settings, request);
+  return running
+    ? { state: running, decision: { kind: 'run' }, displaced: [] }
+    : queueOrRefuse(state, settings, request, nowMs, random);
 };
 
 /** The next request to run, if a slot is free. Call until `next` is left out. */
@@ -90,19 +98,15 @@
   if (state.queued === 0) {
     return { state, refused: [] };
   }
-  const late = shedTooLate(state, settings, nowMs, random);
-  const taken = late.state.running < settings.maxRunning ? dequeue(late.state) : undefined;
-  if (taken === undefined) {
-    return { state: late.state, refused: late.refused };
-  }
-  const running = { ...taken.state, running: taken.state.running + 1 };
-  return { state: running, next: taken.request, refused: late.refused };
+  const { state: left, refused } = shedTooLate(state, settings, nowMs, random);
+  const taken = dequeue(left, settings.maxRunning);
+  return taken ? { state: taken.state, next: taken.request, refused } : { state: left, refused };
 };
 
 /** A request has ended and held its slot for `serviceMs`. */
 export const recordCompletion = (
   state: AdmissionState,
-  { cost }: Pick<AdmissionRequest, 'cost'>,
+  { team, cost }: Pick<AdmissionRequest, 'team' | 'cost'>,
   serviceMs: number,
 ): AdmissionState => {
   const sample = serviceMs / cost;
@@ -110,7 +114,7 @@
   const mean = isFirst
     ? sample
     : state.serviceMs + SERVICE_TIME_WEIGHT * (sample - state.serviceMs);
-  return { ...state, running: state.running - 1, serviceMs: mean };
+  return { ...releaseSlot(state, team), serviceMs: mean };
 };
 
 /** A waiting request's caller has gone away. */
--- a/packages/policy/src/limits/constants.ts
+++ b/packages/policy/src/limits/constants.ts
@@ -20,3 +20,8 @@
 export const RETURN_SHARE = 0.5;
 export const RETRY_AFTER_MIN_MS = 1_000;
 export const RETRY_AFTER_MAX_MS = 60_000;
+
+/** Slots kept from the largest team, in square roots of the slots. */
+export const RESERVED_DEVIATIONS = 0.5;
+/** A request may spend this share of its time until the deadline waiting in line. */
+export const MAX_WAIT_SHARE = 0.1;
--- a/packages/policy/src/limits/shedRequests.ts
+++ b/packages/policy/src/limits/shedRequests.ts
@@ -1,6 +1,6 @@
 /** Which requests are given up, at once, when there is no room or no time for them. */
 import type { Random } from '@snipehaven/common';
-import { REFUSAL_FADE_MS } from './constants.js';
+import { MAX_WAIT_SHARE, REFUSAL_FADE_MS } from './constants.js';
 
 import { listWaitingTeams, removeRequests } from './fairOrder.js';
 import { getDrainPerSecond, toWaitMs, walkFairSchedule } from './fairSchedule.js';
@@ -24,7 +24,9 @@
   walkFairSchedule(state, ({ request, costAhead }) => {
     const waitMs = toWaitMs(costAhead, drainPerSecond);
     const readyAtMs = nowMs + waitMs + state.serviceMs * request.cost;
-    const isInTime = readyAtMs < request.deadlineAtMs;
+    const maxWaitMs = MAX_WAIT_SHARE * (request.deadlineAtMs - request.arrivedAtMs);
+    const waitedMs = nowMs - request.arrivedAtMs + waitMs;
+    const isInTime = readyAtMs < request.deadlineAtMs && waitedMs <= maxWaitMs;
     if (!isInTime) {
       late.push(request);
     }
--- a/packages/policy/src/limits/types.ts
+++ b/packages/policy/src/limits/types.ts
@@ -105,9 +105,10 @@
   readonly deadlineAtMs: number;
 }
 
-/** The requests of one team that wait, and the team's place in the fair order. */
+/** The requests of one team that run and wait, and the team's place in the fair order. */
 export interface TeamQueue {
   readonly weight: number;
+  readonly running: number;
   /** Virtual time at which the next request of the team starts. */
   readonly startTag: number;
   /** By falling priority, then by arrival. */
