--- a/packages/policy/src/limits/shareHolder.ts
+++ b/packages/policy/src/limits/shareHolder.ts
@@ -8,7 +8,10 @@
 import { SHARE_CLOCK_DRIFT, SHARE_FALL_BACK_MS } from './constants.js';
 import type { ShareGrant, ShareHolder, ShareRequest } from './types.js';
 
-/** A member that has just started, without a share: it falls back if nobody answers. */
+/**
+ * A member that has just started, without a share. It waits as long as any other before it falls
+ * back: an earlier life of it may have promised the allocator so, and the promise outlasts it.
+ */
 export const createShareHolder = (
   member: string,
   fixedShare: number,
@@ -20,7 +23,7 @@
   requestSentAtMs: nowMs,
   share: 0,
   shareUntilMs: nowMs,
-  fallBackAtMs: nowMs,
+  fallBackAtMs: nowMs + SHARE_FALL_BACK_MS * (1 + SHARE_CLOCK_DRIFT),
 });
 
 /**
