--- a/packages/bench/src/policy/choice/evidenceBoard.ts
+++ b/packages/bench/src/policy/choice/evidenceBoard.ts
@@ -24,9 +24,12 @@
   readonly taskId: string;
   /** Names the version's evidence over all tasks. */
   readonly versionId: string;
-  readonly position: AnswerPosition;
+  /** The task's name without the position. */
+  readonly taskPrefix: string;
 }
 
+const positions: readonly AnswerPosition[] = ['direct', 'escalated'];
+
 /** Builds a key; done once for each stream, for it is used with every request. */
 export const createBoardKey = (
   team: TeamId,
@@ -37,7 +40,7 @@
   id: `${team}|${task}|${version}|${position}`,
   taskId: `${task}|${version}|${position}`,
   versionId: `${version}|${position}`,
-  position,
+  taskPrefix: `${task}|${version}|`,
 });
 
 const SOURCE = 'bench';
@@ -53,11 +56,11 @@
 
 interface CellEntry {
   readonly key: BoardKey;
-  cell: EvidenceCell;
+  readonly cell: EvidenceCell;
   /** The fold that stands in the sums. */
-  folded: readonly number[];
-  foldedAtMs: number;
-  isChanged: boolean;
+  readonly folded: readonly number[];
+  readonly foldedAtMs: number;
+  readonly isChanged: boolean;
 }
 
 type Snapshot = Map<string, QualityEvidence>;
@@ -91,11 +94,9 @@
 
   rate(key: BoardKey, score: number, nowMs: number): void {
     const entry = this.#getEntry(key);
-    entry.cell = addOutcome(entry.cell, SOURCE, { type: 'rated', score }, nowMs);
-    entry.isChanged = true;
-    if (key.position === 'direct') {
-      this.#detect(key, score);
-    }
+    const cell = addOutcome(entry.cell, SOURCE, { type: 'rated', score }, nowMs);
+    this.#entries.set(key.id, { ...entry, cell, isChanged: true });
+    this.#detect(key, score);
   }
 
   getEvidence(key: BoardKey, nowMs: number): QualityEvidence {
@@ -117,9 +118,7 @@
       return known;
     }
     const cell = startEra(emptyCell, this.#eras.get(key.taskId) ?? 0);
-    const entry = { key, cell, folded: emptyBins(), foldedAtMs: 0, isChanged: false };
-    this.#entries.set(key.id, entry);
-    return entry;
+    return { key, cell, folded: emptyBins(), foldedAtMs: 0, isChanged: false };
   }
 
   #pool(key: BoardKey): QualityEvidence {
@@ -149,9 +148,7 @@
     const folded = foldCell(entry.cell, nowMs).scoreCounts;
     this.#changeSum(entry.key.taskId, entry.folded, folded);
     this.#changeSum(entry.key.versionId, entry.folded, folded);
-    entry.folded = folded;
-    entry.foldedAtMs = nowMs;
-    entry.isChanged = false;
+    this.#entries.set(entry.key.id, { ...entry, folded, foldedAtMs: nowMs, isChanged: false });
   }
 
   #changeSum(id: string, old: readonly number[], folded: readonly number[]): void {
@@ -175,13 +172,15 @@
   /** The version's evidence for the task starts anew, whatever the answers' position. */
   #startEra(key: BoardKey): void {
     const era = (this.#eras.get(key.taskId) ?? 0) + 1;
-    const taskIds = [key.taskId, key.taskId.replace(/direct$/, 'escalated')];
-    taskIds.forEach((taskId) => this.#eras.set(taskId, era));
-    this.#detectors.delete(key.taskId);
+    const taskIds = positions.map((position) => `${key.taskPrefix}${position}`);
+    taskIds.forEach((taskId) => {
+      this.#eras.set(taskId, era);
+      this.#detectors.delete(taskId);
+    });
     this.#entries.forEach((entry) => {
       if (taskIds.includes(entry.key.taskId)) {
-        entry.cell = startEra(entry.cell, era);
-        entry.isChanged = true;
+        const cell = startEra(entry.cell, era);
+        this.#entries.set(entry.key.id, { ...entry, cell, isChanged: true });
       }
     });
     this.#driftCount += 1;
--- a/packages/bench/src/policy/choice/rounds.ts
+++ b/packages/bench/src/policy/choice/rounds.ts
@@ -14,10 +14,12 @@
   minProvenWeight: 30,
   explorationMode: 'cascade',
   explorationShare: 0.05,
+  explorationCostShare: 100,
   sufficientWeight: 0,
   explorationAcceptScore: 0.85,
   latencyScaleMs: 60_000,
   ratingShare: 0.02,
+  ratingCostShare: 0,
   unprovenRatingShare: 0.2,
   wellProvenWeight: 200,
   escalationCorrelation: 0.5,
@@ -32,10 +34,21 @@
   sufficientWeight: 200,
 };
 
+/** Round 2: less confidence, more exploration. */
+const round2: ChoiceSettings = {
+  ...round1,
+  confidence: 0.7,
+  strictConfidence: 0.9,
+  explorationShare: 0.3,
+  sufficientWeight: 400,
+  escalationPriorWeight: 20,
+};
+
 /** All earlier rounds, oldest first. */
 export const choiceRounds: readonly ChoiceRound[] = [
   { name: 'ours-r0', settings: round0 },
   { name: 'ours-r1', settings: round1 },
+  { name: 'ours-r2', settings: round2 },
 ];
 
 /** The round before the settings in force; compared with them in every run. */
--- a/packages/bench/src/policy/choice/simulateChoice.ts
+++ b/packages/bench/src/policy/choice/simulateChoice.ts
@@ -58,11 +58,36 @@
   readonly escalated: BoardKey;
 }
 
-interface RunningRequest {
+/** A request on its way through its plan. */
+class RunningRequest {
   readonly request: RequestModel;
+
   readonly plan: RequestPlan;
-  costMicroUsd: number;
-  isEscalated: boolean;
+
+  #costMicroUsd = 0;
+
+  #isEscalated = false;
+
+  constructor(request: RequestModel, plan: RequestPlan) {
+    this.request = request;
+    this.plan = plan;
+  }
+
+  get costMicroUsd(): number {
+    return this.#costMicroUsd;
+  }
+
+  get isEscalated(): boolean {
+    return this.#isEscalated;
+  }
+
+  addCost(costMicroUsd: number): void {
+    this.#costMicroUsd += costMicroUsd;
+  }
+
+  escalate(): void {
+    this.#isEscalated = true;
+  }
 }
 
 const getCost = (model: VersionModel, request: RequestModel): number =>
@@ -117,7 +142,7 @@
 
   #start(request: RequestModel): void {
     const plan = this.#planner(this.#createInput(request), request.team.team);
-    const running: RunningRequest = { request, plan, costMicroUsd: 0, isEscalated: false };
+    const running = new RunningRequest(request, plan);
     this.#runStep(running, 0);
     if (plan.shadowVersion) {
       this.#runShadow(running, plan.shadowVersion);
@@ -130,7 +155,7 @@
     const { nowMs } = this.#queue;
     const pool = this.#pools.get(version)!;
     const run = pool.run(nowMs, request.promptTokens, request.completionTokens);
-    running.costMicroUsd += getCost(this.#models.get(version)!, request) + this.#rater.costMicroUsd;
+    running.addCost(getCost(this.#models.get(version)!, request) + this.#rater.costMicroUsd);
     const readableAtMs = drawRatingTime(this.#rater, run.finishedAtMs, this.#random);
     if (readableAtMs !== undefined) {
       this.#queue.schedule(readableAtMs, () => this.#rateShadow(running, version));
@@ -183,12 +208,14 @@
 
   #runStep(running: RunningRequest, index: number): void {
     const step = running.plan.steps[index]!;
-    running.isEscalated ||= index > 0;
+    if (index > 0) {
+      running.escalate();
+    }
     const pool = this.#pools.get(step.version)!;
     const { request } = running;
     const startedAtMs = this.#queue.nowMs;
     const run = pool.run(startedAtMs, request.promptTokens, request.completionTokens);
-    running.costMicroUsd += getCost(this.#models.get(step.version)!, request);
+    running.addCost(getCost(this.#models.get(step.version)!, request));
     this.#queue.schedule(run.firstTokenAtMs, () => pool.observe(run.firstTokenAtMs - startedAtMs));
     this.#queue.schedule(run.finishedAtMs, () => this.#finishStep(running, step, index));
   }
@@ -210,7 +237,7 @@
       this.#runStep(running, index + 1);
       return;
     }
-    running.costMicroUsd += this.#rater.costMicroUsd;
+    running.addCost(this.#rater.costMicroUsd);
     this.#board.rate(this.#getKey(running, step, index), score, this.#queue.nowMs);
     if (score >= step.acceptAboveScore!) {
       this.#release(running, step, score);
--- a/packages/bench/src/policy/rollouts/candidateLedger.ts
+++ b/packages/bench/src/policy/rollouts/candidateLedger.ts
@@ -1,7 +1,7 @@
 /** What the holder of a roll-out knows at a tick: late outcomes and ratings, by stratum and daemon. */
 import type { Random } from '@snipehaven/common';
 import {
-  createEmptyCounts,
+  emptyBins,
   emptyPairCounts,
   getPairBin,
   getScoreBin,
@@ -11,9 +11,33 @@
 import { TickBuckets } from './tickBuckets.js';
 
 /** Counts that grow in place, for millions of answers pass through a run. */
-type MutableCounts = { -readonly [Key in keyof OutcomeCounts]: OutcomeCounts[Key] } & {
-  scoreCounts: number[];
-};
+export class GrowingCounts implements OutcomeCounts {
+  readonly scoreCounts: number[] = emptyBins();
+
+  answerCount = 0;
+
+  errorCount = 0;
+
+  emptyCount = 0;
+
+  readonly cutCount = 0;
+
+  slowCount = 0;
+
+  /** Counts the end of an answer, rating aside. */
+  countEnd(answer: DrawnAnswer): void {
+    this.answerCount += 1;
+    this.errorCount += answer.end === 'error' ? 1 : 0;
+    this.emptyCount += answer.end === 'empty' ? 1 : 0;
+    this.slowCount += answer.isSlow ? 1 : 0;
+  }
+
+  /** Counts a rating. */
+  countRating(score: number): void {
+    const bin = getScoreBin(score);
+    this.scoreCounts[bin] = (this.scoreCounts[bin] ?? 0) + 1;
+  }
+}
 
 interface EndedAnswer {
   readonly answer: DrawnAnswer;
@@ -35,31 +59,12 @@
 /** A rating that has not come by then is passed by. */
 const GAP_KNOWN_TICKS = 90;
 
-const createMutableCounts = (): MutableCounts => {
-  const counts = createEmptyCounts();
-  return { ...counts, scoreCounts: [...counts.scoreCounts] };
-};
-
 const drawTicks = ([least, most]: readonly [number, number], random: Random): number =>
   least + random.nextInt(most - least + 1);
 
-/** Counts an end of an answer, rating aside. */
-const countEnd = (counts: MutableCounts, answer: DrawnAnswer): void => {
-  counts.answerCount += 1;
-  counts.errorCount += answer.end === 'error' ? 1 : 0;
-  counts.emptyCount += answer.end === 'empty' ? 1 : 0;
-  counts.slowCount += answer.isSlow ? 1 : 0;
-};
-
-/** Counts a rating. */
-const countRating = (counts: MutableCounts, score: number): void => {
-  const bin = getScoreBin(score);
-  counts.scoreCounts[bin] = (counts.scoreCounts[bin] ?? 0) + 1;
-};
-
 /** Knows the candidate's outcomes as late as the holder would. */
 export class CandidateLedger {
-  readonly counts: readonly MutableCounts[];
+  readonly counts: readonly GrowingCounts[];
 
   /** Answers with a known outcome, by daemon. */
   readonly judged: number[];
@@ -79,7 +84,7 @@
   readonly #passedBy = new TickBuckets<number>();
 
   constructor(stratumCount: number, daemonCount: number) {
-    this.counts = Array.from({ length: stratumCount }, createMutableCounts);
+    this.counts = Array.from({ length: stratumCount }, () => new GrowingCounts());
     this.judged = new Array<number>(daemonCount).fill(0);
   }
 
@@ -125,15 +130,15 @@
   /** Takes in what becomes known at the tick. */
   advance(tick: number): void {
     this.#ended.take(tick).forEach(({ answer, stratum }) => {
-      countEnd(this.counts[stratum]!, answer);
+      this.counts[stratum]!.countEnd(answer);
     });
     this.#rated.take(tick).forEach(({ answer, stratum, daemon }) => {
-      countRating(this.counts[stratum]!, answer.score);
+      this.counts[stratum]!.countRating(answer.score);
       this.judged[daemon] = (this.judged[daemon] ?? 0) + 1;
       this.#ratingCount += 1;
     });
     this.#pairs.take(tick).forEach(({ answer, stableAnswer, stratum }) => {
-      countRating(this.counts[stratum]!, answer.score);
+      this.counts[stratum]!.countRating(answer.score);
       this.#ratingCount += 1;
       const bin = getPairBin(stableAnswer.score, answer.score);
       this.pairCounts[bin] = (this.pairCounts[bin] ?? 0) + 1;
@@ -143,13 +148,3 @@
     });
   }
 }
-
-/** The stable version's counts, drawn as if so many answers had been rated. */
-export const addStableAnswers = (counts: MutableCounts, answers: readonly DrawnAnswer[]): void =>
-  answers.forEach((answer) => {
-    countEnd(counts, answer);
-    countRating(counts, answer.score);
-  });
-
-/** Counts of a stratum of the stable version. */
-export const createStableCounts = createMutableCounts;
--- a/packages/bench/src/policy/rollouts/simulateRollout.ts
+++ b/packages/bench/src/policy/rollouts/simulateRollout.ts
@@ -3,7 +3,7 @@
 import { drawPoisson } from '../world/sampling.js';
 import { createSeededRandom } from '../world/seededRandom.js';
 import { drawAnswer, drawRolloutPrompt, stableModel, type AnswerModel } from './answerModel.js';
-import { addStableAnswers, CandidateLedger, createStableCounts } from './candidateLedger.js';
+import { CandidateLedger, GrowingCounts } from './candidateLedger.js';
 import type {
   RolloutEnd,
   RolloutPolicy,
@@ -45,7 +45,7 @@
 
   readonly #ledger: CandidateLedger;
 
-  readonly #stable = STRATA.map(createStableCounts);
+  readonly #stable = STRATA.map(() => new GrowingCounts());
 
   readonly #exposed: number[];
 
@@ -119,10 +119,13 @@
   }
 
   #rateStable(stratum: number, count: number): void {
-    const answers = Array.from({ length: count }, () =>
-      drawAnswer(stableModel, drawRolloutPrompt(stratum, this.#random), this.#random),
-    );
-    addStableAnswers(this.#stable[stratum]!, answers);
+    const counts = this.#stable[stratum]!;
+    for (let index = 0; index < count; index += 1) {
+      const prompt = drawRolloutPrompt(stratum, this.#random);
+      const answer = drawAnswer(stableModel, prompt, this.#random);
+      counts.countEnd(answer);
+      counts.countRating(answer.score);
+    }
   }
 
   /** A finished roll-out exposes all later requests. */
--- a/packages/bench/src/policy/runSeeds.ts
+++ b/packages/bench/src/policy/runSeeds.ts
@@ -25,7 +25,6 @@
     const worker = createWorker(options);
     for (let seed = waiting.shift(); seed !== undefined; seed = waiting.shift()) {
       // One thread runs its seeds one after the other.
-      // eslint-disable-next-line no-await-in-loop
       rowsBySeed.set(seed, await runSeed(worker, seed));
     }
     await worker.terminate();
--- a/packages/bench/src/policy/world/eventQueue.ts
+++ b/packages/bench/src/policy/world/eventQueue.ts
@@ -30,7 +30,7 @@
 
   /** Runs all events up to and including the moment. */
   runUntil(untilMs: number): void {
-    for (let next = this.#events[0]; next && next.atMs <= untilMs; next = this.#events[0]) {
+    for (let next = this.#peek(); next && next.atMs <= untilMs; next = this.#peek()) {
       this.#removeFirst();
       this.#nowMs = next.atMs;
       next.run();
@@ -38,6 +38,10 @@
     this.#nowMs = untilMs;
   }
 
+  #peek(): QueuedEvent | undefined {
+    return this.#events[0];
+  }
+
   #removeFirst(): void {
     const last = this.#events.pop();
     if (last && this.#events.length > 0) {
--- a/packages/policy/src/evidence/constants.ts
+++ b/packages/policy/src/evidence/constants.ts
@@ -13,7 +13,7 @@
 export const KEPT_EPOCHS = 28;
 
 /** Ratings that the whole task's evidence for a version counts for in one team's estimate. */
-export const TASK_POOL_WEIGHT = 60;
+export const TASK_POOL_WEIGHT = 120;
 
 /** Ratings that the version's evidence over all tasks counts for in one task's estimate. */
 export const VERSION_POOL_WEIGHT = 4;
--- a/packages/policy/src/modelChoice/planRequest.ts
+++ b/packages/policy/src/modelChoice/planRequest.ts
@@ -88,19 +88,26 @@
   shouldRateAfterRelease,
 });
 
+const getRatingShare = (
+  estimate: CandidateEstimate,
+  input: PlanInput,
+  settings: ChoiceSettings,
+): number => {
+  const isWellProven = estimate.candidate.evidence.ownWeight >= settings.wellProvenWeight;
+  const least = isWellProven ? settings.ratingShare : settings.unprovenRatingShare;
+  const ratingCost = Math.max(1, input.ratingCostMicroUsd);
+  return Math.max(least, (settings.ratingCostShare * estimate.costMicroUsd) / ratingCost);
+};
+
 /** Whether to spend a rating on the released answer, so that evidence grows and drift shows. */
 const decideRating = (
   estimate: CandidateEstimate | undefined,
   input: PlanInput,
   settings: ChoiceSettings,
-): boolean => {
-  if (!input.isRaterUp || !estimate) {
-    return false;
-  }
-  const isWellProven = estimate.candidate.evidence.ownWeight >= settings.wellProvenWeight;
-  const share = isWellProven ? settings.ratingShare : settings.unprovenRatingShare;
-  return input.random.next() < share;
-};
+): boolean =>
+  estimate !== undefined &&
+  input.isRaterUp &&
+  input.random.next() < getRatingShare(estimate, input, settings);
 
 /** The best plan when none is sure to meet the target: the best proven, else the dearest. */
 const planFallback = (
--- a/packages/policy/src/modelChoice/shadowExploration.ts
+++ b/packages/policy/src/modelChoice/shadowExploration.ts
@@ -30,6 +30,18 @@
   return Math.max(0, 1 - weight / settings.sufficientWeight);
 };
 
+/** The chance to try the version, within what may be spent of the plan's cost. */
+const getTrialShare = (
+  tried: CandidateEstimate,
+  option: PlanOption,
+  input: PlanInput,
+  settings: ChoiceSettings,
+): number => {
+  const trialCost = Math.max(1, tried.costMicroUsd + input.ratingCostMicroUsd);
+  const affordable = (settings.explorationCostShare * option.costMicroUsd) / trialCost;
+  return Math.min(settings.explorationShare, affordable) * getNovelty(tried, settings);
+};
+
 /** The version to try in the shadow of this request, if any. */
 export const chooseShadow = (
   option: PlanOption,
@@ -37,13 +49,11 @@
   input: PlanInput,
   settings: ChoiceSettings,
 ): VersionId | undefined => {
-  const isAllowed = input.team.allowsExploration && input.isRaterUp && input.isIdempotent === true;
-  if (!isAllowed || input.random.next() >= settings.explorationShare) {
+  if (!input.team.allowsExploration || !input.isRaterUp || input.isIdempotent !== true) {
     return undefined;
   }
   const replacements = listReplacements(option, estimates);
   const tried = replacements[input.random.nextInt(replacements.length)];
-  return tried && input.random.next() < getNovelty(tried, settings)
-    ? tried.candidate.version
-    : undefined;
+  const isTried = tried && input.random.next() < getTrialShare(tried, option, input, settings);
+  return isTried ? tried.candidate.version : undefined;
 };
--- a/packages/policy/src/modelChoice/types.ts
+++ b/packages/policy/src/modelChoice/types.ts
@@ -100,14 +100,18 @@
   readonly explorationMode: ExplorationMode;
   /** Share of requests that try a version with too little evidence. */
   readonly explorationShare: number;
+  /** Part of the plan's expected cost that the shadow mode may spend; it explores dear plans more. */
+  readonly explorationCostShare: number;
   /** Ratings of a version at which the shadow mode tries it no more. */
   readonly sufficientWeight: number;
   /** Score above which an explored version's answer is released. */
   readonly explorationAcceptScore: number;
   /** Latency that weighs as much as the dearest candidate's cost. */
   readonly latencyScaleMs: number;
-  /** Share of direct answers rated after their release, to notice drift. */
+  /** Share of answers rated after their release, at least, to notice drift. */
   readonly ratingShare: number;
+  /** Part of an answer's cost that may be spent on rating it: dear answers are rated more often. */
+  readonly ratingCostShare: number;
   /** The same while the team's own evidence is thinner than `wellProvenWeight`. */
   readonly unprovenRatingShare: number;
   readonly wellProvenWeight: number;
--- a/packages/policy/src/rollout/pairCounts.ts
+++ b/packages/policy/src/rollout/pairCounts.ts
@@ -52,8 +52,8 @@
   a: readonly PairShare[],
   b: readonly PairShare[],
 ): readonly PairShare[] => {
-  const bySource = new Map(a.map((share) => [share.source, share]));
-  b.forEach((share) => {
+  const bySource = new Map<string, PairShare>();
+  [...a, ...b].forEach((share) => {
     const known = bySource.get(share.source);
     bySource.set(share.source, known ? joinShares(known, share) : share);
   });
