Let teams that weigh exposure wait for a roll-out's last stage

Cause: the weight of exposure changed no decision. Change: a weight above 0.5 keeps a team's requests on the stable version until the last stage. Test beside the code.

--- a/packages/policy/src/rollout/assignRollout.ts
+++ b/packages/policy/src/rollout/assignRollout.ts
@@ -7,9 +7,16 @@
 const isLastStage = (input: AssignmentInput): boolean =>
   input.progress.stage >= input.definition.stages.length - 1;
 
-/** Strict teams, and those that allow no exploration, wait for the last stage. */
+/** Teams that weigh exposure more than this wait for the last stage. */
+const MAX_EARLY_EXPOSURE_WEIGHT = 0.5;
+
+const acceptsEarlyStages = ({ audience }: AssignmentInput): boolean =>
+  audience.allowsExploration &&
+  !audience.isStrict &&
+  (audience.exposureWeight ?? 0) <= MAX_EARLY_EXPOSURE_WEIGHT;
+
 const isInAudience = (input: AssignmentInput): boolean =>
-  isLastStage(input) || (input.audience.allowsExploration && !input.audience.isStrict);
+  isLastStage(input) || acceptsEarlyStages(input);
 
 /**
  * Without a grant a daemon exposes nothing. If each daemon were allowed a few answers of its own,
--- a/packages/policy/src/rollout/rollout.test.ts
+++ b/packages/policy/src/rollout/rollout.test.ts
@@ -80,6 +80,8 @@
 
 test('strict teams wait for the last stage', () => {
   const audience = { isStrict: true, allowsExploration: true, allowsCascade: true };
+  const heavy = { ...audience, isStrict: false, exposureWeight: 1 };
+  assert.is(assignRollout(createInput({ grant, audience: heavy })).reason, 'audience');
   assert.is(assignRollout(createInput({ grant, audience })).reason, 'audience');
   const progress = { ...running, stage: 2 };
   assert.is(assignRollout(createInput({ grant, audience, progress })).reason, 'assigned');
--- a/packages/policy/src/rollout/types.ts
+++ b/packages/policy/src/rollout/types.ts
@@ -72,6 +72,8 @@
 
 /** Who asks for a version. */
 export interface RolloutAudience {
+  /** The team's weight of exposure to bad versions, 0 to 1; heavy ones wait for the last stage. */
+  readonly exposureWeight?: number;
   readonly isStrict: boolean;
   readonly allowsExploration: boolean;
   readonly allowsCascade: boolean;
