--- a/packages/bench/src/policy/upstreams/daemonModel.ts
+++ b/packages/bench/src/policy/upstreams/daemonModel.ts
@@ -118,7 +118,9 @@
   /** A request comes from a caller. */
   receive(request: SimulatedRequest): void {
     this.#followRate();
-    this.#prefixes = countPrefix(this.#prefixes, request.prefixKey);
+    if (this.#policy.usesAffinity) {
+      this.#prefixes = countPrefix(this.#prefixes, request.prefixKey);
+    }
     this.#budget = feedRetryBudget(this.#budget);
     this.#admission.offer(request, this.#events.nowMs);
   }
@@ -156,7 +158,9 @@
   }
 
   #chooseEngine({ request, engines }: AttemptedRun): number | undefined {
-    this.upstreams.forEach((upstream) => upstream.lookUpPrefix(request.prefixKey));
+    if (this.#policy.usesAffinity) {
+      this.upstreams.forEach((upstream) => upstream.lookUpPrefix(request.prefixKey));
+    }
     const views = this.#views;
     const chosen = this.#choose({
       upstreams: views,
--- a/packages/bench/src/policy/upstreams/types.ts
+++ b/packages/bench/src/policy/upstreams/types.ts
@@ -26,6 +26,8 @@
   /** Called once for each daemon, with its number. */
   readonly createChoose: (daemonIndex: number) => ChooseFunction;
   readonly usesHealth: boolean;
+  /** Whether prefixes are looked up and counted for it. */
+  readonly usesAffinity: boolean;
   /** Whether a daemon sends to its own part of the slots first. */
   readonly usesOwnSlots: boolean;
   readonly concurrency: ConcurrencyRule | 'none';
