Rollouts: news by budgeted queues; tests of failures over 9 and 57 daemons

Cause: gossip took 5.4 KB/s of a daemon at first; nothing was tested. Tests of a bad candidate, dead and frozen holders, marks against raises in both orders, rater and table away, cuts, lost and doubled gossip, drift.

--- a/packages/rollouts/src/constants.ts
+++ b/packages/rollouts/src/constants.ts
@@ -14,13 +14,14 @@
 export const MAINTENANCE_MS = 60_000;
 
 /** Bytes of evidence and of roll-out state in one gossip message within the data centre. */
-export const LOCAL_EVIDENCE_BYTES = 420;
-export const LOCAL_ROLLOUT_BYTES = 300;
+export const LOCAL_EVIDENCE_BYTES = 180;
+export const LOCAL_ROLLOUT_BYTES = 120;
 /** The same between data centres, where a few relays speak for all. */
-export const REMOTE_EVIDENCE_BYTES = 700;
-export const REMOTE_ROLLOUT_BYTES = 500;
-/** The part of a message that repeats what is long known, so that everybody learns it in the end. */
-export const SWEEP_BYTES = 120;
+export const REMOTE_EVIDENCE_BYTES = 360;
+export const REMOTE_ROLLOUT_BYTES = 240;
+/** One in so many messages repeats something long known, so that everybody learns it in the end. */
+export const MESSAGES_PER_SWEEP = 4;
+export const SWEEP_BYTES = 160;
 /** Times that news is sent on, for each power of ten of members. */
 export const TRANSMITS_PER_LOG_SIZE = 3;
 export const REMOTE_TRANSMITS = 2;
--- a/packages/rollouts/src/evidence/evidenceEntry.ts
+++ b/packages/rollouts/src/evidence/evidenceEntry.ts
@@ -26,7 +26,7 @@
 
 const isAggregateSource = (source: string): boolean => source.startsWith(AGGREGATE_PREFIX);
 
-/** A daemon's counters of an epoch that was moved into the aggregate must not come back beside it. */
+/** A daemon's counters of an epoch that went into the aggregate would only take up memory. */
 const isOutdated = (share: EvidenceShare): boolean =>
   !isAggregateSource(share.source) && share.epoch <= getEpoch(Date.now()) - KEPT_OWN_EPOCHS;
 
--- a/packages/rollouts/src/evidence/evidenceTopic.ts
+++ b/packages/rollouts/src/evidence/evidenceTopic.ts
@@ -1,21 +1,15 @@
 /** Spreads evidence along with membership's exchanges, within a bounded number of bytes. */
 import type { GossipTopic, MembershipView } from '@snipehaven/membership';
-import type { EvidenceKey, EvidenceShare } from '@snipehaven/policy';
+import { sumBins, type EvidenceKey, type EvidenceShare } from '@snipehaven/policy';
 import {
   evidenceGossipSchema,
   type EvidenceGossip,
   type Member,
   type ShareTuple,
 } from '@snipehaven/protocol';
-import {
-  LOCAL_EVIDENCE_BYTES,
-  REMOTE_EVIDENCE_BYTES,
-  REMOTE_TRANSMITS,
-  SWEEP_BYTES,
-  TRANSMITS_PER_LOG_SIZE,
-} from '../constants.js';
+import { LOCAL_EVIDENCE_BYTES, REMOTE_EVIDENCE_BYTES, SWEEP_BYTES } from '../constants.js';
+import { NewsQueues } from '../gossip/newsQueues.js';
 import { PayloadBudget } from '../gossip/payloadBudget.js';
-import { RumorQueue } from '../gossip/rumorQueue.js';
 import { formatCellKey, parseCellKey } from './cellKey.js';
 import type { EvidenceCells } from './evidenceCells.js';
 import { getAggregateSource } from './evidenceEntry.js';
@@ -24,8 +18,8 @@
 export interface EvidenceTopicOptions {
   readonly cells: EvidenceCells;
   readonly membership: MembershipView;
-  /** Versions whose endings matter at once, since a roll-out compares them. */
-  readonly isWatched: (version: string) => boolean;
+  /** Candidates of roll-outs: all about them goes first, each ending too. */
+  readonly isUrgent: (version: string) => boolean;
   readonly getRatedSeq: () => number | undefined;
   readonly noteRatedSeq: (seq: number) => void;
 }
@@ -33,6 +27,9 @@
 /** A rumor within the data centre names one share, one between data centres a whole cell. */
 const SHARE_SEPARATOR = '\n';
 
+/** Shares whose told ratings are remembered; beyond it all count as news once more. */
+const MAX_TOLD = 20_000;
+
 const formatShareKey = (cellKey: string, share: EvidenceShare): string =>
   [cellKey, share.source, share.epoch, share.era].join(SHARE_SEPARATOR);
 
@@ -41,11 +38,10 @@
 
   readonly #options: EvidenceTopicOptions;
 
-  readonly #localNews = new RumorQueue();
+  readonly #urgent: NewsQueues;
 
-  readonly #remoteNews = new Map<string, RumorQueue>();
+  readonly #news: NewsQueues;
 
-  /** Cells changed since each was last sent between data centres. */
   #sweepAt = 0;
 
   /** Scores counted when a share was last put into the news, by share. */
@@ -53,14 +49,14 @@
 
   constructor(options: EvidenceTopicOptions) {
     this.#options = options;
+    this.#urgent = new NewsQueues(options.membership);
+    this.#news = new NewsQueues(options.membership);
     options.cells.onChange((key, share) => this.#noteChange(key, share));
   }
 
   getPayload(peer: Member): EvidenceGossip | undefined {
-    const { membership, getRatedSeq } = this.#options;
-    const isLocal = peer.dataCentre === membership.self.dataCentre;
-    const shares = isLocal ? this.#listForLocal() : this.#listForRemote(peer.dataCentre);
-    const ratedSeq = getRatedSeq();
+    const shares = this.#news.isLocal(peer) ? this.#listForLocal(peer) : this.#listForRemote(peer);
+    const ratedSeq = this.#options.getRatedSeq();
     if (shares.length === 0 && ratedSeq === undefined) {
       return undefined;
     }
@@ -84,51 +80,62 @@
   }
 
   /**
-   * Each answer changes the counter of its endings; of versions that no roll-out compares these are left
-   * to the sweep, so that ratings, which decide, come through.
+   * Each answer changes the counter of its endings. But for candidates these are left to the sweep, and to
+   * the next rating in the same cell, so that ratings, which decide, come through.
    */
   #noteChange(key: EvidenceKey, share: EvidenceShare): void {
     const cellKey = formatCellKey(key);
     const shareKey = formatShareKey(cellKey, share);
-    const ratings = share.counts.scoreCounts.reduce((sum, count) => sum + count, 0);
-    const isRated = this.#toldRatings.get(shareKey) !== ratings;
-    if (!isRated && !this.#options.isWatched(key.version)) {
+    const isUrgent = this.#options.isUrgent(key.version);
+    if (!isUrgent && !this.#isRated(shareKey, share)) {
       return;
     }
+    const news = isUrgent ? this.#urgent : this.#news;
+    news.pushLocal(shareKey);
+    news.pushRemote(cellKey);
+  }
+
+  /** Whether ratings came since the share was last in the news; an empty share tells of a new era. */
+  #isRated(shareKey: string, { counts }: EvidenceShare): boolean {
+    const ratings = sumBins(counts.scoreCounts);
+    const isEmpty = ratings + counts.answerCount === 0;
+    const isNews = isEmpty || ratings !== (this.#toldRatings.get(shareKey) ?? 0);
+    if (this.#toldRatings.size >= MAX_TOLD) {
+      this.#toldRatings.clear();
+    }
     this.#toldRatings.set(shareKey, ratings);
-    this.#localNews.push(shareKey);
-    this.#listOtherDataCentres().forEach((dataCentre) =>
-      this.#getRemoteNews(dataCentre).push(cellKey),
-    );
+    return isNews;
   }
 
-  #listForLocal(): readonly ShareTuple[] {
-    const { cells, membership } = this.#options;
+  #listForLocal(peer: Member): readonly ShareTuple[] {
+    const { cells } = this.#options;
     const shares: ShareTuple[] = [];
     const budget = new PayloadBudget(LOCAL_EVIDENCE_BYTES);
-    const transmits =
-      TRANSMITS_PER_LOG_SIZE * Math.ceil(Math.log10(membership.listLocal().length + 1));
-    this.#localNews.take(transmits, (shareKey) => {
+    const add = (shareKey: string): boolean => {
       const [cellKey = '', source = '', epoch, era] = shareKey.split(SHARE_SEPARATOR);
       const name = { source, epoch: Number(epoch), era: Number(era) };
       const share = cells.get(cellKey)?.findLocalShare(name);
       return share === undefined || this.#add(cellKey, share, shares, budget);
-    });
-    this.#sweep(true, shares);
+    };
+    this.#urgent.take(peer, add);
+    this.#news.take(peer, add);
+    this.#sweepIfDue(true, shares);
     return shares;
   }
 
   /** The own data centre speaks for itself only; what it heard of others goes along with the sweep. */
-  #listForRemote(dataCentre: string): readonly ShareTuple[] {
+  #listForRemote(peer: Member): readonly ShareTuple[] {
     const { cells, membership } = this.#options;
     const shares: ShareTuple[] = [];
     const budget = new PayloadBudget(REMOTE_EVIDENCE_BYTES);
     const source = getAggregateSource(membership.self.dataCentre);
-    this.#getRemoteNews(dataCentre).take(REMOTE_TRANSMITS, (cellKey) => {
+    const add = (cellKey: string): boolean => {
       const latest = cells.get(cellKey)?.cell.shares.findLast((share) => share.source === source);
       return latest === undefined || this.#add(cellKey, latest, shares, budget);
-    });
-    this.#sweep(false, shares);
+    };
+    this.#urgent.take(peer, add);
+    this.#news.take(peer, add);
+    this.#sweepIfDue(false, shares);
     return shares;
   }
 
@@ -137,6 +144,12 @@
    * just started, never hears of some. One notices daemons whose evidence stays apart. A small part of
    * each message therefore goes round over all that is known.
    */
+  #sweepIfDue(isLocal: boolean, shares: ShareTuple[]): void {
+    if (this.#news.isSweepDue()) {
+      this.#sweep(isLocal, shares);
+    }
+  }
+
   #sweep(isLocal: boolean, shares: ShareTuple[]): void {
     const { cells } = this.#options;
     const { cellKeys } = cells;
@@ -167,19 +180,4 @@
     shares.push(tuple);
     return true;
   }
-
-  #listOtherDataCentres(): readonly string[] {
-    const { membership } = this.#options;
-    return membership.listRelays().map(({ dataCentre }) => dataCentre);
-  }
-
-  #getRemoteNews(dataCentre: string): RumorQueue {
-    const present = this.#remoteNews.get(dataCentre);
-    if (present) {
-      return present;
-    }
-    const created = new RumorQueue();
-    this.#remoteNews.set(dataCentre, created);
-    return created;
-  }
 }
--- a/packages/rollouts/src/rollout/rolloutCatalogue.ts
+++ b/packages/rollouts/src/rollout/rolloutCatalogue.ts
@@ -69,12 +69,4 @@
   findByCandidate(version: string): DeclaredRollout | undefined {
     return this.list().find(({ definition }) => definition.candidateVersion === version);
   }
-
-  /** Whether a roll-out compares the version with another. */
-  isInvolved(version: string): boolean {
-    return this.list().some(
-      ({ definition }) =>
-        definition.candidateVersion === version || definition.stableVersion === version,
-    );
-  }
 }
--- a/packages/rollouts/src/rollout/rolloutRows.ts
+++ b/packages/rollouts/src/rollout/rolloutRows.ts
@@ -1,18 +1,12 @@
 /** The state of roll-outs in the platform's table, written only under a lease. */
 import { LEASE_PREFIX } from '@snipehaven/membership';
-import {
-  PlatformOutcomeUnknownError,
-  type TableClient,
-  type TableCondition,
-  type TableRow,
-} from '@snipehaven/platform';
+import { type TableClient, type TableCondition, type TableRow } from '@snipehaven/platform';
 import type { RolloutProgress } from '@snipehaven/policy';
 import { rolloutProgressSchema } from '@snipehaven/protocol';
 import { z } from 'zod';
 import { ROLLOUT_PREFIX, SAFE_MOVE_ROW_PREFIX } from '../constants.js';
 import { RolloutRowMalformedError } from '../errors.js';
 
-const rowSchema = z.object({ progress: rolloutProgressSchema, token: z.string() });
 const leaseSchema = z.object({ fence: z.number() });
 const moveSchema = z.object({ isActive: z.boolean() });
 
@@ -51,20 +45,15 @@
 export class RolloutRows {
   readonly #table: TableClient;
 
-  readonly #writer: string;
-
-  #writeCount = 0;
-
-  constructor(table: TableClient, writer: string) {
+  constructor(table: TableClient) {
     this.#table = table;
-    this.#writer = writer;
   }
 
   async read(name: string): Promise<StoredRollout> {
     const [row] = await this.#table.read([getRowKey(name)]);
     return row === undefined
       ? { progress: undefined, version: 0 }
-      : { progress: this.#restore(row).progress, version: row.version };
+      : { progress: this.#restore(row), version: row.version };
   }
 
   /**
@@ -74,28 +63,20 @@
    * What goes wrong: a holder is frozen between its last look at the lease and its write; it wakes after
    * the lease went to another and raises a share that the other has halted, or that an operator's
    * withdrawal has ended. One notices a share that moves under two fences. The conditions make the
-   * table refuse the late write, in whichever order they came.
+   * table refuse the late write, in whichever order they came. A write whose reply was lost makes the
+   * holder's next one be refused, and it then reads what is there.
    */
   async write(write: RolloutWrite): Promise<RolloutWriteResult> {
     const conditions = await this.#findConditions(write);
     if (conditions === undefined) {
       return refused;
     }
-    this.#writeCount += 1;
     const key = getRowKey(write.name);
-    const token = `${this.#writer}/${this.#writeCount}`;
-    const value = { progress: write.progress, token };
-    try {
-      const [result] = await this.#table.transact([{ conditions, writes: [{ key, value }] }]);
-      return result?.kind === 'committed'
-        ? { kind: 'written', version: result.versions[0]?.version ?? 0 }
-        : refused;
-    } catch (error) {
-      if (error instanceof PlatformOutcomeUnknownError) {
-        return this.#readBack(write, token, error);
-      }
-      throw error;
-    }
+    const writes = [{ key, value: write.progress }];
+    const [result] = await this.#table.transact([{ conditions, writes }]);
+    return result?.kind === 'committed'
+      ? { kind: 'written', version: result.versions[0]?.version ?? 0 }
+      : refused;
   }
 
   async #findConditions(write: RolloutWrite): Promise<readonly TableCondition[] | undefined> {
@@ -117,21 +98,8 @@
     return [{ key: getRowKey(write.name), version: write.version }, ...unchanged];
   }
 
-  /** The reply was lost: the row tells by its token whether the write took effect. */
-  async #readBack(
-    { name }: RolloutWrite,
-    token: string,
-    cause: PlatformOutcomeUnknownError,
-  ): Promise<RolloutWriteResult> {
-    const [row] = await this.#table.read([getRowKey(name)]);
-    if (row !== undefined && this.#restore(row).token === token) {
-      return { kind: 'written', version: row.version };
-    }
-    throw cause;
-  }
-
-  #restore(row: TableRow): z.infer<typeof rowSchema> {
-    const result = rowSchema.safeParse(row.value);
+  #restore(row: TableRow): RolloutProgress {
+    const result = rolloutProgressSchema.safeParse(row.value);
     if (!result.success) {
       throw new RolloutRowMalformedError(row.key, { cause: result.error });
     }
--- a/packages/rollouts/src/rollout/rolloutRunner.ts
+++ b/packages/rollouts/src/rollout/rolloutRunner.ts
@@ -62,7 +62,7 @@
 
   constructor(options: RolloutRunnerOptions) {
     this.#options = options;
-    this.#rows = new RolloutRows(options.table, options.membership.self.incarnation);
+    this.#rows = new RolloutRows(options.table);
   }
 
   start(): void {
--- a/packages/rollouts/src/rollout/rolloutTopic.ts
+++ b/packages/rollouts/src/rollout/rolloutTopic.ts
@@ -1,15 +1,9 @@
 /** Spreads the state of roll-outs along with membership's exchanges. */
 import type { GossipTopic, MembershipView } from '@snipehaven/membership';
 import { rolloutGossipSchema, type Member, type RolloutGossip } from '@snipehaven/protocol';
-import {
-  LOCAL_ROLLOUT_BYTES,
-  REMOTE_ROLLOUT_BYTES,
-  REMOTE_TRANSMITS,
-  SWEEP_BYTES,
-  TRANSMITS_PER_LOG_SIZE,
-} from '../constants.js';
+import { LOCAL_ROLLOUT_BYTES, REMOTE_ROLLOUT_BYTES, SWEEP_BYTES } from '../constants.js';
+import { NewsQueues } from '../gossip/newsQueues.js';
 import { PayloadBudget } from '../gossip/payloadBudget.js';
-import { RumorQueue } from '../gossip/rumorQueue.js';
 import { decodeExposure, decodeGrant, encodeExposure, encodeGrant } from './rolloutCodec.js';
 import type { RolloutStates, StateKind } from './rolloutStates.js';
 
@@ -48,33 +42,28 @@
 
   readonly #options: RolloutTopicOptions;
 
-  readonly #localNews = new RumorQueue();
-
-  readonly #remoteNews = new Map<string, RumorQueue>();
+  readonly #news: NewsQueues;
 
   #sweepAt = 0;
 
   constructor(options: RolloutTopicOptions) {
     this.#options = options;
+    this.#news = new NewsQueues(options.membership);
     options.states.onChange((kind, rolloutId, incarnation) => {
       const key = [kind, rolloutId, incarnation].join(SEPARATOR);
-      this.#localNews.push(key);
-      options.membership
-        .listRelays()
-        .forEach(({ dataCentre }) => this.#getRemoteNews(dataCentre).push(key));
+      this.#news.pushLocal(key);
+      this.#news.pushRemote(key);
     });
   }
 
   getPayload(peer: Member): RolloutGossip | undefined {
-    const { membership } = this.#options;
-    const isLocal = peer.dataCentre === membership.self.dataCentre;
     const gossip: MutableGossip = { progress: [], grants: [], exposures: [] };
+    const isLocal = this.#news.isLocal(peer);
     const budget = new PayloadBudget(isLocal ? LOCAL_ROLLOUT_BYTES : REMOTE_ROLLOUT_BYTES);
-    const news = isLocal ? this.#localNews : this.#getRemoteNews(peer.dataCentre);
-    news.take(isLocal ? this.#getTransmits() : REMOTE_TRANSMITS, (key) =>
-      this.#add(key, gossip, budget),
-    );
-    this.#sweep(gossip);
+    this.#news.take(peer, (key) => this.#add(key, gossip, budget));
+    if (this.#news.isSweepDue()) {
+      this.#sweep(gossip);
+    }
     const filled = Object.entries(gossip).filter(([, items]) => items.length > 0);
     return filled.length === 0 ? undefined : Object.fromEntries(filled);
   }
@@ -155,19 +144,4 @@
         budget,
       ),
   };
-
-  #getTransmits(): number {
-    const size = this.#options.membership.listLocal().length;
-    return TRANSMITS_PER_LOG_SIZE * Math.ceil(Math.log10(size + 1));
-  }
-
-  #getRemoteNews(dataCentre: string): RumorQueue {
-    const present = this.#remoteNews.get(dataCentre);
-    if (present) {
-      return present;
-    }
-    const created = new RumorQueue();
-    this.#remoteNews.set(dataCentre, created);
-    return created;
-  }
 }
--- a/packages/rollouts/src/sharedEvidenceBook.ts
+++ b/packages/rollouts/src/sharedEvidenceBook.ts
@@ -100,7 +100,7 @@
     this.topic = new EvidenceTopic({
       cells: this.cells,
       membership,
-      isWatched: (version) => catalogue.isInvolved(version),
+      isUrgent: (version) => catalogue.findByCandidate(version) !== undefined,
       getRatedSeq: () => this.#poller.ratedSeq,
       noteRatedSeq: (seq) => this.#poller.noteRatedSeq(seq),
     });
--- /dev/null
+++ b/packages/rollouts/src/testing/testCluster.ts
@@ -0,0 +1,406 @@
+/** Daemons in one process over one table and rater, with a clock that tests advance. */
+import {
+  createRandom,
+  createSilentLogger,
+  rankByRendezvous,
+  setInvariantsFatal,
+  startActorSystem,
+} from '@snipehaven/common';
+import { DEFAULT_SETTINGS, SafeMoveRegistry } from '@snipehaven/configuration';
+import { TableLeaseKeeper, type MembershipView } from '@snipehaven/membership';
+import { PlatformRefusedError, type RaterClient, type TableClient } from '@snipehaven/platform';
+import {
+  PeerUnreachableError,
+  type Member,
+  type PeerHandlers,
+  type PeerTransport,
+} from '@snipehaven/protocol';
+import type { ConfigurationView, Kind, Resource, RolloutSpec } from '@snipehaven/resources';
+import { HybridClock, Timeline } from '@snipehaven/timeline';
+import { RolloutSystem } from '../rolloutSystem.js';
+import { FakeRater } from './fakeRater.js';
+import { FakeTable } from './fakeTable.js';
+
+/** The part of a faked clock that the cluster needs. */
+interface TestClock {
+  tickAsync(durationMs: number): Promise<number>;
+  uninstall(): void;
+}
+
+export interface TestDaemon {
+  readonly self: Member;
+  readonly system: RolloutSystem;
+  readonly safeMoves: SafeMoveRegistry;
+  readonly timeline: Timeline;
+}
+
+/** What gossip suffers. */
+interface GossipFaults {
+  /** Share of payloads that never arrive. */
+  loss: number;
+  /** Share of payloads that arrive twice. */
+  repetition: number;
+  /** Payloads arrive up to this much later, so out of order. */
+  delayMs: number;
+}
+
+export const STABLE = 'small@1';
+export const CANDIDATE = 'small@2';
+
+const START_MS = 1_700_000_000_000;
+const GOSSIP_MS = 1_000;
+const STEP_MS = 100;
+
+const defaultRollout: RolloutSpec = {
+  model: 'small',
+  stableVersion: STABLE,
+  candidateVersion: CANDIDATE,
+  stages: [
+    { sharePct: 1, minRatings: 20 },
+    { sharePct: 10, minRatings: 20 },
+    { sharePct: 100, minRatings: 20 },
+  ],
+  exposureBudget: 20,
+  maxFailureIncreasePct: 5,
+  isPaused: false,
+};
+
+export class TestCluster {
+  readonly table = new FakeTable();
+
+  readonly rater = new FakeRater();
+
+  readonly random = createRandom(7);
+
+  readonly faults: GossipFaults = { loss: 0, repetition: 0, delayMs: 0 };
+
+  /** VMs that stand still: they reach nothing and nobody reaches them. */
+  readonly frozen = new Set<string>();
+
+  /** Data centres that reach nothing outside, the platform included. */
+  readonly cutOff = new Set<string>();
+
+  /** Bytes of both topics' payloads by VM, sent and received. */
+  readonly gossipBytes = new Map<string, number>();
+
+  readonly #clock: TestClock;
+
+  readonly #daemons: TestDaemon[] = [];
+
+  #late: { readonly dueMs: number; readonly deliver: () => void }[] = [];
+
+  #resources: readonly Resource[] = [];
+
+  #revision = 0;
+
+  #elapsedMs = 0;
+
+  #onStep: (stepMs: number) => void = () => undefined;
+
+  constructor(clock: TestClock) {
+    this.#clock = clock;
+    setInvariantsFatal(true);
+    this.declare({});
+  }
+
+  get daemons(): readonly TestDaemon[] {
+    return this.#daemons;
+  }
+
+  /** Declares the roll-out, with changes against the default. */
+  declare(changes: Partial<RolloutSpec>): void {
+    this.#revision += 1;
+    const describe = (kind: Kind, name: string, spec: unknown): Resource => ({
+      kind,
+      metadata: {
+        name,
+        uid: `uid-${name}`,
+        resourceVersion: this.#revision,
+        generation: this.#revision,
+        createdAtMs: START_MS,
+        updatedAtMs: START_MS,
+      },
+      spec: spec as Resource['spec'],
+    });
+    this.#resources = [
+      describe('Rollout', 'small', { ...defaultRollout, ...changes }),
+      ...[STABLE, CANDIDATE, 'big@1'].map((name) => describe('ModelVersion', name, {})),
+    ];
+  }
+
+  /** Calls the function at each step of the clock. */
+  onStep(listener: (stepMs: number) => void): void {
+    this.#onStep = listener;
+  }
+
+  /** Starts so many daemons, spread over the data centres in turn. */
+  addDaemons(count: number, dataCentres: readonly string[]): void {
+    for (let index = 0; index < count; index += 1) {
+      const dataCentre = dataCentres[index % dataCentres.length] as string;
+      this.addDaemon(`${dataCentre}${Math.floor(index / dataCentres.length)}`, dataCentre);
+    }
+  }
+
+  addDaemon(vm: string, dataCentre: string): TestDaemon {
+    const incarnation = `${vm}-${this.#daemons.length.toString(36)}bootms-x7k2`;
+    const self: Member = {
+      vm,
+      dataCentre,
+      address: vm,
+      incarnation,
+      refutation: 0,
+      state: 'alive',
+    };
+    const logger = createSilentLogger();
+    const timeline = new Timeline({ vm, dataCentre, incarnation }, new HybridClock());
+    const random = createRandom(this.#daemons.length + 1);
+    const membership = this.#createMembership(self);
+    const table = this.#guardTable(self);
+    const transport = this.#createTransport(self);
+    const base = { table, transport, membership, timeline, logger, random };
+    const safeMoves = new SafeMoveRegistry({ ...base, settings: DEFAULT_SETTINGS });
+    const system = new RolloutSystem({
+      ...base,
+      leases: new TableLeaseKeeper({ ...base, incarnation }),
+      rater: this.#guardRater(self),
+      configuration: { getView: () => this.#getView() },
+      safeMoves,
+      actorSystem: startActorSystem(),
+    });
+    const daemon = { self, system, safeMoves, timeline };
+    this.#daemons.push(daemon);
+    system.start();
+    return daemon;
+  }
+
+  kill(daemon: TestDaemon): void {
+    daemon.system.kill();
+    this.#daemons.splice(this.#daemons.indexOf(daemon), 1);
+  }
+
+  /** The daemon that drives the roll-out. */
+  findHolder(): TestDaemon | undefined {
+    return this.#daemons.find(({ system }) => system.runner.listHeld().length > 0);
+  }
+
+  async advance(durationMs: number): Promise<void> {
+    for (let passedMs = 0; passedMs < durationMs; passedMs += STEP_MS) {
+      await this.#clock.tickAsync(STEP_MS);
+      this.#elapsedMs += STEP_MS;
+      this.#deliverLate();
+      this.#onStep(STEP_MS);
+      if (this.#elapsedMs % GOSSIP_MS === 0) {
+        this.#gossip();
+      }
+    }
+  }
+
+  /** Advances until the condition holds; false where it does not in time. */
+  async advanceUntil(condition: () => boolean, limitMs: number): Promise<boolean> {
+    for (let passedMs = 0; passedMs < limitMs && !condition(); passedMs += GOSSIP_MS) {
+      await this.advance(GOSSIP_MS);
+    }
+    return condition();
+  }
+
+  stop(): void {
+    this.#daemons.forEach(({ system }) => system.kill());
+    this.#clock.uninstall();
+  }
+
+  #getView(): ConfigurationView {
+    const resources = this.#resources;
+    return {
+      revision: this.#revision,
+      get: (kind, name) =>
+        resources.find(
+          (resource) => resource.kind === kind && resource.metadata.name === name,
+        ) as never,
+      list: (kind) => resources.filter((resource) => resource.kind === kind) as never,
+    };
+  }
+
+  #canReach(from: Member, to: Member): boolean {
+    const isCut = [from, to].some(({ dataCentre }) => this.cutOff.has(dataCentre));
+    const isFrozen = [from, to].some(({ vm }) => this.frozen.has(vm));
+    return from === to || (!isFrozen && (from.dataCentre === to.dataCentre || !isCut));
+  }
+
+  #checkPlatform({ dataCentre, vm }: Member): void {
+    if (this.cutOff.has(dataCentre) || this.frozen.has(vm)) {
+      throw new PlatformRefusedError('unreachable');
+    }
+  }
+
+  #guardTable(self: Member): TableClient {
+    return {
+      transact: async (transactions) => {
+        this.#checkPlatform(self);
+        return this.table.transact(transactions);
+      },
+      read: async (keys) => {
+        this.#checkPlatform(self);
+        return this.table.read(keys);
+      },
+      scan: async (options) => {
+        this.#checkPlatform(self);
+        return this.table.scan(options);
+      },
+    };
+  }
+
+  #guardRater(self: Member): RaterClient {
+    return {
+      submit: async (requests) => {
+        this.#checkPlatform(self);
+        return this.rater.submit(requests);
+      },
+      rate: async (request) => {
+        this.#checkPlatform(self);
+        return this.rater.rate(request);
+      },
+      fetchRatings: async (afterSeq, limit) => {
+        this.#checkPlatform(self);
+        return this.rater.fetchRatings(afterSeq, limit);
+      },
+    };
+  }
+
+  #createTransport(from: Member): PeerTransport {
+    const find = async (address: string): Promise<TestDaemon> => {
+      const peer = this.#daemons.find(({ self }) => self.address === address);
+      if (peer === undefined || !this.#canReach(from, peer.self)) {
+        throw new PeerUnreachableError(address);
+      }
+      return peer;
+    };
+    return {
+      getPeer: (address) =>
+        ({
+          configuration: {
+            pushSafeMoves: async (message) =>
+              (await find(address)).safeMoves.handlePush(structuredClone(message)),
+          },
+          evidence: {
+            deliverScores: async (message) =>
+              (await find(address)).system.handlers.deliverScores(structuredClone(message)),
+          },
+        }) as PeerHandlers,
+    };
+  }
+
+  #createMembership(self: Member): MembershipView {
+    const listAlive = (): readonly Member[] =>
+      this.#daemons.map((daemon) => daemon.self).filter((member) => this.#canReach(self, member));
+    const listLocal = (): readonly Member[] =>
+      listAlive().filter(({ dataCentre }) => dataCentre === self.dataCentre);
+    const rankLocal = (key: string): readonly Member[] => {
+      const local = new Map(listLocal().map((member) => [member.incarnation, member]));
+      const ranked = rankByRendezvous(key, [...local.keys()]);
+      return ranked.map((incarnation) => local.get(incarnation) as Member);
+    };
+    const getDutyOwner = (duty: string): Member => rankLocal(duty)[0] ?? self;
+    const listRelays = (): readonly Member[] => [
+      ...new Map(
+        listAlive()
+          .filter(({ dataCentre }) => dataCentre !== self.dataCentre)
+          .map((member) => [member.dataCentre, member]),
+      ).values(),
+    ];
+    const find = (incarnation: string): Member | undefined =>
+      listAlive().find((member) => member.incarnation === incarnation);
+    return {
+      self,
+      listAlive,
+      listLocal,
+      listRelays,
+      rankLocal,
+      getDutyOwner,
+      ownsDuty: (duty) => getDutyOwner(duty) === self,
+      isIncarnationAlive: (incarnation) => find(incarnation) !== undefined,
+      getMember: find,
+      onChange: () => () => undefined,
+      onPause: () => () => undefined,
+      listMembers: listAlive,
+    };
+  }
+
+  /** As membership does: each daemon one near peer in turn, two relays every other round each far one. */
+  #gossip(): void {
+    const round = this.#elapsedMs / GOSSIP_MS;
+    this.#daemons.forEach((daemon) => {
+      const peers = this.#daemons.filter(
+        (other) => other !== daemon && this.#canReach(daemon.self, other.self),
+      );
+      const isNear = ({ self }: TestDaemon): boolean => self.dataCentre === daemon.self.dataCentre;
+      const near = peers.filter(isNear);
+      const nearest = near[this.random.nextInt(Math.max(1, near.length))];
+      const far = this.#isRelay(daemon, near) && round % 2 === 0 ? peers : [];
+      const farDataCentres = new Set(
+        far.filter((peer) => !isNear(peer)).map(({ self }) => self.dataCentre),
+      );
+      const relays = [...farDataCentres].map((dataCentre) => {
+        const members = far.filter(({ self }) => self.dataCentre === dataCentre);
+        return members[this.random.nextInt(members.length)];
+      });
+      [nearest, ...relays]
+        .filter((peer) => peer !== undefined)
+        .forEach((peer) => this.#exchange(daemon, peer));
+    });
+  }
+
+  #isRelay(daemon: TestDaemon, near: readonly TestDaemon[]): boolean {
+    const incarnations = [daemon, ...near].map(({ self }) => self.incarnation);
+    return rankByRendezvous('relay', incarnations).slice(0, 2).includes(daemon.self.incarnation);
+  }
+
+  #exchange(a: TestDaemon, b: TestDaemon): void {
+    this.#send(a, b);
+    this.#send(b, a);
+  }
+
+  #send(from: TestDaemon, to: TestDaemon): void {
+    from.system.topics.forEach((topic, index) => {
+      const payload = topic.getPayload(to.self);
+      if (payload === undefined) {
+        return;
+      }
+      const text = JSON.stringify(payload);
+      const sizeBytes = text.length + topic.name.length + 4;
+      [from, to].forEach(({ self }) =>
+        this.gossipBytes.set(self.vm, (this.gossipBytes.get(self.vm) ?? 0) + sizeBytes),
+      );
+      if (this.random.next() < this.faults.loss) {
+        return;
+      }
+      const copies = this.random.next() < this.faults.repetition ? 2 : 1;
+      for (let sent = 0; sent < copies; sent += 1) {
+        const dueMs = Date.now() + this.random.next() * this.faults.delayMs;
+        const deliver = (): void =>
+          to.system.topics[index]?.mergePayload(JSON.parse(text), from.self);
+        this.#late.push({ dueMs, deliver });
+      }
+    });
+    this.#deliverLate();
+  }
+
+  #deliverLate(): void {
+    const nowMs = Date.now();
+    const due = this.#late.filter(({ dueMs }) => dueMs <= nowMs);
+    this.#late = this.#late.filter(({ dueMs }) => dueMs > nowMs);
+    due.sort((a, b) => a.dueMs - b.dueMs).forEach(({ deliver }) => deliver());
+  }
+}
+
+/** Runs a test with a cluster, and gives the clock back whatever happens. */
+export const createClusterTest =
+  (install: (options: { readonly now: number }) => TestClock) =>
+  (run: (cluster: TestCluster) => Promise<void>) =>
+  async (): Promise<void> => {
+    const cluster = new TestCluster(install({ now: START_MS }));
+    try {
+      await run(cluster);
+    } finally {
+      cluster.stop();
+    }
+  };
--- /dev/null
+++ b/packages/rollouts/src/testing/traffic.ts
@@ -0,0 +1,116 @@
+/** Requests for the daemons of a test cluster, answered as the request path would. */
+import { asId, type VersionId } from '@snipehaven/common';
+import type { AnswerEnding, EvidenceSubject, ModelAssignment } from '../types.js';
+import { CANDIDATE, type TestCluster, type TestDaemon } from './testCluster.js';
+
+const ANSWER_MS = 400;
+const ACCEPT_ABOVE_SCORE = 0.85;
+const RATING_TIMEOUT_MS = 1_000;
+const RATED_SHARE = 0.2;
+
+export interface TrafficOptions {
+  readonly requestsPerSecond: number;
+  readonly teams: number;
+  readonly tasks: number;
+  /** How an answer of the version ends. */
+  readonly getEnd?: (version: string) => AnswerEnding['end'];
+  readonly allowsCascade?: boolean;
+}
+
+export class Traffic {
+  readonly #cluster: TestCluster;
+
+  readonly #options: TrafficOptions;
+
+  /** Requests owed since the last step. */
+  #owed = 0;
+
+  #requests = 0;
+
+  /** Answers that the candidate gave, and those of them that callers got. */
+  candidateAnswers = 0;
+
+  candidateReleased = 0;
+
+  stableAnswers = 0;
+
+  constructor(cluster: TestCluster, options: TrafficOptions) {
+    this.#cluster = cluster;
+    this.#options = options;
+  }
+
+  /** Starts the requests of a step of the clock, at daemons picked by chance. */
+  step(stepMs: number): void {
+    this.#owed += (this.#options.requestsPerSecond * stepMs) / 1_000;
+    for (; this.#owed >= 1; this.#owed -= 1) {
+      const { daemons, frozen } = this.#cluster;
+      const running = daemons.filter(({ self }) => !frozen.has(self.vm));
+      const daemon = running[this.#cluster.random.nextInt(running.length)] as TestDaemon;
+      void this.request(daemon);
+    }
+  }
+
+  async request(daemon: TestDaemon): Promise<void> {
+    this.#requests += 1;
+    const requestId = `${daemon.self.incarnation}-${this.#requests.toString(36)}`;
+    const { teams, tasks, allowsCascade = true } = this.#options;
+    const assignment = daemon.system.assigner.assign('small', {
+      isStrict: false,
+      allowsExploration: true,
+      allowsCascade,
+      isSession: false,
+      requestId,
+    }) as ModelAssignment;
+    const subject = {
+      team: `team-${this.#requests % teams}`,
+      task: `task-${Math.floor(this.#requests / teams) % tasks}`,
+      version: assignment.version,
+      isEscalated: false,
+    };
+    await this.#answer(daemon, subject, assignment, requestId);
+    daemon.system.assigner.release(requestId);
+  }
+
+  async #answer(
+    daemon: TestDaemon,
+    subject: EvidenceSubject,
+    assignment: ModelAssignment,
+    requestId: string,
+  ): Promise<void> {
+    const { evidence } = daemon.system;
+    await this.#run(daemon, subject);
+    const sample = { requestId, prompt: 'prompt', answer: 'answer' };
+    if (assignment.isGated) {
+      const score = await evidence
+        .rateNow(subject, sample, RATING_TIMEOUT_MS)
+        .catch(() => undefined);
+      if (score !== undefined) {
+        evidence.recordScore(subject, score);
+      }
+      if (score === undefined || score <= ACCEPT_ABOVE_SCORE) {
+        const stable = { ...subject, version: assignment.stableVersion, isEscalated: true };
+        await this.#run(daemon, stable);
+        return;
+      }
+    }
+    this.candidateReleased += Number(subject.version === CANDIDATE);
+    if (assignment.shouldRate || this.#cluster.random.next() < RATED_SHARE) {
+      evidence.submitSample(subject, sample);
+    }
+  }
+
+  async #run(daemon: TestDaemon, subject: EvidenceSubject): Promise<void> {
+    const { getEnd = () => 'complete' as const } = this.#options;
+    const isCandidate = subject.version === asId<VersionId>(CANDIDATE);
+    this.candidateAnswers += Number(isCandidate);
+    this.stableAnswers += Number(!isCandidate);
+    await new Promise((resolve) => {
+      setTimeout(resolve, ANSWER_MS);
+    });
+    daemon.system.evidence.recordEnding(subject, {
+      end: getEnd(subject.version),
+      firstTokenMs: 100,
+      totalMs: ANSWER_MS,
+    });
+  }
+}
