--- a/packages/ledger/src/constants.ts
+++ b/packages/ledger/src/constants.ts
@@ -27,7 +27,7 @@
   maxPendingRecords: 20_000,
   spillThresholdRecords: 5_000,
   maxSpillEntries: 2_000,
-  replicateBatchMs: 2,
+  replicateBatchMs: 0,
   replicateTimeoutMs: 300,
   maxMessageRecords: 500,
   forgetDelayMs: 5_000,
--- a/packages/ledger/src/dueTimer.ts
+++ b/packages/ledger/src/dueTimer.ts
@@ -1,8 +1,8 @@
-/** A timer that fires once, at the earliest moment asked for. */
+/** Calls back once, at the earliest moment asked for. */
 export class DueTimer {
   readonly #onDue: () => void;
 
-  #timer: NodeJS.Timeout | undefined;
+  #cancel: (() => void) | undefined;
 
   #dueAtMs = Infinity;
 
@@ -10,7 +10,7 @@
     this.#onDue = onDue;
   }
 
-  /** Fires after the delay, unless an earlier moment was asked for. */
+  /** Fires after the delay, unless an earlier moment was asked for; 0: after what runs now. */
   set(delayMs: number): void {
     const dueAtMs = Date.now() + delayMs;
     if (dueAtMs >= this.#dueAtMs) {
@@ -18,15 +18,27 @@
     }
     this.clear();
     this.#dueAtMs = dueAtMs;
-    this.#timer = setTimeout(() => this.#fire(), delayMs);
-    this.#timer.unref();
+    this.#cancel = delayMs === 0 ? this.#startImmediate() : this.#startTimer(delayMs);
   }
 
   clear(): void {
-    clearTimeout(this.#timer);
+    this.#cancel?.();
+    this.#cancel = undefined;
     this.#dueAtMs = Infinity;
   }
 
+  /** A timer of 0 ms waits for a whole millisecond, which each request would wait twice. */
+  #startImmediate(): () => void {
+    const immediate = setImmediate(() => this.#fire());
+    return () => clearImmediate(immediate);
+  }
+
+  #startTimer(delayMs: number): () => void {
+    const timer = setTimeout(() => this.#fire(), delayMs);
+    timer.unref();
+    return () => clearTimeout(timer);
+  }
+
   #fire(): void {
     this.#dueAtMs = Infinity;
     this.#onDue();
