Evidence gossip: hold back what changes little, more bytes for the rest

Cause: at 57 daemons in one data centre a rating took more than 300 s to reach nine tenths of them: each rating was news, sent on six times by each daemon. Change: a share is news when a part of its cell's ratings has changed, or a low score came; two thirds of the transmissions; 320 bytes a message for evidence.

--- a/packages/rollouts/src/constants.ts
+++ b/packages/rollouts/src/constants.ts
@@ -14,7 +14,7 @@
 export const MAINTENANCE_MS = 60_000;
 
 /** Bytes of evidence and of roll-out state in one gossip message within the data centre. */
-export const LOCAL_EVIDENCE_BYTES = 180;
+export const LOCAL_EVIDENCE_BYTES = 320;
 export const LOCAL_ROLLOUT_BYTES = 120;
 /** The same between data centres, where a few relays speak for all. */
 export const REMOTE_EVIDENCE_BYTES = 360;
@@ -22,8 +22,10 @@
 /** One in so many messages repeats something long known, so that everybody learns it in the end. */
 export const MESSAGES_PER_SWEEP = 4;
 export const SWEEP_BYTES = 160;
+/** The part of a cell's ratings that all daemons of a data centre together may hold back. */
+export const UNTOLD_SHARE = 0.2;
 /** Times that news is sent on, for each power of ten of members. */
-export const TRANSMITS_PER_LOG_SIZE = 3;
+export const TRANSMITS_PER_LOG_SIZE = 2;
 export const REMOTE_TRANSMITS = 2;
 
 /** Answers that wait for the rater's next batch. */
--- a/packages/rollouts/src/evidence/evidenceTopic.ts
+++ b/packages/rollouts/src/evidence/evidenceTopic.ts
@@ -1,13 +1,18 @@
 /** Spreads evidence along with membership's exchanges, within a bounded number of bytes. */
 import type { GossipTopic, MembershipView } from '@snipehaven/membership';
-import { sumBins, type EvidenceKey, type EvidenceShare } from '@snipehaven/policy';
+import { SCORE_BIN_COUNT, sumBins, type EvidenceKey, type EvidenceShare } from '@snipehaven/policy';
 import {
   evidenceGossipSchema,
   type EvidenceGossip,
   type Member,
   type ShareTuple,
 } from '@snipehaven/protocol';
-import { LOCAL_EVIDENCE_BYTES, REMOTE_EVIDENCE_BYTES, SWEEP_BYTES } from '../constants.js';
+import {
+  LOCAL_EVIDENCE_BYTES,
+  REMOTE_EVIDENCE_BYTES,
+  SWEEP_BYTES,
+  UNTOLD_SHARE,
+} from '../constants.js';
 import { NewsQueues } from '../gossip/newsQueues.js';
 import { PayloadBudget } from '../gossip/payloadBudget.js';
 import { formatCellKey, parseCellKey } from './cellKey.js';
@@ -44,8 +49,8 @@
 
   #sweepAt = 0;
 
-  /** Scores counted when a share was last put into the news, by share. */
-  readonly #toldRatings = new Map<string, number>();
+  /** What was counted when a share was last in the news, by share. */
+  readonly #told = new Map<string, { readonly ratings: number; readonly lowRatings: number }>();
 
   constructor(options: EvidenceTopicOptions) {
     this.#options = options;
@@ -87,7 +92,7 @@
     const cellKey = formatCellKey(key);
     const shareKey = formatShareKey(cellKey, share);
     const isUrgent = this.#options.isUrgent(key.version);
-    if (!isUrgent && !this.#isRated(shareKey, share)) {
+    if (!isUrgent && !this.#isRated(cellKey, shareKey, share)) {
       return;
     }
     const news = isUrgent ? this.#urgent : this.#news;
@@ -95,16 +100,30 @@
     news.pushRemote(cellKey);
   }
 
-  /** Whether ratings came since the share was last in the news; an empty share tells of a new era. */
-  #isRated(shareKey: string, { counts }: EvidenceShare): boolean {
+  /**
+   * Whether enough ratings came since the share was last in the news. All daemons together may hold back a
+   * part of what is known, but no low score, for drift shows in these. An empty share tells of a new era.
+   */
+  #isRated(cellKey: string, shareKey: string, { counts }: EvidenceShare): boolean {
     const ratings = sumBins(counts.scoreCounts);
+    const lowRatings = sumBins(counts.scoreCounts.slice(0, SCORE_BIN_COUNT / 2));
+    const told = this.#told.get(shareKey) ?? { ratings: 0, lowRatings: 0 };
     const isEmpty = ratings + counts.answerCount === 0;
-    const isNews = isEmpty || ratings !== (this.#toldRatings.get(shareKey) ?? 0);
-    if (this.#toldRatings.size >= MAX_TOLD) {
-      this.#toldRatings.clear();
+    const isEnough = ratings - told.ratings >= this.#getNewsThreshold(cellKey);
+    if (!isEmpty && !isEnough && lowRatings === told.lowRatings) {
+      return false;
+    }
+    if (this.#told.size >= MAX_TOLD) {
+      this.#told.clear();
     }
-    this.#toldRatings.set(shareKey, ratings);
-    return isNews;
+    this.#told.set(shareKey, { ratings, lowRatings });
+    return true;
+  }
+
+  #getNewsThreshold(cellKey: string): number {
+    const { cells, membership } = this.#options;
+    const known = sumBins(cells.get(cellKey)?.getFolded().scoreCounts ?? []);
+    return Math.max(1, (known * UNTOLD_SHARE) / membership.listLocal().length);
   }
 
   #listForLocal(peer: Member): readonly ShareTuple[] {
