Daemon: its core can be looked at

Cause: tests of the caller API must see that no place is left taken after a request. Change: a read-only accessor. Conclusion: no change of behaviour.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -66,6 +66,11 @@
     };
   }
 
+  /** Undefined before the start. */
+  get core(): DaemonCore | undefined {
+    return this.#core;
+  }
+
   get addresses(): DaemonAddresses {
     const { callers, operators, peers } = this.#listeners;
     return { callers: callers.address, operators: operators.address, peers: peers.address };
