Bad input and lost callers: clear refusals, nothing false, no place lost

Cause, each found by a test over loopback with a daemon and stand-ins in one process: - a caller that stops reading held its place for ever (neither deadline nor close reached the wait); - a pipelined stream behind another one never heard that its caller had gone, with the same end; - a sender of a body too large saw a reset connection in place of the 413; - Node's own answers (431, 400, 408) had no body, and a parser's error behind a running request would have been read as that request's answer; - a streaming caller that asks for no usage lost finish_reason with the last chunk; - a request whose deadline passed in the queue was refused as callerGone (400) in place of 504; - an empty priority header counted as 0, the beginning of a model's name as the model (403, not 404); - the path // made a 502 'internal error'; bodies that are no UTF-8 were decoded to another prompt. Ruled out: serving on behind a half-closed connection (a dead caller looks the same); a timer for each response (a slow reader that makes progress must get its whole answer: the socket's idle timer sees it). Change: the sink watches the socket and limits pauses (requests.readTimeoutMs), refusals linger, one answer for parser errors in OpenAI's shape, 408 and 431 as refusals.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -71,7 +71,12 @@
     rules: { 'n/no-sync': 'off', 'n/no-process-exit': 'off' },
   },
   {
-    files: ['**/*.test.ts', 'tools/**', 'packages/{bench,demo,standins,proofs}/**'],
+    files: [
+      '**/*.test.ts',
+      '**/testSupport/**',
+      'tools/**',
+      'packages/{bench,demo,standins,proofs}/**',
+    ],
     rules: { 'import-x/no-extraneous-dependencies': 'off' },
   },
 ];
--- a/packages/common/src/logger.ts
+++ b/packages/common/src/logger.ts
@@ -1,5 +1,5 @@
 /** Structured logs: JSON lines by `pino`, secrets redacted. */
-import { pino, type Logger } from 'pino';
+import { pino, type DestinationStream, type Logger } from 'pino';
 
 export type { Logger } from 'pino';
 
@@ -14,14 +14,21 @@
   '*.apiKey',
 ];
 
-/** Creates the root logger of a process; every line carries the bindings. */
-export const createLogger = (level: LogLevel, bindings: Record<string, string>): Logger =>
-  pino({
-    level,
-    base: bindings,
-    timestamp: () => `,"timeMs":${Date.now()}`,
-    redact: { paths: SECRET_PATHS, censor: '[redacted]' },
-  });
+/** Creates the root logger of a process; every line carries the bindings. Standard output by default. */
+export const createLogger = (
+  level: LogLevel,
+  bindings: Record<string, string>,
+  destination: DestinationStream = pino.destination(1),
+): Logger =>
+  pino(
+    {
+      level,
+      base: bindings,
+      timestamp: () => `,"timeMs":${Date.now()}`,
+      redact: { paths: SECRET_PATHS, censor: '[redacted]' },
+    },
+    destination,
+  );
 
 /** A logger that writes nothing; for tests. */
 export const createSilentLogger = (): Logger => pino({ level: 'silent' });
--- a/packages/daemon/src/callerApi/callerHandler.ts
+++ b/packages/daemon/src/callerApi/callerHandler.ts
@@ -19,7 +19,7 @@
   readonly configuration: ConfigurationStore;
   readonly safeMoves: SafeMoves;
   readonly isServing: () => boolean;
-  readonly bounds: BodyBounds & OptionDefaults;
+  readonly bounds: BodyBounds & OptionDefaults & { readonly readTimeoutMs: number };
   readonly logger: Logger;
 }
 
@@ -33,6 +33,7 @@
 type CallHandler = (call: CallerCall, options: CallerApiOptions) => Promise<void>;
 
 const SERVICES_PREFIX = '/services/';
+const CALLERS_ORIGIN = 'http://callers';
 const BEARER = /^Bearer (.+)$/;
 
 const refuse = (kind: ConstructorParameters<typeof Refusal>[0], message: string): Refusal =>
@@ -97,6 +98,15 @@
   return identity;
 };
 
+/** Not every text that HTTP allows as a target is a path: `//` is not. */
+const restoreUrl = (request: IncomingMessage): URL => {
+  const target = request.url ?? '/';
+  if (!URL.canParse(target, CALLERS_ORIGIN)) {
+    throw refuse('invalidRequest', 'the path is not valid');
+  }
+  return new URL(target, CALLERS_ORIGIN);
+};
+
 const handle = async (
   request: IncomingMessage,
   sink: HttpAnswerSink,
@@ -106,7 +116,7 @@
     throw refuse('notReady', 'the daemon has no configuration yet or is shutting down');
   }
   const identity = identify(request, options.router);
-  const url = new URL(request.url ?? '/', 'http://callers');
+  const url = restoreUrl(request);
   const handler = findHandler(request.method ?? 'GET', url.pathname);
   if (handler === undefined) {
     throw refuse('unknownPath', `${request.method} ${url.pathname} does not exist`);
@@ -118,7 +128,7 @@
 export const createCallerHandler =
   (options: CallerApiOptions) =>
   (request: IncomingMessage, response: ServerResponse): void => {
-    const sink = new HttpAnswerSink(request, response);
+    const sink = new HttpAnswerSink(request, response, options.bounds.readTimeoutMs);
     handle(request, sink, options).catch((error: unknown) => {
       const refusal = error instanceof Refusal ? error : refuse('upstreamFailed', 'internal error');
       if (refusal !== error) {
--- a/packages/daemon/src/callerApi/httpAnswerSink.ts
+++ b/packages/daemon/src/callerApi/httpAnswerSink.ts
@@ -1,36 +1,29 @@
 /** Writes one answer to a caller's HTTP response. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { invariant } from '@snipehaven/common';
-import { RUN_HEADER, type AnswerHeaders, type AnswerSink, type Refusal } from '@snipehaven/routing';
+import type { AnswerHeaders, AnswerSink, Refusal } from '@snipehaven/routing';
+import { getErrorHeaders, toErrorBody } from './errorBody.js';
 
-const MS_PER_SECOND = 1_000;
-
-const toErrorBody = (refusal: Refusal): object => ({
-  error: {
-    message: refusal.message,
-    type: refusal.type,
-    code: refusal.code,
-    param: null,
-    run: refusal.verdict,
-    ...(refusal.retryAfterMs === undefined ? {} : { retryAfterMs: refusal.retryAfterMs }),
-  },
-});
+/** How long a refused sender may go on sending, so that it gets to read the refusal. */
+const LINGER_MS = 1_000;
 
 export class HttpAnswerSink implements AnswerSink {
+  readonly #request: IncomingMessage;
+
   readonly #response: ServerResponse;
 
+  readonly #readTimeoutMs: number;
+
   readonly #gone = new AbortController();
 
   #isEnded = false;
 
-  constructor(request: IncomingMessage, response: ServerResponse) {
+  /** A caller that reads nothing for `readTimeoutMs` while bytes wait for it counts as gone. */
+  constructor(request: IncomingMessage, response: ServerResponse, readTimeoutMs: number) {
+    this.#request = request;
     this.#response = response;
-    response.on('close', () => {
-      if (!response.writableFinished) {
-        this.#gone.abort();
-      }
-    });
-    request.on('error', () => this.#gone.abort());
+    this.#readTimeoutMs = readTimeoutMs;
+    this.#watchCaller();
   }
 
   get callerGone(): AbortSignal {
@@ -76,43 +69,78 @@
   /** A started stream ends with an error event and a broken connection, so that it never looks whole. */
   refuse(refusal: Refusal, headers: AnswerHeaders): void {
     this.#noteEnd();
+    const body = JSON.stringify(toErrorBody(refusal));
     if (this.#response.headersSent) {
-      this.#response.write(`data: ${JSON.stringify(toErrorBody(refusal))}\n\n`, () => {
-        this.#response.destroy();
-      });
+      this.#response.write(`data: ${body}\n\n`, () => this.#response.destroy());
       return;
     }
-    const { retryAfterMs } = refusal;
-    const body = JSON.stringify(toErrorBody(refusal));
-    this.#response.writeHead(refusal.status, {
-      ...headers,
-      'content-type': 'application/json',
-      'content-length': Buffer.byteLength(body),
-      [RUN_HEADER]: refusal.verdict,
-      ...(retryAfterMs === undefined
-        ? {}
-        : {
-            'retry-after': String(Math.ceil(retryAfterMs / MS_PER_SECOND)),
-            'retry-after-ms': String(Math.ceil(retryAfterMs)),
-          }),
+    this.#response.writeHead(refusal.status, { ...headers, ...getErrorHeaders(refusal, body) });
+    if (this.#request.complete) {
+      this.#response.end(body);
+    } else {
+      this.#sendBeforeRequestEnds(body);
+    }
+  }
+
+  /**
+   * What goes wrong: a response pipelined behind another one has no connection of its own yet, and no
+   * `close` comes to it when the caller goes. It would wait for the caller to read, for ever, and hold its
+   * place, which one sees in `snipehaven_requests_running`. The socket is therefore watched as well.
+   */
+  #watchCaller(): void {
+    const { socket } = this.#request;
+    const leave = (): void => {
+      if (!this.#response.writableFinished) {
+        this.#gone.abort();
+      }
+    };
+    socket.on('close', leave);
+    this.#request.on('error', leave);
+    this.#response.on('close', () => {
+      socket.off('close', leave);
+      leave();
     });
-    this.#response.end(body);
+  }
+
+  /**
+   * What goes wrong: the refusal closes a connection on which the caller still sends. The system answers
+   * the bytes that come after with a reset, and the caller sees this instead of the refusal. The body is
+   * therefore thrown away for a while before the connection closes.
+   */
+  #sendBeforeRequestEnds(body: string): void {
+    const response = this.#response;
+    response.write(body);
+    const finish = (): void => {
+      response.end();
+    };
+    const timer = setTimeout(finish, LINGER_MS);
+    response.on('close', () => clearTimeout(timer));
+    this.#request.on('end', finish);
+    this.#request.resume();
   }
 
   #noteEnd(): void {
     invariant(!this.#isEnded, 'wholeAnswer', 'an answer ended twice');
     this.#isEnded = true;
+    this.#limitPause();
+  }
+
+  /** From now on the connection closes when no byte moves; Node lifts it when the answer is out. */
+  #limitPause(): void {
+    this.#response.socket?.setTimeout(this.#readTimeoutMs);
   }
 
   #waitForDrain(): Promise<void> {
+    this.#limitPause();
     return new Promise((resolve) => {
       const finish = (): void => {
+        this.#response.socket?.setTimeout(0);
         this.#response.off('drain', finish);
-        this.#response.off('close', finish);
+        this.#gone.signal.removeEventListener('abort', finish);
         resolve();
       };
       this.#response.on('drain', finish);
-      this.#response.on('close', finish);
+      this.#gone.signal.addEventListener('abort', finish);
     });
   }
 }
--- a/packages/daemon/src/callerApi/readBody.ts
+++ b/packages/daemon/src/callerApi/readBody.ts
@@ -24,7 +24,7 @@
     let sizeBytes = 0;
     const timer = setTimeout(() => {
       const message = `the body did not arrive within ${bounds.bodyTimeoutMs} ms`;
-      reject(new Refusal('invalidRequest', message, new RunTracker()));
+      reject(new Refusal('requestTimeout', message, new RunTracker()));
     }, bounds.bodyTimeoutMs);
     const finish = (settle: () => void): void => {
       clearTimeout(timer);
@@ -69,9 +69,19 @@
   return deepest;
 };
 
+/** Bytes that are no UTF-8 are refused: decoded all the same, they would be another prompt. */
+const decodeText = (body: Buffer): string => {
+  try {
+    return new TextDecoder('utf-8', { fatal: true }).decode(body);
+  } catch (error) {
+    const message = 'the body is not UTF-8';
+    throw new Refusal('invalidRequest', message, new RunTracker(), { cause: error });
+  }
+};
+
 /** Parses JSON that is not nested too deep; throws a refusal. */
 export const parseJsonBody = (body: Buffer): unknown => {
-  const text = body.toString('utf8');
+  const text = decodeText(body);
   if (getDepth(text) > MAX_DEPTH) {
     const message = `the body is nested deeper than ${MAX_DEPTH}`;
     throw new Refusal('invalidRequest', message, new RunTracker());
--- a/packages/daemon/src/callerApi/readOptions.ts
+++ b/packages/daemon/src/callerApi/readOptions.ts
@@ -18,13 +18,19 @@
 const MAX_KEY_CHARS = 200;
 const MAX_TOKEN_CHARS = 2_048;
 
+/** Digits only: an empty header is no 0, and `1e3` no number of milliseconds. */
+const countSchema = z
+  .string()
+  .regex(/^\d{1,12}$/, 'must be a whole number')
+  .transform(Number);
+
 const headersSchema = z.object({
   [TASK_HEADER]: z
     .string()
     .regex(/^[a-z0-9.-]{1,63}$/, 'must be lower-case letters, digits, dots and dashes')
     .default(DEFAULT_TASK),
-  [PRIORITY_HEADER]: z.coerce.number().int().min(0).max(MAX_PRIORITY).optional(),
-  [DEADLINE_HEADER]: z.coerce.number().int().positive().optional(),
+  [PRIORITY_HEADER]: countSchema.pipe(z.number().max(MAX_PRIORITY)).optional(),
+  [DEADLINE_HEADER]: countSchema.pipe(z.number().positive()).optional(),
   [IDEMPOTENCY_KEY_HEADER]: z.string().min(1).max(MAX_KEY_CHARS).optional(),
   [NON_IDEMPOTENT_HEADER]: z.enum(['true', 'false']).default('false'),
   [SESSION_HEADER]: z.string().min(1).max(MAX_TOKEN_CHARS).optional(),
--- a/packages/daemon/src/listeners.ts
+++ b/packages/daemon/src/listeners.ts
@@ -3,6 +3,7 @@
 import { createServer, type RequestListener, type Server } from 'node:http';
 import { createServer as createTlsServer } from 'node:https';
 import type { AddressInfo } from 'node:net';
+import { answerClientErrors } from './callerApi/clientErrors.js';
 import type { ListenerSettings } from './settings/index.js';
 
 export interface ListenerBounds {
@@ -11,6 +12,8 @@
 }
 
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
+/** Slow senders are found at the latest this long after their time is over. */
+const MAX_CHECK_INTERVAL_MS = 1_000;
 
 const createHttpServer = (
   settings: ListenerSettings,
@@ -21,6 +24,7 @@
     maxHeaderSize: bounds.maxHeaderBytes,
     requestTimeout: bounds.requestTimeoutMs,
     headersTimeout: bounds.requestTimeoutMs,
+    connectionsCheckingInterval: Math.min(MAX_CHECK_INTERVAL_MS, bounds.requestTimeoutMs),
     keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
   };
   if (settings.tls === undefined) {
@@ -40,6 +44,10 @@
   constructor(settings: ListenerSettings, bounds: ListenerBounds, handler: RequestListener) {
     this.#settings = settings;
     this.#server = createHttpServer(settings, bounds, handler);
+    answerClientErrors(this.#server);
+    // Pipelined requests listen to their socket at the same time.
+    this.#server.on('connection', (socket) => socket.setMaxListeners(0));
+    this.#server.on('secureConnection', (socket) => socket.setMaxListeners(0));
   }
 
   /** `ip:port` once it listens. */
--- a/packages/daemon/src/settings/settingsSchema.ts
+++ b/packages/daemon/src/settings/settingsSchema.ts
@@ -78,6 +78,9 @@
       maxBodyBytes: z.int().positive().default(4_194_304).describe('Largest body of a request.'),
       maxHeaderBytes: z.int().positive().default(16_384).describe('Longest headers of a request.'),
       bodyTimeoutMs: durationMs.default(10_000).describe('Longest wait for a body to arrive.'),
+      readTimeoutMs: durationMs
+        .default(30_000)
+        .describe('Longest pause of a caller in reading; after it the caller counts as gone.'),
       defaultDeadlineMs: durationMs.default(120_000).describe('Deadline without the header.'),
       maxDeadlineMs: durationMs.default(600_000).describe('Latest deadline that a caller may ask.'),
       firstByteTimeoutMs: durationMs
--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -40,6 +40,11 @@
   throw new Refusal(kind, limitMessages[outcome.limit], tracker, { retryAfterMs });
 };
 
+const createStopRefusal = (tracker: RunTracker, signal: RequestSignal): Refusal =>
+  signal.reason === 'deadline'
+    ? new Refusal('deadlineExceeded', 'the deadline passed before there was room', tracker)
+    : new Refusal('callerGone', 'the caller has gone', tracker);
+
 /** Resolves when the request may run; throws the final refusal at once otherwise. */
 export const admit = async (
   deps: RoutingDependencies,
@@ -47,6 +52,9 @@
   signal: RequestSignal,
   input: AdmissionInput,
 ): Promise<Admission> => {
+  if (signal.reason !== undefined) {
+    throw createStopRefusal(tracker, signal);
+  }
   const reservation = reserve(deps, tracker, input);
   const outcome = await deps.gate.admit(
     {
@@ -66,7 +74,7 @@
       ? new Refusal('overloaded', `no room: ${outcome.reason}`, tracker, {
           retryAfterMs: outcome.retryAfterMs,
         })
-      : new Refusal('callerGone', 'the caller has gone', tracker);
+      : createStopRefusal(tracker, signal);
   }
   return {
     release: (actualCostMicroUsd) => {
--- a/packages/routing/src/chatRun.ts
+++ b/packages/routing/src/chatRun.ts
@@ -9,6 +9,7 @@
 import { toCompletionBody, toCompletionChunks, type CompletionFields } from './answerAssembler.js';
 import { getPromptText } from './chatBody.js';
 import {
+  AUTO_MODEL,
   PLAN_HEADER,
   PREFIX_CHARS,
   PREFIX_DIGEST_CHARS,
@@ -22,7 +23,7 @@
 import { hashRequest, keepAnswer, takeClaim } from './claimGuard.js';
 import { HeldConsumer, LiveConsumer } from './eventConsumers.js';
 import { admit, type Admission } from './admission.js';
-import { planChat, type ChatPlan } from './planChat.js';
+import { matchesWish, planChat, type ChatPlan } from './planChat.js';
 import { Refusal } from './refusal.js';
 import { RequestSignal } from './requestSignal.js';
 import { RunTracker } from './runTracker.js';
@@ -186,8 +187,8 @@
     const isKnown = this.#deps.configuration
       .getView()
       .list('ModelVersion')
-      .some(({ metadata }) => wished === 'auto' || metadata.name.startsWith(wished));
-    const isAllowed = wished === 'auto' || this.#isWishAllowed(wished);
+      .some(({ metadata }) => matchesWish(wished, asId<VersionId>(metadata.name)));
+    const isAllowed = wished === AUTO_MODEL || this.#isWishAllowed(wished);
     if (!isKnown) {
       return new Refusal('unknownModel', `model ${wished} does not exist`, this.#tracker);
     }
@@ -204,7 +205,7 @@
     return this.#deps.configuration
       .getView()
       .list('ModelVersion')
-      .filter(({ metadata }) => metadata.name === wished || metadata.name.startsWith(`${wished}@`))
+      .filter(({ metadata }) => matchesWish(wished, asId<VersionId>(metadata.name)))
       .some(({ metadata }) => isVersionAllowed(team, metadata.name));
   }
 
--- a/packages/routing/src/eventConsumers.ts
+++ b/packages/routing/src/eventConsumers.ts
@@ -5,6 +5,15 @@
 
 const USAGE_MARK = '"usage":{';
 
+/**
+ * The chunk without its usage; undefined where nothing else is in it. Engines may put the usage into the
+ * chunk that ends the answer: dropped as a whole, it would take `finish_reason` with it.
+ */
+const dropUsage = (data: string): string | undefined => {
+  const chunk = JSON.parse(data) as { readonly choices?: readonly unknown[] };
+  return chunk.choices?.length ? JSON.stringify({ ...chunk, usage: undefined }) : undefined;
+};
+
 /** Passes events on as they come. */
 export class LiveConsumer implements EventConsumer {
   readonly #sink: AnswerSink;
@@ -34,10 +43,15 @@
 
   take(events: readonly EngineEvent[]): Promise<void> | undefined {
     this.begin();
-    const wanted = this.#includesUsage
-      ? events
-      : events.filter((event) => !event.data.includes(USAGE_MARK));
-    return this.#sink.writeEvents(wanted.map((event) => event.data));
+    return this.#sink.writeEvents(events.flatMap((event) => this.#toWanted(event.data)));
+  }
+
+  #toWanted(data: string): readonly string[] {
+    if (this.#includesUsage || !data.includes(USAGE_MARK)) {
+      return [data];
+    }
+    const rest = dropUsage(data);
+    return rest === undefined ? [] : [rest];
   }
 }
 
--- a/packages/routing/src/planChat.ts
+++ b/packages/routing/src/planChat.ts
@@ -41,7 +41,8 @@
 const getVersion = (resource: VersionResource): VersionId =>
   asId<VersionId>(resource.metadata.name);
 
-const matchesWish = (wished: string, version: VersionId): boolean =>
+/** Whether the `model` of a body asks for the version. */
+export const matchesWish = (wished: string, version: VersionId): boolean =>
   wished === AUTO_MODEL || wished === version || wished === getModelOfVersion(version);
 
 /** The team's settings for the task of the request. */
--- a/packages/routing/src/refusal.ts
+++ b/packages/routing/src/refusal.ts
@@ -11,6 +11,16 @@
   unknownModel: { status: HTTP.notFound, type: 'invalid_request_error', isRetryable: false },
   unknownPath: { status: HTTP.notFound, type: 'invalid_request_error', isRetryable: false },
   bodyTooLarge: { status: HTTP.payloadTooLarge, type: 'invalid_request_error', isRetryable: false },
+  headersTooLarge: {
+    status: HTTP.headersTooLarge,
+    type: 'invalid_request_error',
+    isRetryable: false,
+  },
+  requestTimeout: {
+    status: HTTP.requestTimeout,
+    type: 'invalid_request_error',
+    isRetryable: false,
+  },
   differentBody: { status: HTTP.unprocessable, type: 'invalid_request_error', isRetryable: false },
   inProgress: { status: HTTP.conflict, type: 'conflict_error', isRetryable: true },
   outcomeUnknown: { status: HTTP.conflict, type: 'conflict_error', isRetryable: false },
--- a/tools/definePackages.mjs
+++ b/tools/definePackages.mjs
@@ -25,6 +25,9 @@
   openai: '^6.0.0',
 };
 
+/** Private packages that only the tests of a package use. */
+const testPackages = { daemon: ['standins'] };
+
 /** name: [own packages it depends on, libraries, binary name] */
 const packages = {
   common: [[], ['pino', 'murmurhash', 'pure-rand', 'nact']],
@@ -152,13 +155,14 @@
 const toJson = (value, parser = 'json') =>
   format(JSON.stringify(value), { parser, printWidth: 100 });
 
+const toOwnDependencies = (names) =>
+  Object.fromEntries(names.map((other) => [`@snipehaven/${other}`, '0.1.0']));
+
 for (const [name, [own, libraries, bin]] of Object.entries(packages)) {
   const folder = `packages/${name}`;
   mkdirSync(`${folder}/src`, { recursive: true });
-  const dependencies = {};
-  own.forEach((other) => {
-    dependencies[`@snipehaven/${other}`] = '0.1.0';
-  });
+  const forTests = testPackages[name] ?? [];
+  const dependencies = toOwnDependencies(own);
   libraries.forEach((library) => {
     dependencies[library] = versions[library];
   });
@@ -173,6 +177,7 @@
     types: 'dist/index.d.ts',
     ...(bin ? { bin: { [bin]: `dist/${bin}.js` } } : {}),
     dependencies,
+    ...(forTests.length > 0 ? { devDependencies: toOwnDependencies(forTests) } : {}),
   };
   writeFileSync(`${folder}/package.json`, await toJson(manifest, 'json-stringify'));
   writeFileSync(
@@ -181,7 +186,7 @@
       extends: '../../tsconfig.base.json',
       compilerOptions: { rootDir: 'src', outDir: 'dist', tsBuildInfoFile: 'dist/.tsbuildinfo' },
       include: ['src'],
-      references: own.map((other) => ({ path: `../${other}` })),
+      references: [...own, ...forTests].map((other) => ({ path: `../${other}` })),
     }),
   );
   if (!existsSync(`${folder}/src/index.ts`)) {
