Rollouts: the test of lapsing grants sees the lapse

Cause: with lapsing taken out the test still passed, for its own ratings had used the grant up. Change: the ratings are counted at a neighbour.

--- a/packages/rollouts/src/rolloutSystem.test.ts
+++ b/packages/rollouts/src/rolloutSystem.test.ts
@@ -326,7 +326,10 @@
     cluster.cutOff.add(granted.self.dataCentre);
     await cluster.advance(100_000);
     assert.ok(isGranted(granted));
-    proveCandidate(granted);
+    const neighbour = cluster.daemons.find(
+      ({ self }) => self !== granted.self && self.dataCentre === granted.self.dataCentre,
+    );
+    proveCandidate(neighbour as TestDaemon);
     await cluster.advance(300_000);
     assert.not(isGranted(granted));
     assert.is(getReport(granted).stage, 0);
