--- a/packages/proofs/src/soak/report/figures.ts
+++ b/packages/proofs/src/soak/report/figures.ts
@@ -1,6 +1,7 @@
 /** Figures of a run for people: recovery, time to in force, service while cut off. */
 import type { SoakFacts } from '../soakFacts.js';
 import type { SentAttempt } from '../types.js';
+import { CONNECTION_BROKE } from './judgeAttempts.js';
 import type { InForceMeasure } from '../watch/inForceProbe.js';
 
 export interface Spread {
@@ -22,7 +23,9 @@
 
 /** Seconds from a kill to the end of the last attempt that the balancer sent to the VM in vain. */
 export const getRecovery = (facts: SoakFacts, attempts: readonly SentAttempt[]): Spread => {
-  const broken = attempts.filter(({ end }) => end.kind === 'broken');
+  const broken = attempts.filter(
+    ({ end }) => end.kind === 'broken' && CONNECTION_BROKE.test(end.reason),
+  );
   return getSpread(
     facts.kills.map(({ vm, atMs }) => {
       const ends = broken
--- a/packages/proofs/src/soak/report/judgeAttempts.ts
+++ b/packages/proofs/src/soak/report/judgeAttempts.ts
@@ -4,8 +4,8 @@
 
 const CLEAN_END_OF_CUT_STREAM = 'the stream ended before its finish reason';
 /** How the libraries name a connection that broke, not a timeout nor an honest error. */
-const CONNECTION_BROKE =
-  /connection error|terminated|socket|other side closed|econnreset|premature close/i;
+export const CONNECTION_BROKE =
+  /connection error|terminated|socket|econnrefused|other side closed|econnreset|premature close/i;
 
 const getBrokenReason = ({ end }: SentAttempt): string | undefined =>
   end.kind === 'broken' ? end.reason : undefined;
--- a/packages/proofs/src/soak/soakRun.ts
+++ b/packages/proofs/src/soak/soakRun.ts
@@ -1,5 +1,7 @@
 /** One soak run: deployment, load, disturbances, healing, judgement. */
 import { setMaxListeners } from 'node:events';
+import { writeFileSync } from 'node:fs';
+import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { createRandom, sleep } from '@snipehaven/common';
 import {
@@ -179,10 +181,12 @@
     this.#watching.abort();
     await this.#stopDaemons();
     const truth = await readUpstreamsTruth(addresses);
+    const entries = await readLedger(addresses);
+    this.#keepEvidence({ records, entries, ...truth });
     const verdict = judgeRun({
       records,
       ...truth,
-      entries: await readLedger(addresses),
+      entries,
       withdrawals: this.#facts.withdrawals,
       isAllowed: isAllowedBySample,
       dearest: dearestPrice,
@@ -201,6 +205,14 @@
     };
   }
 
+  /** Everything that the verdict rests on, to look into afterwards. */
+  #keepEvidence(evidence: Readonly<Record<string, readonly unknown[]>>): void {
+    Object.entries(evidence).forEach(([name, items]) => {
+      const lines = items.map((item) => JSON.stringify(item)).join('\n');
+      writeFileSync(join(this.#options.folder, `${name}.jsonl`), `${lines}\n`);
+    });
+  }
+
   /** By logs and metrics: whichever tells of more. */
   #listViolations(): readonly string[] {
     const logged = this.#violations.listLogged();
