--- a/packages/policy/src/modelChoice/types.ts
+++ b/packages/policy/src/modelChoice/types.ts
@@ -77,7 +77,7 @@
   readonly expectedMs: number;
   /** Lower confidence bound of the plan's mean rating. */
   readonly qualityLowerBound: number;
-  /** Whether to send the released answer to the rater, for evidence. */
+  /** Whether to send the released answer to the rater, unless it was rated before its release. */
   readonly shouldRateAfterRelease: boolean;
   /**
    * Present: ask this version too, at the lowest priority and at the platform's expense; its answer
