--- /dev/null
+++ b/packages/bench/src/control/idle/bareNode.ts
@@ -0,0 +1,4 @@
+/** A process of Node alone. */
+import { stayIdle } from './stayIdle.js';
+
+stayIdle();
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -20,6 +20,8 @@
 import { TimelineCollector } from './collectTimeline.js';
 import { DaemonCore, type DaemonCoreOptions, type ShutdownReport } from './daemonCore.js';
 import { Listener } from './listeners.js';
+import { listProcessGauges } from './metrics/processGauges.js';
+import { TrafficMeter, type TrafficKind } from './metrics/trafficMeter.js';
 import { createOperatorHandler, type HealthReport } from './operatorApi/index.js';
 import { readSecret, type Settings } from './settings/index.js';
 
@@ -51,6 +53,11 @@
 
   readonly #stopping = new AbortController();
 
+  readonly #traffic = new TrafficMeter({
+    classifyConnected: (host) => this.#classifyConnected(host),
+    classifyAccepted: (localPort) => this.#classifyAccepted(localPort),
+  });
+
   #core: DaemonCore | undefined;
 
   #transport: HttpPeerTransport | undefined;
@@ -78,9 +85,11 @@
 
   /** Listens and joins; resolves with the addresses. */
   async start(): Promise<DaemonAddresses> {
+    this.#traffic.start();
     await Promise.all(Object.values(this.#listeners).map((listener) => listener.listen()));
     const core = new DaemonCore(this.#createCoreOptions());
     this.#core = core;
+    listProcessGauges(this.#traffic).forEach((gauge) => core.metrics.addGauge(gauge));
     this.#installHandlers(core);
     core.start();
     return this.addresses;
@@ -97,6 +106,7 @@
     );
     await this.#transport?.close();
     await this.#pools.destroy();
+    this.#traffic.stop();
     return report ?? { unfinishedRequests: 0, unflushedRecords: 0, unwrittenAnswers: 0 };
   }
 
@@ -221,6 +231,23 @@
     };
   }
 
+  #classifyConnected(host: string): TrafficKind {
+    const { tableUrl, objectStoreUrl, vmListUrl, raterUrl, weightStoreUrl } =
+      this.#settings.platform;
+    const platformUrls = [tableUrl, objectStoreUrl, vmListUrl, raterUrl, weightStoreUrl];
+    if (platformUrls.some((url) => new URL(url).host === host)) {
+      return 'platform';
+    }
+    const upstreams = this.#core?.registry.list() ?? [];
+    const isUpstream = upstreams.some((entry) => new URL(entry.spec.url).host === host);
+    return isUpstream ? 'upstreams' : 'peers';
+  }
+
+  #classifyAccepted(localPort: number): TrafficKind | undefined {
+    const isPeers = this.#listeners.peers.address.endsWith(`:${localPort}`);
+    return isPeers ? 'peers' : undefined;
+  }
+
   #getReadiness(core: DaemonCore): HealthReport {
     const reasons = [
       ...(this.#stopping.signal.aborted ? ['shutting down'] : []),
--- a/packages/daemon/src/metrics/daemonMetrics.ts
+++ b/packages/daemon/src/metrics/daemonMetrics.ts
@@ -88,7 +88,7 @@
       labelNames: ['promise'],
       registers,
     });
-    gauges.forEach((source) => this.#addGauge(source));
+    gauges.forEach((source) => this.addGauge(source));
   }
 
   recordAnswer(answer: AnswerMeasure): void {
@@ -105,6 +105,18 @@
     this.#refusals.inc({ team, code });
   }
 
+  /** Adds a number that is read when the metrics are asked for. */
+  addGauge(source: GaugeSource): void {
+    const gauge: Gauge = new Gauge({
+      name: source.name,
+      help: source.help,
+      registers: [this.#registry],
+      collect: () => {
+        gauge.set(source.read());
+      },
+    });
+  }
+
   /** Prometheus text. */
   async getText(): Promise<string> {
     this.#histograms.forEach((histograms) => this.#exportLatency(histograms));
@@ -143,15 +155,4 @@
       this.#latency.set({ ...labels, phase: 'total' }, total.getValueAtPercentile(quantile));
     });
   }
-
-  #addGauge(source: GaugeSource): void {
-    const gauge: Gauge = new Gauge({
-      name: source.name,
-      help: source.help,
-      registers: [this.#registry],
-      collect: () => {
-        gauge.set(source.read());
-      },
-    });
-  }
 }
