Settings: TLS between peers, faults told by field, reference page, nothing secret in logs

Cause: peers could listen by TLS but were called without; certificate files were read only when the listener was made, and failed as a bare ENOENT; unknown fields were named by the table above them, unions by 'Invalid input'; a TOML error quoted its line, in which a secret may stand by mistake; previous secrets and the length of session keys were not checked before the start; no reference page. Ruled out: checking peers' certificates against their IP numbers, which change with each VM: all carry one DNS name (peers.tls.serverName). Node's own limit on whole requests only backs up the handlers', which answer 408 where Node's would have closed without a word.

--- a/packages/daemon/src/listeners.ts
+++ b/packages/daemon/src/listeners.ts
@@ -1,10 +1,9 @@
 /** HTTP servers of the daemon, with TLS where the settings ask for it. */
-import { readFileSync } from 'node:fs';
 import { createServer, type RequestListener, type Server } from 'node:http';
 import { createServer as createTlsServer } from 'node:https';
 import type { AddressInfo } from 'node:net';
 import { answerClientErrors } from './callerApi/clientErrors.js';
-import type { ListenerSettings } from './settings/index.js';
+import { readTlsFiles, type ListenerSettings } from './settings/index.js';
 
 export interface ListenerBounds {
   readonly maxHeaderBytes: number;
@@ -12,17 +11,20 @@
 }
 
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
+/** Handlers limit the time of bodies themselves, and answer better: Node's limit only backs them up. */
+const BODY_SLACK_MS = 2_000;
 /** Slow senders are found at the latest this long after their time is over. */
 const MAX_CHECK_INTERVAL_MS = 1_000;
 
 const createHttpServer = (
+  name: string,
   settings: ListenerSettings,
   bounds: ListenerBounds,
   handler: RequestListener,
 ): Server => {
   const options = {
     maxHeaderSize: bounds.maxHeaderBytes,
-    requestTimeout: bounds.requestTimeoutMs,
+    requestTimeout: BODY_SLACK_MS + 2 * bounds.requestTimeoutMs,
     headersTimeout: bounds.requestTimeoutMs,
     connectionsCheckingInterval: Math.min(MAX_CHECK_INTERVAL_MS, bounds.requestTimeoutMs),
     keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
@@ -30,9 +32,10 @@
   if (settings.tls === undefined) {
     return createServer(options, handler);
   }
-  const cert = readFileSync(settings.tls.certFile);
-  const key = readFileSync(settings.tls.keyFile);
-  return createTlsServer({ ...options, cert, key }, handler);
+  return createTlsServer(
+    { ...options, ...readTlsFiles(`listen.${name}.tls`, settings.tls) },
+    handler,
+  );
 };
 
 /** One listening server. */
@@ -41,9 +44,15 @@
 
   readonly #settings: ListenerSettings;
 
-  constructor(settings: ListenerSettings, bounds: ListenerBounds, handler: RequestListener) {
+  /** `name` is the listener's field in the settings. */
+  constructor(
+    name: string,
+    settings: ListenerSettings,
+    bounds: ListenerBounds,
+    handler: RequestListener,
+  ) {
     this.#settings = settings;
-    this.#server = createHttpServer(settings, bounds, handler);
+    this.#server = createHttpServer(name, settings, bounds, handler);
     answerClientErrors(this.#server);
     // Pipelined requests listen to their socket at the same time.
     this.#server.on('connection', (socket) => socket.setMaxListeners(0));
--- a/packages/daemon/src/settings/readSettings.ts
+++ b/packages/daemon/src/settings/readSettings.ts
@@ -1,25 +1,20 @@
 /** Reads and checks the settings file. */
-import { readFileSync } from 'node:fs';
-import { getErrorMessage } from '@snipehaven/common';
-import { parse } from 'smol-toml';
+import { parse, TomlError } from 'smol-toml';
+import { describeIssue } from './describeIssue.js';
 import { SettingsError } from './errors.js';
+import { readText } from './readText.js';
 import { settingsSchema, type SecretSource, type Settings } from './settingsSchema.js';
 
-const readText = (file: string): string => {
-  try {
-    return readFileSync(file, 'utf8');
-  } catch (error) {
-    throw new SettingsError([`${file}: cannot be read: ${getErrorMessage(error)}`], {
-      cause: error,
-    });
-  }
-};
-
+/** The library's message quotes the line, in which a secret may stand by mistake: it is left out. */
 const parseToml = (file: string, text: string): unknown => {
   try {
     return parse(text);
   } catch (error) {
-    throw new SettingsError([`${file}: not TOML: ${getErrorMessage(error)}`], { cause: error });
+    if (!(error instanceof TomlError)) {
+      throw error;
+    }
+    const [reason] = error.message.split('\n');
+    throw new SettingsError([`${file}: line ${error.line}: not TOML: ${reason}`]);
   }
 };
 
@@ -29,14 +24,14 @@
   if (result.success) {
     return result.data;
   }
-  const faults = result.error.issues.map(
-    (issue) => `${file}: ${issue.path.join('.') || '(whole file)'}: ${issue.message}`,
-  );
+  const faults = result.error.issues
+    .flatMap(describeIssue)
+    .map(({ field, rule }) => `${file}: ${field}: ${rule}`);
   throw new SettingsError(faults);
 };
 
 /** Reads and checks a settings file. */
-export const readSettings = (file: string): Settings => restoreSettings(file, readText(file));
+export const readSettings = (file: string): Settings => restoreSettings(file, readText(file, file));
 
 /** Reads a secret from its environment variable or file. */
 export const readSecret = (
@@ -44,7 +39,7 @@
   source: SecretSource,
   environment: NodeJS.ProcessEnv,
 ): string => {
-  const value = 'env' in source ? environment[source.env] : readText(source.file).trim();
+  const value = 'env' in source ? environment[source.env] : readText(field, source.file).trim();
   if (value === undefined || value === '') {
     const place = 'env' in source ? `variable ${source.env}` : `file ${source.file}`;
     throw new SettingsError([`${field}: ${place} is empty or missing`]);
--- a/packages/daemon/src/settings/settingsSchema.ts
+++ b/packages/daemon/src/settings/settingsSchema.ts
@@ -15,8 +15,17 @@
 ]);
 
 const tlsSchema = z.strictObject({
-  certFile: z.string().describe('PEM file of the certificate chain.'),
-  keyFile: z.string().describe('PEM file of the private key.'),
+  certFile: z.string().min(1).describe('PEM file of the certificate chain.'),
+  keyFile: z.string().min(1).describe('PEM file of the private key.'),
+});
+
+const peerTlsSchema = z.strictObject({
+  caFile: z.string().min(1).describe('PEM file of the authority that signs the daemons.'),
+  serverName: z
+    .string()
+    .min(1)
+    .default('snipehaven')
+    .describe('DNS name in the certificates of all daemons, whose IP numbers change.'),
 });
 
 const listenerSchema = z.strictObject({
@@ -25,7 +34,7 @@
   tls: tlsSchema.optional().describe('TLS of the listener; plain HTTP without it.'),
 });
 
-export const settingsSchema = z.strictObject({
+const fileSchema = z.strictObject({
   vm: z.strictObject({
     name: z.string().min(1).describe('Name of the VM; a replacement may reuse it.'),
     dataCentre: z.string().min(1).describe('Data centre of the VM.'),
@@ -53,6 +62,9 @@
       previousSecret: secretSchema.optional().describe('Still accepted during a rotation.'),
       callTimeoutMs: durationMs.default(1_000).describe('Longest wait for one call of a peer.'),
       probeIntervalMs: durationMs.default(1_000).describe('Time between probes of members.'),
+      tls: peerTlsSchema
+        .optional()
+        .describe('Peers are called by TLS; goes together with listen.peers.tls.'),
     })
     .describe('Other daemons.'),
   sessions: z.strictObject({
@@ -65,9 +77,12 @@
     tokens: z
       .array(
         z.strictObject({
-          name: z.string(),
-          sha256: z.string().regex(/^[0-9a-f]{64}$/, 'must be 64 lower-case hex digits'),
-          role: z.enum(['read', 'write']),
+          name: z.string().min(1).describe('Name of the operator, kept with what was done.'),
+          sha256: z
+            .string()
+            .regex(/^[0-9a-f]{64}$/, 'must be 64 lower-case hex digits')
+            .describe('SHA-256 of the token.'),
+          role: z.enum(['read', 'write']).describe('Whether the operator may change anything.'),
         }),
       )
       .default([])
@@ -117,12 +132,26 @@
     .describe('Graceful shutdown.'),
   log: z
     .strictObject({
-      level: z.enum(['fatal', 'error', 'warn', 'info', 'debug', 'trace', 'silent']).default('info'),
+      level: z
+        .enum(['fatal', 'error', 'warn', 'info', 'debug', 'trace', 'silent'])
+        .default('info')
+        .describe('Least severe lines written.'),
     })
     .prefault({})
     .describe('JSON lines on standard output.'),
 });
 
+/**
+ * What goes wrong: a daemon listens by TLS and calls its peers without, or the other way round. Each takes
+ * the others for dead and serves alone, with all limits for itself.
+ */
+export const settingsSchema = fileSchema.refine(
+  ({ listen, peers }) => (listen.peers.tls === undefined) === (peers.tls === undefined),
+  { path: ['peers', 'tls'], error: 'expected together with listen.peers.tls, or neither' },
+);
+
 export type Settings = z.infer<typeof settingsSchema>;
 export type SecretSource = z.infer<typeof secretSchema>;
 export type ListenerSettings = z.infer<typeof listenerSchema>;
+export type TlsSettings = z.infer<typeof tlsSchema>;
+export type PeerTlsSettings = z.infer<typeof peerTlsSchema>;
--- a/packages/daemon/src/snipehavend.ts
+++ b/packages/daemon/src/snipehavend.ts
@@ -3,8 +3,8 @@
 import { createLogger, getErrorMessage, type Logger } from '@snipehaven/common';
 import { Daemon } from './daemon.js';
 import {
+  checkSettings,
   describeSettings,
-  readSecret,
   readSettings,
   SettingsError,
   type Settings,
@@ -14,11 +14,6 @@
 const EXIT_UNFINISHED = 1;
 const EXIT_SETTINGS = 2;
 
-const checkSecrets = (settings: Settings): void => {
-  readSecret('peers.secret', settings.peers.secret, process.env);
-  readSecret('sessions.key', settings.sessions.key, process.env);
-};
-
 /** Runs until a signal ends it; resolves with the exit code. */
 const runDaemon = async (settings: Settings, logger: Logger): Promise<number> => {
   const daemon = new Daemon(settings, logger, process.env);
@@ -82,7 +77,7 @@
       throw new SettingsError(['no settings file: give one with -c']);
     }
     const settings = readSettings(this.config);
-    checkSecrets(settings);
+    checkSettings(settings, process.env);
     if (this.checkConfig) {
       this.context.stdout.write(`${this.config}: ok\n`);
       return EXIT_OK;
--- a/packages/protocol/src/httpPeerTransport.ts
+++ b/packages/protocol/src/httpPeerTransport.ts
@@ -18,6 +18,14 @@
   readonly agent: Agent;
 }
 
+/** Peers are called by TLS, and their certificates checked. */
+export interface PeerTlsOptions {
+  /** PEM of the authority that signs the daemons' certificates. */
+  readonly ca: string;
+  /** DNS name in all of them; daemons are called by IP number, which no certificate can know. */
+  readonly serverName: string;
+}
+
 type Call<Input, Output> = (input: Input, options: { signal: AbortSignal }) => Promise<Output>;
 
 /**
@@ -32,9 +40,12 @@
 
   readonly #timeoutMs: number;
 
-  constructor(secret: string, timeoutMs = PEER_CALL_TIMEOUT_MS) {
+  readonly #tls: PeerTlsOptions | undefined;
+
+  constructor(secret: string, timeoutMs = PEER_CALL_TIMEOUT_MS, tls?: PeerTlsOptions) {
     this.#secret = secret;
     this.#timeoutMs = timeoutMs;
+    this.#tls = tls;
   }
 
   getPeer(address: string): PeerHandlers {
@@ -64,12 +75,15 @@
     const agent = new Agent({
       connections: PEER_CONNECTIONS,
       keepAliveTimeout: PEER_KEEP_ALIVE_MS,
-      connect: { timeout: this.#timeoutMs },
+      connect: {
+        timeout: this.#timeoutMs,
+        ...(this.#tls ? { ca: this.#tls.ca, servername: this.#tls.serverName } : {}),
+      },
     });
     const client = createTRPCClient<PeerRouter>({
       links: [
         httpLink({
-          url: `http://${address}${PEER_PATH}`,
+          url: `${this.#tls ? 'https' : 'http'}://${address}${PEER_PATH}`,
           headers: { [PEER_SECRET_HEADER]: this.#secret },
           fetch: (url, options) =>
             undiciFetch(url as string, { ...(options as object), dispatcher: agent }) as never,
