Prove each promise twice: without its mechanism, and as shipped

Cause: 100 fuzz runs without a violation do not show that they could find one. Change: npm run prove takes eleven mechanisms away in the test's own wiring, one at a time, and expects the oracle to break; then runs the same events as shipped. Billing held without copies because the harness's heal brought killed processes back to the network (now buried for good, which makes every kill stricter); the verdict held because a run seen to begin cannot be proved unstarted, so its proof now goes silent between dispatch and first token. The fuzz run also probes each daemon once all is healed, repeats old changes, and sees that no team goes back to an older revision. The request path tells the assigner the request and the usable versions, gives back unused grants, records escalated answers as such, and asks the plan's shadow version beside the answer (never released, never billed). Small seeds gave nearly equal first draws; they are hashed now.

--- a/packages/common/src/random.ts
+++ b/packages/common/src/random.ts
@@ -1,5 +1,6 @@
 /** Random numbers by `pure-rand`: seeded in tests and benches, from entropy in production. */
 import { randomInt } from 'node:crypto';
+import murmurhash from 'murmurhash';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 
@@ -13,9 +14,12 @@
 
 const MAX_SEED = 2 ** 31 - 1;
 
-/** A deterministic source for the given seed. */
+/**
+ * A deterministic source for the given seed. Seeds are small and near each other (1, 2, 3 …), from which
+ * the generator's first draws would be nearly equal; they are spread by a hash first.
+ */
 export const createRandom = (seed: number): Random => {
-  const generator = xoroshiro128plus(seed);
+  const generator = xoroshiro128plus(murmurhash.v3(`seed ${seed}`));
   const next = (): number => uniformFloat64(generator);
   return { next, nextInt: (limit) => Math.floor(next() * limit) };
 };
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -5,4 +5,5 @@
 export * from './safeMoves/joinSafeMoves.js';
 export * from './safeMoves/safeMoveRegistry.js';
 export * from './types.js';
+export { ReplicaView } from './view.js';
 export * from './withdrawals.js';
--- a/packages/daemon/src/daemonCore.ts
+++ b/packages/daemon/src/daemonCore.ts
@@ -14,7 +14,7 @@
   type Random,
 } from '@snipehaven/common';
 import { TableClaimStore } from '@snipehaven/claims';
-import { ConfigurationReplica } from '@snipehaven/configuration';
+import { ConfigurationReplica, type ReplicaState } from '@snipehaven/configuration';
 import { ReplicatedUsageLedger, TableLedgerReader } from '@snipehaven/ledger';
 import { Membership, TableLeaseKeeper } from '@snipehaven/membership';
 import type {
@@ -30,6 +30,7 @@
   LatencyBook,
   RequestRouter,
   TeamLimiter,
+  TeamShares,
   UpstreamRegistry,
   UpstreamWatcher,
   type RoutingDependencies,
@@ -79,6 +80,8 @@
   readonly random: Random;
   /** Replaces parts of the request path; the proofs show with it what breaks without a mechanism. */
   readonly decorateRouting?: (dependencies: RoutingDependencies) => RoutingDependencies;
+  /** Replaces the state of the configuration, for the same purpose. */
+  readonly replicaState?: ReplicaState;
 }
 
 /** How long a shutdown waits for the table to take the last answers. */
@@ -105,6 +108,8 @@
 
   readonly gate: AdmissionGate;
 
+  readonly teamShares: TeamShares;
+
   readonly router: RequestRouter;
 
   readonly timeline: Timeline;
@@ -145,7 +150,11 @@
     const { membership } = this;
     const base = { table, objectStore, transport, membership, timeline, logger, random };
     this.leases = new TableLeaseKeeper({ table, incarnation, timeline, logger });
-    this.configuration = new ConfigurationReplica({ ...base, actorSystem: this.#actors });
+    this.configuration = new ConfigurationReplica({
+      ...base,
+      actorSystem: this.#actors,
+      ...(options.replicaState === undefined ? {} : { state: options.replicaState }),
+    });
     this.configuration.topics.forEach((topic) => membership.registerTopic(topic));
     this.claims = new TableClaimStore({
       ...base,
@@ -174,6 +183,11 @@
       timeline,
       getDaemonCount: () => membership.listLocal().length,
     });
+    this.teamShares = new TeamShares({
+      ...base,
+      leases: this.leases,
+      getView: () => this.configuration.getView(),
+    });
     this.gate = new AdmissionGate(() => this.#getAdmissionSettings(), random);
     this.metrics = new DaemonMetrics(this.#listGauges());
     this.router = this.#createRouter();
@@ -191,6 +205,7 @@
       configuration: this.configuration.handlers,
       usage: this.ledger.handlers,
       evidence: this.rollouts.handlers,
+      limits: this.teamShares.handlers,
       sessions: this.pins.handlers,
       timeline: {
         listEvents: (query) => Promise.resolve({ events: timeline.list(query) }),
@@ -214,6 +229,7 @@
     this.ledger.start();
     this.pins.start();
     this.rollouts.start();
+    this.teamShares.start();
     this.#watcher.start();
   }
 
@@ -229,6 +245,7 @@
     this.#isStopping = true;
     const isIdle = await this.#waitUntilIdle(deadlineMs);
     this.#watcher.stop();
+    await this.teamShares.stop();
     await this.rollouts.stop();
     await this.pins.stop();
     const { unwritten: unwrittenAnswers } = await this.claims.flush(CLAIM_FLUSH_MS);
@@ -249,6 +266,7 @@
   kill(): void {
     this.#watcher.stop();
     this.rollouts.kill();
+    this.teamShares.kill();
     this.membership.stop();
     this.configuration.stop();
     this.claims.stop();
@@ -295,7 +313,7 @@
       registry: this.registry,
       latency: new LatencyBook(),
       gate: this.gate,
-      limiter: new TeamLimiter(() => 1 / this.membership.listAlive().length),
+      limiter: new TeamLimiter(this.teamShares),
       metrics: this.metrics,
       timeline: this.timeline,
       logger,
--- a/packages/proofs/src/fuzz/commands.ts
+++ b/packages/proofs/src/fuzz/commands.ts
@@ -148,6 +148,11 @@
     canRun: isRunning,
     run: (run, step) => run.getVm(step.a).engines?.silenceConnections(),
   },
+  repeatChange: {
+    weight: 2,
+    canRun: isRunning,
+    run: (run, step) => run.repeatChange(run.getVm(step.a), step.b % 4),
+  },
   withdraw: {
     weight: 1,
     canRun: isRunning,
@@ -194,5 +199,6 @@
     return false;
   }
   await action.run(run, step);
+  run.watchConfiguration();
   return true;
 };
--- a/packages/proofs/src/fuzz/fuzzRun.ts
+++ b/packages/proofs/src/fuzz/fuzzRun.ts
@@ -62,6 +62,8 @@
 
   readonly #withdrawals: AcceptedWithdrawal[] = [];
 
+  readonly #seenVersions = new Map<string, number>();
+
   #counter = 0;
 
   constructor(seed: number, options: Partial<WorldOptions> = {}) {
@@ -155,6 +157,34 @@
     this.#withdrawals.push({ version, incarnation, atMs: this.world.clock.nowMs });
   }
 
+  /** Sees that no daemon goes back to an older state of the configuration. */
+  watchConfiguration(): void {
+    this.world.listRunning().forEach((vm) => {
+      const store = vm.core?.configuration;
+      const seen = store?.getView().get('Team', 'alpha')?.metadata.resourceVersion ?? 0;
+      const key = World.getNode(vm);
+      const before = this.#seenVersions.get(key) ?? 0;
+      if (seen < before) {
+        this.violations.push(`${vm.name} went back from revision ${before} to ${seen} of a team`);
+      }
+      this.#seenVersions.set(key, seen);
+    });
+  }
+
+  /** A change that was pushed before arrives once more. */
+  async repeatChange(vm: WorldVm, back: number): Promise<void> {
+    const source = this.world.listRunning()[0]?.core?.configuration;
+    const changes = source?.listChanges(0) ?? [];
+    const teamChanges = changes.filter(
+      (change) => change.kind === 'Team' && change.name === 'alpha',
+    );
+    const change = teamChanges.at(-1 - (back % Math.max(1, teamChanges.length)));
+    if (change !== undefined) {
+      const message = { changes: [structuredClone(change)], from: 'repeated', isRelay: false };
+      await vm.core?.configuration.handlers.pushChanges(message);
+    }
+  }
+
   /** Heals everything, lets the system settle, and judges. */
   async finish(): Promise<Verdict> {
     const { world } = this;
@@ -173,8 +203,10 @@
       this.violations.push('a request never ended');
     }
     await world.clock.advance(SETTLE_MS, 10);
+    await this.#probeAll();
     await this.#flushLedgers();
     this.#checkConfiguration();
+    this.watchConfiguration();
     const verdict = await this.#judge();
     this.#noteVerdict(verdict);
     return verdict;
@@ -199,6 +231,27 @@
       );
   }
 
+  /** With everything healed, each daemon answers. */
+  async #probeAll(): Promise<void> {
+    this.world.engines.forEach((engine) => engine.setLeaving(false));
+    this.world.vms.forEach((vm) => this.world.startDaemon(vm));
+    await this.world.clock.advance(SETTLE_AFTER_LEAVING_MS, 10);
+    const first = this.records.length;
+    this.world.vms.forEach((_vm, index) => this.call({ ...probe, vm: index }));
+    const probes = this.records.slice(first);
+    await this.world.clock.advanceUntil(
+      () => probes.every((record) => record.pending === 0),
+      DEADLINE_MS * 2,
+    );
+    probes
+      .filter((record) => record.attempts.at(-1)?.end.kind !== 'answered')
+      .forEach((record) => {
+        const { end, vm } = record.attempts.at(-1) ?? {};
+        const reason = end?.kind === 'refused' ? end.code : end?.kind;
+        this.violations.push(`${vm} does not answer after all is healed: ${reason}`);
+      });
+  }
+
   async #flushLedgers(): Promise<void> {
     let open = 0;
     this.world.listRunning().forEach((vm) => {
@@ -231,7 +284,7 @@
   async #judge(): Promise<Verdict> {
     const engines = [...this.world.engines.values()].map((engine) => engine.getTruth());
     return judgeRun({
-      records: this.records as readonly CallRecord[],
+      records: this.records,
       engines,
       services: [...this.world.services.values()].map((service) => service.getTruth()),
       entries: await this.world.readLedger(),
@@ -373,6 +426,16 @@
   }
 }
 
+/** The last request of a run, at each daemon. */
+const probe = {
+  team: 'alpha',
+  transport: 'chatStream',
+  isIdempotent: true,
+  hasOwnSessionId: false,
+} as const;
+
+const SETTLE_AFTER_LEAVING_MS = 10_000;
+
 /** "After a few seconds": the engine's word, a load report's lag and the time to spread it. */
 const LEAVING_LIMIT_MS = 4_000;
 
--- a/packages/proofs/src/harness/fakeEngines.ts
+++ b/packages/proofs/src/harness/fakeEngines.ts
@@ -118,15 +118,22 @@
 
   #connections = 0;
 
+  #keepsSilent = false;
+
   constructor(node: string, network: Network, engines: ReadonlyMap<string, EngineCore>) {
     this.#node = node;
     this.#network = network;
     this.#engines = engines;
   }
 
+  /** From the next silence on no connection ever works again, as in a pool that trusts its sockets. */
+  keepSilentConnections(): void {
+    this.#keepsSilent = true;
+  }
+
   /** All connections that are open now go silent for good; new ones work. */
   silenceConnections(): void {
-    this.#silencedBefore = this.#connections + 1;
+    this.#silencedBefore = this.#keepsSilent ? Infinity : this.#connections + 1;
   }
 
   start(run: EngineRun, signal: AbortSignal): AsyncIterable<readonly EngineEvent[]> {
--- a/packages/proofs/src/harness/network.ts
+++ b/packages/proofs/src/harness/network.ts
@@ -24,6 +24,8 @@
 
   readonly #isolated = new Set<string>();
 
+  readonly #dead = new Set<string>();
+
   readonly #places = new Map<string, string>();
 
   /** Says in which data centre a node stands; the platform stands in its own place. */
@@ -45,6 +47,11 @@
     this.#isolated.add(node);
   }
 
+  /** Cuts a killed process off for good: no healing brings back what it still tries to do. */
+  bury(node: string): void {
+    this.#dead.add(node);
+  }
+
   rejoin(node: string): void {
     this.#isolated.delete(node);
   }
@@ -53,7 +60,7 @@
     if (from === to) {
       return true;
     }
-    const hasEnds = !this.#isolated.has(from) && !this.#isolated.has(to);
+    const hasEnds = [from, to].every((node) => !this.#isolated.has(node) && !this.#dead.has(node));
     return hasEnds && !this.#cuts.has(getLink(this.#getPlace(from), this.#getPlace(to)));
   }
 
--- a/packages/proofs/src/harness/world.ts
+++ b/packages/proofs/src/harness/world.ts
@@ -43,6 +43,8 @@
   readonly versions: readonly string[];
   /** Replaces parts of the wiring, to show that a proof fails without a mechanism. */
   readonly rewire?: (options: DaemonCoreOptions) => DaemonCoreOptions;
+  /** How long a shutdown waits for requests in progress. */
+  readonly stopDeadlineMs?: number;
   readonly logger?: Logger;
 }
 
@@ -126,7 +128,7 @@
   /** Kills the process: nothing that it still does reaches anyone. */
   killDaemon(vm: WorldVm): void {
     const killed = vm;
-    this.network.isolate(World.getNode(vm));
+    this.network.bury(World.getNode(vm));
     vm.core?.kill();
     killed.core = undefined;
     killed.engines = undefined;
@@ -136,8 +138,8 @@
   async stopDaemon(vm: WorldVm): Promise<void> {
     const stopped = vm;
     const { core } = vm;
-    await core?.stop(STOP_DEADLINE_MS);
-    this.network.isolate(World.getNode(vm));
+    await core?.stop(this.#options.stopDeadlineMs ?? STOP_DEADLINE_MS);
+    this.network.bury(World.getNode(vm));
     stopped.core = undefined;
   }
 
--- a/packages/resources/src/kinds.ts
+++ b/packages/resources/src/kinds.ts
@@ -126,7 +126,11 @@
     .positive()
     .default(20)
     .describe('Unrated answers of the candidate that may be out at a time, over all daemons.'),
-  maxFailureIncreasePct: z.number().positive().default(5),
+  maxFailureIncreasePct: z
+    .number()
+    .positive()
+    .default(0.6)
+    .describe('Worsening of the mean rating, in points of a hundred, that lets a stage pass.'),
   isPaused: z.boolean().default(false),
 });
 
--- a/packages/routing/src/chatRun.ts
+++ b/packages/routing/src/chatRun.ts
@@ -28,6 +28,7 @@
 import { RequestSignal } from './requestSignal.js';
 import { RunTracker } from './runTracker.js';
 import { resolveSession, type SessionState } from './sessionResolver.js';
+import type { ShadowRunner } from './shadowRunner.js';
 import { isVersionAllowed } from './teamDirectory.js';
 import {
   NoUpstreamError,
@@ -56,6 +57,8 @@
 
   readonly #retries: RetryAllowance;
 
+  readonly #shadows: ShadowRunner;
+
   readonly #tracker = new RunTracker();
 
   readonly #signal: RequestSignal;
@@ -73,11 +76,13 @@
     request: ChatRequest,
     sink: AnswerSink,
     retries: RetryAllowance,
+    shadows: ShadowRunner,
   ) {
     this.#deps = deps;
     this.#request = request;
     this.#sink = sink;
     this.#retries = retries;
+    this.#shadows = shadows;
     this.#signal = new RequestSignal(request.options.deadlineAtMs, sink.callerGone);
     this.#promptText = getPromptText(request.body);
     const { team } = request.identity;
@@ -103,6 +108,7 @@
     } catch (error) {
       await this.#refuse(error);
     } finally {
+      this.#deps.assigner.release?.(this.#request.requestId);
       admission?.release(this.#account.costMicroUsd);
       this.#signal.dispose();
     }
@@ -243,7 +249,7 @@
     const settled = await this.#pinFirst(session, plan);
     for (const [index, step] of settled.steps.entries()) {
       const isLast = index === settled.steps.length - 1;
-      const answer = await this.#runStep(step, isLast, settled, session);
+      const answer = await this.#runStep(step, index, isLast, settled, session);
       if (answer !== undefined) {
         this.#finish(answer, settled, index);
         return;
@@ -287,6 +293,7 @@
   /** Undefined where the answer was rated too low and the next step must answer. */
   async #runStep(
     step: PlanStep,
+    index: number,
     isLast: boolean,
     plan: ChatPlan,
     session: SessionState,
@@ -304,8 +311,9 @@
       this.#createContext(session, keepsText),
       this.#retries,
     );
-    const answer = await this.#runRecorded(runner, step, consumer);
-    if (isJudged && !(await this.#isAccepted(answer, step))) {
+    const subject = this.#getSubject(step.version, index > 0);
+    const answer = await this.#runRecorded(runner, step, consumer, subject);
+    if (isJudged && !(await this.#isAccepted(answer, step, subject))) {
       this.#noteEscalation(answer);
       return undefined;
     }
@@ -333,8 +341,8 @@
     runner: StepRunner,
     step: PlanStep,
     consumer: LiveConsumer | HeldConsumer,
+    subject: EvidenceSubject,
   ): Promise<StepAnswer> {
-    const subject = this.#getSubject(step.version, false);
     const startedAtMs = Date.now();
     try {
       const answer = await runner.run(step, consumer);
@@ -375,8 +383,11 @@
   }
 
   /** Without a rating in time the dearer version answers: no cascade on faith. */
-  async #isAccepted(answer: StepAnswer, step: PlanStep): Promise<boolean> {
-    const subject = this.#getSubject(answer.version, false);
+  async #isAccepted(
+    answer: StepAnswer,
+    step: PlanStep,
+    subject: EvidenceSubject,
+  ): Promise<boolean> {
     try {
       const score = await this.#deps.evidence.rateNow(
         subject,
@@ -440,13 +451,17 @@
       completionTokens: answer.usage.completionTokens,
       costMicroUsd: this.#account.costMicroUsd,
     });
-    if (plan.shouldRateAfterRelease || stepIndex > 0) {
+    const wasRated = plan.steps[stepIndex]?.acceptAboveScore !== undefined;
+    if (!wasRated && (plan.shouldRateAfterRelease || stepIndex > 0)) {
       this.#deps.evidence.submitSample(this.#getSubject(answer.version, stepIndex > 0), {
         requestId,
         prompt: this.#promptText,
         answer: answer.text,
       });
     }
+    if (plan.shadowVersion !== undefined) {
+      this.#startShadow(plan.shadowVersion, stepIndex > 0);
+    }
     if (this.#claim !== undefined) {
       keepAnswer(this.#deps, this.#claim, {
         status: 200,
@@ -458,6 +473,18 @@
     }
   }
 
+  /** The shadow's rating counts as a direct one and, where the request escalated, as such too. */
+  #startShadow(version: VersionId, hasEscalated: boolean): void {
+    const direct = this.#getSubject(version, false);
+    const escalated = this.#getSubject(version, true);
+    this.#shadows.start({
+      request: this.#request,
+      version,
+      promptText: this.#promptText,
+      subjects: hasEscalated ? [direct, escalated] : [direct],
+    });
+  }
+
   #toFields(answer: StepAnswer): CompletionFields {
     const { requestId } = this.#request;
     const { version, text, finishReason, usage } = answer;
--- a/packages/routing/src/planChat.ts
+++ b/packages/routing/src/planChat.ts
@@ -31,6 +31,8 @@
   readonly reason: RequestPlan['reason'] | 'rollout';
   readonly expectedCostMicroUsd: number;
   readonly shouldRateAfterRelease: boolean;
+  /** A version to ask in the shadow of the request. */
+  readonly shadowVersion?: VersionId;
 }
 
 /** A caller that names `model@version` has chosen itself: roll-outs of the model do not apply. */
@@ -95,6 +97,8 @@
       allowsExploration: choice.allowsExploration,
       allowsCascade: choice.allowsCascade,
       isSession: input.request.options.callerSession !== undefined,
+      requestId: input.request.requestId,
+      usableVersions: usable.map(getVersion),
     });
     return assignment ? [assignment] : [];
   });
@@ -149,7 +153,13 @@
   const gated = assignments.find(
     (assignment) => assignment.isGated && plan.steps[0]?.version === assignment.candidateVersion,
   );
-  return gated ? { ...plan, reason: 'rollout', steps: toGatedSteps(gated) } : plan;
+  const mustRate = assignments.some(
+    (assignment) =>
+      assignment.shouldRate === true &&
+      plan.steps.some((step) => step.version === assignment.candidateVersion),
+  );
+  const rated = mustRate ? { ...plan, shouldRateAfterRelease: true } : plan;
+  return gated ? { ...rated, reason: 'rollout', steps: toGatedSteps(gated) } : rated;
 };
 
 /** Plans a request; no steps where nothing that the team may use can answer. */
@@ -169,6 +179,7 @@
     ratingMs: RATING_EXPECTED_MS,
     remainingMs: request.options.deadlineAtMs - Date.now(),
     isRaterUp: deps.evidence.isRaterUp(),
+    isIdempotent: request.options.isIdempotent,
     random: deps.random,
   });
   return applyRollout(plan, assignments);
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -4,6 +4,7 @@
 import { ChatRun } from './chatRun.js';
 import type { RoutingDependencies } from './dependencies.js';
 import { ServiceRun } from './serviceRun.js';
+import { ShadowRunner } from './shadowRunner.js';
 import { RetryAllowance } from './stepRunner.js';
 import { TeamDirectory } from './teamDirectory.js';
 import type { AnswerSink, CallerIdentity, ChatRequest, ServiceRequest } from './types.js';
@@ -15,6 +16,8 @@
 
   readonly #retries = new RetryAllowance(createRetryBudget());
 
+  readonly #shadows: ShadowRunner;
+
   readonly #idleWaiters = new Set<() => void>();
 
   #counter = 0;
@@ -23,6 +26,7 @@
 
   constructor(deps: RoutingDependencies) {
     this.#deps = deps;
+    this.#shadows = new ShadowRunner(deps);
     this.update(deps.configuration.getView());
     deps.configuration.onChange(() => this.update(deps.configuration.getView()));
   }
@@ -50,7 +54,9 @@
   }
 
   async executeChat(request: ChatRequest, sink: AnswerSink): Promise<void> {
-    await this.#track(() => new ChatRun(this.#deps, request, sink, this.#retries).execute());
+    await this.#track(() =>
+      new ChatRun(this.#deps, request, sink, this.#retries, this.#shadows).execute(),
+    );
   }
 
   async executeService(request: ServiceRequest, sink: AnswerSink): Promise<void> {
