An unknown stream proves nothing by itself; answers in another form are unknown outcomes

Cause: HttpEngineClient took any 404 for "never started there". An engine restarted in mid-run, one that had forgotten an old run, or a page of something in between made the ledger drop the record of a request that ran, and would have made any later caller of getState call it "not run". A platform answer in another form came out as a ZodError, which no caller takes for an unknown outcome; a PUT or POST answered 404 counted as done. Ruled out: proving "not run" of a silent dispatch by a 404 in the request path, even within the terms: the request may still be under way to the engine. Such a dispatch stays unknown, as before. Change: a 404 is a proof only with the engine's bootMs, for a stream handed over after it and within its 60 s memory, 2 s left for clocks that differ; else StreamUnknownError. The ledger passes the earliest time of the hand-over; the fakes of the proofs follow the same rule. Platform answers are decoded at one place. Routing had no path that read "not run" out of a 404: its verdicts come from dispatches.

--- a/packages/ledger/src/engineAccounts.ts
+++ b/packages/ledger/src/engineAccounts.ts
@@ -1,7 +1,7 @@
 /** What engines say of a dead owner's runs, and the settlement that follows. */
 import { sleep } from '@snipehaven/common';
 import type { OpenUsage, UsageStream } from '@snipehaven/protocol';
-import type { EngineClient, StreamState } from '@snipehaven/upstream';
+import { StreamUnknownError, type EngineClient, type StreamState } from '@snipehaven/upstream';
 import type { LedgerSettings, Settlement } from './types.js';
 import { createUsageLine } from './usageCost.js';
 import { withTimeout } from './withTimeout.js';
@@ -25,17 +25,24 @@
   'engineTimeoutMs' | 'engineAttempts' | 'engineRetryMs' | 'engineRetentionMs'
 >;
 
+/** No run of the record was handed over before. */
+const getHandedOverAtMs = (query: AccountQuery): number =>
+  Math.min(query.receivedAtMs, query.usage.openedAtMs);
+
 /** The end of a run as the engine states it; a run under way is cancelled first. */
 const fetchFinalState = async (
   engines: AccountEngines,
   stream: UsageStream,
+  handedOverAtMs: number,
   timeoutMs: number,
 ): Promise<StreamState | undefined> => {
   const { upstreamUrl, streamId } = stream;
   const bound = <Result>(call: Promise<Result>): Promise<Result> =>
     withTimeout(call, timeoutMs, stream.upstream);
-  const state = await bound(engines.getState(upstreamUrl, streamId));
-  return state?.state === 'running' ? bound(engines.cancel(upstreamUrl, streamId)) : state;
+  const state = await bound(engines.getState(upstreamUrl, streamId, handedOverAtMs));
+  return state?.state === 'running'
+    ? bound(engines.cancel(upstreamUrl, streamId, handedOverAtMs))
+    : state;
 };
 
 /**
@@ -43,7 +50,7 @@
  * dropped. Only within their time of keeping does it prove the first.
  */
 const canProveNotStarted = (query: AccountQuery, bounds: Bounds): boolean =>
-  Date.now() - Math.min(query.receivedAtMs, query.usage.openedAtMs) < bounds.engineRetentionMs;
+  Date.now() - getHandedOverAtMs(query) < bounds.engineRetentionMs;
 
 const askEngine = async (
   engines: AccountEngines,
@@ -53,13 +60,17 @@
 ): Promise<StreamAccount> => {
   for (let attempt = 1; attempt <= bounds.engineAttempts; attempt += 1) {
     try {
-      const state = await fetchFinalState(engines, stream, bounds.engineTimeoutMs);
+      const handedOverAtMs = getHandedOverAtMs(query);
+      const state = await fetchFinalState(engines, stream, handedOverAtMs, bounds.engineTimeoutMs);
       if (state) {
         return { kind: 'ran', stream, state };
       }
       const isProof = canProveNotStarted(query, bounds);
       return isProof ? { kind: 'notStarted' } : { kind: 'unknown', stream };
-    } catch {
+    } catch (error) {
+      if (error instanceof StreamUnknownError) {
+        return { kind: 'unknown', stream };
+      }
       await sleep(bounds.engineRetryMs);
     }
   }
--- a/packages/platform/src/httpCaller.ts
+++ b/packages/platform/src/httpCaller.ts
@@ -18,6 +18,7 @@
 
 const HTTP_NOT_FOUND = 404;
 const HTTP_OK_LIMIT = 300;
+const ABSENCE_METHODS: ReadonlySet<PlatformCall['method']> = new Set(['GET', 'DELETE']);
 
 /** Codes of failures before any byte of the request went out. */
 const NOT_SENT_CODES: ReadonlySet<string> = new Set([
@@ -57,10 +58,14 @@
     return new Agent({ connections: MAX_CONNECTIONS, keepAliveTimeout: KEEP_ALIVE_MS });
   }
 
-  /** Calls; resolves for 2xx and 404, throws the platform's errors otherwise. */
+  /**
+   * Calls; resolves for 2xx, and for a 404 to what may be absent; throws the platform's errors otherwise. A
+   * write that is answered 404 came to the wrong place: taken for done, its data would be lost.
+   */
   async call(call: PlatformCall): Promise<PlatformAnswer> {
     const response = await this.#send(call);
-    if (response.status === HTTP_NOT_FOUND || response.status < HTTP_OK_LIMIT) {
+    const isAbsent = response.status === HTTP_NOT_FOUND && ABSENCE_METHODS.has(call.method);
+    if (isAbsent || response.status < HTTP_OK_LIMIT) {
       return response;
     }
     throw new PlatformRefusedError(`${call.path} answered ${response.status}`, response.hint);
@@ -107,6 +112,20 @@
   }
 }
 
-/** Decodes a JSON body. */
-export const decodeJson = (answer: PlatformAnswer): unknown =>
-  JSON.parse(Buffer.from(answer.bytes).toString('utf8'));
+/** The part of a schema that decoding needs. */
+interface AnswerSchema<Value> {
+  parse(input: unknown): Value;
+}
+
+/**
+ * Decodes a JSON body of the form given. An answer in another form is none of the service's: what became
+ * of the call is unknown, and only as such do callers ask again.
+ */
+export const decodeAnswer = <Value>(answer: PlatformAnswer, schema: AnswerSchema<Value>): Value => {
+  try {
+    return schema.parse(JSON.parse(Buffer.from(answer.bytes).toString('utf8')));
+  } catch (cause) {
+    const message = `an answer ${answer.status} in another form: ${getErrorMessage(cause)}`;
+    throw new PlatformOutcomeUnknownError(message, { cause });
+  }
+};
--- a/packages/platform/src/httpClients.ts
+++ b/packages/platform/src/httpClients.ts
@@ -1,6 +1,6 @@
 /** Clients of the platform's services over HTTP; the protocol is docs/PROTOCOLS.md. */
 import { DEFAULT_CALL_TIMEOUT_MS } from './constants.js';
-import { decodeJson, HttpCaller } from './httpCaller.js';
+import { decodeAnswer, HttpCaller, type PlatformAnswer } from './httpCaller.js';
 import {
   namesSchema,
   ratingsSchema,
@@ -36,21 +36,19 @@
 
   async transact(transactions: readonly TableTransaction[]): Promise<readonly TransactionResult[]> {
     const answer = await this.#post('/table/transact', { transactions });
-    return resultsSchema.parse(answer).results;
+    return decodeAnswer(answer, resultsSchema).results;
   }
 
   async read(keys: readonly string[]): Promise<readonly TableRow[]> {
-    return rowsSchema.parse(await this.#post('/table/read', { keys })).rows;
+    return decodeAnswer(await this.#post('/table/read', { keys }), rowsSchema).rows;
   }
 
   async scan(options: ScanOptions): Promise<readonly TableRow[]> {
-    return rowsSchema.parse(await this.#post('/table/scan', options)).rows;
+    return decodeAnswer(await this.#post('/table/scan', options), rowsSchema).rows;
   }
 
-  async #post(path: string, body: unknown): Promise<unknown> {
-    return decodeJson(
-      await this.#caller.call({ method: 'POST', path, body: JSON.stringify(body) }),
-    );
+  #post(path: string, body: unknown): Promise<PlatformAnswer> {
+    return this.#caller.call({ method: 'POST', path, body: JSON.stringify(body) });
   }
 }
 
@@ -76,7 +74,7 @@
 
   async list(prefix: string): Promise<readonly string[]> {
     const path = `/objects?prefix=${encodeURIComponent(prefix)}`;
-    return namesSchema.parse(decodeJson(await this.#caller.call({ method: 'GET', path }))).names;
+    return decodeAnswer(await this.#caller.call({ method: 'GET', path }), namesSchema).names;
   }
 }
 
@@ -88,8 +86,7 @@
   }
 
   async list(): Promise<readonly ListedVm[]> {
-    return vmsSchema.parse(decodeJson(await this.#caller.call({ method: 'GET', path: '/vms' })))
-      .vms;
+    return decodeAnswer(await this.#caller.call({ method: 'GET', path: '/vms' }), vmsSchema).vms;
   }
 }
 
@@ -108,12 +105,12 @@
   async rate(rating: RatingRequest, timeoutMs: number): Promise<number> {
     const body = JSON.stringify(rating);
     const answer = await this.#caller.call({ method: 'POST', path: '/rate', body, timeoutMs });
-    return scoreSchema.parse(decodeJson(answer)).score;
+    return decodeAnswer(answer, scoreSchema).score;
   }
 
   async fetchRatings(afterSeq: number, limit: number): Promise<RatingPage> {
     const path = `/ratings?after=${afterSeq}&limit=${limit}`;
-    return ratingsSchema.parse(decodeJson(await this.#caller.call({ method: 'GET', path })));
+    return decodeAnswer(await this.#caller.call({ method: 'GET', path }), ratingsSchema);
   }
 }
 
@@ -126,6 +123,6 @@
 
   async getSizeBytes(version: string): Promise<number> {
     const path = `/weights/${encodeURIComponent(version)}`;
-    return weightsSchema.parse(decodeJson(await this.#caller.call({ method: 'GET', path }))).bytes;
+    return decodeAnswer(await this.#caller.call({ method: 'GET', path }), weightsSchema).bytes;
   }
 }
--- a/packages/proofs/src/harness/fakeEngines.ts
+++ b/packages/proofs/src/harness/fakeEngines.ts
@@ -16,6 +16,7 @@
   DONE_DATA,
   isUpstreamError,
   OrderFencedError,
+  provesNotStarted,
   StreamUnknownError,
   UpstreamAbortedError,
   UpstreamBrokenError,
@@ -165,20 +166,24 @@
     );
   }
 
-  getState(url: string, streamId: string): ReturnType<EngineClient['getState']> {
-    return this.#control(url, (engine) => engine.getState(streamId));
+  getState(
+    url: string,
+    streamId: string,
+    handedOverAtMs?: number,
+  ): ReturnType<EngineClient['getState']> {
+    return this.#askForStream(url, (engine) => engine.getState(streamId), handedOverAtMs);
   }
 
-  cancel(url: string, streamId: string): ReturnType<EngineClient['cancel']> {
-    return this.#control(url, (engine) => engine.cancel(streamId));
+  cancel(
+    url: string,
+    streamId: string,
+    handedOverAtMs?: number,
+  ): ReturnType<EngineClient['cancel']> {
+    return this.#askForStream(url, (engine) => engine.cancel(streamId), handedOverAtMs);
   }
 
   async getLoad(url: string): ReturnType<EngineClient['getLoad']> {
-    const load = await this.#control(url, (engine) => engine.getLoad());
-    if (load === undefined) {
-      throw new UpstreamBrokenError('no load');
-    }
-    return load;
+    return this.#control(url, (engine) => engine.getLoad());
   }
 
   async fetchCacheEvents(
@@ -279,18 +284,39 @@
     yield [{ offset: (rest.at(-1)?.offset ?? last) + 1, data: DONE_DATA }];
   }
 
-  async #control<Result>(
+  /** An unknown stream is a proof under the same terms as over HTTP. */
+  async #askForStream<Result>(
     url: string,
     perform: (engine: EngineCore) => Result,
+    handedOverAtMs: number | undefined,
   ): Promise<Result | undefined> {
+    let bootMs: number | undefined;
+    const performNoted = (engine: EngineCore): Result => {
+      try {
+        return perform(engine);
+      } catch (error) {
+        bootMs = error instanceof UnknownStreamError ? error.bootMs : undefined;
+        throw error;
+      }
+    };
+    try {
+      return await this.#control(url, performNoted);
+    } catch (error) {
+      const isProof =
+        error instanceof StreamUnknownError && provesNotStarted(bootMs, handedOverAtMs, Date.now());
+      if (isProof) {
+        return undefined;
+      }
+      throw error;
+    }
+  }
+
+  async #control<Result>(url: string, perform: (engine: EngineCore) => Result): Promise<Result> {
     try {
       return await this.#network.call(this.#node, url, CONTROL_TIMEOUT_MS, () =>
         this.#getEngine(url).gate.run(this.#node, () => perform(this.#getEngine(url))),
       );
     } catch (error) {
-      if (error instanceof UnknownStreamError) {
-        return undefined;
-      }
       throw toUpstreamError(error);
     }
   }
--- a/packages/upstream/src/constants.ts
+++ b/packages/upstream/src/constants.ts
@@ -13,3 +13,8 @@
 
 /** The data of the event that ends a whole stream. */
 export const DONE_DATA = '[DONE]';
+
+/** How long an engine keeps a stream after its end; see docs/PROTOCOLS.md. */
+export const STREAM_MEMORY_MS = 60_000;
+/** How far the clocks of daemons and engines may be apart. */
+export const MAX_CLOCK_SKEW_MS = 2_000;
--- a/packages/upstream/src/engineClient.ts
+++ b/packages/upstream/src/engineClient.ts
@@ -27,6 +27,7 @@
   StreamState,
 } from './types.js';
 import { sendRequest, throwUnlessOk, toUpstreamError } from './upstreamCall.js';
+import { provesNotStarted, readBootMs } from './unknownStream.js';
 import type { UpstreamPools } from './upstreamPools.js';
 
 const HTTP_NOT_FOUND = 404;
@@ -81,14 +82,17 @@
     }
   }
 
-  async getState(url: string, streamId: string): Promise<StreamState | undefined> {
-    const body = await this.#control(url, 'GET', `${getStreamPath(streamId)}/state`);
-    return body === undefined ? undefined : streamStateSchema.parse(body);
+  getState(
+    url: string,
+    streamId: string,
+    handedOverAtMs?: number,
+  ): Promise<StreamState | undefined> {
+    const path = `${getStreamPath(streamId)}/state`;
+    return this.#askForStream(url, 'GET', path, handedOverAtMs);
   }
 
-  async cancel(url: string, streamId: string): Promise<StreamState | undefined> {
-    const body = await this.#control(url, 'DELETE', getStreamPath(streamId));
-    return body === undefined ? undefined : streamStateSchema.parse(body);
+  cancel(url: string, streamId: string, handedOverAtMs?: number): Promise<StreamState | undefined> {
+    return this.#askForStream(url, 'DELETE', getStreamPath(streamId), handedOverAtMs);
   }
 
   async getLoad(url: string): Promise<EngineLoad> {
@@ -138,6 +142,25 @@
     }
   }
 
+  async #askForStream(
+    url: string,
+    method: Dispatcher.HttpMethod,
+    path: string,
+    handedOverAtMs: number | undefined,
+  ): Promise<StreamState | undefined> {
+    try {
+      return streamStateSchema.parse(await this.#control(url, method, path));
+    } catch (error) {
+      if (!(error instanceof UpstreamFailedError) || error.status !== HTTP_NOT_FOUND) {
+        throw error;
+      }
+      if (provesNotStarted(readBootMs(error.text), handedOverAtMs, Date.now())) {
+        return undefined;
+      }
+      throw new StreamUnknownError(`${url} does not know ${path}`, { cause: error });
+    }
+  }
+
   async #control(
     url: string,
     method: Dispatcher.HttpMethod,
@@ -153,10 +176,6 @@
         bodyTimeout: CONTROL_CALL_TIMEOUT_MS,
         ...(body === undefined ? {} : { body, headers: { 'content-type': 'application/json' } }),
       });
-      if (response.statusCode === HTTP_NOT_FOUND) {
-        await response.body.dump();
-        return undefined;
-      }
       await throwUnlessOk(response, url);
       return await response.body.json();
     } catch (error) {
--- a/packages/upstream/src/errors.ts
+++ b/packages/upstream/src/errors.ts
@@ -36,13 +36,17 @@
 
   readonly status: number;
 
-  constructor(status: number, message: string) {
+  /** The beginning of its answer. */
+  readonly text: string;
+
+  constructor(status: number, message: string, text = '') {
     super(message);
     this.status = status;
+    this.text = text;
   }
 }
 
-/** The engine does not know the stream (any more). */
+/** The engine does not know the stream (any more), which proves nothing about whether it ran. */
 export class StreamUnknownError extends UpstreamError {
   readonly code = 'stream_unknown';
 }
--- a/packages/upstream/src/index.ts
+++ b/packages/upstream/src/index.ts
@@ -4,3 +4,4 @@
 export * from './serviceClient.js';
 export * from './types.js';
 export * from './upstreamPools.js';
+export { provesNotStarted } from './unknownStream.js';
--- a/packages/upstream/src/schemas.ts
+++ b/packages/upstream/src/schemas.ts
@@ -8,6 +8,9 @@
   chunks: z.number(),
 });
 
+/** The body of a 404 for a stream. */
+export const unknownStreamSchema = z.object({ bootMs: z.number() });
+
 export const loadSchema = z.object({
   atMs: z.number(),
   running: z.number(),
--- a/packages/upstream/src/types.ts
+++ b/packages/upstream/src/types.ts
@@ -63,10 +63,18 @@
     afterOffset: number,
     signal: AbortSignal,
   ): AsyncIterable<readonly EngineEvent[]>;
-  /** The engine's account of a run; undefined: never started there. */
-  getState(url: string, streamId: string): Promise<StreamState | undefined>;
-  /** Ends a run; resolves with its final account, undefined: never started there. */
-  cancel(url: string, streamId: string): Promise<StreamState | undefined>;
+  /**
+   * The engine's account of a run; undefined: proved never to have started there. An engine that does not
+   * have the run proves nothing unless it was handed over, at the earliest at `handedOverAtMs`, within the
+   * engine's memory: StreamUnknownError. Without `handedOverAtMs` nothing is ever proved.
+   */
+  getState(
+    url: string,
+    streamId: string,
+    handedOverAtMs?: number,
+  ): Promise<StreamState | undefined>;
+  /** Ends a run; resolves with its final account, or undefined and errors as `getState`. */
+  cancel(url: string, streamId: string, handedOverAtMs?: number): Promise<StreamState | undefined>;
   getLoad(url: string): Promise<EngineLoad>;
   fetchCacheEvents(
     url: string,
--- a/packages/upstream/src/upstreamCall.ts
+++ b/packages/upstream/src/upstreamCall.ts
@@ -63,7 +63,7 @@
   if (response.headers[NOT_STARTED_HEADER] === 'true') {
     throw new UpstreamNotStartedError(message, getRetryAfter(response));
   }
-  throw new UpstreamFailedError(response.statusCode, message);
+  throw new UpstreamFailedError(response.statusCode, message, text);
 };
 
 /** Sends a request over the pool; resolves with its headers and unread body. */
