--- a/packages/bench/src/proxy/main.ts
+++ b/packages/bench/src/proxy/main.ts
@@ -1,5 +1,6 @@
 /**
- * `npm run bench:proxy -- [--json] [--rounds N] [--profile FOLDER]`: one daemon against a bare pass-through, both before
+ * `npm run bench:proxy -- [--json] [--rounds N] [--profile FOLDER]`: one daemon against a bare
+ * pass-through, both before
  * the same stand-in engines, alternating in one run. Last line: JSON with the ratios.
  */
 import { mkdtempSync } from 'node:fs';
--- a/packages/proofs/src/fuzz/fuzzRun.ts
+++ b/packages/proofs/src/fuzz/fuzzRun.ts
@@ -5,7 +5,6 @@
   judgeRun,
   type AttemptEnd,
   type CallAttempt,
-  type CallRecord,
   type Verdict,
   type WorkItem,
 } from '@snipehaven/demo';
--- a/tools/runTests.mjs
+++ b/tools/runTests.mjs
@@ -35,8 +35,11 @@
       env: { ...process.env, FORCE_COLOR: '0' },
     });
     let output = '';
-    child.stdout.on('data', (chunk) => (output += chunk));
-    child.stderr.on('data', (chunk) => (output += chunk));
+    const take = (chunk) => {
+      output += chunk;
+    };
+    child.stdout.on('data', take);
+    child.stderr.on('data', take);
     const timer = setTimeout(() => child.kill('SIGKILL'), PER_FILE_TIMEOUT_MS);
     child.on('close', (code, signal) => {
       clearTimeout(timer);
