Watch the remote engines that are in use; a refusal makes the watcher ask at once

Cause: loads were polled in the own data centre only. A daemon that spilled to another one heard of a leaving engine there by the VM list alone, which lags by seconds. Ruled out: polling all engines (1,100 of them from each of 400 daemons); taking a refusal itself for the word that an engine leaves (engines refuse for want of room or of a version, too, and say no reason). Change: engines of other data centres are asked every second load interval while a request went there within 30 s, or while their own last word is that they leave (else they would never be taken back). A refusal of any engine has its load asked without waiting. A report that no newer one will follow is forgotten, so that an engine is not passed over for versions it has loaded since. The first request to a remote engine unused before still goes by the VM list.

--- a/packages/routing/src/upstreamEntry.ts
+++ b/packages/routing/src/upstreamEntry.ts
@@ -28,6 +28,8 @@
 
   #inFlight = 0;
 
+  #lastSentAtMs = -Infinity;
+
   #firstTokenMs = 0;
 
   /** When each of the requests sent after the last load report went out. */
@@ -51,6 +53,11 @@
     return this.#inFlight;
   }
 
+  /** When the last request went there; -Infinity: none did. */
+  get lastSentAtMs(): number {
+    return this.#lastSentAtMs;
+  }
+
   get health(): UpstreamHealth {
     return this.#health;
   }
@@ -88,6 +95,12 @@
     this.#sentAtMs = this.#sentAtMs.filter((sentAtMs) => sentAtMs > load.atMs);
   }
 
+  /** Forgets a report that no newer one will follow: by and by it would be wrong. */
+  forgetLoad(): void {
+    this.#load = undefined;
+    this.#loadAtMs = 0;
+  }
+
   noteCacheEvent(kind: 'added' | 'evicted', prefix: string): void {
     if (kind === 'added') {
       this.#prefixes.add(prefix);
@@ -103,6 +116,7 @@
 
   noteSent(nowMs: number): void {
     this.#inFlight += 1;
+    this.#lastSentAtMs = nowMs;
     this.#sentAtMs.push(nowMs);
   }
 
--- a/packages/routing/src/upstreamRegistry.ts
+++ b/packages/routing/src/upstreamRegistry.ts
@@ -28,6 +28,9 @@
   readonly reason: UpstreamChoiceReason;
 }
 
+/** Called when an upstream has refused a request before anything of it ran. */
+export type RefusalListener = (entry: UpstreamEntry) => void;
+
 const RATE_WINDOW_MS = 5_000;
 
 export class UpstreamRegistry {
@@ -35,6 +38,8 @@
 
   #entries = new Map<string, UpstreamEntry>();
 
+  readonly #refusalListeners = new Set<RefusalListener>();
+
   #sentInWindow = 0;
 
   #windowStartedAtMs = Date.now();
@@ -104,6 +109,15 @@
       const type = isEjected ? 'upstreamEjected' : 'upstreamReturned';
       this.#options.timeline.record(type, { upstream: entry.id }, { outcome });
     }
+    if (outcome === 'refused') {
+      this.#refusalListeners.forEach((listener) => listener(entry));
+    }
+  }
+
+  /** Adds a listener; returns the function that removes it. */
+  onRefusal(listener: RefusalListener): () => void {
+    this.#refusalListeners.add(listener);
+    return () => this.#refusalListeners.delete(listener);
   }
 
   /** Takes the word of a source that an upstream is leaving, or is not. */
--- a/packages/routing/src/upstreamWatcher.ts
+++ b/packages/routing/src/upstreamWatcher.ts
@@ -22,6 +22,10 @@
 }
 
 const JITTER_SHARE = 0.2;
+/** Engines of other data centres are asked this many times more seldom. */
+const REMOTE_INTERVAL_FACTOR = 2;
+/** So long after a request went there. */
+const REMOTE_USE_MS = 30_000;
 
 export class UpstreamWatcher {
   readonly #options: UpstreamWatcherOptions;
@@ -30,15 +34,21 @@
 
   readonly #cacheSeq = new Map<string, number>();
 
+  readonly #polling = new Set<UpstreamEntry>();
+
   constructor(options: UpstreamWatcherOptions) {
     this.#options = options;
   }
 
   start(): void {
-    const { settings } = this.#options;
+    const { settings, registry } = this.#options;
     void this.#repeat(settings.loadIntervalMs, () => this.#pollLoads());
+    const remoteIntervalMs = settings.loadIntervalMs * REMOTE_INTERVAL_FACTOR;
+    void this.#repeat(remoteIntervalMs, () => this.#pollRemoteLoads());
     void this.#repeat(settings.cacheEventsIntervalMs, () => this.#pollCacheEvents());
     void this.#repeat(settings.vmListIntervalMs, () => this.#pollVmList());
+    const stopListening = registry.onRefusal((entry) => this.#askAfterRefusal(entry));
+    this.#stopped.signal.addEventListener('abort', stopListening, { once: true });
   }
 
   stop(): void {
@@ -58,24 +68,56 @@
     this.#options.logger.debug({ error: getErrorMessage(error) }, 'watching upstreams failed');
   }
 
-  /** Engines of the own data centre; the others are watched by their own daemons. */
+  #listAllEngines(): readonly UpstreamEntry[] {
+    return this.#options.registry.list().filter((entry) => entry.spec.type === 'engine');
+  }
+
+  /** Engines of the own data centre, which are watched all the time. */
   #listEngines(): readonly UpstreamEntry[] {
-    const { registry, localDataCentre } = this.#options;
-    return registry
-      .list()
-      .filter((entry) => entry.spec.type === 'engine')
-      .filter((entry) => entry.spec.dataCentre === localDataCentre);
+    const { localDataCentre } = this.#options;
+    return this.#listAllEngines().filter((entry) => entry.spec.dataCentre === localDataCentre);
   }
 
   async #pollLoads(): Promise<void> {
-    const polls = this.#listEngines().map((entry) => this.#pollLoad(entry));
-    await Promise.allSettled(polls);
+    await this.#pollEach(this.#listEngines());
+  }
+
+  /**
+   * What goes wrong: requests spill to an engine of another data centre that is leaving, as only the
+   * daemons there hear of it at once; the VM list lags. One notices runs that an engine started while
+   * leaving. Engines that this daemon uses are therefore asked by itself, and so are those that said they
+   * leave, until they take it back. All engines at all times would be too many to ask.
+   */
+  async #pollRemoteLoads(): Promise<void> {
+    const { localDataCentre } = this.#options;
+    const remote = this.#listAllEngines().filter(({ spec }) => spec.dataCentre !== localDataCentre);
+    const isWatched = (entry: UpstreamEntry): boolean =>
+      entry.load?.leaving === true || Date.now() - entry.lastSentAtMs < REMOTE_USE_MS;
+    remote.filter((entry) => !isWatched(entry)).forEach((entry) => entry.forgetLoad());
+    await this.#pollEach(remote.filter(isWatched));
+  }
+
+  /** A refusal may be the first word of an engine that leaves: it is asked without waiting. */
+  #askAfterRefusal(entry: UpstreamEntry): void {
+    if (entry.spec.type === 'engine') {
+      void this.#pollEach([entry]);
+    }
+  }
+
+  async #pollEach(entries: readonly UpstreamEntry[]): Promise<void> {
+    const idle = entries.filter((entry) => !this.#polling.has(entry));
+    await Promise.allSettled(idle.map((entry) => this.#pollLoad(entry)));
   }
 
   async #pollLoad(entry: UpstreamEntry): Promise<void> {
-    const load = await this.#options.engines.getLoad(entry.spec.url);
-    entry.noteLoad(load);
-    this.#options.registry.noteLeaving(entry.id, 'engine', load.leaving);
+    this.#polling.add(entry);
+    try {
+      const load = await this.#options.engines.getLoad(entry.spec.url);
+      entry.noteLoad(load);
+      this.#options.registry.noteLeaving(entry.id, 'engine', load.leaving);
+    } finally {
+      this.#polling.delete(entry);
+    }
   }
 
   async #pollCacheEvents(): Promise<void> {
