--- a/packages/routing/src/engineAttempt.ts
+++ b/packages/routing/src/engineAttempt.ts
@@ -82,22 +82,29 @@
         yield fresh;
       }
     }
+    if (!this.#isDone) {
+      throw new UpstreamBrokenError(`the stream ended after ${this.#lastOffset} without its end`);
+    }
   }
 
   #takeFresh(batch: readonly EngineEvent[]): readonly EngineEvent[] {
     const fresh = batch.filter((event) => event.offset > this.#lastOffset);
-    fresh.forEach((event) => {
-      if (event.offset !== this.#lastOffset + 1) {
-        throw new UpstreamBrokenError(`offset ${event.offset} after ${this.#lastOffset}`);
-      }
-      this.#lastOffset = event.offset;
-    });
+    this.#assertNoGap(fresh);
+    this.#lastOffset = fresh.at(-1)?.offset ?? this.#lastOffset;
     const hasDone = fresh.at(-1)?.data === DONE_DATA;
     invariant(!(this.#isDone && fresh.length > 0), 'wholeAnswer', 'events after the end');
     this.#isDone = this.#isDone || hasDone;
     return hasDone ? fresh.slice(0, -1) : fresh;
   }
 
+  /** Checked before any event of the batch counts as read: they all come again after the resume. */
+  #assertNoGap(fresh: readonly EngineEvent[]): void {
+    const gap = fresh.find((event, index) => event.offset !== this.#lastOffset + index + 1);
+    if (gap !== undefined) {
+      throw new UpstreamBrokenError(`offset ${gap.offset} after ${this.#lastOffset}`);
+    }
+  }
+
   async #prepareResume(error: unknown): Promise<void> {
     const { dispatch, signal, timeline, requestId, upstream } = this.#options;
     if (error instanceof UpstreamNotStartedError && this.#resumes === 0) {
--- a/packages/routing/src/stepRunner.ts
+++ b/packages/routing/src/stepRunner.ts
@@ -257,7 +257,7 @@
   ): Promise<void> {
     const { request, tracker, signal } = this.#context;
     this.#noteFailure(error, running);
-    if (!(error instanceof UpstreamNotStartedError)) {
+    if (running.dispatch.state !== 'provedNotRun') {
       await this.#endRun(running, consumer);
     }
     if (signal.reason !== undefined || error instanceof UpstreamAbortedError) {
