Share team limits among daemons by demand

Cause: each daemon took 1/N of each limit, and at least one slot, so a limit of 4 slots allowed 400 at 400 daemons, and idle daemons' parts were of no use to busy ones.

Change: a data centre has a fixed part of each team's limits (equal, by the sorted list of data centres). Within it the owner of the duty, under one lease for all teams, divides the part by demand with policy's share allocator; daemons ask by one small message for the teams that have demand. Rate and spend are one share, slots are whole units: who asks first gets them. Without an allocator fixed shares count. A bucket's time up to a change of share counts at the smaller one. A first request of a team that was idle here waits up to 300 ms for an answer.

Ruled out: a lease a team (table writes); gossip (random peers reach the allocator after 57 rounds); parts by live daemons (two sides that take each other for dead use more than the limit).

One busy daemon of three gets 28 of 30 slots.

Left open: a daemon cut off alone while others join keeps its older, larger fixed share; the dead count for an hour.

--- a/packages/membership/src/lease/heldLease.ts
+++ b/packages/membership/src/lease/heldLease.ts
@@ -16,8 +16,10 @@
   durationMs,
 });
 
-const isRunning = (term: LeaseTerm): boolean =>
-  term.getElapsedMs() < term.durationMs * (1 - LEASE_MARGIN);
+const getRemainingMs = (term: LeaseTerm): number =>
+  term.durationMs * (1 - LEASE_MARGIN) - term.getElapsedMs();
+
+const isRunning = (term: LeaseTerm): boolean => getRemainingMs(term) > 0;
 
 type ReleaseListener = (lease: HeldLease) => Promise<void>;
 
@@ -72,6 +74,10 @@
     return !this.#isEnded;
   }
 
+  getRemainingMs(): number {
+    return this.isHeld() ? Math.min(...[this.#term, ...this.#unsure].map(getRemainingMs)) : 0;
+  }
+
   async release(): Promise<void> {
     if (!this.#isEnded) {
       this.#isEnded = true;
--- a/packages/membership/src/types.ts
+++ b/packages/membership/src/types.ts
@@ -85,6 +85,8 @@
   readonly fence: number;
   /** False once the lease may have lapsed, counting a pause of the process against it. */
   isHeld(): boolean;
+  /** How much longer it is held for sure, 0 once it may have lapsed. */
+  getRemainingMs(): number;
   release(): Promise<void>;
 }
 
--- a/packages/policy/src/limits/index.ts
+++ b/packages/policy/src/limits/index.ts
@@ -1,5 +1,6 @@
 /** Limits, their division among daemons, and admission under overload. */
 export * from './chooseAdmission.js';
+export { SHARE_FORGET_MS, SHARE_REQUEST_INTERVAL_MS, SHARE_TTL_MS } from './constants.js';
 export * from './divideLimit.js';
 export * from './getRetryAfterMs.js';
 export * from './shareAllocator.js';
--- a/packages/policy/src/limits/shareAllocator.ts
+++ b/packages/policy/src/limits/shareAllocator.ts
@@ -121,6 +121,33 @@
   return { ...allocator, members: { ...allocator.members, [name]: granted } };
 };
 
+/**
+ * A share in whole units where only these are of use: parts of a slot, spread over all members, would let
+ * none of them run anything, which one would notice as a small team refused everywhere. Who asks gets its
+ * target rounded up while there is room, first come first served.
+ */
+const toWholeUnits = (allocator: ShareAllocator, demand: number, target: number, room: number) => {
+  const { quantum } = allocator;
+  if (quantum === undefined) {
+    return Math.min(target, room);
+  }
+  const units = demand > 0 ? Math.ceil(target / quantum) : Math.floor(target / quantum);
+  return Math.min(units, Math.floor(room / quantum)) * quantum;
+};
+
+const isOld = ({ members }: ShareAllocator, { member, seq }: ShareRequest): boolean => {
+  const known = members[member];
+  return known !== undefined && seq <= known.seq;
+};
+
+/** Takes in a request that wants nothing, without the work of an answer. */
+export const hearShareMember = (
+  allocator: ShareAllocator,
+  request: ShareRequest,
+  nowMs: number,
+): ShareAllocator =>
+  isOld(allocator, request) ? allocator : hearRequest(allocator, request, nowMs);
+
 /** Answers one request, or doesn't: to an old or repeated one, and when the term is over. */
 export const answerShareRequest = (
   allocator: ShareAllocator,
@@ -128,14 +155,15 @@
   nowMs: number,
 ): { readonly allocator: ShareAllocator; readonly grant?: ShareGrant } => {
   const ttlMs = Math.min(SHARE_TTL_MS, allocator.termEndsAtMs - nowMs);
-  const known = allocator.members[request.member];
-  if (ttlMs <= 0 || (known && request.seq <= known.seq)) {
+  if (ttlMs <= 0 || isOld(allocator, request)) {
     return { allocator };
   }
   const { member: name, seq } = request;
   const untilMs = nowMs + ttlMs;
   const heard = hearRequest(forgetSilent(allocator, nowMs), request, nowMs);
-  const share = Math.min(getTarget(heard, name, nowMs), getRoom(heard, name, nowMs, untilMs));
+  const target = getTarget(heard, name, nowMs);
+  const room = getRoom(heard, name, nowMs, untilMs);
+  const share = toWholeUnits(heard, request.demand, target, room);
   const grant = { member: name, seq, term: heard.term, share, ttlMs, answeredAtMs: nowMs };
   return { allocator: recordGrant(heard, name, share, untilMs), grant };
 };
--- a/packages/policy/src/limits/types.ts
+++ b/packages/policy/src/limits/types.ts
@@ -89,6 +89,8 @@
   /** When its lease ends, less the margin for clocks; no grant outlasts it. */
   readonly termEndsAtMs: number;
   readonly members: Readonly<Record<string, ShareMember>>;
+  /** Shares are multiples of it, as with slots; any amount if left out. */
+  readonly quantum?: number;
 }
 
 /** A request as admission sees it. */
--- a/packages/protocol/src/httpPeerTransport.ts
+++ b/packages/protocol/src/httpPeerTransport.ts
@@ -110,6 +110,7 @@
       },
       usage: { replicate: wrap(client.usage.replicate.mutate) },
       evidence: { deliverScores: wrap(client.evidence.deliverScores.mutate) },
+      limits: { requestShares: wrap(client.limits.requestShares.mutate as never) },
       sessions: {
         getPin: wrap(client.sessions.getPin.mutate),
         putPin: wrap(client.sessions.putPin.mutate),
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -4,6 +4,7 @@
 export * from './evidence/messages.js';
 export * from './httpPeerServer.js';
 export * from './httpPeerTransport.js';
+export * from './limits/messages.js';
 export * from './membership/messages.js';
 export * from './peerHandlers.js';
 export * from './peerRouter.js';
--- a/packages/protocol/src/peerHandlers.ts
+++ b/packages/protocol/src/peerHandlers.ts
@@ -1,6 +1,7 @@
 /** All that one daemon answers to another, by concern. Its remote form has the same shape. */
 import type { ConfigurationHandlers } from './configuration/messages.js';
 import type { EvidenceHandlers } from './evidence/messages.js';
+import type { LimitHandlers } from './limits/messages.js';
 import type { MembershipHandlers } from './membership/messages.js';
 import type { SessionHandlers } from './sessions/messages.js';
 import type { TimelineHandlers } from './timeline/messages.js';
@@ -11,6 +12,7 @@
   readonly configuration: ConfigurationHandlers;
   readonly usage: UsageHandlers;
   readonly evidence: EvidenceHandlers;
+  readonly limits: LimitHandlers;
   readonly sessions: SessionHandlers;
   readonly timeline: TimelineHandlers;
 }
--- a/packages/protocol/src/peerRouter.ts
+++ b/packages/protocol/src/peerRouter.ts
@@ -6,6 +6,7 @@
   pushSafeMovesSchema,
 } from './configuration/messages.js';
 import { deliverScoresSchema } from './evidence/messages.js';
+import { requestSharesSchema } from './limits/messages.js';
 import { exchangeSchema, probeSchema } from './membership/messages.js';
 import type { PeerHandlers } from './peerHandlers.js';
 import { getPinSchema, putPinSchema } from './sessions/messages.js';
@@ -43,6 +44,11 @@
       .input(deliverScoresSchema)
       .mutation(({ ctx, input }) => ctx.evidence.deliverScores(input)),
   }),
+  limits: router({
+    requestShares: procedure
+      .input(requestSharesSchema)
+      .mutation(({ ctx, input }) => ctx.limits.requestShares(input)),
+  }),
   sessions: router({
     getPin: procedure.input(getPinSchema).mutation(({ ctx, input }) => ctx.sessions.getPin(input)),
     putPin: procedure.input(putPinSchema).mutation(({ ctx, input }) => ctx.sessions.putPin(input)),
--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -26,12 +26,24 @@
   spend: "the team's spending limit is used up",
 } as const;
 
-const reserve = (
+/** Once more after a share has come where the daemon held none of the team's. */
+const tryReserve = async (
+  { limiter }: RoutingDependencies,
+  { team, expectedCostMicroUsd }: AdmissionInput,
+): Promise<LimitOutcome> => {
+  const outcome = limiter.reserve(team, expectedCostMicroUsd);
+  if (outcome.kind === 'allowed' || !(await limiter.waitForShare(team))) {
+    return outcome;
+  }
+  return limiter.reserve(team, expectedCostMicroUsd);
+};
+
+const reserve = async (
   deps: RoutingDependencies,
   tracker: RunTracker,
   input: AdmissionInput,
-): LimitReservation => {
-  const outcome: LimitOutcome = deps.limiter.reserve(input.team, input.expectedCostMicroUsd);
+): Promise<LimitReservation> => {
+  const outcome = await tryReserve(deps, input);
   if (outcome.kind === 'allowed') {
     return outcome.reservation;
   }
@@ -55,7 +67,11 @@
   if (signal.reason !== undefined) {
     throw createStopRefusal(tracker, signal);
   }
-  const reservation = reserve(deps, tracker, input);
+  const reservation = await reserve(deps, tracker, input);
+  if (signal.signal.aborted) {
+    reservation.release(0);
+    throw createStopRefusal(tracker, signal);
+  }
   const outcome = await deps.gate.admit(
     {
       id: input.requestId,
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -8,6 +8,7 @@
 export * from './runTracker.js';
 export * from './teamDirectory.js';
 export * from './teamLimiter.js';
+export * from './teamShares/index.js';
 export * from './types.js';
 export * from './upstreamEntry.js';
 export * from './upstreamRegistry.js';
