--- /dev/null
+++ b/packages/routing/src/refusals.test.ts
@@ -0,0 +1,104 @@
+import { install, type Clock } from '@sinonjs/fake-timers';
+import { asId, createRandom, setInvariantsFatal, type TeamId } from '@snipehaven/common';
+import { UpstreamNotStartedError } from '@snipehaven/upstream';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+import { AdmissionGate } from './admissionGate.js';
+import { Refusal } from './refusal.js';
+import { RequestSignal } from './requestSignal.js';
+import { RunTracker } from './runTracker.js';
+
+setInvariantsFatal(true);
+
+const DEADLINE_MS = 5_000;
+
+const test = suite('refusals');
+let clock: Clock;
+
+test.before.each(() => {
+  clock = install({ now: 1_000_000 });
+});
+
+test.after.each(() => {
+  clock.uninstall();
+});
+
+const refused = new UpstreamNotStartedError('refused');
+
+test('derives the verdict from the dispatches alone', () => {
+  // Symptom: a refusal says "not run" of a request that ran.
+  // Sequence: one dispatch is refused, another one is lost or was seen running.
+  // Cause: the last dispatch decides, or a late proof takes back what was seen.
+  const tracker = new RunTracker();
+  assert.is(tracker.getVerdict(), 'notRun');
+  const first = tracker.startDispatch();
+  assert.is(tracker.getVerdict(), 'unknown');
+  first.proveNotRun(refused);
+  assert.is(tracker.getVerdict(), 'notRun');
+  const second = tracker.startDispatch();
+  tracker.startDispatch().proveNotRun(refused);
+  assert.is(tracker.getVerdict(), 'unknown', 'one is lost');
+  second.noteRunning();
+  second.proveNotRun(refused);
+  assert.is(tracker.getVerdict(), 'ran', 'what was seen stays');
+});
+
+test('says of an earlier request of the same key that it may have run', () => {
+  const tracker = new RunTracker();
+  assert.is(new Refusal('inProgress', '', tracker).verdict, 'unknown');
+  assert.is(new Refusal('outcomeUnknown', '', tracker).verdict, 'unknown');
+  assert.is(new Refusal('differentBody', '', tracker).verdict, 'notRun');
+  assert.is(new Refusal('outcomeUnknown', '', tracker).retryAfterMs, undefined);
+  assert.ok((new Refusal('overloaded', '', tracker).retryAfterMs ?? 0) > 0);
+});
+
+const toAdmission = (id: string): Parameters<AdmissionGate['admit']>[0] => ({
+  id,
+  team: asId<TeamId>('alpha'),
+  weight: 1,
+  priority: 5,
+  cost: 1,
+  arrivedAtMs: Date.now(),
+  deadlineAtMs: Date.now() + DEADLINE_MS,
+});
+
+test('lets in, queues, and refuses at once with a time to come back', async () => {
+  const gate = new AdmissionGate(() => ({ maxRunning: 1, maxQueued: 1 }), createRandom(1));
+  const { signal } = new AbortController();
+  const first = await gate.admit(toAdmission('a'), signal);
+  assert.is(first.kind, 'admitted');
+  const leaving = new AbortController();
+  const second = gate.admit(toAdmission('b'), leaving.signal);
+  const third = await gate.admit(toAdmission('c'), signal);
+  assert.is(third.kind, 'refused');
+  assert.ok(third.kind === 'refused' && third.retryAfterMs > 0);
+  leaving.abort();
+  assert.is((await second).kind, 'callerGone');
+  assert.equal([gate.running, gate.queued], [1, 0]);
+  const next = gate.admit(toAdmission('d'), signal);
+  if (first.kind === 'admitted') {
+    first.release();
+    first.release();
+  }
+  assert.is((await next).kind, 'admitted');
+  assert.equal([gate.running, gate.queued], [1, 0], 'a place is given back once');
+  const late = gate.admit(toAdmission('e'), signal);
+  await clock.tickAsync(DEADLINE_MS + 1);
+  assert.is((await late).kind, 'refused');
+  assert.equal([gate.running, gate.queued], [1, 0]);
+});
+
+test('tells a deadline from a caller that has gone, and forgets neither', () => {
+  const caller = new AbortController();
+  const timed = new RequestSignal(Date.now() + DEADLINE_MS, caller.signal);
+  const detached = new RequestSignal(Date.now() + DEADLINE_MS, caller.signal);
+  detached.detachCaller();
+  caller.abort();
+  assert.equal([timed.reason, detached.reason], ['callerGone', undefined]);
+  assert.is(new RequestSignal(Date.now() + 1, caller.signal).reason, 'callerGone');
+  clock.tick(DEADLINE_MS);
+  assert.equal([timed.reason, detached.reason], ['callerGone', 'deadline']);
+  assert.ok(detached.signal.aborted);
+});
+
+test.run();
