Poll many engines in turn, within a budget of calls

Cause: each daemon asked each engine of its data centre for load twice and for cache events once a second: 847 B/s and 0.026% of a core an engine, 133 KB/s and 4% at 157 engines. Not measured: what reports of that age do to the choice of upstreams at 157 engines.

--- a/packages/routing/src/upstreamWatcher.ts
+++ b/packages/routing/src/upstreamWatcher.ts
@@ -2,6 +2,7 @@
 import { type Logger, type Random, getErrorMessage, sleep } from '@snipehaven/common';
 import type { VmListClient } from '@snipehaven/platform';
 import type { EngineClient } from '@snipehaven/upstream';
+import { PollTurns } from './pollTurns.js';
 import type { UpstreamEntry } from './upstreamEntry.js';
 import type { UpstreamRegistry } from './upstreamRegistry.js';
 
@@ -36,8 +37,15 @@
 
   readonly #polling = new Set<UpstreamEntry>();
 
+  readonly #loadTurns: PollTurns;
+
+  readonly #eventTurns: PollTurns;
+
   constructor(options: UpstreamWatcherOptions) {
     this.#options = options;
+    const { random, settings } = options;
+    this.#loadTurns = new PollTurns(settings.loadIntervalMs, random);
+    this.#eventTurns = new PollTurns(settings.cacheEventsIntervalMs, random);
   }
 
   start(): void {
@@ -79,7 +87,7 @@
   }
 
   async #pollLoads(): Promise<void> {
-    await this.#pollEach(this.#listEngines());
+    await this.#pollEach(this.#loadTurns.take(this.#listEngines()));
   }
 
   /**
@@ -121,7 +129,8 @@
   }
 
   async #pollCacheEvents(): Promise<void> {
-    const polls = this.#listEngines().map((entry) => this.#pollEvents(entry));
+    const engines = this.#eventTurns.take(this.#listEngines());
+    const polls = engines.map((entry) => this.#pollEvents(entry));
     await Promise.allSettled(polls);
   }
 
