--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -23,7 +23,7 @@
 import { listProcessGauges } from './metrics/processGauges.js';
 import { TrafficMeter, type TrafficKind } from './metrics/trafficMeter.js';
 import { createOperatorHandler, type HealthReport } from './operatorApi/index.js';
-import { readSecret, type Settings } from './settings/index.js';
+import { readPeerTlsFiles, readSecret, type Settings } from './settings/index.js';
 import { SharedVmList, VM_LIST_DUTY } from './sharedVmList.js';
 
 /** Addresses that the daemon listens on, as `ip:port`. */
@@ -121,7 +121,7 @@
       maxHeaderBytes: requests.maxHeaderBytes,
       requestTimeoutMs: requests.bodyTimeoutMs,
     };
-    return new Listener(listen[slot], bounds, (request, response) => {
+    return new Listener(slot, listen[slot], bounds, (request, response) => {
       const handler = this.#handlers.get(slot);
       if (handler === undefined) {
         response.writeHead(503).end();
@@ -146,7 +146,7 @@
   #createCoreOptions(): DaemonCoreOptions {
     const { platform, vm, peers, requests, upstreams } = this.#settings;
     const { callTimeoutMs } = platform;
-    this.#transport = new HttpPeerTransport(this.#readPeerSecrets()[0], peers.callTimeoutMs);
+    this.#transport = this.#createTransport();
     const random = createRandom(getEntropySeed());
     const suffix = random.nextInt(INCARNATION_RANDOM_LIMIT).toString(INCARNATION_RADIX);
     const boot = Date.now().toString(INCARNATION_RADIX);
@@ -177,6 +177,13 @@
     };
   }
 
+  #createTransport(): HttpPeerTransport {
+    const { tls, callTimeoutMs } = this.#settings.peers;
+    const [secret] = this.#readPeerSecrets();
+    const files = tls && readPeerTlsFiles('peers.tls', tls);
+    return new HttpPeerTransport(secret, callTimeoutMs, files);
+  }
+
   #readPeerSecrets(): readonly [string, ...string[]] {
     const { secret, previousSecret } = this.#settings.peers;
     const current = readSecret('peers.secret', secret, this.#environment);
