Count data centres by their daemons for the parts of team limits

Cause: a data centre of which only upstreams are configured took a part of each team's limits that nobody could use; a team with one slot could run nothing elsewhere. Noticed by upstreamFaults.test, 'refuses at once what is over the team's limits', which ran into its 20 s.

Change: data centres with remembered daemons count, and those met before while upstreams are configured there, so that a cut of hours frees none.

--- a/packages/routing/src/teamShares/teamShares.ts
+++ b/packages/routing/src/teamShares/teamShares.ts
@@ -22,7 +22,7 @@
 import { DemandMeter } from './demandMeter.js';
 import { ShareBook } from './shareBook.js';
 import { ShareHolding } from './shareHolding.js';
-import { findSharePlace } from './sharePlace.js';
+import { SharePlaces } from './sharePlace.js';
 import { createSteadyClock } from './steadyClock.js';
 import type { FindLimits, ShareAmounts, TeamDemand, TeamShareSource } from './types.js';
 
@@ -47,6 +47,8 @@
 
   readonly #getNowMs = createSteadyClock();
 
+  readonly #places: SharePlaces;
+
   readonly #holding: ShareHolding;
 
   readonly #meters = new Map<string, DemandMeter>();
@@ -65,10 +67,11 @@
 
   constructor(options: TeamSharesOptions) {
     this.#options = options;
+    this.#places = new SharePlaces(options);
     this.#askedAtMs = this.#getNowMs();
     this.#holding = new ShareHolding(
       options.membership.self.vm,
-      findSharePlace(options.membership, options.getView()),
+      this.#places.find(),
       this.#findLimits,
       this.#askedAtMs,
     );
@@ -172,10 +175,10 @@
 
   async #ask(): Promise<void> {
     try {
-      const { membership, transport, getView } = this.#options;
+      const { membership, transport } = this.#options;
       const nowMs = this.#getNowMs();
-      const place = findSharePlace(membership, getView());
-      const message = this.#holding.request(this.#takeDemands(nowMs), place, nowMs);
+      const demands = this.#takeDemands(nowMs);
+      const message = this.#holding.request(demands, this.#places.find(), nowMs);
       const owner = membership.getDutyOwner(TEAM_SHARES_DUTY);
       const isSelf = owner.incarnation === membership.self.incarnation;
       const { limits } = isSelf ? { limits: this.handlers } : transport.getPeer(owner.address);
@@ -245,7 +248,6 @@
     if (!this.#lease?.isHeld()) {
       return undefined;
     }
-    const { membership, getView } = this.#options;
-    return this.#book?.answer(message, findSharePlace(membership, getView()), this.#getNowMs());
+    return this.#book?.answer(message, this.#places.find(), this.#getNowMs());
   }
 }
