Mend what a newcomer's reading found in the request path

Cause, each seen by reading or by hand: an operator's drain of an upstream was durable and had no effect; three different prompts under one idempotency key were answered and billed once (461 against 107 micro-dollars); claims were never cleaned; the promises asserted at dispatch only counted in production; EHOSTUNREACH of an open connection passed for a proof that nothing was sent; a pinned session asking for another model, and a withdrawn exact version, were told to come back in a second. Change: drains count as leaving; the bill's key carries a digest of the request; a duty cleans claims each minute; a broken promise at dispatch is refused, counted too; only a failed connect proves; 4xx where waiting cannot help; the session decision stands once; usageSettled is recorded once. Ruled out: a fencing number for plain services, whose numbers would have to rise over all keys.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,3 +1,4 @@
+export * from './connectionErrors.js';
 export * from './errors.js';
 export * from './handlerActor.js';
 export * from './ids.js';
--- a/packages/common/src/invariant.ts
+++ b/packages/common/src/invariant.ts
@@ -55,6 +55,19 @@
   }
 }
 
+/**
+ * Like `invariant`, for places where the program can refuse instead of breaking the promise: tells
+ * whether it holds. A violation is counted, logged and, in tests, thrown all the same.
+ */
+export const isPromiseKept = (
+  condition: boolean,
+  promise: PromiseName,
+  detail: string,
+): boolean => {
+  invariant(condition, promise, detail);
+  return condition;
+};
+
 /** Marks a branch that the type checker proves unreachable. */
 export const assertNever = (value: never): never => {
   throw new InvariantViolation(`unexpected value ${JSON.stringify(value)}`);
--- a/packages/daemon/src/daemonCore.ts
+++ b/packages/daemon/src/daemonCore.ts
@@ -44,7 +44,8 @@
 } from '@snipehaven/sessions';
 import { HybridClock, Timeline } from '@snipehaven/timeline';
 import type { EngineClient, ServiceClient } from '@snipehaven/upstream';
-import { getMaxRunning } from './maxRunning.js';
+import { ClaimCleaner } from './claimCleaner.js';
+import { createDaemonPlace } from './daemonPlace.js';
 import { DaemonMetrics } from './metrics/daemonMetrics.js';
 
 /** Who the daemon is. */
@@ -125,6 +126,8 @@
 
   readonly #watcher: UpstreamWatcher;
 
+  readonly #claimCleaner: ClaimCleaner;
+
   readonly #stopWatchingViolations: () => void;
 
   #isStopping = false;
@@ -181,7 +184,7 @@
       localDataCentre: asId<DataCentreId>(dataCentre),
       random,
       timeline,
-      getDaemonCount: () => membership.listLocal().length,
+      getDaemonPlace: createDaemonPlace(membership),
     });
     this.teamShares = new TeamShares({
       ...base,
@@ -200,6 +203,7 @@
       random,
       settings: settings.upstreams,
     });
+    this.#claimCleaner = new ClaimCleaner({ claims: this.claims, membership, logger, random });
     this.peerHandlers = {
       membership: membership.handlers,
       configuration: this.configuration.handlers,
@@ -228,6 +232,7 @@
     this.configuration.start();
     this.ledger.start();
     this.pins.start();
+    this.#claimCleaner.start();
     this.rollouts.start();
     this.teamShares.start();
     this.#watcher.start();
@@ -245,6 +250,7 @@
     this.#isStopping = true;
     const isIdle = await this.#waitUntilIdle(deadlineMs);
     this.#watcher.stop();
+    this.#claimCleaner.stop();
     await this.teamShares.stop();
     await this.rollouts.stop();
     await this.pins.stop();
@@ -265,6 +271,7 @@
   /** Stops at once as a killed process would, for tests. */
   kill(): void {
     this.#watcher.stop();
+    this.#claimCleaner.stop();
     this.rollouts.kill();
     this.teamShares.kill();
     this.membership.stop();
@@ -286,12 +293,7 @@
   }
 
   #getAdmissionSettings(): { readonly maxRunning: number; readonly maxQueued: number } {
-    const { dataCentre } = this.#options.identity;
-    const maxRunning = getMaxRunning(
-      this.registry.list(),
-      dataCentre,
-      this.membership.listLocal().length,
-    );
+    const maxRunning = this.registry.getMaxRunning();
     return { maxRunning, maxQueued: this.#options.settings.maxQueued };
   }
 
--- a/packages/demo/src/bills.ts
+++ b/packages/demo/src/bills.ts
@@ -3,6 +3,7 @@
 import { HttpObjectStoreClient, HttpTableClient } from '@snipehaven/platform';
 import type { StandinAddresses } from '@snipehaven/standins';
 import { getFinalEnd, type CallRecord } from './workload/callRecord.js';
+import { getCallerKey } from './workload/oracle.js';
 
 const BILLS_TIMEOUT_MS = 60_000;
 const BILLS_POLL_MS = 1_000;
@@ -28,7 +29,7 @@
   const giveUpAtMs = Date.now() + BILLS_TIMEOUT_MS;
   while (Date.now() < giveUpAtMs) {
     const entries = await readLedger(addresses);
-    const billed = new Set(entries.map((entry) => entry.requestKey));
+    const billed = new Set(entries.map((entry) => getCallerKey(entry.requestKey)));
     if (answered.every((record) => billed.has(record.item.key))) {
       return true;
     }
--- a/packages/demo/src/workload/oracle.ts
+++ b/packages/demo/src/workload/oracle.ts
@@ -115,6 +115,9 @@
   (streams.get(key)?.length ?? 0) +
   services.reduce((sum, service) => sum + (service.runsByKey[key] ?? 0), 0);
 
+/** The ledger's key is the caller's, followed by a digest of what was asked. */
+export const getCallerKey = (requestKey: string): string => requestKey.split('#')[0] ?? requestKey;
+
 const isNotRun = ({ end }: CallAttempt): boolean =>
   end.kind === 'refused' && end.verdict === 'notRun';
 
@@ -279,7 +282,7 @@
   const streams = input.engines.flatMap((engine) => engine.streams);
   const streamsByKey = groupBy(streams, (stream) => stream.requestKey ?? '');
   const streamsById = groupBy(streams, (stream) => stream.streamId);
-  const entriesByKey = groupBy(input.entries, (entry) => entry.requestKey);
+  const entriesByKey = groupBy(input.entries, (entry) => getCallerKey(entry.requestKey));
   input.records.forEach((record) => {
     const runs = countRuns(record.item.key, streamsByKey, input.services);
     judgeAnswers(record, tally);
--- a/packages/platform/src/httpCaller.ts
+++ b/packages/platform/src/httpCaller.ts
@@ -1,6 +1,6 @@
 /** One HTTP call to a platform service, its failures turned into the platform's errors. */
 import { Agent, request, type Dispatcher } from 'undici';
-import { getErrorMessage } from '@snipehaven/common';
+import { getErrorMessage, isNotSent } from '@snipehaven/common';
 import { KEEP_ALIVE_MS, MAX_CONNECTIONS, MS_PER_SECOND } from './constants.js';
 import { PlatformOutcomeUnknownError, PlatformRefusedError } from './errors.js';
 
@@ -20,17 +20,6 @@
 const HTTP_OK_LIMIT = 300;
 const ABSENCE_METHODS: ReadonlySet<PlatformCall['method']> = new Set(['GET', 'DELETE']);
 
-/** Codes of failures before any byte of the request went out. */
-const NOT_SENT_CODES: ReadonlySet<string> = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'UND_ERR_CONNECT_TIMEOUT',
-]);
-
-const getErrorCode = (error: unknown): string =>
-  typeof error === 'object' && error !== null && 'code' in error ? String(error.code) : '';
-
 const getRetryAfter = (response: Dispatcher.ResponseData): { retryAfterMs?: number } => {
   const seconds = Number(response.headers['retry-after']);
   return Number.isFinite(seconds) ? { retryAfterMs: seconds * MS_PER_SECOND } : {};
@@ -106,7 +95,7 @@
 
   static #toPlatformError(call: PlatformCall, cause: unknown): Error {
     const message = `${call.method} ${call.path}: ${getErrorMessage(cause)}`;
-    return NOT_SENT_CODES.has(getErrorCode(cause))
+    return isNotSent(cause)
       ? new PlatformRefusedError(message, { cause })
       : new PlatformOutcomeUnknownError(message, { cause });
   }
--- a/packages/routing/src/admissionGate.ts
+++ b/packages/routing/src/admissionGate.ts
@@ -18,6 +18,9 @@
   | { readonly kind: 'refused'; readonly retryAfterMs: number; readonly reason: string }
   | { readonly kind: 'callerGone' };
 
+/** How soon waiting requests are looked at again without any that ends. */
+const RECHECK_MS = 100;
+
 type Resolve = (outcome: AdmissionOutcome) => void;
 
 export class AdmissionGate {
@@ -27,6 +30,8 @@
 
   readonly #waiting = new Map<string, Resolve>();
 
+  #recheckTimer: NodeJS.Timeout | undefined;
+
   #state: AdmissionState = createAdmission(Date.now());
 
   constructor(getSettings: () => AdmissionSettings, random: Random) {
@@ -73,9 +78,25 @@
         callerGone.removeEventListener('abort', leave);
         resolve(outcome);
       });
+      this.#scheduleRecheck();
     });
   }
 
+  /**
+   * What goes wrong: room that a load report shows, or an upstream that comes back, wakes nobody, and
+   * requests wait before free slots until one of this daemon's own ends. One notices late first tokens
+   * at daemons with little traffic.
+   */
+  #scheduleRecheck(): void {
+    this.#recheckTimer ??= setTimeout(() => {
+      this.#recheckTimer = undefined;
+      this.#pump();
+      if (this.#waiting.size > 0) {
+        this.#scheduleRecheck();
+      }
+    }, RECHECK_MS);
+  }
+
   #createAdmitted(request: AdmissionRequest): AdmissionOutcome {
     const startedAtMs = Date.now();
     let isReleased = false;
--- a/packages/routing/src/chatRun.ts
+++ b/packages/routing/src/chatRun.ts
@@ -1,6 +1,6 @@
 /** One chat request, from admission to the end of its answer. */
 import { createHash } from 'node:crypto';
-import { asId, invariant, type VersionId } from '@snipehaven/common';
+import { asId, isPromiseKept, type VersionId } from '@snipehaven/common';
 import type { Claim, StoredAnswer } from '@snipehaven/claims';
 import type { PlanStep } from '@snipehaven/policy';
 import type { EvidenceSubject } from '@snipehaven/rollouts';
@@ -20,7 +20,7 @@
   VERSION_HEADER,
 } from './constants.js';
 import type { RoutingDependencies } from './dependencies.js';
-import { hashRequest, keepAnswer, takeClaim } from './claimGuard.js';
+import { getBillingKey, hashRequest, keepAnswer, takeClaim } from './claimGuard.js';
 import { HeldConsumer, LiveConsumer } from './eventConsumers.js';
 import { admit, type Admission } from './admission.js';
 import { matchesWish, planChat, type ChatPlan } from './planChat.js';
@@ -67,6 +67,8 @@
 
   readonly #promptText: string;
 
+  readonly #bodyHash: string;
+
   readonly #startedAtMs = Date.now();
 
   #claim: Claim | undefined;
@@ -85,10 +87,11 @@
     this.#shadows = shadows;
     this.#signal = new RequestSignal(request.options.deadlineAtMs, sink.callerGone);
     this.#promptText = getPromptText(request.body);
+    this.#bodyHash = hashRequest('chat', JSON.stringify(request.body));
     const { team } = request.identity;
     this.#account = new UsageAccount(deps.ledger, {
       requestId: request.requestId,
-      requestKey: request.options.idempotencyKey ?? request.requestId,
+      requestKey: getBillingKey(request.requestId, request.options.idempotencyKey, this.#bodyHash),
       team: team.metadata.name,
       teamUid: team.metadata.uid,
     });
@@ -116,14 +119,14 @@
 
   /** Takes the claim of a request that must run once only; true where an earlier answer was sent. */
   async #replayClaimed(): Promise<boolean> {
-    const { options, identity, body, requestId } = this.#request;
+    const { options, identity, requestId } = this.#request;
     if (options.isIdempotent) {
       return false;
     }
     const outcome = await takeClaim(this.#deps, this.#tracker, {
       teamUid: identity.team.metadata.uid,
       key: options.idempotencyKey ?? requestId,
-      bodyHash: hashRequest('chat', JSON.stringify(body)),
+      bodyHash: this.#bodyHash,
       deadlineAtMs: options.deadlineAtMs,
     });
     if (outcome.kind === 'finished') {
@@ -182,13 +185,21 @@
       this.#deps,
     );
     if (plan.steps.length === 0) {
-      throw this.#createNoPlanRefusal(excluded);
+      throw this.#createNoPlanRefusal(session, excluded);
     }
     return plan;
   }
 
-  #createNoPlanRefusal(excluded: readonly VersionId[]): Refusal {
+  /** Says to come back only where that can help. */
+  #createNoPlanRefusal(session: SessionState, excluded: readonly VersionId[]): Refusal {
     const wished = this.#request.body.model;
+    if (session.kind === 'pinned' && !matchesWish(wished, asId<VersionId>(session.pin.version))) {
+      const message = `the session runs on ${session.pin.version}: ask for it or for auto`;
+      return new Refusal('invalidRequest', message, this.#tracker);
+    }
+    if (this.#deps.safeMoves.isVersionBlocked(wished)) {
+      return new Refusal('unknownModel', `${wished} is withdrawn`, this.#tracker);
+    }
     const { team } = this.#request.identity;
     const isKnown = this.#deps.configuration
       .getView()
@@ -317,7 +328,7 @@
       this.#noteEscalation(answer);
       return undefined;
     }
-    await this.#settle(answer);
+    await this.#settle();
     await this.#release(answer, consumer, headers);
     return answer;
   }
@@ -370,16 +381,15 @@
   }
 
   #assertAllowed(version: VersionId, session: SessionState): void {
-    invariant(
-      isVersionAllowed(this.#request.identity.team, version),
-      'allowedVersion',
-      `${this.#request.requestId} planned on ${version}`,
-    );
-    invariant(
-      session.kind !== 'pinned' || session.pin.version === version,
-      'sessionKeepsVersion',
-      `${this.#request.requestId} planned on ${version}`,
-    );
+    const detail = `${this.#request.requestId} planned on ${version}`;
+    const isAllowed = isVersionAllowed(this.#request.identity.team, version);
+    const isKept = session.kind !== 'pinned' || session.pin.version === version;
+    if (
+      !isPromiseKept(isAllowed, 'allowedVersion', detail) ||
+      !isPromiseKept(isKept, 'sessionKeepsVersion', detail)
+    ) {
+      throw new Refusal('noUpstream', detail, this.#tracker);
+    }
   }
 
   /** Without a rating in time the dearer version answers: no cascade on faith. */
@@ -406,15 +416,9 @@
     this.#deps.timeline.record('attemptEscalated', { requestId, version: answer.version });
   }
 
-  async #settle(answer: StepAnswer): Promise<void> {
-    const { requestId } = this.#request;
+  async #settle(): Promise<void> {
     await this.#account.ensureHeld();
     await this.#account.settle('answered');
-    this.#deps.timeline.record(
-      'usageSettled',
-      { requestId, version: answer.version },
-      { costMicroUsd: this.#account.costMicroUsd },
-    );
   }
 
   async #release(
--- a/packages/routing/src/claimGuard.ts
+++ b/packages/routing/src/claimGuard.ts
@@ -15,6 +15,22 @@
 export const hashRequest = (scope: string, body: string | Uint8Array): string =>
   createHash('sha256').update(scope).update('\0').update(body).digest('hex');
 
+const KEY_DIGEST_CHARS = 16;
+
+/**
+ * What the bills of a request and of its retries share. An idempotency key alone would let a caller send
+ * any number of different requests under one key and pay for one; a non-idempotent request with another
+ * body is refused by its claim, an idempotent one is another request.
+ */
+export const getBillingKey = (
+  requestId: string,
+  idempotencyKey: string | undefined,
+  bodyHash: string,
+): string =>
+  idempotencyKey === undefined
+    ? requestId
+    : `${idempotencyKey}#${bodyHash.slice(0, KEY_DIGEST_CHARS)}`;
+
 type Obstacle = Exclude<ClaimOutcome, ClaimResult>;
 
 const obstacleRefusals: {
--- a/packages/routing/src/engineAttempt.ts
+++ b/packages/routing/src/engineAttempt.ts
@@ -3,7 +3,6 @@
 import type { TimelineRecorder } from '@snipehaven/timeline';
 import {
   DONE_DATA,
-  StreamUnknownError,
   UpstreamAbortedError,
   UpstreamBrokenError,
   UpstreamNotStartedError,
@@ -133,6 +132,3 @@
     );
   }
 }
-
-/** Whether the error means that the engine does not have the run. */
-export const isStreamLost = (error: unknown): boolean => error instanceof StreamUnknownError;
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -29,6 +29,7 @@
     this.#shadows = new ShadowRunner(deps);
     this.update(deps.configuration.getView());
     deps.configuration.onChange(() => this.update(deps.configuration.getView()));
+    deps.safeMoves.onChange(() => this.#applyDrains());
   }
 
   /** Requests that run or wait. */
@@ -40,6 +41,7 @@
   update(view: ConfigurationView): void {
     this.#teams.update(view);
     this.#deps.registry.update(view);
+    this.#applyDrains();
   }
 
   /** The team of a caller's key. */
@@ -73,6 +75,14 @@
     });
   }
 
+  /** Upstreams that operators drain get no new work. */
+  #applyDrains(): void {
+    const { registry, safeMoves } = this.#deps;
+    registry.list().forEach(({ id }) => {
+      registry.noteLeaving(id, 'operator', safeMoves.isActive('drain', id));
+    });
+  }
+
   async #track(execute: () => Promise<void>): Promise<void> {
     this.#active += 1;
     this.#retries.feed();
--- a/packages/routing/src/serviceRun.ts
+++ b/packages/routing/src/serviceRun.ts
@@ -1,5 +1,5 @@
 /** One call of a plain service, from admission to its answer. */
-import { invariant, type UpstreamId } from '@snipehaven/common';
+import { isPromiseKept, type UpstreamId } from '@snipehaven/common';
 import type { Claim, StoredAnswer } from '@snipehaven/claims';
 import { decideRetry } from '@snipehaven/policy';
 import type { UsageStream } from '@snipehaven/protocol';
@@ -11,7 +11,7 @@
   type ServiceAnswer,
 } from '@snipehaven/upstream';
 import { admit, type Admission } from './admission.js';
-import { hashRequest, keepAnswer, takeClaim } from './claimGuard.js';
+import { getBillingKey, hashRequest, keepAnswer, takeClaim } from './claimGuard.js';
 import { LEAVING_GRACE_MS, REPLAYED_HEADER, REQUEST_ID_HEADER } from './constants.js';
 import type { RoutingDependencies } from './dependencies.js';
 import { Refusal } from './refusal.js';
@@ -54,6 +54,8 @@
 
   readonly #startedAtMs = Date.now();
 
+  readonly #bodyHash: string;
+
   #claim: Claim | undefined;
 
   #attempts = 0;
@@ -70,9 +72,11 @@
     this.#retries = retries;
     this.#signal = new RequestSignal(request.options.deadlineAtMs, sink.callerGone);
     const { team } = request.identity;
+    const scope = `${request.service} ${request.method} ${request.path}`;
+    this.#bodyHash = hashRequest(scope, request.body);
     this.#account = new UsageAccount(deps.ledger, {
       requestId: request.requestId,
-      requestKey: this.#key,
+      requestKey: getBillingKey(request.requestId, request.options.idempotencyKey, this.#bodyHash),
       team: team.metadata.name,
       teamUid: team.metadata.uid,
     });
@@ -127,11 +131,11 @@
   }
 
   async #replayClaimed(): Promise<boolean> {
-    const { method, path, service, body, identity, options } = this.#request;
+    const { identity, options } = this.#request;
     const outcome = await takeClaim(this.#deps, this.#tracker, {
       teamUid: identity.team.metadata.uid,
       key: this.#key,
-      bodyHash: hashRequest(`${service} ${method} ${path}`, body),
+      bodyHash: this.#bodyHash,
       deadlineAtMs: options.deadlineAtMs,
     });
     if (outcome.kind === 'finished') {
@@ -158,7 +162,7 @@
   async #answer(service: Resource<'Service'>, isIdempotent: boolean): Promise<void> {
     const excludedIds: UpstreamId[] = [];
     for (;;) {
-      const entry = this.#choose(service, excludedIds);
+      const entry = await this.#choose(service, excludedIds);
       excludedIds.push(entry.id);
       const stream = this.#createStream(service, entry);
       await this.#account.noteRun(stream);
@@ -177,15 +181,21 @@
     }
   }
 
-  #choose(service: Resource<'Service'>, excludedIds: readonly UpstreamId[]): UpstreamEntry {
+  async #choose(
+    service: Resource<'Service'>,
+    excludedIds: readonly UpstreamId[],
+  ): Promise<UpstreamEntry> {
     const { name } = service.metadata;
-    const chosen = this.#deps.registry.choose({ service: name, excludedIds });
+    const chosen = await this.#deps.registry.chooseFresh({ service: name, excludedIds });
     if (chosen === undefined) {
       throw new Refusal('noUpstream', `no upstream of ${name} has room`, this.#tracker);
     }
     const sinceMs = chosen.entry.leavingSinceMs;
-    const isLate = sinceMs !== undefined && Date.now() - sinceMs > LEAVING_GRACE_MS;
-    invariant(!isLate, 'leavingGetsNoWork', `${chosen.entry.id} is leaving since ${sinceMs}`);
+    const isInTime = sinceMs === undefined || Date.now() - sinceMs <= LEAVING_GRACE_MS;
+    const detail = `${chosen.entry.id} is leaving since ${sinceMs}`;
+    if (!isPromiseKept(isInTime, 'leavingGetsNoWork', detail)) {
+      throw new Refusal('noUpstream', detail, this.#tracker);
+    }
     return chosen.entry;
   }
 
--- a/packages/routing/src/sessionResolver.ts
+++ b/packages/routing/src/sessionResolver.ts
@@ -1,19 +1,22 @@
 /** Finds the session that a request belongs to, and whether its version still holds. */
 import type { SafeMoves } from '@snipehaven/configuration';
-import type { Pin, PinDirectory, SessionTokens } from '@snipehaven/sessions';
+import {
+  decideSessionVersion,
+  type Pin,
+  type PinDirectory,
+  type SessionMoveReason,
+  type SessionTokens,
+} from '@snipehaven/sessions';
 import { isVersionAllowed } from './teamDirectory.js';
 import type { ChatRequest } from './types.js';
 
-/** Why a session cannot stay on its version. */
-export type MoveReason = 'withdrawn' | 'notAllowed';
-
 /** The session of a request. */
 export type SessionState =
   /** The first request of a session, or none at all. */
   | { readonly kind: 'new' }
   | { readonly kind: 'pinned'; readonly pin: Pin }
   /** The pinned version may not be used any more: the session moves once. */
-  | { readonly kind: 'moving'; readonly pin: Pin; readonly reason: MoveReason };
+  | { readonly kind: 'moving'; readonly pin: Pin; readonly reason: SessionMoveReason };
 
 export interface SessionResolverOptions {
   readonly tokens: SessionTokens;
@@ -42,10 +45,12 @@
   if (pin === undefined) {
     return { kind: 'new' };
   }
-  if (options.safeMoves.isVersionBlocked(pin.version)) {
-    return { kind: 'moving', pin, reason: 'withdrawn' };
-  }
-  return isVersionAllowed(request.identity.team, pin.version)
+  const decision = decideSessionVersion({
+    pin,
+    isVersionAllowed: (version) => isVersionAllowed(request.identity.team, version),
+    isVersionBlocked: (version) => options.safeMoves.isVersionBlocked(version),
+  });
+  return decision.kind === 'keep'
     ? { kind: 'pinned', pin }
-    : { kind: 'moving', pin, reason: 'notAllowed' };
+    : { kind: 'moving', pin, reason: decision.reason };
 };
--- a/packages/routing/src/stepRunner.ts
+++ b/packages/routing/src/stepRunner.ts
@@ -1,5 +1,11 @@
 /** Runs one step of a plan: attempts at upstreams of one version until there is a whole answer. */
-import { asId, type StreamId, type UpstreamId, type VersionId } from '@snipehaven/common';
+import {
+  asId,
+  isPromiseKept,
+  type StreamId,
+  type UpstreamId,
+  type VersionId,
+} from '@snipehaven/common';
 import {
   decideRetry,
   feedRetryBudget,
@@ -15,7 +21,6 @@
   UpstreamSilentError,
   type EngineEvent,
 } from '@snipehaven/upstream';
-import { invariant } from '@snipehaven/common';
 import { AnswerAssembler } from './answerAssembler.js';
 import { toEngineBody } from './chatBody.js';
 import { LEAVING_GRACE_MS } from './constants.js';
@@ -138,7 +143,7 @@
   }
 
   async #start(version: VersionId, excludedIds: readonly UpstreamId[]): Promise<RunningAttempt> {
-    const entry = this.#choose(version, excludedIds);
+    const entry = await this.#choose(version, excludedIds);
     const { request, tracker, account, signal } = this.#context;
     this.#assertMayDispatch(version, entry);
     this.#attempts += 1;
@@ -171,9 +176,9 @@
     return { entry, stream, dispatch, attempt, assembler, startedAtMs, firstTokenMs: undefined };
   }
 
-  #choose(version: VersionId, excludedIds: readonly UpstreamId[]): UpstreamEntry {
+  async #choose(version: VersionId, excludedIds: readonly UpstreamId[]): Promise<UpstreamEntry> {
     const { prefixKey, sessionKey, tracker } = this.#context;
-    const chosen = this.#deps.registry.choose({
+    const chosen = await this.#deps.registry.chooseFresh({
       version,
       prefixKey,
       excludedIds,
@@ -189,8 +194,11 @@
   #assertMayDispatch(version: VersionId, entry: UpstreamEntry): void {
     const { safeMoves } = this.#deps;
     const sinceMs = entry.leavingSinceMs;
-    const isLate = sinceMs !== undefined && Date.now() - sinceMs > LEAVING_GRACE_MS;
-    invariant(!isLate, 'leavingGetsNoWork', `${entry.id} is leaving since ${sinceMs}`);
+    const isInTime = sinceMs === undefined || Date.now() - sinceMs <= LEAVING_GRACE_MS;
+    const detail = `${entry.id} is leaving since ${sinceMs}`;
+    if (!isPromiseKept(isInTime, 'leavingGetsNoWork', detail)) {
+      throw new NoUpstreamError('noUpstream', detail, this.#context.tracker);
+    }
     if (safeMoves.isVersionBlocked(version)) {
       const message = `${version} was withdrawn while the request waited`;
       throw new NoUpstreamError('noUpstream', message, this.#context.tracker);
--- a/packages/routing/src/upstreamEntry.ts
+++ b/packages/routing/src/upstreamEntry.ts
@@ -1,8 +1,14 @@
 /** What a daemon knows of one upstream, and what it has in flight there. */
 import { asId, type DataCentreId, type Random, type UpstreamId } from '@snipehaven/common';
 import {
+  adjustConcurrency,
+  assignOwnSlots,
+  createConcurrency,
   createHealth,
+  getKnownLoad,
+  getMaxConcurrency,
   recordOutcome,
+  type ConcurrencyState,
   type OutcomeKind,
   type UpstreamHealth,
   type UpstreamView,
@@ -15,6 +21,16 @@
 /** Where the word came from that an upstream is leaving. */
 export type LeavingSource = 'vmList' | 'engine' | 'operator';
 
+/** Where the daemon and the upstream stand in the sorted lists of their data centre. */
+export interface SlotPlace {
+  readonly upstreamIndex: number;
+  readonly daemonIndex: number;
+  readonly daemonCount: number;
+}
+
+/** What an adaptive limit shrinks on. */
+const ROOM_OUTCOMES: ReadonlySet<OutcomeKind> = new Set(['refused', 'timedOut']);
+
 export class UpstreamEntry {
   readonly id: UpstreamId;
 
@@ -26,12 +42,18 @@
 
   #loadAtMs = 0;
 
+  /** When this daemon last read the load, by the clock of the registry. */
+  #loadReadAtMs = -Infinity;
+
   #inFlight = 0;
 
   #lastSentAtMs = -Infinity;
 
   #firstTokenMs = 0;
 
+  /** Follows an engine's batch; services report none, and keep what the operator declared. */
+  #concurrency: ConcurrencyState;
+
   /** When each of the requests sent after the last load report went out. */
   #sentAtMs: number[] = [];
 
@@ -43,6 +65,7 @@
     this.id = asId<UpstreamId>(resource.metadata.name);
     this.#spec = resource.spec;
     this.#health = createHealth(nowMs);
+    this.#concurrency = createConcurrency(resource.spec.maxConcurrency);
   }
 
   get spec(): UpstreamSpec {
@@ -71,7 +94,15 @@
     return this.#leaving.size === 0 ? undefined : Math.min(...this.#leaving.values());
   }
 
+  /** Neither leaving nor ejected. */
+  get isOpen(): boolean {
+    return this.#leaving.size === 0 && this.#health.ejectedUntilMs === 0;
+  }
+
   setSpec(spec: UpstreamSpec): void {
+    if (spec.maxConcurrency !== this.#spec.maxConcurrency) {
+      this.#concurrency = createConcurrency(spec.maxConcurrency);
+    }
     this.#spec = spec;
   }
 
@@ -89,7 +120,14 @@
     }
   }
 
-  noteLoad(load: EngineLoad): void {
+  /** When the load was last read; -Infinity: never. */
+  get loadReadAtMs(): number {
+    return this.#loadReadAtMs;
+  }
+
+  /** `readAtMs` is of the registry's steady clock, unlike the report's own time. */
+  noteLoad(load: EngineLoad, readAtMs: number): void {
+    this.#loadReadAtMs = readAtMs;
     this.#load = load;
     this.#loadAtMs = load.atMs;
     this.#sentAtMs = this.#sentAtMs.filter((sentAtMs) => sentAtMs > load.atMs);
@@ -129,6 +167,7 @@
       this.#firstTokenMs === 0
         ? firstTokenMs
         : this.#firstTokenMs + LATENCY_WEIGHT * (firstTokenMs - this.#firstTokenMs);
+    this.#adjustConcurrency(firstTokenMs, false);
   }
 
   noteOutcome(
@@ -138,9 +177,15 @@
     random: Random,
   ): void {
     this.#health = recordOutcome(this.#health, outcome, nowMs, { ...pool, random });
+    if (ROOM_OUTCOMES.has(outcome)) {
+      this.#adjustConcurrency(this.#firstTokenMs, true);
+    }
   }
 
-  toView(prefixKey: string | undefined): UpstreamView {
+  /** Without a place, as for other data centres' upstreams, the daemon has no slots of its own there. */
+  toView(prefixKey?: string, place?: SlotPlace): UpstreamView {
+    const limit = Math.min(this.#spec.maxConcurrency, getMaxConcurrency(this.#concurrency));
+    const ownSlots = place && assignOwnSlots({ limit, ...place });
     return {
       id: this.id,
       dataCentre: asId<DataCentreId>(this.#spec.dataCentre),
@@ -149,7 +194,8 @@
       reportedRunning: this.#load?.running ?? 0,
       reportedQueued: this.#load?.queued ?? 0,
       reportAtMs: this.#loadAtMs,
-      maxConcurrency: this.#spec.maxConcurrency,
+      maxConcurrency: limit,
+      ...(ownSlots === undefined ? {} : { ownSlots }),
       firstTokenMs: this.#firstTokenMs,
       ejectedUntilMs: this.#health.ejectedUntilMs,
       slowStartSinceMs: this.#health.slowStartSinceMs,
@@ -157,4 +203,16 @@
       hasPrefixCached: prefixKey !== undefined && this.#prefixes.has(prefixKey),
     };
   }
+
+  #adjustConcurrency(firstTokenMs: number, isRefused: boolean): void {
+    if (this.#spec.type === 'engine') {
+      this.#concurrency = adjustConcurrency(this.#concurrency, {
+        firstTokenMs,
+        load: getKnownLoad(this.toView()),
+        reportedRunning: this.#load?.running ?? 0,
+        reportedQueued: this.#load?.queued ?? 0,
+        isRefused,
+      });
+    }
+  }
 }
--- a/packages/routing/src/upstreamRegistry.ts
+++ b/packages/routing/src/upstreamRegistry.ts
@@ -1,16 +1,34 @@
 /** All configured upstreams, and the choice among them. */
 import type { DataCentreId, Random, UpstreamId } from '@snipehaven/common';
-import { chooseUpstream, type OutcomeKind, type UpstreamChoiceReason } from '@snipehaven/policy';
+import {
+  chooseUpstream,
+  countPrefix,
+  createPrefixCounts,
+  getMaxRunning,
+  getPrefixShare,
+  type OutcomeKind,
+  type PrefixCounts,
+  type UpstreamChoiceReason,
+  type UpstreamView,
+} from '@snipehaven/policy';
 import type { ConfigurationView } from '@snipehaven/resources';
 import type { TimelineRecorder } from '@snipehaven/timeline';
-import { UpstreamEntry, type LeavingSource } from './upstreamEntry.js';
+import type { EngineLoad } from '@snipehaven/upstream';
+import { UpstreamEntry, type LeavingSource, type SlotPlace } from './upstreamEntry.js';
+import { UpstreamFreshness } from './upstreamFreshness.js';
 
 export interface RegistryOptions {
   readonly localDataCentre: DataCentreId;
   readonly random: Random;
   readonly timeline: TimelineRecorder;
-  /** Daemons of the data centre, which send to the same upstreams. */
-  readonly getDaemonCount: () => number;
+  /** This daemon's place among those of the data centre, which send to the same upstreams. */
+  readonly getDaemonPlace: () => DaemonPlace;
+}
+
+/** A place in a sorted list that all daemons of the data centre share. */
+export interface DaemonPlace {
+  readonly daemonIndex: number;
+  readonly daemonCount: number;
 }
 
 /** What an attempt looks for. */
@@ -34,10 +52,17 @@
 const RATE_WINDOW_MS = 5_000;
 
 export class UpstreamRegistry {
+  readonly freshness = new UpstreamFreshness();
+
   readonly #options: RegistryOptions;
 
   #entries = new Map<string, UpstreamEntry>();
 
+  /** Places of the own data centre's upstreams in the order of their ids. */
+  #upstreamIndexes = new Map<string, number>();
+
+  #prefixes: PrefixCounts = createPrefixCounts();
+
   readonly #refusalListeners = new Set<RefusalListener>();
 
   #sentInWindow = 0;
@@ -62,6 +87,10 @@
       entries.set(resource.metadata.name, entry);
     });
     this.#entries = entries;
+    const localIds = [...entries.values()]
+      .filter((entry) => this.#isLocal(entry))
+      .map(({ id }) => id);
+    this.#upstreamIndexes = new Map(localIds.sort().map((id, index) => [id, index]));
   }
 
   list(): readonly UpstreamEntry[] {
@@ -79,23 +108,64 @@
     );
   }
 
+  /** How many requests may run at once, by the room at the upstreams that they go to. */
+  getMaxRunning(): number {
+    const { daemonCount } = this.#options.getDaemonPlace();
+    const entries = this.list();
+    const local = entries.filter((entry) => this.#isLocal(entry) && entry.isOpen);
+    return getMaxRunning(this.#toViews(local.length > 0 ? local : entries), daemonCount);
+  }
+
   choose(wish: UpstreamWish): ChosenUpstream | undefined {
     const nowMs = Date.now();
+    const { prefixKey, sessionKey } = wish;
     const choice = chooseUpstream({
-      upstreams: this.#listServing(wish).map((entry) => entry.toView(wish.prefixKey)),
-      ...(wish.sessionKey === undefined ? {} : { sessionKey: wish.sessionKey }),
-      ...(wish.prefixKey === undefined ? {} : { prefixKey: wish.prefixKey }),
+      upstreams: this.#toViews(this.#listServing(wish), prefixKey),
+      ...(sessionKey === undefined ? {} : { sessionKey }),
+      ...(prefixKey === undefined
+        ? {}
+        : { prefixKey, prefixShare: this.#getPrefixShare(prefixKey, wish) }),
       localDataCentre: this.#options.localDataCentre,
       nowMs,
       random: this.#options.random,
       excludedIds: wish.excludedIds,
-      daemonCount: this.#options.getDaemonCount(),
+      daemonCount: this.#options.getDaemonPlace().daemonCount,
       ownRequestsPerSecond: this.#countSent(nowMs),
     });
     const entry = choice && this.#entries.get(choice.upstream);
     return choice && entry ? { entry, reason: choice.reason } : undefined;
   }
 
+  /**
+   * The same among what this daemon knows enough of: a choice whose load report is too old is read anew.
+   * One that is leaving, or does not answer, is passed over.
+   */
+  async chooseFresh(wish: UpstreamWish): Promise<ChosenUpstream | undefined> {
+    if (wish.version === undefined) {
+      await this.freshness.refreshVmList();
+    }
+    const unreachableIds: UpstreamId[] = [];
+    for (;;) {
+      const excludedIds = [...wish.excludedIds, ...unreachableIds];
+      const chosen = this.choose({ ...wish, excludedIds });
+      if (chosen === undefined || !this.freshness.isStale(chosen.entry)) {
+        return chosen;
+      }
+      const { entry } = chosen;
+      if ((await this.freshness.refresh(entry)) === 'unreachable') {
+        unreachableIds.push(entry.id);
+      } else if (entry.isOpen && this.#listServing(wish).includes(entry)) {
+        return chosen;
+      }
+    }
+  }
+
+  /** Takes in an engine's load report. */
+  noteLoad(entry: UpstreamEntry, load: EngineLoad): void {
+    entry.noteLoad(load, this.freshness.nowMs);
+    this.noteLeaving(entry.id, 'engine', load.leaving);
+  }
+
   recordOutcome(entry: UpstreamEntry, outcome: OutcomeKind): void {
     const pool = this.#listPool(entry);
     const wasEjected = entry.health.ejectedUntilMs !== 0;
@@ -130,6 +200,28 @@
     }
   }
 
+  #isLocal(entry: UpstreamEntry): boolean {
+    return entry.spec.dataCentre === this.#options.localDataCentre;
+  }
+
+  #toViews(entries: readonly UpstreamEntry[], prefixKey?: string): readonly UpstreamView[] {
+    const place = this.#options.getDaemonPlace();
+    return entries.map((entry) => entry.toView(prefixKey, this.#getSlotPlace(entry, place)));
+  }
+
+  #getSlotPlace(entry: UpstreamEntry, place: DaemonPlace): SlotPlace | undefined {
+    const upstreamIndex = this.#upstreamIndexes.get(entry.id);
+    return upstreamIndex === undefined ? undefined : { upstreamIndex, ...place };
+  }
+
+  /** Counts each request once, at its first attempt. */
+  #getPrefixShare(prefixKey: string, { excludedIds }: UpstreamWish): number {
+    if (excludedIds.length === 0) {
+      this.#prefixes = countPrefix(this.#prefixes, prefixKey);
+    }
+    return getPrefixShare(this.#prefixes, prefixKey);
+  }
+
   #listServing(wish: UpstreamWish): readonly UpstreamEntry[] {
     return this.list().filter((entry) =>
       wish.version === undefined
--- a/packages/routing/src/upstreamWatcher.test.ts
+++ b/packages/routing/src/upstreamWatcher.test.ts
@@ -29,7 +29,7 @@
     localDataCentre: asId<DataCentreId>('dc-1'),
     random: createRandom(1),
     timeline: { record: () => undefined },
-    getDaemonCount: () => 1,
+    getDaemonPlace: () => ({ daemonIndex: 0, daemonCount: 1 }),
   });
 
   readonly asked: string[] = [];
--- a/packages/routing/src/upstreamWatcher.ts
+++ b/packages/routing/src/upstreamWatcher.ts
@@ -55,6 +55,10 @@
     void this.#repeat(remoteIntervalMs, () => this.#pollRemoteLoads());
     void this.#repeat(settings.cacheEventsIntervalMs, () => this.#pollCacheEvents());
     void this.#repeat(settings.vmListIntervalMs, () => this.#pollVmList());
+    registry.freshness.setReader({
+      readLoad: (entry) => this.#pollLoad(entry),
+      readVmList: () => this.#pollVmList(),
+    });
     const stopListening = registry.onRefusal((entry) => this.#askAfterRefusal(entry));
     this.#stopped.signal.addEventListener('abort', stopListening, { once: true });
   }
@@ -121,8 +125,7 @@
     this.#polling.add(entry);
     try {
       const load = await this.#options.engines.getLoad(entry.spec.url);
-      entry.noteLoad(load);
-      this.#options.registry.noteLeaving(entry.id, 'engine', load.leaving);
+      this.#options.registry.noteLoad(entry, load);
     } finally {
       this.#polling.delete(entry);
     }
@@ -154,6 +157,7 @@
     const leaving = new Set(
       vms.filter((vm) => vm.role === 'upstream' && vm.state === 'leaving').map((vm) => vm.address),
     );
+    this.#options.registry.freshness.noteVmListRead();
     this.#options.registry.list().forEach((entry) => {
       const { host } = new URL(entry.spec.url);
       this.#options.registry.noteLeaving(entry.id, 'vmList', leaving.has(host));
--- a/packages/upstream/src/upstreamCall.ts
+++ b/packages/upstream/src/upstreamCall.ts
@@ -1,6 +1,6 @@
 /** One HTTP request to an upstream, its failures turned into this layer's errors. */
 import { errors, type Dispatcher, type Pool } from 'undici';
-import { getErrorMessage } from '@snipehaven/common';
+import { getErrorMessage, isNotSent } from '@snipehaven/common';
 import { MS_PER_SECOND, NOT_STARTED_HEADER } from './constants.js';
 import {
   UpstreamAbortedError,
@@ -12,17 +12,6 @@
 
 const HTTP_OK_LIMIT = 300;
 
-/** Codes of failures before any byte of the request went out. */
-const NOT_SENT_CODES: ReadonlySet<string> = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'UND_ERR_CONNECT_TIMEOUT',
-]);
-
-const getCode = (error: unknown): string =>
-  typeof error === 'object' && error !== null && 'code' in error ? String(error.code) : '';
-
 const isTimeout = (error: unknown): boolean =>
   error instanceof errors.HeadersTimeoutError ||
   error instanceof errors.BodyTimeoutError ||
@@ -38,7 +27,7 @@
   if (signal?.aborted) {
     return new UpstreamAbortedError(message, options);
   }
-  return NOT_SENT_CODES.has(getCode(error))
+  return isNotSent(error)
     ? new UpstreamNotStartedError(message, options)
     : new UpstreamBrokenError(message, options);
 };
