--- a/packages/platform/src/httpCaller.test.ts
+++ b/packages/platform/src/httpCaller.test.ts
@@ -91,6 +91,24 @@
   await caller.close();
 });
 
+test('lets the other calls go on when one times out', async () => {
+  // Symptom: claims are refused as "platform away" though the table answers.
+  // Sequence: one call is lost; others are under way over the same pool.
+  // Cause: the pool is destroyed with all that is in progress on it.
+  const caller = new HttpCaller(url, TIMEOUT_MS);
+  answer = () => undefined;
+  const lost = getError(caller.call({ ...READ, timeoutMs: TIMEOUT_MS / 3 }));
+  let finish: () => void = () => undefined;
+  answer = (response) => {
+    finish = () => reply(200, {})(response);
+  };
+  const slow = caller.call({ ...READ, timeoutMs: 100 * TIMEOUT_MS });
+  assert.instance(await lost, PlatformOutcomeUnknownError);
+  finish();
+  assert.is((await slow).status, 200);
+  await caller.close();
+});
+
 test('takes an answer in another form for an unknown outcome', async () => {
   // Symptom: a write that took effect is reported as a fault of the program.
   // Sequence: the write is made, and something in between answers 200 with a page of its own.
--- a/packages/platform/src/httpCaller.ts
+++ b/packages/platform/src/httpCaller.ts
@@ -33,7 +33,8 @@
 
   /**
    * A connection that went silent for good must not serve the next call, or every later call would
-   * time out too. A timed-out call therefore drops the whole pool and the next one connects anew.
+   * time out too. A timed-out call therefore leaves the whole pool and the next one connects anew. Calls
+   * in progress on the old pool go on until their own time is over: cut off, their outcome is unknown.
    */
   #agent: Agent;
 
@@ -90,7 +91,7 @@
       return;
     }
     this.#agent = HttpCaller.#createAgent();
-    agent.destroy().catch(() => undefined);
+    agent.close().catch(() => undefined);
   }
 
   static #toPlatformError(call: PlatformCall, cause: unknown): Error {
