Hand a stopping daemon's held copies on; retry the platform until the stop's time is over

Cause, confirmed: stop() flushed and replicated the book only. Copies held for an owner that died and was not yet adopted (membership's word, then 5 s) ended with the holder, and the report counted own records only. flush and spill got one try each. Copies that came while stopping were taken and lost.

Ruled out: adopting at once at stop. The engines must be asked, up to 5 x 2 s each, and an owner that is only suspect would lose its runs.

Change: at stop all copies become own records (takenRecords): settled ones are written, open ones go to the own peer under their owner's name (OpenUsage.ownedBy, optional on the wire), which settles them when the stopper has left and membership holds the owner dead, waits while it is suspect, and drops them when it lives. The count left includes copies that nobody answers for. An owner that membership has met counts as met for the confirmation of its death: copies of a stopper came first with its stop, and waited 12 times as long.

--- a/packages/ledger/src/adopter.ts
+++ b/packages/ledger/src/adopter.ts
@@ -1,5 +1,5 @@
 /** Settles the records of dead owners whose copies this daemon holds. */
-import { getErrorMessage, type Logger, type Random } from '@snipehaven/common';
+import { getErrorMessage, sleep, type Logger, type Random } from '@snipehaven/common';
 import type { MembershipView } from '@snipehaven/membership';
 import type { TableClient } from '@snipehaven/platform';
 import type { OpenUsage, UsageEntry } from '@snipehaven/protocol';
@@ -11,6 +11,7 @@
 import type { HeldRecord, HeldRecords } from './heldRecords.js';
 import type { RecordBook } from './recordBook.js';
 import type { Replicator } from './replicator.js';
+import type { TakenRecords } from './takenRecords.js';
 import type { LedgerSettings } from './types.js';
 
 export interface AdopterOptions {
@@ -18,6 +19,7 @@
   readonly held: HeldRecords;
   readonly book: RecordBook;
   readonly replicator: Replicator;
+  readonly taken: TakenRecords;
   readonly table: TableClient;
   readonly engines: AccountEngines;
   readonly membership: MembershipView;
@@ -65,8 +67,15 @@
   /** Begins to adopt the records of owners that are dead by now. */
   check(): void {
     const { held, membership } = this.#options;
+    if (this.#isStopped) {
+      return;
+    }
     this.#deaths
-      .check(held.listOwners(), (owner) => membership.isIncarnationAlive(owner))
+      .check(
+        held.listOwners(),
+        (owner) => membership.isIncarnationAlive(owner),
+        (owner) => membership.getMember(owner) !== undefined,
+      )
       .filter((owner) => !this.#underWay.has(owner))
       .forEach((owner) => {
         void this.#adopt(owner);
@@ -91,13 +100,17 @@
     }
   }
 
+  /**
+   * What goes wrong: the adopter dies too while it asks the engines, and nobody knows of the records any
+   * more. They become its own records first, with a copy on its own peer, which adopts them in turn.
+   */
   async #adoptRecords(owner: string, records: readonly HeldRecord[]): Promise<void> {
+    await this.#options.taken.take(owner, records);
     if (records.length === 0) {
       return;
     }
     const entries = listEntries(records);
     const open = listOpen(records);
-    await this.#takeOver(records);
     await this.#closeLedger(owner, entries);
     const settled = records.filter((held) => held.record.kind === 'settled');
     this.#options.held.dropAdopted(owner, settled);
@@ -106,23 +119,6 @@
     this.#options.timeline.record('usageAdopted', {}, detail);
   }
 
-  /**
-   * What goes wrong: the adopter dies too while it asks the engines, and nobody knows of the records any
-   * more. They become its own records first, with a copy on its own peer, which adopts them in turn.
-   */
-  async #takeOver(records: readonly HeldRecord[]): Promise<void> {
-    const { book, replicator } = this.#options;
-    const copies = records.map(({ record }) => {
-      const id = record.kind === 'open' ? record.usage.requestId : record.entry.requestId;
-      if (record.kind === 'open' && book.getRecord(id)?.kind === 'settled') {
-        return Promise.resolve();
-      }
-      book.adopt(record);
-      return replicator.replicate(id);
-    });
-    await Promise.all(copies);
-  }
-
   /** What the closing does not write goes the way of the own entries; twice would do no harm. */
   async #closeLedger(owner: string, entries: readonly UsageEntry[]): Promise<void> {
     const { held, table, random, self, settings, onLasting } = this.#options;
@@ -154,26 +150,45 @@
 
   /** An owner that is back goes on with its request: no more of its runs are cancelled. */
   async #settleOrGiveBack(owner: string, { held, usage }: HeldOpen): Promise<void> {
+    await this.#waitForWord(usage.ownedBy);
     if (this.#isStopped) {
       return;
     }
     if (this.#isBack(owner)) {
-      this.#drop(usage.requestId);
+      this.#options.taken.drop(usage.requestId);
       return;
     }
-    await this.#settle(usage, held.receivedAtMs);
-    this.#options.held.dropAdopted(owner, [held]);
+    if (usage.ownedBy !== undefined && this.#isBack(usage.ownedBy)) {
+      this.#options.taken.drop(usage.requestId);
+    } else {
+      await this.#settle(usage, held.receivedAtMs);
+    }
+    if (!this.#isBack(owner)) {
+      this.#options.held.dropAdopted(owner, [held]);
+    }
+  }
+
+  /**
+   * What goes wrong: a daemon passes a suspect's copies on and dies; to settle them now would cut off a
+   * suspect that lives, to drop them would lose the bills of one that is dead. So membership decides
+   * first.
+   */
+  async #waitForWord(owner: string | undefined): Promise<void> {
+    const { membership, settings } = this.#options;
+    while (owner && membership.getMember(owner)?.state === 'suspect' && !this.#isStopped) {
+      await sleep(settings.checkIntervalMs);
+    }
   }
 
   async #settle(usage: OpenUsage, receivedAtMs: number): Promise<void> {
-    const { engines, settings, book, replicator, self } = this.#options;
+    const { engines, settings, book, replicator, taken, self } = this.#options;
     const accounts = await askEngines(engines, { usage, receivedAtMs }, settings);
     const settlement = getAdoptedSettlement(accounts);
     if (book.getRecord(usage.requestId)?.kind !== 'open') {
       return;
     }
     if (!settlement) {
-      this.#drop(usage.requestId);
+      taken.drop(usage.requestId);
       return;
     }
     book.settle(usage.requestId, settlement, { settledBy: self, isAdopted: true });
@@ -195,11 +210,6 @@
     });
   }
 
-  #drop(requestId: string): void {
-    this.#options.book.giveBack(requestId);
-    this.#options.replicator.forget(requestId);
-  }
-
   #isBack(owner: string): boolean {
     return this.#options.membership.isIncarnationAlive(owner);
   }
--- a/packages/ledger/src/deathConfirmer.ts
+++ b/packages/ledger/src/deathConfirmer.ts
@@ -4,7 +4,7 @@
   readonly adoptAfterMs: number;
 }
 
-/** An owner that membership has never shown alive may just be new there; it gets this much longer. */
+/** An owner that membership has never met may just be new there; it gets this much longer. */
 const UNSEEN_FACTOR = 12;
 /** Checks further apart than this many intervals mean that this process was paused. */
 const PAUSE_INTERVALS = 3;
@@ -14,7 +14,7 @@
 
   readonly #deadSinceMs = new Map<string, number>();
 
-  readonly #seenAlive = new Set<string>();
+  readonly #met = new Set<string>();
 
   #checkedAtMs = Date.now();
 
@@ -29,7 +29,7 @@
 
   forget(owner: string): void {
     this.#deadSinceMs.delete(owner);
-    this.#seenAlive.delete(owner);
+    this.#met.delete(owner);
   }
 
   /**
@@ -38,25 +38,30 @@
    * of daemons that serve. One notices answers cut everywhere after one pause. After a gap between
    * checks the wait begins anew.
    */
-  check(owners: readonly string[], isAlive: (owner: string) => boolean): readonly string[] {
+  check(
+    owners: readonly string[],
+    isAlive: (owner: string) => boolean,
+    isMet: (owner: string) => boolean = () => false,
+  ): readonly string[] {
     const nowMs = Date.now();
     const gapMs = Math.abs(nowMs - this.#checkedAtMs);
     this.#checkedAtMs = nowMs;
     if (gapMs > PAUSE_INTERVALS * this.#settings.checkIntervalMs) {
       this.#deadSinceMs.clear();
     }
+    owners.filter(isMet).forEach((owner) => this.#met.add(owner));
     return owners.filter((owner) => this.#isConfirmed(owner, isAlive(owner), nowMs));
   }
 
   #isConfirmed(owner: string, isAlive: boolean, nowMs: number): boolean {
     if (isAlive) {
-      this.#seenAlive.add(owner);
+      this.#met.add(owner);
       this.#deadSinceMs.delete(owner);
       return false;
     }
     const sinceMs = this.#deadSinceMs.get(owner) ?? nowMs;
     this.#deadSinceMs.set(owner, sinceMs);
-    const factor = this.#seenAlive.has(owner) ? 1 : UNSEEN_FACTOR;
+    const factor = this.#met.has(owner) ? 1 : UNSEEN_FACTOR;
     return nowMs - sinceMs >= this.#settings.adoptAfterMs * factor;
   }
 }
--- a/packages/ledger/src/recordBook.ts
+++ b/packages/ledger/src/recordBook.ts
@@ -123,6 +123,7 @@
       if (!present || compareEntries(record.entry, present) < 0) {
         this.#settled.set(record.entry.requestId, record.entry);
       }
+      this.#open.delete(record.entry.requestId);
       return;
     }
     this.#open.set(record.usage.requestId, record.usage);
--- a/packages/ledger/src/replicatedUsageLedger.test.ts
+++ b/packages/ledger/src/replicatedUsageLedger.test.ts
@@ -331,4 +331,74 @@
   assert.equal(await readBills(cluster), ['r1 answered 7']);
 });
 
+/** Kills the owner of a settled and an open record; its holder then stops before it adopts. */
+const stopHolderAfterOwner = async (
+  waitMs: number,
+): Promise<{ cluster: FakeCluster; left: number }> => {
+  const { cluster, owner, holder } = await startPair();
+  cluster.engines.streams.set('r1', createState('running', 3));
+  await open(owner, 'r2');
+  await settle(owner, 'r2', 5);
+  cluster.kill(owner);
+  await clock.tickAsync(waitMs);
+  return { cluster, left: await wait(cluster.stop(holder)) };
+};
+
+// Symptom: an answered request has no bill, though the stopping daemon said that nothing was left.
+// Sequence: owner killed; its holder stops gracefully before it adopts (unnoticed, suspect, dead).
+// Cause: `stop` handed over the own records and dropped the copies held for the dead owner.
+[100, 1_500, 4_000].forEach((waitMs) => {
+  test(`a holder that stops ${waitMs} ms after its owner's death hands its copies on`, async () => {
+    const { cluster, left } = await stopHolderAfterOwner(waitMs);
+    assert.is(left, 0);
+    assert.ok((await readBills(cluster)).includes('r2 answered 5'));
+    await clock.tickAsync(MINUTE_MS);
+    assert.equal(await readBills(cluster), ['r1 partial 3', 'r2 answered 5']);
+  });
+});
+
+// Symptom: a stopping daemon reports 0 records left though it takes the last copies with it.
+// Sequence: owner killed, the platform away, no other daemon; the holder stops.
+// Cause: the report counted own records only.
+test('a holder that can hand its copies to nobody says so', async () => {
+  const { cluster, owner, holder } = await startPair(2);
+  await open(owner, 'r2');
+  await settle(owner, 'r2', 5);
+  cluster.table.isDown = true;
+  cluster.objectStore.isDown = true;
+  cluster.kill(owner);
+  await clock.tickAsync(3_000);
+  assert.is(await wait(cluster.stop(holder)), 2);
+});
+
+// Symptom: runs of a daemon that serves are cancelled after another daemon's shutdown.
+// Sequence: the holder stops; its peer adopts what it left, open copies of a live owner among them.
+// Cause: the peer can't tell the stopper's own requests from those it only held copies of.
+test('a stopped holder leaves the requests of live owners alone', async () => {
+  const { cluster, owner, holder } = await startPair();
+  cluster.engines.streams.set('r1', createState('running', 3));
+  assert.is(await wait(cluster.stop(holder)), 0);
+  await clock.tickAsync(MINUTE_MS);
+  assert.is(cluster.engines.cancels, 0);
+  await settle(owner, 'r1', 7);
+  await clock.tickAsync(MINUTE_MS);
+  assert.equal(await readBills(cluster), ['r1 answered 7']);
+});
+
+// Symptom: records are left behind within 1.5 s though the outage ended inside the time to stop.
+// Sequence: table and object store down; the owner stops; both are back after 4 s.
+// Cause: `stop` gave flush and spill one try each.
+test('a graceful stop tries the platform again until its time is over', async () => {
+  const { cluster, owner } = await startPair();
+  cluster.table.isDown = true;
+  cluster.objectStore.isDown = true;
+  await settle(owner, 'r1', 7);
+  setTimeout(() => {
+    cluster.table.isDown = false;
+    cluster.objectStore.isDown = false;
+  }, 4_000);
+  assert.is(await wait(owner.ledger.stop()), 0);
+  assert.equal(await readBills(cluster), ['r1 answered 7']);
+});
+
 test.run();
--- a/packages/ledger/src/replicatedUsageLedger.ts
+++ b/packages/ledger/src/replicatedUsageLedger.ts
@@ -11,18 +11,19 @@
 import { Adopter } from './adopter.js';
 import { DEFAULT_LEDGER_SETTINGS } from './constants.js';
 import { LedgerFullError, LedgerStoppedError, WrongPeerError } from './errors.js';
+import { handOver } from './handOver.js';
 import { HeldRecords } from './heldRecords.js';
 import { LedgerFlusher } from './ledgerFlusher.js';
 import { LedgerSpiller } from './ledgerSpiller.js';
 import { RecordBook } from './recordBook.js';
 import { Replicator } from './replicator.js';
+import { TakenRecords } from './takenRecords.js';
 import type {
   LedgerSettings,
   ReplicatedUsageLedgerOptions,
   Settlement,
   UsageLedger,
 } from './types.js';
-import { withTimeout } from './withTimeout.js';
 
 /** `backlog` writes one batch and spills if need be; `all` writes until nothing is left or a try fails. */
 interface FlushMessage {
@@ -37,11 +38,12 @@
   /**
    * Answers other daemons' messages. What goes wrong: a new daemon at a dead one's address takes the copy
    * meant for the dead one; the owner moves on and never releases it, and the copy grows stale. One
-   * notices adopted entries beside the owner's. So a message for another incarnation is refused.
+   * notices adopted entries beside the owner's. So a message for another incarnation is refused. A copy
+   * that comes while this daemon hands over would be lost with it: the owner turns to its next peer.
    */
   readonly handlers: UsageHandlers = {
     replicate: async (message) => {
-      if (this.#state === 'stopped') {
+      if (this.#state !== 'running') {
         throw new LedgerStoppedError('this daemon holds no more copies');
       }
       if (message.peer !== this.#options.self) {
@@ -64,6 +66,8 @@
 
   readonly #replicator: Replicator;
 
+  readonly #taken: TakenRecords;
+
   readonly #flusher: LedgerFlusher;
 
   readonly #spiller: LedgerSpiller;
@@ -89,7 +93,13 @@
     this.#spiller = new LedgerSpiller(shared);
     const getLedger = (): string => this.#flusher.ledger;
     this.#replicator = new Replicator({ ...shared, system: this.#system, getLedger });
-    this.#adopter = new Adopter({ ...shared, held: this.#held, replicator: this.#replicator });
+    this.#taken = new TakenRecords(this.#book, this.#replicator);
+    this.#adopter = new Adopter({
+      ...shared,
+      held: this.#held,
+      replicator: this.#replicator,
+      taken: this.#taken,
+    });
     this.#flushActor = spawnHandlerActor<FlushMessage>(
       this.#system,
       'usageFlusher',
@@ -154,8 +164,9 @@
   }
 
   /**
-   * Stops: opens nothing more, flushes, spills what the table does not take, and makes sure that the peer
-   * holds the rest. Resolves with the count of records left to the peer.
+   * Stops: opens and holds nothing more, flushes what is its own and what it holds settled, spills what
+   * the table does not take, and makes sure that the peer holds the rest. Resolves with the count of
+   * records that do not last: own ones left to the peer, others' that nobody answers for.
    */
   async stop(): Promise<number> {
     if (this.#state !== 'running') {
@@ -164,32 +175,27 @@
     this.#state = 'stopping';
     this.#adopter.stop();
     clearTimeout(this.#flushTimer);
+    const left = await this.#handOver();
+    this.#state = 'stopped';
     clearInterval(this.#checkTimer);
     this.#endListening?.();
-    await this.#handOver();
-    this.#state = 'stopped';
     this.#replicator.stop();
     this.#flushActor.stop();
     stopActorSystem(this.#system);
-    return this.getPendingCount();
+    return left;
   }
 
-  async #handOver(): Promise<void> {
-    const { stopTimeoutMs } = this.#settings;
-    try {
-      await withTimeout(this.#handOverAll(), stopTimeoutMs, 'handing over');
-    } catch (error) {
-      const detail = { error: getErrorMessage(error), left: this.getPendingCount() };
-      this.#options.logger.warn(detail, 'usage records were left behind');
-    }
-  }
-
-  async #handOverAll(): Promise<void> {
-    await this.flush();
-    if (this.#book.settledCount > 0) {
-      await this.#spiller.spillAbove(0);
-    }
-    await this.#replicator.replicateAll();
+  #handOver(): Promise<number> {
+    return handOver({
+      ...this.#options,
+      book: this.#book,
+      held: this.#held,
+      taken: this.#taken,
+      replicator: this.#replicator,
+      stopTimeoutMs: this.#settings.stopTimeoutMs,
+      flush: () => this.flush(),
+      spill: () => this.#spiller.spillAbove(0),
+    });
   }
 
   #assertRoom(): void {
--- a/packages/ledger/src/replicator.ts
+++ b/packages/ledger/src/replicator.ts
@@ -141,6 +141,11 @@
     await Promise.all(this.#options.book.listIds().map((id) => this.replicate(id)));
   }
 
+  /** Whether the peer holds the record as it is now. */
+  hasCopy(requestId: string): boolean {
+    return this.#copied.has(requestId) && !this.#dirty.has(requestId);
+  }
+
   stop(): void {
     this.#timer.clear();
     this.#actor.stop();
--- a/packages/ledger/src/testKit.ts
+++ b/packages/ledger/src/testKit.ts
@@ -26,6 +26,7 @@
 import type { LedgerSettings, Settlement } from './types.js';
 import { createUsageLine } from './usageCost.js';
 
+const SUSPECTED_MS = 1_000;
 const DEATH_NOTICED_MS = 2_000;
 
 /** Faults that table and object store share. */
@@ -238,6 +239,7 @@
       listAlive: () => cluster.listAlive(),
       isIncarnationAlive: (incarnation: string) =>
         cluster.listAlive().some((alive) => alive.incarnation === incarnation),
+      getMember: (incarnation: string) => cluster.getMember(incarnation),
       onChange: (listener: (changed: Member) => void) => {
         cluster.listeners.add(listener);
         return () => cluster.listeners.delete(listener);
@@ -257,7 +259,8 @@
 
   readonly listeners = new Set<(changed: Member) => void>();
 
-  readonly #dead = new Set<string>();
+  /** What membership says of those it does not hold alive. */
+  readonly #states = new Map<string, Member['state']>();
 
   readonly #settings: Partial<LedgerSettings>;
 
@@ -285,8 +288,14 @@
 
   listAlive(): readonly Member[] {
     return this.daemons
-      .filter(({ member }) => !this.#dead.has(member.incarnation))
-      .map(({ member }) => member);
+      .map(({ member }) => this.getMember(member.incarnation) as Member)
+      .filter(({ state }) => state === 'alive' || state === 'suspect');
+  }
+
+  getMember(incarnation: string): Member | undefined {
+    const daemon = this.daemons.find(({ member }) => member.incarnation === incarnation);
+    const state = this.#states.get(incarnation) ?? 'alive';
+    return daemon && { ...daemon.member, state };
   }
 
   listLive(): readonly FakeDaemon[] {
@@ -314,6 +323,14 @@
     this.#noticeLater(daemon, () => true);
   }
 
+  /** Resolves with what the ledger's stop does, and leaves. */
+  async stop(daemon: FakeDaemon): Promise<number> {
+    const left = await daemon.ledger.stop();
+    daemon.kill();
+    this.#setState(daemon, 'left');
+    return left;
+  }
+
   pause(daemon: FakeDaemon): void {
     daemon.pause();
     this.#noticeLater(daemon, () => daemon.isPaused);
@@ -321,8 +338,7 @@
 
   resume(daemon: FakeDaemon): void {
     daemon.resume();
-    this.#dead.delete(daemon.member.incarnation);
-    this.#notify(daemon.member);
+    this.#setState(daemon, 'alive');
   }
 
   async readEntries(): Promise<readonly UsageEntry[]> {
@@ -330,12 +346,18 @@
   }
 
   #noticeLater(daemon: FakeDaemon, isStillSo: () => boolean): void {
-    setTimeout(() => {
+    const say = (state: Member['state']): void => {
       if (isStillSo()) {
-        this.#dead.add(daemon.member.incarnation);
-        this.#notify(daemon.member);
+        this.#setState(daemon, state);
       }
-    }, DEATH_NOTICED_MS);
+    };
+    setTimeout(() => say('suspect'), SUSPECTED_MS);
+    setTimeout(() => say('dead'), DEATH_NOTICED_MS);
+  }
+
+  #setState(daemon: FakeDaemon, state: Member['state']): void {
+    this.#states.set(daemon.member.incarnation, state);
+    this.#notify({ ...daemon.member, state });
   }
 
   #notify(member: Member): void {
--- a/packages/protocol/src/usage/messages.ts
+++ b/packages/protocol/src/usage/messages.ts
@@ -21,6 +21,8 @@
   teamUid: z.string(),
   openedAtMs: z.number(),
   streams: z.array(usageStreamSchema),
+  /** Whose request it is, where another daemon passes its copy on; absent: the sender's own. */
+  ownedBy: z.string().optional(),
 });
 
 export type OpenUsage = z.infer<typeof openUsageSchema>;
