bench:control: lines over expected calls to engines; tests of the sums

Cause: past its budget a daemon's calls to engines grow no more, so a line through the engines said 16 times too much. Change: the line goes through the calls that the budget lets pass. Tests of the expected counts and of the sums.

--- a/packages/bench/src/control/extrapolate.ts
+++ b/packages/bench/src/control/extrapolate.ts
@@ -25,6 +25,7 @@
   /** What the line's `x` counts. */
   readonly per: string;
   readonly line: Line;
+  readonly getX: (setup: Setup) => number;
   readonly atTarget: number;
 }
 
@@ -41,8 +42,11 @@
 /** See membership's constants. */
 const RELAYS_PER_DATA_CENTRE = 2;
 const RELAY_ROUNDS_PER_SECOND = 0.5;
+/** See the settings of upstreams and routing's `PollTurns`. */
+const LOADS_PER_ENGINE_PER_SECOND = 2;
+const MAX_POLLS_PER_SECOND = 8;
 
-export const enginesPerDataCentre = Math.ceil(target.engines / target.dataCentres);
+const enginesPerDataCentre = Math.ceil(target.engines / target.dataCentres);
 
 export const countListedVms = (setup: Setup): number =>
   setup.daemons + setup.engines * setup.dataCentres + setup.extraListedVms;
@@ -71,6 +75,11 @@
   return evaluateLine(line, line.slope < 0 ? meanX : targetX);
 };
 
+/** Calls a second to engines: twice for load and once for cache events each, up to routing's budget. */
+export const countExpectedEngineCalls = (engines: number): number =>
+  Math.min(LOADS_PER_ENGINE_PER_SECOND * engines, MAX_POLLS_PER_SECOND) +
+  Math.min(engines, MAX_POLLS_PER_SECOND);
+
 export const getPhase = ({ phases }: SetupResult, name: PhaseName): PhaseResult | undefined =>
   phases.find(({ phase }) => phase === name);
 
@@ -85,11 +94,19 @@
     return found === undefined ? [] : [{ x: growth.getX(result.setup), y: read(found) }];
   });
   const line = fitLine(points);
-  return { name, per: growth.per, line, atTarget: extrapolate(points, line, growth.targetX) };
+  const { per, getX, targetX } = growth;
+  return { name, per, line, getX, atTarget: extrapolate(points, line, targetX) };
 };
 
 type GrowthName =
-  'daemons' | 'localDaemons' | 'engines' | 'listedVms' | 'polls' | 'pollsPerDaemon' | 'exchanges';
+  | 'daemons'
+  | 'localDaemons'
+  | 'engines'
+  | 'engineCalls'
+  | 'listedVms'
+  | 'polls'
+  | 'pollsPerDaemon'
+  | 'exchanges';
 
 const listGrowths = (measurements: Measurements): Readonly<Record<GrowthName, Growth>> => ({
   daemons: {
@@ -110,6 +127,12 @@
     getX: ({ engines }) => engines,
     targetX: enginesPerDataCentre,
   },
+  engineCalls: {
+    results: measurements.byEngines,
+    per: 'expected call to an engine a second',
+    getX: ({ engines }) => countExpectedEngineCalls(engines),
+    targetX: countExpectedEngineCalls(enginesPerDataCentre),
+  },
   listedVms: {
     results: measurements.byListedVms,
     per: 'listed VM',
@@ -166,9 +189,14 @@
     ),
     fit('polls', 'idle tableReadsPerSecond', 'idle', (r) => r.tableReadsPerSecond),
     fit('daemons', 'churn inForceMaxMs', 'churn', (r) => r.inForceMaxMs),
-    fit('engines', 'engines cpuPct', 'idle', (r) => r.mean.cpuPct),
+    fit('engineCalls', 'engines cpuPct', 'idle', (r) => r.mean.cpuPct),
     fit('engines', 'engines residentMb', 'idle', (r) => r.mean.residentMb),
-    fit('engines', 'engines upstreamBytesPerSecond', 'idle', (r) => r.mean.upstreamBytesPerSecond),
+    fit(
+      'engineCalls',
+      'engines upstreamBytesPerSecond',
+      'idle',
+      (r) => r.mean.upstreamBytesPerSecond,
+    ),
     fit('listedVms', 'listed owner cpuPct', 'idle', (r) => r.max.cpuPct),
     fit(
       'listedVms',
--- a/packages/bench/src/control/summary.ts
+++ b/packages/bench/src/control/summary.ts
@@ -1,6 +1,7 @@
 /** The last line of the bench: what control takes at the letter's size. */
 import { SECONDS_PER_DAY, target } from './constants.js';
-import { enginesPerDataCentre, getPhase, type Fit, type Measurements } from './extrapolate.js';
+import { getPhase, type Fit, type Measurements } from './extrapolate.js';
+import { evaluateLine } from './fitLine.js';
 
 export interface Summary {
   readonly atDaemons: number;
@@ -30,9 +31,10 @@
 
   /** What the letter's engines add to a daemon that was measured with few. */
   addEngines(field: string): number {
-    const baseEngines = this.#measurements.bySize[0]?.setup.engines ?? 0;
-    const slope = Math.max(0, this.#find(`engines ${field}`).line.slope);
-    return slope * (enginesPerDataCentre - baseEngines);
+    const fit = this.#find(`engines ${field}`);
+    const [base] = this.#measurements.byEngines;
+    const atBase = base && evaluateLine(fit.line, fit.getX(base.setup));
+    return Math.max(0, fit.atTarget - (atBase ?? fit.atTarget));
   }
 
   /** The daemon that reads the VM list pays for its data centre; this is each one's share. */
