--- a/packages/demo/src/applySample.ts
+++ b/packages/demo/src/applySample.ts
@@ -4,7 +4,7 @@
 import { fileURLToPath } from 'node:url';
 import type { Deployment } from './deployment.js';
 import { runSnipectl } from './runSnipectl.js';
-import { createUpstreamManifests } from './sampleDeployment.js';
+import { createUpstreamManifests, type AddedVersion } from './sampleDeployment.js';
 
 const ROOT = resolve(dirname(fileURLToPath(import.meta.url)), '../../..');
 
@@ -18,9 +18,13 @@
 };
 
 /** Applies the configuration of both users and waits until it is in force everywhere. */
-export const applySample = async (deployment: Deployment, folder: string): Promise<void> => {
+export const applySample = async (
+  deployment: Deployment,
+  folder: string,
+  added: readonly AddedVersion[] = [],
+): Promise<void> => {
   const upstreams = join(folder, 'upstreams.json');
-  const resources = createUpstreamManifests(deployment.addresses);
+  const resources = createUpstreamManifests(deployment.addresses, added);
   writeFileSync(upstreams, JSON.stringify({ resources }));
   const samples = ['config/kowalczyk.toml', 'config/caprock.toml'].map((file) => join(ROOT, file));
   const files = [...samples, upstreams];
--- a/packages/demo/src/sampleDeployment.ts
+++ b/packages/demo/src/sampleDeployment.ts
@@ -39,13 +39,35 @@
     })),
   );
 
+/** A version beyond those of the sample configuration. */
+export interface AddedVersion {
+  readonly version: string;
+  /** What the rater finds on average, by task; `*` stands for all others. */
+  readonly means: Readonly<Record<string, number>>;
+}
+
+const listVersions = (added: readonly AddedVersion[]): readonly string[] => [
+  ...sampleVersions,
+  ...added.map(({ version }) => version),
+];
+
+const listMeans = (
+  added: readonly AddedVersion[],
+): Readonly<Record<string, Readonly<Record<string, number>>>> => ({
+  ...means,
+  ...Object.fromEntries(added.map((one) => [one.version, one.means])),
+});
+
 /** The stand-ins of the sample deployment. */
-export const createSampleStandins = (seed: number): StandinsOptions => ({
+export const createSampleStandins = (
+  seed: number,
+  added: readonly AddedVersion[] = [],
+): StandinsOptions => ({
   seed,
-  platform: { rater: { means } },
+  platform: { rater: { means: listMeans(added) } },
   engines: listEngines().map(({ name }) => ({
     name,
-    versions: sampleVersions,
+    versions: listVersions(added),
     tokenMs: 4,
     tokenMsPerRunning: 0.2,
     prefillMsPerToken: 0.05,
@@ -59,14 +81,17 @@
 });
 
 /** Manifests of the upstreams where they really listen. */
-export const createUpstreamManifests = (addresses: StandinAddresses): readonly object[] => {
+export const createUpstreamManifests = (
+  addresses: StandinAddresses,
+  added: readonly AddedVersion[] = [],
+): readonly object[] => {
   const urls = new Map(
     [...addresses.engines, ...addresses.services].map(({ name, url }) => [name, url]),
   );
   const engines = listEngines().map(({ name, dataCentre }) => ({
     kind: 'Upstream',
     metadata: { name },
-    spec: { dataCentre, type: 'engine', url: urls.get(name), versions: sampleVersions },
+    spec: { dataCentre, type: 'engine', url: urls.get(name), versions: listVersions(added) },
   }));
   const services = listServices().map(({ name, dataCentre, service }) => ({
     kind: 'Upstream',
--- a/packages/demo/src/workload/sendAttempt.ts
+++ b/packages/demo/src/workload/sendAttempt.ts
@@ -85,7 +85,7 @@
 const toBody = (
   item: WorkItem,
 ): Pick<OpenAI.ChatCompletionCreateParams, 'model' | 'messages' | 'max_tokens'> => ({
-  model: 'auto',
+  model: item.model ?? 'auto',
   messages: [{ role: 'user', content: item.prompt }],
   max_tokens: item.maxTokens,
 });
--- a/packages/demo/src/workload/workItems.ts
+++ b/packages/demo/src/workload/workItems.ts
@@ -10,6 +10,8 @@
   readonly index: number;
   readonly team: string;
   readonly transport: Transport;
+  /** What the caller asks for; `auto` where it is left out. */
+  readonly model?: string;
   readonly task: string;
   readonly prompt: string;
   readonly maxTokens: number;
