Send nothing new on an old load report; idle reports keep the limit

An answer that lay in the socket is as old as its question. No answer counts as unreachable, and is not waited for again within a second.

Ruled out: letting the times decide while reports show nothing running. Now the limit stays at an idle engine.

--- a/packages/routing/src/upstreamEntry.ts
+++ b/packages/routing/src/upstreamEntry.ts
@@ -42,7 +42,7 @@
 
   #loadAtMs = 0;
 
-  /** When this daemon last read the load, by the clock of the registry. */
+  /** When this daemon asked for the load that it knows, by the clock of the registry. */
   #loadReadAtMs = -Infinity;
 
   #inFlight = 0;
@@ -120,14 +120,14 @@
     }
   }
 
-  /** When the load was last read; -Infinity: never. */
+  /** When the known load was asked for; -Infinity: there is none. */
   get loadReadAtMs(): number {
     return this.#loadReadAtMs;
   }
 
-  /** `readAtMs` is of the registry's steady clock, unlike the report's own time. */
-  noteLoad(load: EngineLoad, readAtMs: number): void {
-    this.#loadReadAtMs = readAtMs;
+  /** `askedAtMs` is of the registry's steady clock, unlike the report's own time. */
+  noteLoad(load: EngineLoad, askedAtMs: number): void {
+    this.#loadReadAtMs = askedAtMs;
     this.#load = load;
     this.#loadAtMs = load.atMs;
     this.#sentAtMs = this.#sentAtMs.filter((sentAtMs) => sentAtMs > load.atMs);
@@ -204,12 +204,19 @@
     };
   }
 
+  /**
+   * What goes wrong: a report of an idle engine, taken for none, leaves the limit to the times to the first
+   * token, which differ by prompt and by this daemon's own load. One notices a limit of a few requests at an
+   * engine without a queue. Nothing running tells nothing of the batch, and the limit stays.
+   */
   #adjustConcurrency(firstTokenMs: number, isRefused: boolean): void {
-    if (this.#spec.type === 'engine') {
+    const reportedRunning = this.#load?.running ?? 0;
+    const isTelling = isRefused || reportedRunning > 0;
+    if (this.#spec.type === 'engine' && isTelling) {
       this.#concurrency = adjustConcurrency(this.#concurrency, {
         firstTokenMs,
         load: getKnownLoad(this.toView()),
-        reportedRunning: this.#load?.running ?? 0,
+        reportedRunning,
         reportedQueued: this.#load?.queued ?? 0,
         isRefused,
       });
--- a/packages/routing/src/upstreamFreshness.ts
+++ b/packages/routing/src/upstreamFreshness.ts
@@ -19,7 +19,12 @@
 /** How long a request waits for a reading. */
 const MAX_WAIT_MS = 300;
 
+/** After a reading failed the next one begins no sooner, and requests do not wait. */
+const RETRY_MS = 1_000;
+
 export class UpstreamFreshness {
+  readonly #onUnreachable: (entry: UpstreamEntry) => void;
+
   readonly #getNowMs = createSteadyClock();
 
   #reader: UpstreamReader | undefined;
@@ -32,6 +37,12 @@
 
   readonly #readingLoads = new Map<UpstreamEntry, Promise<Freshness>>();
 
+  readonly #failedAtMs = new WeakMap<UpstreamEntry, number>();
+
+  constructor(onUnreachable: (entry: UpstreamEntry) => void) {
+    this.#onUnreachable = onUnreachable;
+  }
+
   get nowMs(): number {
     return this.#getNowMs();
   }
@@ -82,10 +93,17 @@
   }
 
   async #read(entry: UpstreamEntry): Promise<Freshness> {
-    if (this.#reader !== undefined) {
-      await UpstreamFreshness.#wait(this.#reader.readLoad(entry));
+    const failedAtMs = this.#failedAtMs.get(entry) ?? -Infinity;
+    if (this.#reader === undefined || this.nowMs - failedAtMs < RETRY_MS) {
+      return 'unreachable';
+    }
+    await UpstreamFreshness.#wait(this.#reader.readLoad(entry));
+    if (!this.isStale(entry)) {
+      return 'fresh';
     }
-    return this.isStale(entry) ? 'unreachable' : 'fresh';
+    this.#failedAtMs.set(entry, this.nowMs);
+    this.#onUnreachable(entry);
+    return 'unreachable';
   }
 
   static async #wait(reading: Promise<void>): Promise<void> {
--- a/packages/routing/src/upstreamRegistry.test.ts
+++ b/packages/routing/src/upstreamRegistry.test.ts
@@ -63,12 +63,25 @@
   const registry = createRegistry(0, ENGINES);
   const before = registry.getMaxRunning();
   registry.list().forEach((entry: UpstreamEntry) => {
-    registry.noteLoad(entry, createLoad({ running: 2, queued: 5 }));
+    registry.noteLoad(entry, createLoad({ running: 2, queued: 5 }), registry.freshness.nowMs);
     Array.from({ length: 20 }, () => entry.noteFirstToken(100));
   });
   assert.ok(registry.getMaxRunning() < before / 2, `${registry.getMaxRunning()} of ${before}`);
 });
 
+test('an idle engine keeps its limit however its times vary', () => {
+  // Symptom: an engine without a queue gets a few requests at a time, and the rest wait.
+  // Sequence: first tokens take 1 ms, then 20 ms, while its reports show nothing running.
+  // Cause: a report of nothing is taken for no report, and the times decide.
+  const registry = createRegistry(0, ENGINES);
+  const before = registry.getMaxRunning();
+  registry.list().forEach((entry: UpstreamEntry) => {
+    registry.noteLoad(entry, createLoad({}), registry.freshness.nowMs);
+    Array.from({ length: 100 }, (_, index) => entry.noteFirstToken(index < 5 ? 1 : 20));
+  });
+  assert.is(registry.getMaxRunning(), before);
+});
+
 test('with no upstream open here the room elsewhere counts', () => {
   const registry = createRegistry(0, ENGINES);
   ENGINES.forEach((id) => registry.noteLeaving(id, 'engine', true));
--- a/packages/routing/src/upstreamRegistry.ts
+++ b/packages/routing/src/upstreamRegistry.ts
@@ -52,7 +52,7 @@
 const RATE_WINDOW_MS = 5_000;
 
 export class UpstreamRegistry {
-  readonly freshness = new UpstreamFreshness();
+  readonly freshness = new UpstreamFreshness((entry) => this.recordOutcome(entry, 'unreachable'));
 
   readonly #options: RegistryOptions;
 
@@ -160,9 +160,15 @@
     }
   }
 
-  /** Takes in an engine's load report. */
-  noteLoad(entry: UpstreamEntry, load: EngineLoad): void {
-    entry.noteLoad(load, this.freshness.nowMs);
+  /**
+   * Takes in an engine's load report, by when it was asked for: an answer that was in the socket while the
+   * process was frozen is as old as its question, and one overtaken by a later one tells nothing.
+   */
+  noteLoad(entry: UpstreamEntry, load: EngineLoad, askedAtMs: number): void {
+    if (askedAtMs < entry.loadReadAtMs) {
+      return;
+    }
+    entry.noteLoad(load, askedAtMs);
     this.noteLeaving(entry.id, 'engine', load.leaving);
   }
 
--- a/packages/routing/src/upstreamWatcher.ts
+++ b/packages/routing/src/upstreamWatcher.ts
@@ -124,8 +124,10 @@
   async #pollLoad(entry: UpstreamEntry): Promise<void> {
     this.#polling.add(entry);
     try {
-      const load = await this.#options.engines.getLoad(entry.spec.url);
-      this.#options.registry.noteLoad(entry, load);
+      const { registry, engines } = this.#options;
+      const askedAtMs = registry.freshness.nowMs;
+      const load = await engines.getLoad(entry.spec.url);
+      registry.noteLoad(entry, load, askedAtMs);
     } finally {
       this.#polling.delete(entry);
     }
