Grants of team shares: six digits

Cause: at 57 daemons that all have demand of 30 teams the allocator's messages took 32.0 KB/s of bodies, in part for digits that nobody needs. Change: a granted part is rounded down to six digits. Test: the sum holds in teamShares.test, 5 passed.

--- a/packages/routing/src/teamShares/shareBook.ts
+++ b/packages/routing/src/teamShares/shareBook.ts
@@ -15,6 +15,7 @@
   SharePlace,
   TeamDemandTuple,
 } from '@snipehaven/protocol';
+import { FLOW_DIGITS } from './constants.js';
 import { getDataCentreTotal, getFixedShares, SHARE_KINDS, SHARE_QUANTA } from './fixedShares.js';
 import type { FindLimits, ShareAmounts, ShareKind, TeamLimits } from './types.js';
 
@@ -31,6 +32,11 @@
   readonly held: ShareAmounts;
 }
 
+const FLOW_UNITS = 10 ** FLOW_DIGITS;
+
+/** Few digits keep the message small; never more than was granted. */
+const roundDown = (flow: number): number => Math.floor(flow * FLOW_UNITS) / FLOW_UNITS;
+
 const NOTHING: TeamAsk = { wanted: { flow: 0, slots: 0 }, held: { flow: 0, slots: 0 } };
 
 const toAsk = ([, flow, heldFlow, slots, heldSlots]: TeamDemandTuple): TeamAsk => ({
@@ -72,7 +78,7 @@
     this.#askers.set(message.vm, { message, heardAtMs: nowMs });
     const shares = [...this.#teams.keys()].flatMap((team) => {
       const granted = this.#answerTeam(team, message, asks.get(team), place, nowMs);
-      return granted ? [[team, granted.flow, granted.slots] as const] : [];
+      return granted ? [[team, roundDown(granted.flow), granted.slots] as const] : [];
     });
     this.#forget(nowMs);
     return { seq: message.seq, term: this.term, ttlMs, answeredAtMs: nowMs, shares };
