One bound on calls, one order of events; attempts told apart by their place

Cause: withTimeout stood in membership and in the ledger, the causal order in the collector and in the time line's package, and an escalated attempt showed the next one's outcome where both ran at one engine.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -7,3 +7,4 @@
 export * from './random.js';
 export * from './rendezvous.js';
 export * from './sleep.js';
+export * from './withTimeout.js';
--- a/packages/daemon/src/collectTimeline.ts
+++ b/packages/daemon/src/collectTimeline.ts
@@ -3,7 +3,7 @@
 import type { MembershipView } from '@snipehaven/membership';
 import type { PeerTransport } from '@snipehaven/protocol';
 import {
-  compareHybridTimes,
+  mergeTimelines,
   type EventType,
   type Timeline,
   type TimelineEvent,
@@ -27,22 +27,32 @@
   readonly events: readonly TimelineEvent[] | undefined;
 }
 
-const compareEvents = (a: TimelineEvent, b: TimelineEvent): number =>
-  compareHybridTimes(a.at, b.at) || a.incarnation.localeCompare(b.incarnation) || a.seq - b.seq;
-
 const verdictByEvent: Partial<Record<EventType, RequestDescription['verdict']>> = {
   answerFinished: 'answered',
   answerCut: 'cut',
 };
 
-const describeAttempts = (events: readonly TimelineEvent[]): readonly AttemptDescription[] =>
-  events
-    .filter((event) => event.type === 'attemptStarted')
-    .map((started) => {
-      const { version = '', upstream = '' } = started.subject;
-      const last = events.findLast((event) => event.subject.upstream === upstream) ?? started;
-      return { version, upstream, startedAtMs: started.at.wallMs, outcome: last.type };
-    });
+/** What an attempt can come to; its other events are steps on the way. */
+const attemptOutcomes: ReadonlySet<EventType> = new Set([
+  'attemptSilent',
+  'attemptResumed',
+  'attemptFailed',
+  'attemptEscalated',
+  'answerFinished',
+  'answerCut',
+]);
+
+/** Attempts of one request follow each other: what comes before the next one belongs to this one. */
+const describeAttempts = (events: readonly TimelineEvent[]): readonly AttemptDescription[] => {
+  const starts = events.flatMap((event, index) => (event.type === 'attemptStarted' ? [index] : []));
+  return starts.map((start, place) => {
+    const own = events.slice(start, starts[place + 1]);
+    const [started] = own as [TimelineEvent];
+    const last = own.findLast((event) => attemptOutcomes.has(event.type)) ?? started;
+    const { version = '', upstream = '' } = started.subject;
+    return { version, upstream, startedAtMs: started.at.wallMs, outcome: last.type };
+  });
+};
 
 const describeVerdict = (events: readonly TimelineEvent[]): RequestDescription['verdict'] => {
   const refused = events.findLast((event) => event.type === 'requestRefused');
@@ -68,10 +78,9 @@
       .listAlive()
       .filter((member) => member.incarnation !== self.incarnation);
     const remote = await Promise.all(peers.map((peer) => this.#ask(peer, query)));
-    const events = [...timeline.list(query), ...remote.flatMap(({ events: some }) => some ?? [])];
     const unreachable = remote.filter((answer) => answer.events === undefined);
     return {
-      events: events.sort(compareEvents),
+      events: mergeTimelines([timeline.list(query), ...remote.map(({ events }) => events ?? [])]),
       unreachable: unreachable.map(({ vm }) => vm),
     };
   }
--- a/packages/membership/src/exchange/exchanger.ts
+++ b/packages/membership/src/exchange/exchanger.ts
@@ -1,9 +1,10 @@
 /** Push-pull exchanges: each message carries what changed, and each answer does too. */
+import { withTimeout } from '@snipehaven/common';
 import type { Exchange, Member, PeerTransport } from '@snipehaven/protocol';
 import type { HybridClock } from '@snipehaven/timeline';
 import { MAX_PIGGYBACK } from '../constants.js';
 import type { MemberRecords } from '../records/memberRecords.js';
-import { withTimeout } from '../withTimeout.js';
+import { toPeerTimeout } from '../errors.js';
 import { listRepairMembers } from './listRepairMembers.js';
 import type { Topics } from './topics.js';
 
@@ -75,7 +76,7 @@
     const { transport, timeoutMs } = this.#options;
     const message = this.#createMessage(parts);
     const call = transport.getPeer(address).membership.exchange(message);
-    const answer = await withTimeout(call, timeoutMs);
+    const answer = await withTimeout(call, timeoutMs, toPeerTimeout(timeoutMs));
     this.#options.records.confirm(answer.from);
     this.#takeIn(answer);
     return answer;
--- a/packages/membership/src/rounds/prober.ts
+++ b/packages/membership/src/rounds/prober.ts
@@ -1,5 +1,5 @@
 /** Probes members by exchanging news with them, directly and through others. */
-import type { Random } from '@snipehaven/common';
+import { withTimeout, type Random } from '@snipehaven/common';
 import type { Member, PeerTransport, Probe } from '@snipehaven/protocol';
 import { INDIRECT_HELPERS } from '../constants.js';
 import type { Exchanger } from '../exchange/exchanger.js';
@@ -7,7 +7,7 @@
 import type { PauseWatch } from '../pauseWatch.js';
 import type { MemberRecords } from '../records/memberRecords.js';
 import type { MembershipSettings } from '../types.js';
-import { withTimeout } from '../withTimeout.js';
+import { toPeerTimeout } from '../errors.js';
 import { sampleMembers } from './shuffledOrder.js';
 
 export interface ProberOptions {
@@ -44,7 +44,9 @@
     const { exchanger, settings } = this.#options;
     try {
       const contact = exchanger.contact(probe.address);
-      const answer = await withTimeout(contact, settings.indirectTimeoutMs);
+      const { indirectTimeoutMs } = settings;
+      const timeout = toPeerTimeout(indirectTimeoutMs);
+      const answer = await withTimeout(contact, indirectTimeoutMs, timeout);
       const isAsked = (probe.incarnation ?? answer.from.incarnation) === answer.from.incarnation;
       return { isAlive: isAsked };
     } catch {
@@ -81,7 +83,9 @@
     const { address, incarnation } = member;
     const call = transport.getPeer(helper.address).membership.probe({ address, incarnation });
     try {
-      return (await withTimeout(call, settings.probeTimeoutMs)).isAlive;
+      const { probeTimeoutMs } = settings;
+      const timeout = toPeerTimeout(probeTimeoutMs);
+      return (await withTimeout(call, probeTimeoutMs, timeout)).isAlive;
     } catch {
       return false;
     }
