The shared VM list is read anew after a freeze

Change: callers ask each second; the first to ask after 2.5 s of silence reads. A daemon cut off from its peers alone still trusts the last word for up to 10 s.

--- a/packages/daemon/src/sharedVmList.ts
+++ b/packages/daemon/src/sharedVmList.ts
@@ -8,6 +8,8 @@
 export const VM_LIST_DUTY = 'vmList';
 /** Without word of a read for so long a daemon reads for itself. */
 export const READ_ALONE_AFTER_MS = 10_000;
+/** Callers ask each second; a longer silence of theirs shows that the process stood still. */
+export const RESUMED_AFTER_MS = 2_500;
 /** A list read less than this ago serves another caller of the same daemon. */
 const REUSE_MS = 500;
 
@@ -60,6 +62,9 @@
   /** When the list was last read by anyone, by this daemon's clock. */
   #readAtMs = -Infinity;
 
+  /** When a caller last asked. */
+  #askedAtMs = -Infinity;
+
   #own: { readonly atMs: number; readonly vms: Promise<readonly ListedVm[]> } | undefined;
 
   constructor(options: SharedVmListOptions) {
@@ -68,8 +73,7 @@
 
   /** The whole list for the daemon that reads it; for others, the upstreams that leave. */
   async list(): Promise<readonly ListedVm[]> {
-    const isHeardOf = Date.now() - this.#readAtMs < READ_ALONE_AFTER_MS;
-    if (isHeardOf && !this.#options.ownsDuty()) {
+    if (this.#isInTouch() && !this.#options.ownsDuty()) {
       return this.#leaving.map((vm) => ({ ...vm, role: 'upstream', state: 'leaving' }));
     }
     return this.#readOnce();
@@ -93,6 +97,18 @@
     }
   }
 
+  /**
+   * What goes wrong: a frozen daemon goes on, and sends to an upstream that left meanwhile, by a word that is
+   * younger than the bound. One notices work that begins seconds after an upstream left. So the first to ask
+   * after a freeze reads.
+   */
+  #isInTouch(): boolean {
+    const nowMs = Date.now();
+    const wasFrozen = nowMs - this.#askedAtMs >= RESUMED_AFTER_MS;
+    this.#askedAtMs = nowMs;
+    return !wasFrozen && nowMs - this.#readAtMs < READ_ALONE_AFTER_MS;
+  }
+
   #readOnce(): Promise<readonly ListedVm[]> {
     const nowMs = Date.now();
     if (this.#own === undefined || nowMs - this.#own.atMs >= REUSE_MS) {
