--- a/packages/bench/src/control/extrapolate.ts
+++ b/packages/bench/src/control/extrapolate.ts
@@ -69,10 +69,10 @@
   return dataCentres + others / share;
 };
 
-/** Noise can make a line fall; control that shrinks with size is not believed, the mean is taken. */
+/** Noise can make a line fall or start below zero; neither is believed: the mean or nothing is taken. */
 const extrapolate = (points: readonly Point[], line: Line, targetX: number): number => {
   const meanX = points.reduce((sum, { x }) => sum + x, 0) / Math.max(1, points.length);
-  return evaluateLine(line, line.slope < 0 ? meanX : targetX);
+  return Math.max(0, evaluateLine(line, line.slope < 0 ? meanX : targetX));
 };
 
 /** Calls a second to engines: twice for load and once for cache events each, up to routing's budget. */
