Ask former holders of a pin, and wait longer for the table after members changed

Seen once in a soak: a session by the caller's own id changed its version while the table was slow and kills and replacements came close together. That run itself was not reproduced; two ways to the same symptom were: 1. two newcomers rank before both holders, which live; the new owner asked its replica and the table only; 2. both holders die, the row is in the table, which answers after 1 s: later than 250 ms counted as no pin.

Ruled out: waiting longer always (each new session would pay for it in an outage), and waiting longer at the owner only: its callers give it up after 300 ms, stand in, and two of them choose two versions.

Change: readBucket tells silence from a row without the pin. For 60 s after a local member changed, or the own start, look-ups ask the first 8 of the bucket's ranking for a copy, wait 1.5 s for the table, and callers wait 2 s for holders that are no suspects. At other times 8 are asked only when the table was silent.

A holder that died and is no suspect yet costs a request 2 s rather than 0.3 s in these 60 s.

--- a/packages/sessions/src/constants.ts
+++ b/packages/sessions/src/constants.ts
@@ -24,6 +24,9 @@
   peerWaitMs: 300,
   missFreshMs: 1_000,
   replicaWaitMs: 150,
+  changeFreshMs: 60_000,
+  patientTableWaitMs: 1_500,
+  patientPeerWaitMs: 2_000,
 };
 
 /** Look-ups that found nothing, remembered for a moment. */
--- a/packages/sessions/src/pinFixture.ts
+++ b/packages/sessions/src/pinFixture.ts
@@ -35,13 +35,16 @@
 
   readCount = 0;
 
+  /** How long a read takes. */
+  readDelayMs = LATENCY_MS;
+
   async transact(transactions: readonly TableTransaction[]): Promise<readonly TransactionResult[]> {
     await sleep(LATENCY_MS);
     return transactions.map((transaction) => this.#apply(transaction));
   }
 
   async read(keys: readonly string[]): Promise<readonly TableRow[]> {
-    await sleep(LATENCY_MS);
+    await sleep(this.readDelayMs);
     this.readCount += keys.length;
     return keys.flatMap((key) => this.rows.get(key) ?? []);
   }
--- a/packages/sessions/src/pinHolders.ts
+++ b/packages/sessions/src/pinHolders.ts
@@ -25,10 +25,14 @@
   readonly membership: Pick<MembershipView, 'self' | 'rankLocal'>;
   readonly transport: PeerTransport;
   readonly logger: Logger;
-  readonly settings: Pick<PinSettings, 'bucketCount' | 'peerWaitMs'>;
+  readonly settings: Pick<PinSettings, 'bucketCount' | 'peerWaitMs' | 'patientPeerWaitMs'>;
+  /** Whether a holder may have to look up for long. */
+  readonly isPatient: () => boolean;
 }
 
 const HOLDER_COUNT = 2;
+/** Former holders rank right after the members that came since; so many are asked for a copy. */
+const WIDE_COUNT = 8;
 
 export class PinHolders {
   readonly #options: PinHoldersOptions;
@@ -72,7 +76,7 @@
         break;
       }
       try {
-        return await this.#call(holder, askPeer);
+        return await this.#call(holder, askPeer, this.#getWaitMs(holder));
       } catch (error) {
         this.#options.logger.debug({ err: getErrorMessage(error) }, 'holder of a pin away');
       }
@@ -80,13 +84,22 @@
     return askSelf();
   }
 
-  /** What the other holders have in memory; those away count as having nothing. */
-  async askForCopies(place: Place): Promise<readonly Pin[]> {
-    const { teamUid, session, holders } = place;
-    const others = holders.filter((holder) => !this.isSelf(holder));
+  /**
+   * What the other holders have in memory; those away count as having nothing. `isWide` asks those who may
+   * have been holders too.
+   */
+  async askForCopies(place: Place, isWide: boolean): Promise<readonly Pin[]> {
+    const { teamUid, session, bucket } = place;
+    const ranked = this.#rank(bucket).slice(0, isWide ? WIDE_COUNT : HOLDER_COUNT);
+    const others = ranked.filter((holder) => !this.isSelf(holder));
+    const { peerWaitMs } = this.#options.settings;
     const answers = await Promise.allSettled(
       others.map((holder) =>
-        this.#call(holder, (peer) => peer.getPin({ teamUid, session, isLocalOnly: true })),
+        this.#call(
+          holder,
+          (peer) => peer.getPin({ teamUid, session, isLocalOnly: true }),
+          peerWaitMs,
+        ),
       ),
     );
     return answers.flatMap((answer) =>
@@ -105,18 +118,28 @@
     }
   }
 
+  /**
+   * What goes wrong: a holder that looks up patiently is given up, the caller stands in, and two callers
+   * choose two versions. So the wait for it is longer than its look-up.
+   */
+  #getWaitMs(holder: Member): number {
+    const { peerWaitMs, patientPeerWaitMs } = this.#options.settings;
+    const isPatient = this.#options.isPatient() && holder.state === 'alive';
+    return isPatient ? patientPeerWaitMs : peerWaitMs;
+  }
+
   async #call<Answer>(
     { address }: Member,
     askPeer: (peer: SessionHandlers) => Promise<Answer>,
+    waitMs: number,
   ): Promise<Answer> {
     const peer = this.#options.transport.getPeer(address).sessions;
-    const { peerWaitMs } = this.#options.settings;
     const answer = await withinTime(
       askPeer(peer).then((value) => ({ value })),
-      peerWaitMs,
+      waitMs,
     );
     if (!answer) {
-      throw new PeerUnreachableError(`${address} gave no answer within ${peerWaitMs} ms`);
+      throw new PeerUnreachableError(`${address} gave no answer within ${waitMs} ms`);
     }
     return answer.value;
   }
--- a/packages/sessions/src/pinTable.ts
+++ b/packages/sessions/src/pinTable.ts
@@ -46,24 +46,28 @@
 
   #askAgainAtMs = 0;
 
+  /** The longest wait that failed lately: a longer one may still succeed. */
+  #failedWaitMs = 0;
+
   constructor(options: PinTableOptions) {
     this.#options = options;
   }
 
   /**
    * The pins of a bucket's row. With the table away, sessions must go on: after a failure or a slow
-   * reply requests do without the table for a while instead of each waiting for it.
+   * reply requests do without the table for a while instead of each waiting for it. Undefined: the
+   * table did not say, which is not the same as a row without the pin.
    */
-  async readBucket(bucket: number): Promise<PinsByKey> {
-    if (Date.now() < this.#askAgainAtMs) {
-      return new Map();
+  async readBucket(bucket: number, waitMs: number): Promise<PinsByKey | undefined> {
+    if (Date.now() < this.#askAgainAtMs && waitMs <= this.#failedWaitMs) {
+      return undefined;
     }
-    const { tableWaitMs } = this.#options.settings;
-    const rows = await withinTime(this.#readRows([bucket]), tableWaitMs);
+    const rows = await withinTime(this.#readRows([bucket]), waitMs);
     if (!rows) {
-      this.#askAgainAtMs = Date.now() + this.#options.settings.tableRetryMs;
+      this.#noteFailure(waitMs);
+      return undefined;
     }
-    return restorePinRow(rows?.[0]?.value);
+    return restorePinRow(rows[0]?.value);
   }
 
   /** Merges the buckets into their rows in one call; throws the platform's errors. */
@@ -75,6 +79,12 @@
     return plans.map((plan) => this.#report(plan, results[outdated.indexOf(plan)]));
   }
 
+  #noteFailure(waitMs: number): void {
+    const isLate = Date.now() >= this.#askAgainAtMs;
+    this.#failedWaitMs = isLate ? waitMs : Math.max(waitMs, this.#failedWaitMs);
+    this.#askAgainAtMs = Date.now() + this.#options.settings.tableRetryMs;
+  }
+
   async #readRows(buckets: readonly number[]): Promise<readonly TableRow[] | undefined> {
     try {
       return await this.#options.table.read(buckets.map(getBucketKey));
--- a/packages/sessions/src/replicatedPinDirectory.test.ts
+++ b/packages/sessions/src/replicatedPinDirectory.test.ts
@@ -202,6 +202,55 @@
   assert.equal(await find(context, newcomer as string), pin);
 });
 
+/** Adds members until two newcomers are owner and replica; others that came are gone again. */
+const replaceHolders = (fixture: PinFixture): void => {
+  const isNew = (name: string): boolean => !NAMES.includes(name);
+  for (let index = 0; !fixture.getHolders(createPin()).slice(0, 2).every(isNew); index += 1) {
+    fixture.add(`n${index}`);
+  }
+  const newHolders = fixture.getHolders(createPin()).slice(0, 2);
+  [...fixture.daemons.keys()]
+    .filter((name) => isNew(name) && !newHolders.includes(name))
+    .forEach((name) => fixture.notice(name));
+};
+
+[0, 2 * 60_000].forEach((quietMs) => {
+  pins(`two daemons join and become the holders, asked ${quietMs} ms later`, async (context) => {
+    // Symptom: sessions change their version after replacements close together.
+    // Sequence: two newcomers rank before both old holders, which live; the table is away.
+    // Cause: the new owner asked its replica and the table only, and took their silence for "no pin".
+    const { clock, fixture } = context;
+    const pin = createPin();
+    await pinAt(context, 'a', pin);
+    replaceHolders(fixture);
+    fixture.daemons.forEach((_daemon, name) => fixture.cutFromTable.add(name));
+    await clock.tickAsync(quietMs);
+    const [owner] = fixture.getHolders(pin) as [string];
+    assert.equal(await find(context, owner), pin);
+  });
+});
+
+[0, 1, 2].forEach((asked) => {
+  pins(`both holders die while the table is slow, asked at ${asked}`, async (context) => {
+    // Symptom: as above; the version of a session's first answer was written to the table.
+    // Sequence: owner and replica are killed; the table takes 1 s to answer.
+    // Cause: a table that did not answer within 250 ms counted as a row without the pin.
+    const { clock, fixture } = context;
+    const pin = createPin();
+    fixture.add('e');
+    await pinAt(context, 'a', pin);
+    await clock.tickAsync(FLUSH_MS);
+    const [owner, replica] = fixture.getHolders(pin) as [string, string];
+    [owner, replica].forEach((name) => fixture.kill(name));
+    [owner, replica].forEach((name) => fixture.notice(name));
+    fixture.table.readDelayMs = 1_000;
+    const name = fixture.getHolders(pin)[asked] as string;
+    const offered = createPin({ version: 'small@2', startedAtMs: 5 });
+    assert.equal(await find(context, name), pin);
+    assert.equal(await pinAt(context, name, offered), pin);
+  });
+});
+
 pins('data centres cut off from each other pin the same session', async (context) => {
   // Symptom: a session flips between versions for good.
   // Sequence: both sides of a cut pin the session; the cut heals.
--- a/packages/sessions/src/replicatedPinDirectory.ts
+++ b/packages/sessions/src/replicatedPinDirectory.ts
@@ -14,6 +14,7 @@
 import { PinMemory } from './pinMemory.js';
 import { getSessionKey, toPin } from './pinRow.js';
 import { PinTable } from './pinTable.js';
+import { RecentChanges } from './recentChanges.js';
 import { RecentMisses } from './recentMisses.js';
 import type { Pin, PinDirectory, PinSettings } from './types.js';
 import { withinTime } from './withinTime.js';
@@ -47,6 +48,8 @@
 
   readonly #misses: RecentMisses;
 
+  readonly #changes: RecentChanges;
+
   /** Look-ups under way, by session key. */
   readonly #lookUps = new Map<string, Promise<void>>();
 
@@ -60,7 +63,9 @@
     this.#options = options;
     this.#settings = settings;
     this.#memory = new PinMemory(settings);
-    this.#holders = new PinHolders(shared);
+    const { dataCentre } = options.membership.self;
+    this.#changes = new RecentChanges(dataCentre, settings.changeFreshMs);
+    this.#holders = new PinHolders({ ...shared, isPatient: () => this.#changes.areFresh });
     this.#table = new PinTable(shared);
     this.#misses = new RecentMisses(settings.missFreshMs);
     this.#flusher = new PinFlusher({
@@ -83,7 +88,8 @@
   /** Starts writing to the table. */
   start(): void {
     this.#flusher.start();
-    this.#stopListening = this.#options.membership.onChange(() => {
+    this.#stopListening = this.#options.membership.onChange((member) => {
+      this.#changes.note(member);
       this.#reviewAtMs = 0;
     });
   }
@@ -171,7 +177,7 @@
     return this.#recall(place.key) ?? inForce;
   }
 
-  /** Asks the other holder and the table for a session that is not in memory, once at a time. */
+  /** Asks other members and the table for a session that is not in memory, once at a time. */
   #lookUpOnce(place: Place): Promise<void> {
     const present = this.#lookUps.get(place.key);
     if (present) {
@@ -183,18 +189,27 @@
   }
 
   async #lookUp(place: Place): Promise<void> {
+    const { tableWaitMs, patientTableWaitMs } = this.#settings;
+    const isPatient = this.#changes.areFresh;
     const [row, copies] = await Promise.all([
-      this.#table.readBucket(place.bucket),
-      this.#holders.askForCopies(place),
+      this.#table.readBucket(place.bucket, isPatient ? patientTableWaitMs : tableWaitMs),
+      this.#holders.askForCopies(place, isPatient),
     ]);
-    const stored = row.get(place.key);
+    const stored = row?.get(place.key);
     if (stored && stored.usedAtMs + this.#settings.pinLifetimeMs > Date.now()) {
       this.#memory.merge(toPin(stored), stored.usedAtMs);
     }
-    copies.forEach((pin) => this.#memory.merge(pin, Date.now()));
+    this.#mergeCopies(copies);
+    if (!row && !isPatient && copies.length === 0) {
+      this.#mergeCopies(await this.#holders.askForCopies(place, true));
+    }
     this.#misses.note(place.key);
   }
 
+  #mergeCopies(copies: readonly Pin[]): void {
+    copies.forEach((pin) => this.#memory.merge(pin, Date.now()));
+  }
+
   #recall(key: string): Pin | undefined {
     const held = this.#memory.use(key);
     return held && toPin(held);
--- a/packages/sessions/src/types.ts
+++ b/packages/sessions/src/types.ts
@@ -50,4 +50,10 @@
   readonly missFreshMs: number;
   /** How long a new pin waits for its copy. */
   readonly replicaWaitMs: number;
+  /** For how long after a change of local members look-ups are patient. */
+  readonly changeFreshMs: number;
+  /** How long a patient look-up waits for the table. */
+  readonly patientTableWaitMs: number;
+  /** How long a request then waits for a holder that is no suspect; longer than its look-up takes. */
+  readonly patientPeerWaitMs: number;
 }
