Roll-outs begin in the shadow: pairs of answers, by gossip, decide

Cause: the daemon had the policy's shadow phase off, from the time before the request path had shadow runs. Whole pairs are counted by each daemon, travel with the roll-out gossip (one sum for each data centre between data centres), and feed the guard on every daemon; the holder leaves the shadow by their verdict. Reports say that a roll-out is in the shadow, share 0.

--- a/packages/protocol/src/evidence/messages.ts
+++ b/packages/protocol/src/evidence/messages.ts
@@ -60,10 +60,16 @@
 
 export type ExposureTuple = z.infer<typeof exposureTupleSchema>;
 
+/** Roll-out, source, and index and value of each pair bin that is not zero, in turn. */
+export const pairTupleSchema = z.tuple([z.string(), z.string(), z.array(countSchema)]);
+
+export type PairTuple = z.infer<typeof pairTupleSchema>;
+
 export const rolloutGossipSchema = z.object({
   progress: z.array(rolloutProgressSchema).optional(),
   grants: z.array(grantTupleSchema).optional(),
   exposures: z.array(exposureTupleSchema).optional(),
+  pairs: z.array(pairTupleSchema).optional(),
 });
 
 export type RolloutGossip = z.infer<typeof rolloutGossipSchema>;
--- a/packages/rollouts/src/constants.ts
+++ b/packages/rollouts/src/constants.ts
@@ -70,8 +70,13 @@
 /** Ratings of the stable version that speak for a candidate without ratings of its own. */
 export const STAND_IN_WEIGHT = 60;
 
-/** The request path has no shadow runs, so roll-outs start with their first stage. */
-export const rolloutSettings: RolloutSettings = { ...defaultRolloutSettings, shadowSharePct: 0 };
+/** The policy's own settings; roll-outs begin in the shadow. */
+export const rolloutSettings: RolloutSettings = defaultRolloutSettings;
+
+/** Pairs of which one score is awaited; the oldest are given up. */
+export const MAX_OUTSTANDING_PAIRS = 1_024;
+/** Pairs of a source are news once they have grown by this part of what was told last. */
+export const PAIR_NEWS_GROWTH = 0.25;
 
 /** Endings of a task before the slow threshold counts. */
 export const MIN_SLOW_SAMPLES = 20;
--- a/packages/rollouts/src/rater/sampleQueue.ts
+++ b/packages/rollouts/src/rater/sampleQueue.ts
@@ -9,9 +9,17 @@
 /** The incarnation of the daemon that handed an answer to the rater, from the id it gave. */
 export const getSubmitter = (ratingId: string): string => ratingId.split(ID_SEPARATOR)[0] ?? '';
 
+/** Which part of which pair an answer is. */
+export interface PairPart {
+  readonly pairId: string;
+  readonly side: 'stable' | 'candidate';
+}
+
 /** An answer whose score is awaited. */
 export interface OutstandingSample {
   readonly subject: EvidenceSubject;
+  /** Absent for an answer that is rated for itself. */
+  readonly part?: PairPart;
   readonly submittedAtMs: number;
 }
 
@@ -46,7 +54,7 @@
   }
 
   /** Queues an answer; returns false where it is dropped. */
-  add(subject: EvidenceSubject, sample: AnswerSample): boolean {
+  add(subject: EvidenceSubject, sample: AnswerSample, part?: PairPart): boolean {
     if (this.#queued.length >= MAX_QUEUED_SAMPLES || !this.#options.health.isUp()) {
       this.#dropped += 1;
       return false;
@@ -55,7 +63,8 @@
     const { team, task, version } = subject;
     const { prompt, answer } = sample;
     this.#queued.push({ id, team, task, version, prompt, answer });
-    this.#outstanding.set(id, { subject, submittedAtMs: Date.now() });
+    const outstanding = { subject, submittedAtMs: Date.now() };
+    this.#outstanding.set(id, part === undefined ? outstanding : { ...outstanding, part });
     this.#forgetOldest();
     return true;
   }
--- a/packages/rollouts/src/rollout/grantPlanner.ts
+++ b/packages/rollouts/src/rollout/grantPlanner.ts
@@ -6,8 +6,9 @@
   type DaemonExposure,
   type RolloutDefinition,
   type RolloutProgress,
+  type RolloutSettings,
 } from '@snipehaven/policy';
-import { GRANT_RENEW_MS, RETIRE_AFTER_MS, rolloutSettings } from '../constants.js';
+import { GRANT_RENEW_MS, RETIRE_AFTER_MS } from '../constants.js';
 import type { RolloutStates } from './rolloutStates.js';
 import type { GrantMessage } from './types.js';
 
@@ -23,6 +24,8 @@
 
   readonly #membership: MembershipView;
 
+  readonly #settings: RolloutSettings;
+
   /** When a daemon was first seen dead. */
   readonly #deadSinceMs = new Map<string, number>();
 
@@ -30,7 +33,8 @@
 
   #renewedAtMs = -Infinity;
 
-  constructor(states: RolloutStates, membership: MembershipView) {
+  constructor(states: RolloutStates, membership: MembershipView, settings: RolloutSettings) {
+    this.#settings = settings;
     this.#states = states;
     this.#membership = membership;
   }
@@ -44,7 +48,7 @@
       progress,
       daemons,
       ratingCount,
-      settings: rolloutSettings,
+      settings: this.#settings,
     });
     const isDue = Date.now() - this.#renewedAtMs >= GRANT_RENEW_MS;
     const changed = grants.filter((grant) => isDue || this.#isChanged(grant));
--- a/packages/rollouts/src/rollout/grantedRolloutAssigner.ts
+++ b/packages/rollouts/src/rollout/grantedRolloutAssigner.ts
@@ -1,8 +1,13 @@
 /** Assigns new sessions and sessionless requests within this daemon's grants. */
 import type { Random, VersionId } from '@snipehaven/common';
 import type { SafeMoves } from '@snipehaven/configuration';
-import { assignRollout, type RolloutDefinition, type RolloutProgress } from '@snipehaven/policy';
-import { EXPECTED_SESSION_ANSWERS, rolloutSettings } from '../constants.js';
+import {
+  assignRollout,
+  type RolloutDefinition,
+  type RolloutProgress,
+  type RolloutSettings,
+} from '@snipehaven/policy';
+import { EXPECTED_SESSION_ANSWERS } from '../constants.js';
 import type { AssignmentAudience, ModelAssignment, RolloutAssigner } from '../types.js';
 import type { ExposureLedger } from './exposureLedger.js';
 import type { RolloutCatalogue } from './rolloutCatalogue.js';
@@ -16,6 +21,7 @@
   readonly safeMoves: Pick<SafeMoves, 'isVersionBlocked'>;
   readonly isRaterUp: () => boolean;
   readonly random: Random;
+  readonly settings: RolloutSettings;
 }
 
 /** Decisions of recent requests, so that a plan made again does not draw again. */
@@ -81,7 +87,7 @@
   }
 
   #decide(definition: RolloutDefinition, audience: AssignmentAudience): ModelAssignment {
-    const { states, ledger, isRaterUp, random, incarnation } = this.#options;
+    const { states, ledger, isRaterUp, random, incarnation, settings } = this.#options;
     const { rolloutId } = definition;
     const progress = states.getProgress(rolloutId);
     if (progress === undefined) {
@@ -95,14 +101,16 @@
       ...(grant === undefined ? {} : { grant }),
       exposedCount: account.getChargedCount(),
       expectedAnswers: audience.isSession ? EXPECTED_SESSION_ANSWERS : 1,
-      isIdempotent: true,
+      isIdempotent: audience.isIdempotent ?? false,
       audience,
       isRaterUp: isRaterUp(),
       random,
-      settings: rolloutSettings,
+      settings,
     });
     if (!assigned.isCandidate) {
-      return assignStable(definition);
+      const { shadowVersion } = assigned;
+      const stable = assignStable(definition);
+      return shadowVersion === undefined ? stable : { ...stable, shadowVersion };
     }
     if (assigned.chargedCount > 0) {
       const { requestId, isSession } = audience;
--- a/packages/rollouts/src/rollout/guardWatch.ts
+++ b/packages/rollouts/src/rollout/guardWatch.ts
@@ -7,9 +7,10 @@
   type GuardStratum,
   type RolloutDefinition,
   type RolloutProgress,
+  type RolloutSettings,
 } from '@snipehaven/policy';
-import { rolloutSettings } from '../constants.js';
 import type { EvidenceCells } from '../evidence/evidenceCells.js';
+import type { RolloutStates } from './rolloutStates.js';
 
 interface Evaluated {
   readonly inputs: string;
@@ -19,15 +20,28 @@
 export class GuardWatch {
   readonly #cells: EvidenceCells;
 
+  readonly #states: RolloutStates;
+
+  readonly #settings: RolloutSettings;
+
   readonly #evaluated = new Map<string, Evaluated>();
 
-  constructor(cells: EvidenceCells) {
+  constructor(cells: EvidenceCells, states: RolloutStates, settings: RolloutSettings) {
     this.#cells = cells;
+    this.#states = states;
+    this.#settings = settings;
+  }
+
+  /** Pairs of both versions' answers that were rated, over all daemons. */
+  getPairCount({ rolloutId }: RolloutDefinition): number {
+    return sumBins(this.#states.getPairCounts(rolloutId));
   }
 
   /** The guard's verdict; computed anew only where the evidence or the stage has changed. */
   evaluate(definition: RolloutDefinition, progress: RolloutProgress): GuardResult {
+    const pairCounts = this.#states.getPairCounts(definition.rolloutId);
     const inputs = [
+      sumBins(pairCounts),
       this.#cells.getRevision(definition.candidateVersion),
       progress.phase,
       progress.stage,
@@ -39,7 +53,8 @@
       return known.result;
     }
     const strata = this.#listStrata(definition);
-    const result = evaluateGuard({ definition, progress, strata, settings: rolloutSettings });
+    const settings = this.#settings;
+    const result = evaluateGuard({ definition, progress, strata, pairCounts, settings });
     this.#evaluated.set(definition.rolloutId, { inputs, result });
     return result;
   }
--- a/packages/rollouts/src/rollout/rolloutCodec.ts
+++ b/packages/rollouts/src/rollout/rolloutCodec.ts
@@ -1,5 +1,6 @@
-/** Grants and exposures as tuples, to save bytes. */
-import type { ExposureTuple, GrantTuple } from '@snipehaven/protocol';
+/** Grants, exposures and pairs as tuples, to save bytes. */
+import { emptyPairCounts, type PairShare } from '@snipehaven/policy';
+import type { ExposureTuple, GrantTuple, PairTuple } from '@snipehaven/protocol';
 import type { ExposureMessage, GrantMessage } from './types.js';
 
 export const encodeGrant = (grant: GrantMessage): GrantTuple => [
@@ -28,3 +29,27 @@
   const [rolloutId, incarnation, grantedCount, exposedCount, judgedCount] = tuple;
   return { rolloutId, incarnation, grantedCount, exposedCount, judgedCount };
 };
+
+/** The pairs of one source for one roll-out. */
+export interface RolloutPairs {
+  readonly rolloutId: string;
+  readonly share: PairShare;
+}
+
+export const encodePairs = ({ rolloutId, share }: RolloutPairs): PairTuple => [
+  rolloutId,
+  share.source,
+  share.counts.flatMap((count, bin) => (count === 0 ? [] : [bin, count])),
+];
+
+/** Bins that this version does not know are left out. */
+export const decodePairs = ([rolloutId, source, filled]: PairTuple): RolloutPairs => {
+  const counts = emptyPairCounts();
+  for (let at = 0; at + 1 < filled.length; at += 2) {
+    const bin = filled[at] as number;
+    if (bin < counts.length) {
+      counts[bin] = filled[at + 1] as number;
+    }
+  }
+  return { rolloutId, share: { source, counts } };
+};
--- a/packages/rollouts/src/rollout/rolloutHolder.ts
+++ b/packages/rollouts/src/rollout/rolloutHolder.ts
@@ -8,9 +8,10 @@
   startProgress,
   type GuardResult,
   type RolloutProgress,
+  type RolloutSettings,
 } from '@snipehaven/policy';
 import type { TimelineRecorder } from '@snipehaven/timeline';
-import { LEASE_DURATION_MS, LEASE_RENEW_MS, rolloutSettings, SETTLE_MS } from '../constants.js';
+import { LEASE_DURATION_MS, LEASE_RENEW_MS, SETTLE_MS } from '../constants.js';
 import { GrantPlanner } from './grantPlanner.js';
 import type { GuardWatch } from './guardWatch.js';
 import type { DeclaredRollout } from './rolloutCatalogue.js';
@@ -27,6 +28,7 @@
   readonly timeline: TimelineRecorder;
   readonly logger: Logger;
   readonly isRaterUp: () => boolean;
+  readonly settings: RolloutSettings;
 }
 
 /** The state as this holder last read or wrote it. */
@@ -50,7 +52,7 @@
 
   constructor(options: RolloutHolderOptions) {
     this.#options = options;
-    this.#planner = new GrantPlanner(options.states, options.membership);
+    this.#planner = new GrantPlanner(options.states, options.membership, options.settings);
   }
 
   /** Whether this daemon drives the roll-out now. */
@@ -99,7 +101,7 @@
     const progress =
       isSame && stored.progress !== undefined
         ? resumeProgress(stored.progress, lease.fence)
-        : startProgress(definition, lease.fence, Date.now(), rolloutSettings);
+        : startProgress(definition, lease.fence, Date.now(), this.#options.settings);
     if (progress === undefined) {
       return;
     }
--- a/packages/rollouts/src/rollout/rolloutReports.ts
+++ b/packages/rollouts/src/rollout/rolloutReports.ts
@@ -56,6 +56,12 @@
     : phaseReasons[phase];
 };
 
+const describeShadow = ({ definition }: DeclaredRollout, sources: RolloutReportSources): string => {
+  const reason = getReason('running', definition.candidateVersion, sources);
+  const pairCount = sources.guard.getPairCount(definition);
+  return `in the shadow, no caller gets the candidate; ${pairCount} pairs: ${reason}`;
+};
+
 /** One roll-out as this daemon knows it. */
 export const describeRollout = (
   declared: DeclaredRollout,
@@ -66,6 +72,8 @@
   const progress = sources.states.getProgress(definition.rolloutId);
   const stage = Math.min(progress?.stage ?? 0, stages.length - 1);
   const phase = getPhase(declared, progress, sources);
+  const isShadow = phase === 'running' && progress?.phase === 'shadow';
+  const servesCallers = (phase === 'running' && !isShadow) || phase === 'finished';
   const exposures = sources.states.listExposures(definition.rolloutId);
   const exposedCount = exposures.reduce((sum, report) => sum + report.exposedCount, 0);
   const judgedCount = exposures.reduce((sum, report) => sum + report.judgedCount, 0);
@@ -79,7 +87,7 @@
     phase,
     stage,
     stageCount: stages.length,
-    sharePct: phase === 'running' || phase === 'finished' ? (stages[stage]?.sharePct ?? 0) : 0,
+    sharePct: servesCallers ? (stages[stage]?.sharePct ?? 0) : 0,
     stageRatings: Math.max(0, (rated ?? 0) - (progress?.ratingsAtStageStart ?? 0)),
     minRatings: stages[stage]?.minRatings ?? 0,
     exposedCount,
@@ -87,6 +95,8 @@
     exposureBudget,
     ...(ratings.candidate === undefined ? {} : { candidateRating: ratings.candidate }),
     ...(ratings.stable === undefined ? {} : { stableRating: ratings.stable }),
-    reason: getReason(phase, candidateVersion, sources),
+    reason: isShadow
+      ? describeShadow(declared, sources)
+      : getReason(phase, candidateVersion, sources),
   };
 };
--- a/packages/rollouts/src/rollout/rolloutRunner.ts
+++ b/packages/rollouts/src/rollout/rolloutRunner.ts
@@ -13,6 +13,7 @@
 import type { SafeMoves } from '@snipehaven/configuration';
 import type { LeaseKeeper, MembershipView } from '@snipehaven/membership';
 import { isPlatformError, type TableClient } from '@snipehaven/platform';
+import type { RolloutPhase, RolloutSettings } from '@snipehaven/policy';
 import type { TimelineRecorder } from '@snipehaven/timeline';
 import { RUNNER_TICK_MS } from '../constants.js';
 import type { RolloutReport } from '../types.js';
@@ -37,12 +38,16 @@
   readonly actorSystem: ActorSystem;
   readonly timeline: TimelineRecorder;
   readonly logger: Logger;
+  readonly settings: RolloutSettings;
 }
 
 interface RunnerMessage {
   readonly type: 'step';
 }
 
+/** Phases in which the guard's verdict is still to come. */
+const openPhases: ReadonlySet<RolloutPhase> = new Set(['shadow', 'running']);
+
 export class RolloutRunner {
   readonly #options: RolloutRunnerOptions;
 
@@ -133,7 +138,11 @@
     const { states, guard, safeMoves } = this.#options;
     const { candidateVersion, rolloutId } = definition;
     const progress = states.getProgress(rolloutId);
-    if (progress?.phase !== 'running' || safeMoves.isActive('quarantine', candidateVersion)) {
+    if (
+      progress === undefined ||
+      !openPhases.has(progress.phase) ||
+      safeMoves.isActive('quarantine', candidateVersion)
+    ) {
       return;
     }
     const result = guard.evaluate(definition, progress);
--- a/packages/rollouts/src/rollout/rolloutStates.ts
+++ b/packages/rollouts/src/rollout/rolloutStates.ts
@@ -1,10 +1,18 @@
 /** What a daemon knows of the roll-outs under way, joined from everyone. */
 import { asId, type IncarnationId } from '@snipehaven/common';
-import { joinProgress, type ExposureGrant, type RolloutProgress } from '@snipehaven/policy';
-import { GRANT_LIFETIME_MS } from '../constants.js';
+import {
+  foldPairShares,
+  joinProgress,
+  mergePairShares,
+  sumBins,
+  type ExposureGrant,
+  type PairShare,
+  type RolloutProgress,
+} from '@snipehaven/policy';
+import { GRANT_LIFETIME_MS, PAIR_NEWS_GROWTH } from '../constants.js';
 import type { ExposureMessage, GrantMessage } from './types.js';
 
-export type StateKind = 'progress' | 'grant' | 'exposure';
+export type StateKind = 'progress' | 'grant' | 'exposure' | 'pairs';
 
 /** Told of each item that changed. */
 export type StateListener = (kind: StateKind, rolloutId: string, incarnation: string) => void;
@@ -15,6 +23,10 @@
   /** When the latest plan with a grant for the incarnation was heard of. */
   readonly grantedAtMs: Map<string, number>;
   readonly exposures: Map<string, ExposureMessage>;
+  /** Pairs counted, by source. */
+  readonly pairs: Map<string, PairShare>;
+  /** Pairs of each source when they were last in the news. */
+  readonly toldPairs: Map<string, number>;
 }
 
 const isSame = <Item extends object>(a: Item | undefined, b: Item): boolean =>
@@ -34,6 +46,14 @@
   judgedCount: Math.max(a.judgedCount, b.judgedCount),
 });
 
+const DATA_CENTRE_MARK = '@';
+
+/** The source under which a data centre tells the others of its daemons' pairs. */
+export const getDataCentreSource = (dataCentre: string): string =>
+  `${DATA_CENTRE_MARK}${dataCentre}`;
+
+export const isDataCentreSource = (source: string): boolean => source.startsWith(DATA_CENTRE_MARK);
+
 export class RolloutStates {
   readonly #states = new Map<string, State>();
 
@@ -81,6 +101,28 @@
     return [...(this.#states.get(rolloutId)?.exposures.values() ?? [])];
   }
 
+  getPairs(rolloutId: string, source: string): PairShare | undefined {
+    return this.#states.get(rolloutId)?.pairs.get(source);
+  }
+
+  listPairs(rolloutId: string): readonly PairShare[] {
+    return [...(this.#states.get(rolloutId)?.pairs.values() ?? [])];
+  }
+
+  /**
+   * The pairs of this data centre's daemons as one share, for the others. Each daemon's sum is a lower bound,
+   * so that sums of several daemons join by the maximum.
+   */
+  getLocalPairs(rolloutId: string, source: string): PairShare {
+    const local = this.listPairs(rolloutId).filter((share) => !isDataCentreSource(share.source));
+    return { source, counts: foldPairShares(local) };
+  }
+
+  /** The pairs of all sources. */
+  getPairCounts(rolloutId: string): readonly number[] {
+    return foldPairShares(this.listPairs(rolloutId));
+  }
+
   listRolloutIds(): readonly string[] {
     return [...this.#states.keys()];
   }
@@ -115,6 +157,20 @@
     }
   }
 
+  /** Counts only grow, so news of them may wait until it is worth a message. */
+  mergePairs(rolloutId: string, share: PairShare): void {
+    const { pairs, toldPairs } = this.#getState(rolloutId);
+    const present = pairs.get(share.source);
+    const [joined = share] = mergePairShares(present ? [present] : [], [share]);
+    pairs.set(share.source, joined);
+    const total = sumBins(joined.counts);
+    const told = toldPairs.get(share.source) ?? 0;
+    if (total > told && total - told >= told * PAIR_NEWS_GROWTH) {
+      toldPairs.set(share.source, total);
+      this.#notify('pairs', rolloutId, share.source);
+    }
+  }
+
   /** Forgets roll-outs that are declared no more. */
   keepOnly(rolloutIds: ReadonlySet<string>): void {
     this.listRolloutIds()
@@ -127,7 +183,13 @@
     if (present !== undefined) {
       return present;
     }
-    const created: State = { grants: new Map(), grantedAtMs: new Map(), exposures: new Map() };
+    const created: State = {
+      grants: new Map(),
+      grantedAtMs: new Map(),
+      exposures: new Map(),
+      pairs: new Map(),
+      toldPairs: new Map(),
+    };
     this.#states.set(rolloutId, created);
     return created;
   }
--- a/packages/rollouts/src/rollout/rolloutTopic.ts
+++ b/packages/rollouts/src/rollout/rolloutTopic.ts
@@ -1,11 +1,24 @@
 /** Spreads the state of roll-outs along with membership's exchanges. */
 import type { GossipTopic, MembershipView } from '@snipehaven/membership';
+import type { PairShare } from '@snipehaven/policy';
 import { rolloutGossipSchema, type Member, type RolloutGossip } from '@snipehaven/protocol';
 import { LOCAL_ROLLOUT_BYTES, REMOTE_ROLLOUT_BYTES, SWEEP_BYTES } from '../constants.js';
 import { NewsQueues } from '../gossip/newsQueues.js';
 import { PayloadBudget } from '../gossip/payloadBudget.js';
-import { decodeExposure, decodeGrant, encodeExposure, encodeGrant } from './rolloutCodec.js';
-import type { RolloutStates, StateKind } from './rolloutStates.js';
+import {
+  decodeExposure,
+  decodeGrant,
+  decodePairs,
+  encodeExposure,
+  encodeGrant,
+  encodePairs,
+} from './rolloutCodec.js';
+import {
+  getDataCentreSource,
+  isDataCentreSource,
+  type RolloutStates,
+  type StateKind,
+} from './rolloutStates.js';
 
 /** The lists of a message that is being filled. */
 type MutableGossip = {
@@ -14,6 +27,9 @@
 
 const SEPARATOR = '\n';
 
+const joinKey = (kind: StateKind, rolloutId: string, source: string): string =>
+  [kind, rolloutId, source].join(SEPARATOR);
+
 const mapDefined = <Item, Result>(
   item: Item | undefined,
   map: (item: Item) => Result,
@@ -44,25 +60,25 @@
 
   readonly #news: NewsQueues;
 
+  /** Under which this data centre's pairs go to the others. */
+  readonly #ownSource: string;
+
   #sweepAt = 0;
 
   constructor(options: RolloutTopicOptions) {
     this.#options = options;
     this.#news = new NewsQueues(options.membership);
-    options.states.onChange((kind, rolloutId, incarnation) => {
-      const key = [kind, rolloutId, incarnation].join(SEPARATOR);
-      this.#news.pushLocal(key);
-      this.#news.pushRemote(key);
-    });
+    this.#ownSource = getDataCentreSource(options.membership.self.dataCentre);
+    options.states.onChange((kind, rolloutId, source) => this.#noteNews(kind, rolloutId, source));
   }
 
   getPayload(peer: Member): RolloutGossip | undefined {
-    const gossip: MutableGossip = { progress: [], grants: [], exposures: [] };
+    const gossip: MutableGossip = { progress: [], grants: [], exposures: [], pairs: [] };
     const isLocal = this.#news.isLocal(peer);
     const budget = new PayloadBudget(isLocal ? LOCAL_ROLLOUT_BYTES : REMOTE_ROLLOUT_BYTES);
     this.#news.take(peer, (key) => this.#add(key, gossip, budget));
     if (this.#news.isSweepDue()) {
-      this.#sweep(gossip);
+      this.#sweep(gossip, isLocal);
     }
     const filled = Object.entries(gossip).filter(([, items]) => items.length > 0);
     return filled.length === 0 ? undefined : Object.fromEntries(filled);
@@ -70,7 +86,8 @@
 
   mergePayload(payload: unknown): void {
     const { states, isDeclared } = this.#options;
-    const { progress = [], grants = [], exposures = [] } = rolloutGossipSchema.parse(payload);
+    const gossip = rolloutGossipSchema.parse(payload);
+    const { progress = [], grants = [], exposures = [], pairs = [] } = gossip;
     const isKnown = ({ rolloutId }: { readonly rolloutId: string }): boolean =>
       isDeclared(rolloutId);
     progress.filter(isKnown).forEach((item) => states.mergeProgress(item));
@@ -82,11 +99,15 @@
       .map(decodeExposure)
       .filter(isKnown)
       .forEach((exposure) => states.mergeExposure(exposure));
+    pairs
+      .map(decodePairs)
+      .filter((told) => isKnown(told) && told.share.source !== this.#ownSource)
+      .forEach(({ rolloutId, share }) => states.mergePairs(rolloutId, share));
   }
 
   /** Whoever missed the news, or has just started, learns it from what goes round again and again. */
-  #sweep(gossip: MutableGossip): void {
-    const keys = this.#listKeys();
+  #sweep(gossip: MutableGossip, isLocal: boolean): void {
+    const keys = this.#listKeys(isLocal);
     const budget = new PayloadBudget(SWEEP_BYTES);
     for (let steps = 0; steps < keys.length; steps += 1) {
       const key = keys[this.#sweepAt % keys.length] ?? '';
@@ -97,21 +118,51 @@
     }
   }
 
-  #listKeys(): readonly string[] {
+  /** Pairs of single daemons stay in the data centre; the others hear of their sum. */
+  #noteNews(kind: StateKind, rolloutId: string, source: string): void {
+    const key = joinKey(kind, rolloutId, source);
+    this.#news.pushLocal(key);
+    if (kind !== 'pairs') {
+      this.#news.pushRemote(key);
+    } else if (!isDataCentreSource(source)) {
+      this.#news.pushRemote(joinKey(kind, rolloutId, this.#ownSource));
+    }
+  }
+
+  #listPairSources(rolloutId: string, isLocal: boolean): readonly string[] {
+    const sources = this.#options.states.listPairs(rolloutId).map(({ source }) => source);
+    const hasLocal = sources.some((source) => !isDataCentreSource(source));
+    if (isLocal) {
+      return sources;
+    }
+    return hasLocal ? [this.#ownSource] : [];
+  }
+
+  #listKeys(isLocal: boolean): readonly string[] {
     const { states } = this.#options;
-    const join = (kind: StateKind, rolloutId: string, incarnation: string): string =>
-      [kind, rolloutId, incarnation].join(SEPARATOR);
     return states
       .listRolloutIds()
       .flatMap((rolloutId) => [
-        join('progress', rolloutId, ''),
-        ...states.listGrants(rolloutId).map((grant) => join('grant', rolloutId, grant.incarnation)),
+        joinKey('progress', rolloutId, ''),
+        ...states
+          .listGrants(rolloutId)
+          .map((grant) => joinKey('grant', rolloutId, grant.incarnation)),
         ...states
           .listExposures(rolloutId)
-          .map((exposure) => join('exposure', rolloutId, exposure.incarnation)),
+          .map((exposure) => joinKey('exposure', rolloutId, exposure.incarnation)),
+        ...this.#listPairSources(rolloutId, isLocal).map((source) =>
+          joinKey('pairs', rolloutId, source),
+        ),
       ]);
   }
 
+  #findPairs(rolloutId: string, source: string): PairShare | undefined {
+    const { states } = this.#options;
+    return source === this.#ownSource
+      ? states.getLocalPairs(rolloutId, source)
+      : states.getPairs(rolloutId, source);
+  }
+
   /** False where the item has no room; an item that is gone needs none. */
   #add(key: string, gossip: MutableGossip, budget: PayloadBudget): boolean {
     const [kind, rolloutId = '', incarnation = ''] = key.split(SEPARATOR);
@@ -143,5 +194,13 @@
         mapDefined(this.#options.states.getExposure(rolloutId, incarnation), encodeExposure),
         budget,
       ),
+    pairs: (rolloutId, source, gossip, budget) =>
+      put(
+        gossip.pairs,
+        mapDefined(this.#findPairs(rolloutId, source), (share) =>
+          encodePairs({ rolloutId, share }),
+        ),
+        budget,
+      ),
   };
 }
--- a/packages/rollouts/src/rolloutSystem.ts
+++ b/packages/rollouts/src/rolloutSystem.ts
@@ -3,8 +3,10 @@
 import type { ConfigurationStore, SafeMoves } from '@snipehaven/configuration';
 import type { GossipTopic, LeaseKeeper, MembershipView } from '@snipehaven/membership';
 import type { RaterClient, TableClient } from '@snipehaven/platform';
+import type { RolloutSettings } from '@snipehaven/policy';
 import type { EvidenceHandlers, PeerTransport } from '@snipehaven/protocol';
 import type { TimelineRecorder } from '@snipehaven/timeline';
+import { rolloutSettings } from './constants.js';
 import { GrantedRolloutAssigner } from './rollout/grantedRolloutAssigner.js';
 import { GuardWatch } from './rollout/guardWatch.js';
 import { RolloutCatalogue } from './rollout/rolloutCatalogue.js';
@@ -26,6 +28,8 @@
   readonly timeline: TimelineRecorder;
   readonly logger: Logger;
   readonly random: Random;
+  /** Left out: those in force; tests of the stages alone leave the shadow out. */
+  readonly settings?: RolloutSettings;
 }
 
 export class RolloutSystem {
@@ -45,12 +49,13 @@
     this.evidence = new SharedEvidenceBook({ ...options, catalogue, states });
     const { ledger, cells } = this.evidence;
     const isRaterUp = (): boolean => this.evidence.isRaterUp();
-    const shared = { ...options, catalogue, states, ledger, isRaterUp };
+    const { settings = rolloutSettings } = options;
+    const shared = { ...options, catalogue, states, ledger, isRaterUp, settings };
     this.assigner = new GrantedRolloutAssigner({
       ...shared,
       incarnation: membership.self.incarnation,
     });
-    this.runner = new RolloutRunner({ ...shared, guard: new GuardWatch(cells) });
+    this.runner = new RolloutRunner({ ...shared, guard: new GuardWatch(cells, states, settings) });
     const isDeclared = (rolloutId: string): boolean =>
       catalogue.list().some(({ definition }) => definition.rolloutId === rolloutId);
     this.topics = [this.evidence.topic, new RolloutTopic({ states, membership, isDeclared })];
--- a/packages/rollouts/src/sharedEvidenceBook.ts
+++ b/packages/rollouts/src/sharedEvidenceBook.ts
@@ -3,7 +3,12 @@
 import type { ConfigurationStore, SafeMoves } from '@snipehaven/configuration';
 import type { GossipTopic, MembershipView } from '@snipehaven/membership';
 import type { RaterClient } from '@snipehaven/platform';
-import type { PriorQuality, QualityEvidence } from '@snipehaven/policy';
+import {
+  addPair,
+  emptyPairCounts,
+  type PriorQuality,
+  type QualityEvidence,
+} from '@snipehaven/policy';
 import type { DeliverScores, EvidenceHandlers, PeerTransport } from '@snipehaven/protocol';
 import {
   MAINTENANCE_MS,
@@ -19,13 +24,20 @@
 import { EvidenceTopic } from './evidence/evidenceTopic.js';
 import { PooledEvidence } from './evidence/pooledEvidence.js';
 import { SlowThresholds } from './evidence/slowThresholds.js';
+import { PairScores, type ScoredPair } from './rater/pairScores.js';
 import { RaterHealth } from './rater/raterHealth.js';
 import { SampleQueue } from './rater/sampleQueue.js';
 import { ScorePoller } from './rater/scorePoller.js';
 import { ExposureLedger } from './rollout/exposureLedger.js';
 import type { RolloutCatalogue } from './rollout/rolloutCatalogue.js';
 import type { RolloutStates } from './rollout/rolloutStates.js';
-import type { AnswerEnding, AnswerSample, EvidenceBook, EvidenceSubject } from './types.js';
+import type {
+  AnswerEnding,
+  AnswerPair,
+  AnswerSample,
+  EvidenceBook,
+  EvidenceSubject,
+} from './types.js';
 
 export interface SharedEvidenceBookOptions {
   readonly rater: RaterClient;
@@ -67,6 +79,8 @@
 
   readonly #samples: SampleQueue;
 
+  readonly #pairs = new PairScores();
+
   readonly #poller: ScorePoller;
 
   readonly #drift: DriftWatch;
@@ -141,6 +155,22 @@
     this.ledger.noteScore(subject.version);
   }
 
+  /**
+   * What goes wrong: a pair's scores counted as ratings too would let the shadow's hundreds raise the limit
+   * of answers that callers may get unrated. One notices it by a slow candidate, which the shadow cannot
+   * tell from a good one, and of which callers get far more than the budget. They count as pairs only.
+   */
+  submitPair({ requestId, prompt, stable, candidate }: AnswerPair): void {
+    const pairId = `${requestId}.pair`;
+    const sides = { stable, candidate } as const;
+    this.#pairs.open(pairId, candidate.subject.version);
+    (['stable', 'candidate'] as const).forEach((side) => {
+      const { subject, answer } = sides[side];
+      const sample = { requestId: `${pairId}.${side}`, prompt, answer };
+      this.#samples.add(subject, sample, { pairId, side });
+    });
+  }
+
   submitSample(subject: EvidenceSubject, sample: AnswerSample): void {
     if (!this.#ratedInline.delete(this.#getAnswerKey(subject, sample))) {
       this.#samples.add(subject, sample);
@@ -205,10 +235,29 @@
       const sample = this.#samples.takeScored(id);
       return sample === undefined ? [] : [{ ...sample, score }];
     });
-    counted.forEach(({ subject, score }) => this.recordScore(subject, score));
+    counted.forEach(({ subject, part, score }) => {
+      if (part === undefined) {
+        this.recordScore(subject, score);
+      } else {
+        this.#countPair(this.#pairs.note(part, score));
+      }
+    });
     return counted.length;
   }
 
+  /** Counts a whole pair under this daemon's name, while the roll-out that it is for is declared. */
+  #countPair(pair: ScoredPair | undefined): void {
+    const { catalogue, states, membership } = this.#options;
+    const declared = pair && catalogue.findByCandidate(pair.candidateVersion);
+    if (pair === undefined || declared === undefined) {
+      return;
+    }
+    const { rolloutId } = declared.definition;
+    const source = membership.self.incarnation;
+    const share = states.getPairs(rolloutId, source) ?? { source, counts: emptyPairCounts() };
+    states.mergePairs(rolloutId, addPair(share, pair.stableScore, pair.candidateScore));
+  }
+
   #findStandIn(version: string): ReturnType<ConstructorParameters<typeof PooledEvidence>[1]> {
     const { catalogue, states } = this.#options;
     const definition = catalogue.findByCandidate(version)?.definition;
--- a/packages/rollouts/src/testing/testCluster.ts
+++ b/packages/rollouts/src/testing/testCluster.ts
@@ -15,8 +15,10 @@
   type PeerHandlers,
   type PeerTransport,
 } from '@snipehaven/protocol';
+import type { RolloutSettings } from '@snipehaven/policy';
 import type { ConfigurationView, Kind, Resource, RolloutSpec } from '@snipehaven/resources';
 import { HybridClock, Timeline } from '@snipehaven/timeline';
+import { rolloutSettings } from '../constants.js';
 import { RolloutSystem } from '../rolloutSystem.js';
 import { FakeRater } from './fakeRater.js';
 import { FakeTable } from './fakeTable.js';
@@ -85,6 +87,8 @@
 
   readonly #clock: TestClock;
 
+  readonly #settings: RolloutSettings;
+
   readonly #daemons: TestDaemon[] = [];
 
   #late: { readonly dueMs: number; readonly deliver: () => void }[] = [];
@@ -97,8 +101,9 @@
 
   #onStep: (stepMs: number) => void = () => undefined;
 
-  constructor(clock: TestClock) {
+  constructor(clock: TestClock, settings: RolloutSettings) {
     this.#clock = clock;
+    this.#settings = settings;
     setInvariantsFatal(true);
     this.declare({});
   }
@@ -166,6 +171,7 @@
       configuration: { getView: () => this.#getView() },
       safeMoves,
       actorSystem: startActorSystem(),
+      settings: this.#settings,
     });
     const daemon = { self, system, safeMoves, timeline };
     this.#daemons.push(daemon);
@@ -394,10 +400,13 @@
 
 /** Runs a test with a cluster, and gives the clock back whatever happens. */
 export const createClusterTest =
-  (install: (options: { readonly now: number }) => TestClock) =>
+  (
+    install: (options: { readonly now: number }) => TestClock,
+    settings: RolloutSettings = rolloutSettings,
+  ) =>
   (run: (cluster: TestCluster) => Promise<void>) =>
   async (): Promise<void> => {
-    const cluster = new TestCluster(install({ now: START_MS }));
+    const cluster = new TestCluster(install({ now: START_MS }), settings);
     try {
       await run(cluster);
     } finally {
--- a/packages/rollouts/src/testing/traffic.ts
+++ b/packages/rollouts/src/testing/traffic.ts
@@ -34,6 +34,9 @@
 
   stableAnswers = 0;
 
+  /** Answers of the candidate that nobody got. */
+  shadowAnswers = 0;
+
   constructor(cluster: TestCluster, options: TrafficOptions) {
     this.#cluster = cluster;
     this.#options = options;
@@ -59,6 +62,7 @@
       allowsExploration: true,
       allowsCascade,
       isSession: false,
+      isIdempotent: true,
       requestId,
     }) as ModelAssignment;
     const subject = {
@@ -79,6 +83,7 @@
   ): Promise<void> {
     const { evidence } = daemon.system;
     await this.#run(daemon, subject);
+    this.#shadow(daemon, subject, assignment, requestId);
     const sample = { requestId, prompt: 'prompt', answer: 'answer' };
     if (assignment.isGated) {
       const score = await evidence
@@ -99,6 +104,21 @@
     }
   }
 
+  /** As the request path does: the shadow's answer is rated with the stable version's, and no more. */
+  #shadow(
+    { system }: TestDaemon,
+    subject: EvidenceSubject,
+    { shadowVersion }: ModelAssignment,
+    requestId: string,
+  ): void {
+    if (shadowVersion !== undefined) {
+      this.shadowAnswers += 1;
+      const stable = { subject, answer: 'answer' };
+      const candidate = { subject: { ...subject, version: shadowVersion }, answer: 'answer' };
+      system.evidence.submitPair({ requestId, prompt: 'prompt', stable, candidate });
+    }
+  }
+
   async #run(daemon: TestDaemon, subject: EvidenceSubject): Promise<void> {
     const { getEnd = () => 'complete' as const } = this.#options;
     const isCandidate = subject.version === asId<VersionId>(CANDIDATE);
--- a/packages/rollouts/src/types.ts
+++ b/packages/rollouts/src/types.ts
@@ -25,6 +25,19 @@
   readonly answer: string;
 }
 
+/** Answers of both versions to the same prompt, to be rated as a pair. */
+export interface AnswerPair {
+  readonly requestId: string;
+  readonly prompt: string;
+  readonly stable: PairedAnswer;
+  readonly candidate: PairedAnswer;
+}
+
+export interface PairedAnswer {
+  readonly subject: EvidenceSubject;
+  readonly answer: string;
+}
+
 export interface EvidenceBook {
   /** Pooled evidence, this daemon's and its peers'. */
   getEvidence(subject: EvidenceSubject, prior: PriorQuality): QualityEvidence;
@@ -32,6 +45,8 @@
   recordScore(subject: EvidenceSubject, score: number): void;
   /** Sends an answer to the rater in the background; its score comes back late or never. */
   submitSample(subject: EvidenceSubject, sample: AnswerSample): void;
+  /** Sends both answers of a pair to the rater in the background; counts once both scores are there. */
+  submitPair(pair: AnswerPair): void;
   /** Rates in line, for a cascade; throws when the rater does not answer in time. */
   rateNow(subject: EvidenceSubject, sample: AnswerSample, timeoutMs: number): Promise<number>;
   isRaterUp(): boolean;
@@ -43,6 +58,8 @@
   readonly allowsExploration: boolean;
   readonly allowsCascade: boolean;
   readonly isSession: boolean;
+  /** Only what may run twice is answered in the shadow too. */
+  readonly isIdempotent?: boolean;
   /** Makes a repeated question about the same request get the same answer, charged once. */
   readonly requestId?: string;
   /** Versions that may answer this request; a candidate that is none of them is not assigned. */
@@ -62,6 +79,8 @@
   readonly candidateVersion: VersionId;
   /** The candidate's answer must go to the rater, whatever the share of rated answers is. */
   readonly shouldRate?: boolean;
+  /** Asked in the shadow of the stable version's answer; both answers are rated as a pair. */
+  readonly shadowVersion?: VersionId;
 }
 
 export interface RolloutAssigner {
--- a/packages/routing/src/planChat.test.ts
+++ b/packages/routing/src/planChat.test.ts
@@ -141,6 +141,31 @@
   assert.equal(listVersions({ team, assignment, model: 'small@2' }), ['small@2']);
 });
 
+test('pairs a shadow with the stable version only where that answers first', () => {
+  // Symptom: a good candidate looks worse than the stable version, by a difference that is none.
+  // Sequence: another version answers, or a caller names one, and the candidate runs beside it.
+  // Cause: a pair that is not of the two versions on the same prompt.
+  const stableVersion = asId<VersionId>('small@1');
+  const candidateVersion = asId<VersionId>('small@2');
+  const assignment: ModelAssignment = {
+    version: stableVersion,
+    hidden: [candidateVersion],
+    isCandidate: false,
+    isGated: false,
+    stableVersion,
+    candidateVersion,
+    shadowVersion: candidateVersion,
+  };
+  const findPaired = (situation: Situation): string | undefined =>
+    plan({ ...situation, assignment }).pair?.candidateVersion;
+  const team = { ...plain, qualityTarget: 0.5 };
+  assert.is(findPaired({ team }), candidateVersion);
+  assert.is(findPaired({ team: { ...plain, qualityTarget: 0.92 } }), undefined);
+  assert.is(findPaired({ team, model: 'small@1' }), undefined);
+  assert.is(findPaired({ team, session: toPinned('small@1') }), undefined);
+  assert.is(plan({ team }).pair, undefined);
+});
+
 test('plans one run only for requests that may run once', () => {
   // Symptom: a request that may not be repeated runs on two versions.
   // Sequence: its team allows cascades; a cheap version could answer first.
--- a/packages/routing/src/planChat.ts
+++ b/packages/routing/src/planChat.ts
@@ -33,6 +33,14 @@
   readonly shouldRateAfterRelease: boolean;
   /** A version to ask in the shadow of the request. */
   readonly shadowVersion?: VersionId;
+  /** A roll-out's candidate to ask in the shadow of the stable version's answer. */
+  readonly pair?: PlannedPair;
+}
+
+/** Versions whose answers to the request are rated as a pair. */
+export interface PlannedPair {
+  readonly stableVersion: VersionId;
+  readonly candidateVersion: VersionId;
 }
 
 /** A caller that names `model@version` has chosen itself: roll-outs of the model do not apply. */
@@ -97,6 +105,7 @@
       allowsExploration: choice.allowsExploration,
       allowsCascade: choice.allowsCascade,
       isSession: input.request.options.callerSession !== undefined,
+      isIdempotent: input.request.options.isIdempotent,
       requestId: input.request.requestId,
       usableVersions: usable.map(getVersion),
     });
@@ -149,6 +158,16 @@
   { version: assignment.stableVersion },
 ];
 
+/** Only where the stable version is asked first: whether it is depends on no answer's score. */
+const findPair = (
+  plan: RequestPlan,
+  assignments: readonly ModelAssignment[],
+): PlannedPair | undefined =>
+  assignments.find(
+    ({ shadowVersion, stableVersion }) =>
+      shadowVersion !== undefined && plan.steps[0]?.version === stableVersion,
+  );
+
 const applyRollout = (plan: RequestPlan, assignments: readonly ModelAssignment[]): ChatPlan => {
   const gated = assignments.find(
     (assignment) => assignment.isGated && plan.steps[0]?.version === assignment.candidateVersion,
@@ -158,7 +177,12 @@
       assignment.shouldRate === true &&
       plan.steps.some((step) => step.version === assignment.candidateVersion),
   );
-  const rated = mustRate ? { ...plan, shouldRateAfterRelease: true } : plan;
+  const pair = findPair(plan, assignments);
+  const rated = {
+    ...plan,
+    shouldRateAfterRelease: mustRate || plan.shouldRateAfterRelease,
+    ...(pair === undefined ? {} : { pair }),
+  };
   return gated ? { ...rated, reason: 'rollout', steps: toGatedSteps(gated) } : rated;
 };
 
--- a/packages/routing/src/shadowRunner.ts
+++ b/packages/routing/src/shadowRunner.ts
@@ -1,6 +1,6 @@
 /** Asks a version beside the one that answers: its answer is rated, never released and never billed. */
 import { asId, type UpstreamId, type VersionId } from '@snipehaven/common';
-import type { EvidenceSubject } from '@snipehaven/rollouts';
+import type { EvidenceSubject, PairedAnswer } from '@snipehaven/rollouts';
 import { AnswerAssembler } from './answerAssembler.js';
 import { toEngineBody } from './chatBody.js';
 import type { RoutingDependencies } from './dependencies.js';
@@ -17,6 +17,8 @@
   readonly promptText: string;
   /** The kinds of evidence that the answer's rating counts for. */
   readonly subjects: readonly EvidenceSubject[];
+  /** The stable version's answer, where both are rated as a pair. */
+  readonly stable?: PairedAnswer;
 }
 
 /** Shadows that one daemon runs at a time; more are left out, for callers come first. */
@@ -99,9 +101,16 @@
   }
 
   /** Only its quality counts: at the lowest priority it waits, and would look like a slow version. */
-  #submit({ request, promptText, subjects }: ShadowRequest, answer: string): void {
-    subjects.forEach((subject, index) => {
-      this.#deps.evidence.submitSample(subject, {
+  #submit({ request, promptText, subjects, stable }: ShadowRequest, answer: string): void {
+    const [subject] = subjects;
+    if (stable !== undefined && subject !== undefined) {
+      const { requestId } = request;
+      const candidate = { subject, answer };
+      this.#deps.evidence.submitPair({ requestId, prompt: promptText, stable, candidate });
+      return;
+    }
+    subjects.forEach((rated, index) => {
+      this.#deps.evidence.submitSample(rated, {
         requestId: `${request.requestId}.shadow.${index}`,
         prompt: promptText,
         answer,
