Roll-out proof: kill the holder in the shadow too; tell unknown outcomes apart

Cause: with the shadow phase on, a gross candidate never answers callers, so the proof would not have killed the holder at all; and a request that may run once, under way at the killed daemon, is refused as `outcomeUnknown`, which the product promises, while the proof counted it as failed. Change: each kind of candidate says when the holder dies (gross: with the first pairs, others: with the first answers to callers). `outcomeUnknown` counts requests that may run once only and were told so; any other one that was not answered still fails the proof.

--- a/packages/proofs/src/rollout/judgeRollout.ts
+++ b/packages/proofs/src/rollout/judgeRollout.ts
@@ -1,5 +1,5 @@
 /** What came of a roll-out, by what callers saw and what the engines did. */
-import type { CallRecord } from '@snipehaven/demo';
+import { getFinalEnd, type CallRecord } from '@snipehaven/demo';
 import type { EngineTruth, StreamTruth } from '@snipehaven/standins';
 import { CANDIDATE_VERSION, MAX_REACHED_CALLERS, QUARANTINE_GRACE_MS } from './constants.js';
 import { candidateKinds, type CandidateKindName } from './kinds.js';
@@ -36,6 +36,9 @@
   readonly phase: string;
   readonly requests: number;
   readonly requestsPerSecond: number;
+  /** Requests that may run once only and were under way when the holder was killed, told as such. */
+  readonly outcomeUnknown: number;
+  /** All other requests that were not answered. */
   readonly failed: number;
   readonly hasHeld: boolean;
 }
@@ -51,6 +54,13 @@
     attempts.some(({ end }) => end.kind === 'answered' && end.answer.version === CANDIDATE_VERSION),
   ).length;
 
+const isAnswered = (record: CallRecord): boolean => getFinalEnd(record)?.kind === 'answered';
+
+const isOutcomeUnknown = (record: CallRecord): boolean => {
+  const end = getFinalEnd(record);
+  return !record.item.isIdempotent && end?.kind === 'refused' && end.code === 'outcomeUnknown';
+};
+
 const getRate = (records: readonly CallRecord[]): number => {
   const startsMs = records.flatMap(({ attempts }) => attempts.map((one) => one.startedAtMs));
   const spanMs = Math.max(...startsMs) - Math.min(...startsMs);
@@ -94,7 +104,9 @@
     phase: facts.phase,
     requests: facts.records.length,
     requestsPerSecond: getRate(facts.records),
-    failed: facts.records.filter(({ attempts }) => attempts.at(-1)?.end.kind !== 'answered').length,
+    outcomeUnknown: facts.records.filter(isOutcomeUnknown).length,
+    failed: facts.records.filter((record) => !isAnswered(record) && !isOutcomeUnknown(record))
+      .length,
   };
   return { ...figures, hasHeld: hasHeld(figures) };
 };
--- a/packages/proofs/src/rollout/rolloutRun.ts
+++ b/packages/proofs/src/rollout/rolloutRun.ts
@@ -60,6 +60,9 @@
 const askForModel = (item: WorkItem): WorkItem =>
   usersOfModel.has(item.team) && item.service === undefined ? { ...item, model: MODEL } : item;
 
+/** How a daemon's report tells of the first pairs of the shadow phase. */
+const SOME_PAIRS = /[1-9]\d* pairs/;
+
 /** Phases from which a roll-out does not go on. */
 const lastPhases = ['quarantined', 'finished'] as const;
 
@@ -204,10 +207,11 @@
   }
 
   #hasBegun(): boolean {
-    return this.#watch.reports.some(({ phase, exposedCount }) => {
-      const isUnderWay = phase === 'running' || phase === 'shadow';
-      return isUnderWay && exposedCount > 0;
-    });
+    const { killedIn } = candidateKinds[this.#options.kind];
+    return this.#watch.reports.some(
+      ({ phase, exposedCount, reason }) =>
+        phase === 'running' && (killedIn === 'shadow' ? SOME_PAIRS.test(reason) : exposedCount > 0),
+    );
   }
 
   #tell(told: string): string {
