Demo: a roll-out of a grossly bad version, caught in the shadow

Cause: the demo showed no roll-out. Change: config/rollout.toml rolls out scribe@2, with which the demo's engines answer grossly badly; the load starts once it is under way; the summary and the last line say what came of it (`exposed`, `shadowed`, `rolloutPhase`; all earlier fields stay).

--- a/packages/demo/src/applySample.ts
+++ b/packages/demo/src/applySample.ts
@@ -8,6 +8,9 @@
 
 const ROOT = resolve(dirname(fileURLToPath(import.meta.url)), '../../..');
 
+/** Where the sample configurations are. */
+export const SAMPLES_FOLDER = join(ROOT, 'config');
+
 /** Runs `snipectl` against all daemons of the deployment; throws where it fails. */
 export const operate = async (deployment: Deployment, args: readonly string[]): Promise<void> => {
   const urls = deployment.daemons.map((daemon) => daemon.operatorsUrl);
@@ -26,7 +29,7 @@
   const upstreams = join(folder, 'upstreams.json');
   const resources = createUpstreamManifests(deployment.addresses, added);
   writeFileSync(upstreams, JSON.stringify({ resources }));
-  const samples = ['config/kowalczyk.toml', 'config/caprock.toml'].map((file) => join(ROOT, file));
+  const samples = ['kowalczyk.toml', 'caprock.toml'].map((file) => join(SAMPLES_FOLDER, file));
   const files = [...samples, upstreams];
   await operate(deployment, [
     'apply',
--- a/packages/demo/src/demoRun.ts
+++ b/packages/demo/src/demoRun.ts
@@ -8,6 +8,13 @@
   isAllowedBySample,
   sampleDataCentres,
 } from './sampleDeployment.js';
+import {
+  judgeRollout,
+  sampleCandidate,
+  startSampleRollout,
+  waitForPhase,
+  type RolloutOutcome,
+} from './sampleRollout.js';
 import { readUpstreamsTruth } from './standinsClient.js';
 import { Callers } from './workload/callers.js';
 import { judgeRun, type Verdict, type WithdrawalFact } from './workload/oracle.js';
@@ -34,6 +41,9 @@
     setTimeout(done, delayMs);
   });
 
+/** What the demo found, the roll-out included. */
+export type DemoVerdict = Verdict & RolloutOutcome;
+
 export class DemoRun {
   readonly deployment: Deployment;
 
@@ -49,7 +59,7 @@
       folder: options.folder,
       dataCentres: sampleDataCentres,
       daemonsPerDataCentre: 1,
-      standins: createSampleStandins(options.seed),
+      standins: createSampleStandins(options.seed, [sampleCandidate]),
     });
   }
 
@@ -58,12 +68,14 @@
     const { say, folder } = this.#options;
     await this.deployment.start();
     say(`${this.deployment.daemons.length} daemons and the stand-ins run`);
-    await applySample(this.deployment, folder);
+    await applySample(this.deployment, folder, [sampleCandidate]);
     say('the sample configuration is in force everywhere');
+    await startSampleRollout(this.deployment);
+    say(`the roll-out of ${sampleCandidate.version}, a grossly bad version, has begun`);
   }
 
   /** Sends the load with its disturbances; resolves with the verdict. */
-  async run(): Promise<Verdict> {
+  async run(): Promise<DemoVerdict> {
     const { seed, requests, say } = this.#options;
     const callers = new Callers({
       seed,
@@ -80,20 +92,23 @@
     return this.#judge(records);
   }
 
-  async #judge(records: Callers['records']): Promise<Verdict> {
+  async #judge(records: Callers['records']): Promise<DemoVerdict> {
     const { addresses } = this.deployment;
     if (!(await waitForBills(addresses, records))) {
       this.#options.say('some bills are missing');
     }
+    const phase = await waitForPhase(this.deployment, 'quarantined');
     await this.deployment.stopDaemons();
-    return judgeRun({
+    const truth = await readUpstreamsTruth(addresses);
+    const verdict = judgeRun({
       records,
-      ...(await readUpstreamsTruth(addresses)),
+      ...truth,
       entries: await readLedger(addresses),
       withdrawals: this.#withdrawals,
       isAllowed: isAllowedBySample,
       dearest: dearestPrice,
     });
+    return { ...verdict, ...judgeRollout(phase, records, truth.engines) };
   }
 
   #listReady(): readonly RunningDaemon[] {
--- a/packages/demo/src/index.ts
+++ b/packages/demo/src/index.ts
@@ -9,6 +9,7 @@
 export * from './demoRun.js';
 export * from './runSnipectl.js';
 export * from './sampleDeployment.js';
+export * from './sampleRollout.js';
 export * from './workload/callRecord.js';
 export * from './workload/callers.js';
 export * from './workload/oracle.js';
--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -4,7 +4,8 @@
 import { join } from 'node:path';
 import { parseArgs } from 'node:util';
 import { demoSecrets } from './daemonSettings.js';
-import { DemoRun } from './demoRun.js';
+import { DemoRun, type DemoVerdict } from './demoRun.js';
+import { sampleCandidate } from './sampleRollout.js';
 import type { Verdict } from './workload/oracle.js';
 
 const { values } = parseArgs({
@@ -28,7 +29,7 @@
     verdict.afterWithdrawal ===
   0;
 
-const sayVerdict = (verdict: Verdict): void => {
+const sayVerdict = (verdict: DemoVerdict): void => {
   const { examples, ...figures } = verdict;
   examples.forEach((example) => say(`BROKEN ${example}`));
   say(
@@ -37,6 +38,10 @@
       `cost ${(figures.costVsDearest * 100).toFixed(1)} % of the dearest version's, ` +
       `p50 ${figures.p50Ms} ms, p95 ${figures.p95Ms} ms`,
   );
+  say(
+    `roll-out of ${sampleCandidate.version}: ${figures.rolloutPhase}; callers got ` +
+      `${figures.exposed} of its answers, ${figures.shadowed} were rated in the shadow`,
+  );
   say(isKept(verdict) ? 'every promise held' : 'A PROMISE BROKE');
   say(JSON.stringify(figures));
 };
