Tell peers what to forget before a daemon leaves

An owner left with the word to forget (5 s, or a former peer's release) unsent; its holder, which hands copies on since, took them for left behind and had no peer. Refusing every message while stopping kept the word out too.

Ruled out: not counting copies of owners that left; they may be the last copies of what an owner could not flush.

Change: a stop ends with the forgotten ids and the releases of former peers sent; a stopping daemon takes in messages that carry no records, and drops what it had taken.

--- a/packages/ledger/src/handOver.ts
+++ b/packages/ledger/src/handOver.ts
@@ -86,5 +86,6 @@
       flushAll(options, () => Date.now() >= endsAtMs),
     ),
   ]);
+  await runBounded(options, 'forgetting', replicator.tellForgotten());
   return book.listIds().filter((requestId) => !isElsewhere(options, requestId)).length;
 };
--- a/packages/ledger/src/peerReleases.ts
+++ b/packages/ledger/src/peerReleases.ts
@@ -49,6 +49,14 @@
     });
   }
 
+  /** As `sendDue`, for the last time; resolves when all have answered or failed. */
+  async sendAll(): Promise<void> {
+    const alive = [...this.#former.values()].filter((peer) =>
+      this.#membership.isIncarnationAlive(peer.incarnation),
+    );
+    await Promise.all(alive.map((peer) => this.#send(peer)));
+  }
+
   async #send(peer: Member): Promise<void> {
     this.#underWay.add(peer.incarnation);
     try {
--- a/packages/ledger/src/replicatedUsageLedger.test.ts
+++ b/packages/ledger/src/replicatedUsageLedger.test.ts
@@ -371,6 +371,24 @@
   assert.is(await wait(cluster.stop(holder)), 2);
 });
 
+// Symptom: in a shutdown of all daemons one says that it left records behind, though all are billed.
+// Sequence: a request is discarded; its owner stops, then the holder; or both at once, one settled too.
+// Cause: the word to forget waits 5 s for company and the owner left before; the holder could not know.
+[false, true].forEach((isAtOnce) => {
+  test(`all daemons stop, at once: ${isAtOnce}; none says that it left a record`, async () => {
+    const { cluster, owner, holder } = await startPair(2);
+    await open(owner, 'r2');
+    await settle(owner, 'r2', 5);
+    owner.ledger.discard('r1');
+    const stopped = cluster.stop(owner);
+    if (!isAtOnce) {
+      await wait(stopped);
+    }
+    assert.equal(await wait(Promise.all([stopped, cluster.stop(holder)])), [0, 0]);
+    assert.equal(await readBills(cluster), ['r2 answered 5']);
+  });
+});
+
 // Symptom: runs of a daemon that serves are cancelled after another daemon's shutdown.
 // Sequence: the holder stops; its peer adopts what it left, open copies of a live owner among them.
 // Cause: the peer can't tell the stopper's own requests from those it only held copies of.
--- a/packages/ledger/src/replicatedUsageLedger.ts
+++ b/packages/ledger/src/replicatedUsageLedger.ts
@@ -46,18 +46,24 @@
    * Answers other daemons' messages. What goes wrong: a new daemon at a dead one's address takes the copy
    * meant for the dead one; the owner moves on and never releases it, and the copy grows stale. One
    * notices adopted entries beside the owner's. So a message for another incarnation is refused. A copy
-   * that comes while this daemon hands over would be lost with it: the owner turns to its next peer.
+   * that comes while this daemon hands over would be lost with it: the owner turns to its next peer. The
+   * word to forget a record is taken in to the end, or it would be handed over in vain.
    */
   readonly handlers: UsageHandlers = {
     replicate: async (message) => {
-      if (this.#state !== 'running') {
+      const isCopy = message.opened.length + message.settled.length > 0;
+      if (this.#state === 'stopped' || (this.#state === 'stopping' && isCopy)) {
         throw new LedgerStoppedError('this daemon holds no more copies');
       }
       if (message.peer !== this.#options.self) {
         throw new WrongPeerError(`meant for ${message.peer}`);
       }
       this.#adopter.noteAlive(message.owner);
-      return { held: this.#held.apply(message) };
+      const held = this.#held.apply(message);
+      if (this.#state === 'stopping') {
+        void this.#taken.take(message.owner, this.#held.list(message.owner));
+      }
+      return { held };
     },
   };
 
--- a/packages/ledger/src/replicator.ts
+++ b/packages/ledger/src/replicator.ts
@@ -4,6 +4,7 @@
  */
 import {
   getErrorMessage,
+  sleep,
   spawnHandlerActor,
   type ActorSystem,
   type HandlerActor,
@@ -33,6 +34,8 @@
   readonly getLedger: () => string;
 }
 
+const FORGET_POLL_MS = 10;
+
 interface SendMessage {
   readonly type: 'send';
 }
@@ -146,6 +149,21 @@
     return this.#copied.has(requestId) && !this.#dirty.has(requestId);
   }
 
+  /**
+   * What goes wrong: an owner stops before the word that its peer may forget a record went out; the peer
+   * takes it for left behind, asks engines for it, and reports it as its own loss when it stops too. So
+   * the peer and the former ones are told before the owner leaves. Resolves when they were, or are away.
+   */
+  async tellForgotten(): Promise<void> {
+    while (this.#forgotten.size > 0) {
+      this.#schedule(0);
+      await sleep(FORGET_POLL_MS);
+    }
+    if (this.#isWhole || this.#options.book.pendingCount === 0) {
+      await this.#releases.sendAll();
+    }
+  }
+
   stop(): void {
     this.#timer.clear();
     this.#actor.stop();
