Split the chat run: why there is no plan, the session's pin, writing answers

Cause: chatRun.ts had grown to 600 lines with four jobs. Change: three modules of pure functions beside it; a replayed stream now waits for a slow reader as a fresh one does.

--- a/packages/routing/src/chatRun.ts
+++ b/packages/routing/src/chatRun.ts
@@ -1,29 +1,28 @@
 /** One chat request, from admission to the end of its answer. */
 import { createHash } from 'node:crypto';
-import { asId, isPromiseKept, type VersionId } from '@snipehaven/common';
-import type { Claim, StoredAnswer } from '@snipehaven/claims';
+import { isPromiseKept, type VersionId } from '@snipehaven/common';
+import type { Claim } from '@snipehaven/claims';
 import type { PlanStep } from '@snipehaven/policy';
 import type { EvidenceSubject } from '@snipehaven/rollouts';
-import type { Pin } from '@snipehaven/sessions';
-import { DONE_DATA } from '@snipehaven/upstream';
-import { toCompletionBody, toCompletionChunks, type CompletionFields } from './answerAssembler.js';
+import { toCompletionBody } from './answerAssembler.js';
+import { includesUsage, releaseAnswer, replayAnswer, toCompletionFields } from './answerWriter.js';
 import { getPromptText } from './chatBody.js';
 import {
-  AUTO_MODEL,
   PLAN_HEADER,
   PREFIX_CHARS,
   PREFIX_DIGEST_CHARS,
-  REPLAYED_HEADER,
   REQUEST_ID_HEADER,
   SESSION_HEADER,
   SESSION_MOVED_HEADER,
   VERSION_HEADER,
 } from './constants.js';
+import { createPin } from './createPin.js';
 import type { RoutingDependencies } from './dependencies.js';
 import { getBillingKey, hashRequest, keepAnswer, takeClaim } from './claimGuard.js';
 import { HeldConsumer, LiveConsumer } from './eventConsumers.js';
 import { admit, type Admission } from './admission.js';
-import { matchesWish, planChat, type ChatPlan, type PlannedPair } from './planChat.js';
+import { createNoPlanRefusal } from './noPlanRefusal.js';
+import { planChat, type ChatPlan, type PlannedPair } from './planChat.js';
 import { Refusal } from './refusal.js';
 import { RequestSignal } from './requestSignal.js';
 import { RunTracker } from './runTracker.js';
@@ -133,7 +132,7 @@
       deadlineAtMs: options.deadlineAtMs,
     });
     if (outcome.kind === 'finished') {
-      this.#replay(outcome.answer);
+      await replayAnswer(this.#sink, this.#request, outcome.answer, this.#getBaseHeaders());
       return true;
     }
     this.#claim = outcome.claim;
@@ -142,37 +141,6 @@
     return false;
   }
 
-  #replay(answer: StoredAnswer): void {
-    const headers = { ...this.#getBaseHeaders(), [REPLAYED_HEADER]: 'true' };
-    if (this.#request.body.stream !== true) {
-      this.#sink.send(answer.status, answer.contentType, answer.body, headers);
-      return;
-    }
-    const fields = JSON.parse(answer.body) as {
-      model: string;
-      choices: [{ message: { content: string }; finish_reason: string }];
-      usage: { prompt_tokens: number; completion_tokens: number };
-    };
-    this.#sink.begin(headers);
-    void this.#sink.writeEvents([
-      ...toCompletionChunks(
-        {
-          requestId: this.#request.requestId,
-          version: fields.model,
-          text: fields.choices[0].message.content,
-          finishReason: fields.choices[0].finish_reason,
-          usage: {
-            promptTokens: fields.usage.prompt_tokens,
-            completionTokens: fields.usage.completion_tokens,
-          },
-        },
-        this.#includesUsage,
-      ),
-      DONE_DATA,
-    ]);
-    this.#sink.end();
-  }
-
   #admit(plan: ChatPlan): Promise<Admission> {
     return admit(this.#deps, this.#tracker, this.#signal, {
       requestId: this.#request.requestId,
@@ -188,47 +156,12 @@
       this.#deps,
     );
     if (plan.steps.length === 0) {
-      throw this.#createNoPlanRefusal(session, excluded);
+      const input = { request: this.#request, session, excluded, tracker: this.#tracker };
+      throw createNoPlanRefusal(input, this.#deps);
     }
     return plan;
   }
 
-  /** Says to come back only where that can help. */
-  #createNoPlanRefusal(session: SessionState, excluded: readonly VersionId[]): Refusal {
-    const wished = this.#request.body.model;
-    if (session.kind === 'pinned' && !matchesWish(wished, asId<VersionId>(session.pin.version))) {
-      const message = `the session runs on ${session.pin.version}: ask for it or for auto`;
-      return new Refusal('invalidRequest', message, this.#tracker);
-    }
-    if (this.#deps.safeMoves.isVersionBlocked(wished)) {
-      return new Refusal('unknownModel', `${wished} is withdrawn`, this.#tracker);
-    }
-    const { team } = this.#request.identity;
-    const isKnown = this.#deps.configuration
-      .getView()
-      .list('ModelVersion')
-      .some(({ metadata }) => matchesWish(wished, asId<VersionId>(metadata.name)));
-    const isAllowed = wished === AUTO_MODEL || this.#isWishAllowed(wished);
-    if (!isKnown) {
-      return new Refusal('unknownModel', `model ${wished} does not exist`, this.#tracker);
-    }
-    if (!isAllowed) {
-      const message = `team ${team.metadata.name} may not use ${wished}`;
-      return new Refusal('forbidden', message, this.#tracker);
-    }
-    const detail = excluded.length > 0 ? `, tried ${excluded.join(', ')}` : '';
-    return new Refusal('noUpstream', `no version can answer now${detail}`, this.#tracker);
-  }
-
-  #isWishAllowed(wished: string): boolean {
-    const { team } = this.#request.identity;
-    return this.#deps.configuration
-      .getView()
-      .list('ModelVersion')
-      .filter(({ metadata }) => matchesWish(wished, asId<VersionId>(metadata.name)))
-      .some(({ metadata }) => isVersionAllowed(team, metadata.name));
-  }
-
   /** Spills to the next version that meets the target while nothing has run and none has room. */
   async #answer(session: SessionState, firstPlan: ChatPlan): Promise<void> {
     const excluded: VersionId[] = [];
@@ -281,7 +214,7 @@
     if (callerSession === undefined || session.kind === 'pinned' || version === undefined) {
       return plan;
     }
-    const wished = this.#createPin(version, session);
+    const wished = createPin(this.#request, session, version);
     const pin = await this.#deps.pins.pin(wished);
     if (pin.version === version) {
       return plan;
@@ -290,20 +223,6 @@
     return this.#plan(pinned, []);
   }
 
-  #createPin(version: VersionId, session: SessionState): Pin {
-    const { options, requestId, identity } = this.#request;
-    const previous = session.kind === 'new' ? undefined : session.pin;
-    const isSame = previous?.version === version;
-    return {
-      teamUid: identity.team.metadata.uid,
-      session: previous?.session ?? options.callerSession ?? requestId,
-      model: version.slice(0, version.lastIndexOf('@')),
-      version,
-      startedAtMs: previous?.startedAtMs ?? Date.now(),
-      generation: (previous?.generation ?? 0) + (isSame ? 0 : 1),
-    };
-  }
-
   /** Undefined where the answer was rated too low and the next step must answer. */
   async #runStep(
     step: PlanStep,
@@ -320,7 +239,7 @@
     const keepsText = !isLive || isKept;
     const headers = this.#getHeaders(step.version, plan, session);
     const consumer = isLive
-      ? new LiveConsumer(this.#sink, headers, this.#includesUsage)
+      ? new LiveConsumer(this.#sink, headers, includesUsage(this.#request))
       : new HeldConsumer();
     const runner = new StepRunner(
       this.#deps,
@@ -337,7 +256,7 @@
       return undefined;
     }
     await this.#settle();
-    await this.#release(answer, consumer, headers);
+    await releaseAnswer(this.#sink, this.#request, answer, consumer, headers);
     return answer;
   }
 
@@ -429,28 +348,6 @@
     await this.#account.settle('answered');
   }
 
-  async #release(
-    answer: StepAnswer,
-    consumer: LiveConsumer | HeldConsumer,
-    headers: AnswerHeaders,
-  ): Promise<void> {
-    const fields = this.#toFields(answer);
-    if (consumer instanceof LiveConsumer) {
-      consumer.begin();
-      await this.#sink.writeEvents([DONE_DATA]);
-      this.#sink.end();
-      return;
-    }
-    if (this.#request.body.stream === true) {
-      this.#sink.begin(headers);
-      const chunks = toCompletionChunks(fields, this.#includesUsage);
-      await this.#sink.writeEvents([...chunks, DONE_DATA]);
-      this.#sink.end();
-      return;
-    }
-    this.#sink.send(200, 'application/json', toCompletionBody(fields), headers);
-  }
-
   #finish(answer: StepAnswer, plan: ChatPlan, stepIndex: number): void {
     const { requestId } = this.#request;
     const subject = { requestId, version: answer.version, upstream: answer.upstream };
@@ -481,7 +378,7 @@
       keepAnswer(this.#deps, this.#claim, {
         status: 200,
         contentType: 'application/json',
-        body: toCompletionBody(this.#toFields(answer)),
+        body: toCompletionBody(toCompletionFields(this.#request.requestId, answer)),
         encoding: 'utf8',
         version: answer.version,
       });
@@ -510,22 +407,12 @@
     });
   }
 
-  #toFields(answer: StepAnswer): CompletionFields {
-    const { requestId } = this.#request;
-    const { version, text, finishReason, usage } = answer;
-    return { requestId, version, text, finishReason, usage };
-  }
-
-  get #includesUsage(): boolean {
-    return this.#request.body.stream_options?.include_usage === true;
-  }
-
   #getBaseHeaders(): AnswerHeaders {
     return { [REQUEST_ID_HEADER]: this.#request.requestId };
   }
 
   #getHeaders(version: VersionId, plan: ChatPlan, session: SessionState): AnswerHeaders {
-    const pin = this.#createPin(asId<VersionId>(version), session);
+    const pin = createPin(this.#request, session, version);
     return {
       ...this.#getBaseHeaders(),
       [VERSION_HEADER]: version,
