--- a/packages/ledger/src/withTimeout.ts
+++ b/packages/ledger/src/withTimeout.ts
@@ -1,25 +1,15 @@
-/** A bound on how long a call may take. */
+/** A bound on how long a call of the ledger may take. */
+import { withTimeout as withCommonTimeout } from '@snipehaven/common';
 import { LedgerTimeoutError } from './errors.js';
 
-/**
- * Rejects when the call has not ended in time. What goes wrong without it: a call over a connection
- * that went silent never ends, and the one loop that awaits it stands still for good.
- */
-export const withTimeout = async <Result>(
+/** Rejects with `LedgerTimeoutError` when the call of that name has not ended in time. */
+export const withTimeout = <Result>(
   call: Promise<Result>,
   timeoutMs: number,
   name: string,
-): Promise<Result> => {
-  let timer: NodeJS.Timeout | undefined;
-  const expiry = new Promise<never>((_resolve, reject) => {
-    timer = setTimeout(
-      () => reject(new LedgerTimeoutError(`${name} took over ${timeoutMs} ms`)),
-      timeoutMs,
-    );
-  });
-  try {
-    return await Promise.race([call, expiry]);
-  } finally {
-    clearTimeout(timer);
-  }
-};
+): Promise<Result> =>
+  withCommonTimeout(
+    call,
+    timeoutMs,
+    () => new LedgerTimeoutError(`${name} took over ${timeoutMs} ms`),
+  );
