Refuse first, close the records after; one way to close them

Cause: by reading: a refusal waited for its claim to be given back or marked in the table, which takes as long as an outage lasts, and the closing stood twice, in chat and service runs. What is given up on gets its final answer at once. The operator API's roll-out status is the rollouts package's report, which stood twice.

--- a/packages/daemon/src/operatorApi/types.ts
+++ b/packages/daemon/src/operatorApi/types.ts
@@ -11,6 +11,7 @@
 import type { MembershipView } from '@snipehaven/membership';
 import type { SafeMove, UsageEntry } from '@snipehaven/protocol';
 import type { Kind, ResourceMetadata } from '@snipehaven/resources';
+import type { RolloutReport } from '@snipehaven/rollouts';
 import type { TimelineEvent, TimelineQuery } from '@snipehaven/timeline';
 
 export type OperatorRole = 'read' | 'write';
@@ -66,28 +67,7 @@
 }
 
 /** How far a roll-out has come. */
-export interface RolloutStatus {
-  readonly name: string;
-  readonly model: string;
-  readonly stableVersion: string;
-  readonly candidateVersion: string;
-  readonly phase: 'waiting' | 'running' | 'paused' | 'quarantined' | 'finished';
-  /** Index into the stages, from 0. */
-  readonly stage: number;
-  readonly stageCount: number;
-  readonly sharePct: number;
-  readonly stageRatings: number;
-  readonly minRatings: number;
-  /** Candidate answers started so far. */
-  readonly exposedCount: number;
-  /** Of these, answers whose outcome is not known yet. */
-  readonly unjudgedCount: number;
-  readonly exposureBudget: number;
-  /** Mean ratings; absent before the first one. */
-  readonly candidateRating?: number;
-  readonly stableRating?: number;
-  readonly reason: string;
-}
+export type RolloutStatus = RolloutReport;
 
 /** The answer of a health or readiness check. */
 export interface HealthReport {
--- a/packages/routing/src/chatRun.ts
+++ b/packages/routing/src/chatRun.ts
@@ -16,6 +16,7 @@
   SESSION_MOVED_HEADER,
   VERSION_HEADER,
 } from './constants.js';
+import { closeRefused } from './closeRefused.js';
 import { createPin } from './createPin.js';
 import type { RoutingDependencies } from './dependencies.js';
 import { getBillingKey, hashRequest, keepAnswer, takeClaim } from './claimGuard.js';
@@ -111,7 +112,7 @@
       admission = await this.#admit(plan);
       await this.#answer(session, plan);
     } catch (error) {
-      await this.#refuse(error);
+      this.#refuse(error);
     } finally {
       this.#deps.assigner.release?.(this.#request.requestId);
       admission?.release(this.#account.costMicroUsd);
@@ -422,16 +423,20 @@
     };
   }
 
-  async #refuse(error: unknown): Promise<void> {
+  #refuse(error: unknown): void {
     const refusal = this.#toRefusal(error);
-    await this.#closeAccount(refusal);
-    await this.#closeClaim(refusal);
     const { requestId } = this.#request;
     const team = this.#request.identity.team.metadata.name;
     const detail = { code: refusal.code, verdict: refusal.verdict };
     this.#deps.timeline.record('requestRefused', { requestId, team }, detail);
     this.#deps.metrics.recordRefusal(team, refusal.code);
     this.#sink.refuse(refusal, this.#getBaseHeaders());
+    closeRefused(this.#deps, {
+      refusal,
+      tracker: this.#tracker,
+      account: this.#account,
+      claim: this.#claim,
+    });
   }
 
   #toRefusal(error: unknown): Refusal {
@@ -442,30 +447,4 @@
     this.#deps.logger.error({ requestId, err: error }, 'request failed');
     return new Refusal('upstreamFailed', 'internal error', this.#tracker, { cause: error });
   }
-
-  async #closeAccount(refusal: Refusal): Promise<void> {
-    if (!this.#account.isOpen) {
-      return;
-    }
-    if (refusal.verdict === 'notRun') {
-      this.#account.discard();
-      return;
-    }
-    const outcome = this.#account.costMicroUsd > 0 ? 'partial' : 'unanswered';
-    await this.#account.settle(outcome).catch((error: unknown) => {
-      this.#deps.logger.error({ err: error }, 'settling failed');
-    });
-  }
-
-  async #closeClaim(refusal: Refusal): Promise<void> {
-    if (this.#claim === undefined) {
-      return;
-    }
-    const { claims } = this.#deps;
-    const closed =
-      refusal.verdict === 'notRun' ? claims.release(this.#claim) : claims.markUnknown(this.#claim);
-    await closed.catch((error: unknown) => {
-      this.#deps.logger.warn({ err: error }, 'closing a claim failed');
-    });
-  }
 }
--- a/packages/routing/src/serviceRun.ts
+++ b/packages/routing/src/serviceRun.ts
@@ -12,6 +12,7 @@
 } from '@snipehaven/upstream';
 import { admit, type Admission } from './admission.js';
 import { getBillingKey, hashRequest, keepAnswer, takeClaim } from './claimGuard.js';
+import { closeRefused } from './closeRefused.js';
 import { LEAVING_GRACE_MS, REPLAYED_HEADER, REQUEST_ID_HEADER } from './constants.js';
 import type { RoutingDependencies } from './dependencies.js';
 import { Refusal } from './refusal.js';
@@ -95,7 +96,7 @@
       admission = await this.#admit(service);
       await this.#answer(service, isIdempotent);
     } catch (error) {
-      await this.#refuse(error);
+      this.#refuse(error);
     } finally {
       admission?.release(this.#account.costMicroUsd);
       this.#signal.dispose();
@@ -328,7 +329,7 @@
     return { [REQUEST_ID_HEADER]: this.#request.requestId };
   }
 
-  async #refuse(error: unknown): Promise<void> {
+  #refuse(error: unknown): void {
     const refusal =
       error instanceof Refusal
         ? error
@@ -336,28 +337,17 @@
     if (refusal !== error) {
       this.#deps.logger.error({ err: error }, 'service call failed');
     }
-    await this.#close(refusal).catch((closing: unknown) => {
-      this.#deps.logger.warn({ err: closing }, 'closing a request failed');
-    });
     const { requestId, identity } = this.#request;
     const team = identity.team.metadata.name;
     const detail = { code: refusal.code, verdict: refusal.verdict };
     this.#deps.timeline.record('requestRefused', { requestId, team }, detail);
     this.#deps.metrics.recordRefusal(team, refusal.code);
     this.#sink.refuse(refusal, this.#getHeaders());
-  }
-
-  async #close(refusal: Refusal): Promise<void> {
-    const hasNotRun = this.#tracker.getVerdict() === 'notRun';
-    if (this.#account.isOpen && hasNotRun) {
-      this.#account.discard();
-    } else if (this.#account.isOpen) {
-      await this.#account.settle('unanswered');
-    }
-    if (this.#claim !== undefined) {
-      const { claims } = this.#deps;
-      const isReleased = hasNotRun && refusal.verdict === 'notRun';
-      await (isReleased ? claims.release(this.#claim) : claims.markUnknown(this.#claim));
-    }
+    closeRefused(this.#deps, {
+      refusal,
+      tracker: this.#tracker,
+      account: this.#account,
+      claim: this.#claim,
+    });
   }
 }
