--- a/packages/routing/src/closeRefused.test.ts
+++ b/packages/routing/src/closeRefused.test.ts
@@ -15,7 +15,7 @@
 const createSilentClaims = (asked: string[]): ClaimStore => {
   const ask = (name: string) => (): Promise<never> => {
     asked.push(name);
-    return new Promise(() => undefined);
+    return new Promise(() => {});
   };
   return {
     claim: ask('claim'),
