Hash a request's body only where its digest is used

Cause, found by reading the change once more: every chat and service request serialised and hashed its whole body for the bill's key, though only requests with an idempotency key or a claim need the digest. Change: the digest is taken where it is asked for. Conclusion: behaviour as before.

--- a/packages/routing/src/chatRun.ts
+++ b/packages/routing/src/chatRun.ts
@@ -67,8 +67,6 @@
 
   readonly #promptText: string;
 
-  readonly #bodyHash: string;
-
   readonly #startedAtMs = Date.now();
 
   #claim: Claim | undefined;
@@ -90,11 +88,12 @@
     this.#shadows = shadows;
     this.#signal = new RequestSignal(request.options.deadlineAtMs, sink.callerGone);
     this.#promptText = getPromptText(request.body);
-    this.#bodyHash = hashRequest('chat', JSON.stringify(request.body));
     const { team } = request.identity;
     this.#account = new UsageAccount(deps.ledger, {
       requestId: request.requestId,
-      requestKey: getBillingKey(request.requestId, request.options.idempotencyKey, this.#bodyHash),
+      requestKey: getBillingKey(request.requestId, request.options.idempotencyKey, () =>
+        this.#hashBody(),
+      ),
       team: team.metadata.name,
       teamUid: team.metadata.uid,
     });
@@ -129,7 +128,7 @@
     const outcome = await takeClaim(this.#deps, this.#tracker, {
       teamUid: identity.team.metadata.uid,
       key: options.idempotencyKey ?? requestId,
-      bodyHash: this.#bodyHash,
+      bodyHash: this.#hashBody(),
       deadlineAtMs: options.deadlineAtMs,
     });
     if (outcome.kind === 'finished') {
@@ -142,6 +141,11 @@
     return false;
   }
 
+  /** Only requests with a key or a claim need it: it costs a pass over the whole body. */
+  #hashBody(): string {
+    return hashRequest('chat', JSON.stringify(this.#request.body));
+  }
+
   #admit(plan: ChatPlan): Promise<Admission> {
     return admit(this.#deps, this.#tracker, this.#signal, {
       requestId: this.#request.requestId,
--- a/packages/routing/src/claimGuard.ts
+++ b/packages/routing/src/claimGuard.ts
@@ -25,11 +25,11 @@
 export const getBillingKey = (
   requestId: string,
   idempotencyKey: string | undefined,
-  bodyHash: string,
+  hashBody: () => string,
 ): string =>
   idempotencyKey === undefined
     ? requestId
-    : `${idempotencyKey}#${bodyHash.slice(0, KEY_DIGEST_CHARS)}`;
+    : `${idempotencyKey}#${hashBody().slice(0, KEY_DIGEST_CHARS)}`;
 
 type Obstacle = Exclude<ClaimOutcome, ClaimResult>;
 
--- a/packages/routing/src/serviceRun.ts
+++ b/packages/routing/src/serviceRun.ts
@@ -55,8 +55,6 @@
 
   readonly #startedAtMs = Date.now();
 
-  readonly #bodyHash: string;
-
   #claim: Claim | undefined;
 
   #attempts = 0;
@@ -73,11 +71,11 @@
     this.#retries = retries;
     this.#signal = new RequestSignal(request.options.deadlineAtMs, sink.callerGone);
     const { team } = request.identity;
-    const scope = `${request.service} ${request.method} ${request.path}`;
-    this.#bodyHash = hashRequest(scope, request.body);
     this.#account = new UsageAccount(deps.ledger, {
       requestId: request.requestId,
-      requestKey: getBillingKey(request.requestId, request.options.idempotencyKey, this.#bodyHash),
+      requestKey: getBillingKey(request.requestId, request.options.idempotencyKey, () =>
+        this.#hashBody(),
+      ),
       team: team.metadata.name,
       teamUid: team.metadata.uid,
     });
@@ -107,6 +105,11 @@
     return this.#request.options.idempotencyKey ?? this.#request.requestId;
   }
 
+  #hashBody(): string {
+    const { service, method, path, body } = this.#request;
+    return hashRequest(`${service} ${method} ${path}`, body);
+  }
+
   #getService(): Resource<'Service'> {
     const { service: name, identity } = this.#request;
     const service = this.#deps.configuration.getView().get('Service', name);
@@ -136,7 +139,7 @@
     const outcome = await takeClaim(this.#deps, this.#tracker, {
       teamUid: identity.team.metadata.uid,
       key: this.#key,
-      bodyHash: this.#bodyHash,
+      bodyHash: this.#hashBody(),
       deadlineAtMs: options.deadlineAtMs,
     });
     if (outcome.kind === 'finished') {
