Place by expected wait: daemons tell each other their work by datagrams

Work is counted in prompt tokens of the dearest model, until the head apart from until the end; an unread shared part adds to the cost.

--- a/packages/forwarding/src/daemon/forwardDaemon.ts
+++ b/packages/forwarding/src/daemon/forwardDaemon.ts
@@ -1,5 +1,12 @@
 /** One daemon of the forward path: all alike, nothing kept beyond the process. */
-import { createRandom, getEntropySeed, sleep, type Logger, type Random } from '@snipehaven/common';
+import {
+  createRandom,
+  getEntropySeed,
+  getErrorMessage,
+  sleep,
+  type Logger,
+  type Random,
+} from '@snipehaven/common';
 import { RepeatBudget } from '@snipehaven/policy';
 import { ConfigurationHolder } from '../configuration/configurationHolder.js';
 import { Freshness } from '../configuration/freshness.js';
@@ -7,6 +14,7 @@
 import { RolloutGuide, RolloutKeeper, type RolloutWriter } from '../rollouts/index.js';
 import { TableWatcher } from '../store/index.js';
 import { UpstreamDirectory } from '../upstreams/index.js';
+import { LoadExchange, PeerLoads, type Peer, type UpstreamLoad } from '../peers/index.js';
 import { OperatorListener, StatusListener, UpstreamListener } from './tableListeners.js';
 import type { ForwardSettings, PlatformAdapter } from './types.js';
 
@@ -23,10 +31,19 @@
 /** The balancer asks once a second and takes a VM out after two misses. */
 const BALANCER_NOTICE_MS = 2_200;
 
+/**
+ * A balancer with no better choice sends on to a VM that leaves. What comes later than this has too little
+ * of the grace period left for a long stream.
+ */
+const LAST_CALL_MS = 600;
+
 /** Left of the grace period for ending what still runs. */
 const GRACE_MARGIN_MS = 500;
 const DRAIN_CHECK_MS = 100;
 
+/** Between tries to tell the others where this daemon is. */
+const ANNOUNCE_RETRY_MS = 1_000;
+
 /** The settings file may change without a signal. */
 const SETTINGS_CHECK_MS = 2_000;
 
@@ -47,6 +64,10 @@
 
   readonly #statusListener: StatusListener;
 
+  readonly #peerLoads = new PeerLoads();
+
+  readonly #exchange: LoadExchange;
+
   readonly #metrics = new ForwardMetrics();
 
   readonly #budgets = new Map<string, RepeatBudget>();
@@ -74,10 +95,13 @@
     this.#logger = logger;
     this.#settings = adapter.settings;
     this.#configuration = new ConfigurationHolder(logger);
-    this.#directory = new UpstreamDirectory(logger);
+    this.#directory = new UpstreamDirectory(logger, this.#peerLoads);
     const { vmName, sessionTtlMs } = adapter.settings;
     this.#rollouts = new RolloutGuide(logger, vmName, this.#statusFreshness, sessionTtlMs);
-    this.#statusListener = new StatusListener(adapter, this.#rollouts, logger);
+    this.#statusListener = new StatusListener(adapter, this.#rollouts, logger, (peer) =>
+      this.#exchange.putPeer(peer),
+    );
+    this.#exchange = this.#createExchange();
     this.#front = new FrontServer({
       configuration: this.#configuration,
       directory: this.#directory,
@@ -103,6 +127,8 @@
     this.#watchers.forEach((watcher) => {
       void watcher.run();
     });
+    await this.#exchange.start();
+    void this.#announce();
     setInterval(() => this.reload('check'), SETTINGS_CHECK_MS).unref();
     this.#logger.info({ event: 'started', settings: this.#settings }, 'started');
   }
@@ -136,6 +162,7 @@
     this.#logger.info({ event: 'leaving', inFlight: this.#front.inFlight }, 'leaving');
     await sleep(BALANCER_NOTICE_MS);
     this.#front.leave();
+    setTimeout(() => this.#front.stopListening(), LAST_CALL_MS).unref();
     do {
       this.#front.closeIdle();
       await sleep(DRAIN_CHECK_MS);
@@ -205,6 +232,49 @@
     });
   }
 
+  #getSelf(): Peer {
+    const { vmName, dataCentre, peerAddress } = this.#settings;
+    return { vm: vmName, dataCentre, ...peerAddress };
+  }
+
+  #createExchange(): LoadExchange {
+    return new LoadExchange({
+      self: this.#getSelf(),
+      loads: this.#peerLoads,
+      logger: this.#logger,
+      processId: getEntropySeed(),
+      readOwnLoads: () => this.#readOwnLoads(),
+    });
+  }
+
+  #readOwnLoads(): ReadonlyMap<string, UpstreamLoad> {
+    const loads = new Map<string, UpstreamLoad>();
+    for (const entry of this.#directory.entries) {
+      if (entry.ownLoad.requests > 0) {
+        loads.set(entry.id, entry.ownLoad);
+      }
+    }
+    return loads;
+  }
+
+  /** Tells the other daemons where this one is, until the store has taken it. */
+  async #announce(): Promise<void> {
+    const store = this.#adapter.createStore();
+    const row = {
+      table: this.#adapter.tables.status,
+      ...this.#adapter.renderPeer(this.#getSelf()),
+    };
+    for (;;) {
+      try {
+        await store.write(row);
+        return;
+      } catch (error) {
+        this.#logger.warn({ event: 'notAnnounced', cause: getErrorMessage(error) });
+        await sleep(ANNOUNCE_RETRY_MS);
+      }
+    }
+  }
+
   #createKeeper(): RolloutKeeper {
     return new RolloutKeeper({
       guide: this.#rollouts,
--- /dev/null
+++ b/packages/forwarding/src/daemon/statusDocument.ts
@@ -0,0 +1,8 @@
+/** The rows that daemons write for each other and for the operator. */
+import type { Peer } from '../peers/index.js';
+import type { RolloutEvidence, RolloutStatus } from '../rollouts/index.js';
+
+export type StatusDocument =
+  | { readonly kind: 'rollout'; readonly status: RolloutStatus }
+  | { readonly kind: 'evidence'; readonly evidence: RolloutEvidence }
+  | { readonly kind: 'peer'; readonly peer: Peer };
--- a/packages/forwarding/src/daemon/tableListeners.ts
+++ b/packages/forwarding/src/daemon/tableListeners.ts
@@ -1,6 +1,7 @@
 /** Takes rows of the store into the daemon's state. A row that does not decode is logged and skipped. */
 import { getErrorMessage, type Logger } from '@snipehaven/common';
 import type { ConfigurationHolder } from '../configuration/configurationHolder.js';
+import type { Peer } from '../peers/index.js';
 import type { RolloutGuide } from '../rollouts/rolloutGuide.js';
 import type { StoreChange, StoreRow, TableListener } from '../store/index.js';
 import type { UpstreamDirectory } from '../upstreams/index.js';
@@ -131,7 +132,7 @@
   }
 }
 
-/** What daemons write of roll-outs. */
+/** What daemons write: roll-outs, and where they are. */
 export class StatusListener implements TableListener {
   readonly #adapter: PlatformAdapter;
 
@@ -141,10 +142,18 @@
 
   #storeOffsetMs: number | undefined;
 
-  constructor(adapter: PlatformAdapter, rollouts: RolloutGuide, logger: Logger) {
+  readonly #onPeer: (peer: Peer) => void;
+
+  constructor(
+    adapter: PlatformAdapter,
+    rollouts: RolloutGuide,
+    logger: Logger,
+    onPeer: (peer: Peer) => void,
+  ) {
     this.#adapter = adapter;
     this.#rollouts = rollouts;
     this.#logger = logger;
+    this.#onPeer = onPeer;
   }
 
   /** The store's steady clock less ours. */
@@ -180,5 +189,8 @@
     if (document?.kind === 'evidence') {
       this.#rollouts.takeEvidence(document.evidence);
     }
+    if (document?.kind === 'peer') {
+      this.#onPeer(document.peer);
+    }
   }
 }
--- a/packages/forwarding/src/daemon/types.ts
+++ b/packages/forwarding/src/daemon/types.ts
@@ -1,7 +1,9 @@
 /** What a platform's adapter gives the forward daemon: settings, rows decoded, the store. */
 import type { RepeatBudgetSettings } from '@snipehaven/policy';
+import type { StatusDocument } from './statusDocument.js';
 import type { RowStore, StoreRow } from '../store/index.js';
-import type { RolloutEvidence, RolloutStatus, StatusDocument } from '../rollouts/index.js';
+import type { Peer } from '../peers/index.js';
+import type { RolloutEvidence, RolloutStatus } from '../rollouts/index.js';
 import type { ForwardConfiguration, HeaderDialect, RolloutOrder, Upstream } from '../types.js';
 
 export interface SocketAddress {
@@ -22,6 +24,8 @@
   readonly callerAddress: SocketAddress;
   readonly readinessAddress: SocketAddress;
   readonly metricsAddress: SocketAddress;
+  /** Where this daemon hears from the others. */
+  readonly peerAddress: SocketAddress;
   /** Requests of one session follow each other within this. */
   readonly sessionTtlMs: number;
   /** From SIGTERM until the process is killed. */
@@ -60,6 +64,7 @@
   restoreUpstream(row: Pick<StoreRow, 'key' | 'value'>): Upstream;
   renderRolloutStatus(status: RolloutStatus): RenderedRow;
   renderRolloutEvidence(evidence: RolloutEvidence): RenderedRow;
+  renderPeer(peer: Peer): RenderedRow;
   /** Undefined for rows that are of no concern here. */
   restoreStatusRow(row: Pick<StoreRow, 'key' | 'value'>): StatusDocument | undefined;
   /** Reads the settings again; throws when they are wrong. */
--- a/packages/forwarding/src/edge/frontServer.ts
+++ b/packages/forwarding/src/edge/frontServer.ts
@@ -84,9 +84,9 @@
     this.#server.closeIdleConnections();
   }
 
-  close(): void {
+  /** Takes no more connections: callers are refused at once and go elsewhere. */
+  stopListening(): void {
     this.#server.close();
-    this.#server.closeIdleConnections();
   }
 
   #applyLimits({ configuration }: RouteTable): void {
--- a/packages/forwarding/src/edge/httpCallerPort.ts
+++ b/packages/forwarding/src/edge/httpCallerPort.ts
@@ -1,5 +1,6 @@
 /** A caller's side over Node's HTTP server. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { AnswerFraming } from '../exchange/index.js';
 import { refusalForms, type CallerPort, type Refusal } from '../runs/index.js';
 
 /** How a refused caller is told when to come back; the name is the protocol's standard one. */
@@ -12,14 +13,25 @@
 
   readonly #mustClose: () => boolean;
 
+  #endsWithConnection = false;
+
   constructor(request: IncomingMessage, response: ServerResponse, mustClose: () => boolean) {
     this.#request = request;
     this.#response = response;
     this.#mustClose = mustClose;
   }
 
-  begin(status: number, headers: Readonly<Record<string, string | string[]>>): void {
+  begin(
+    status: number,
+    headers: Readonly<Record<string, string | string[]>>,
+    framing: AnswerFraming,
+  ): void {
     this.#announceClose();
+    if (framing === 'untilClose') {
+      this.#endsWithConnection = true;
+      this.#response.useChunkedEncodingByDefault = false;
+      this.#response.setHeader('Connection', 'close');
+    }
     this.#response.writeHead(status, headers);
   }
 
@@ -31,8 +43,13 @@
     this.#response.end();
   }
 
+  /** An answer that ends with its connection would look whole after a plain close. */
   breakOff(): void {
-    this.#request.socket.destroy();
+    if (this.#endsWithConnection) {
+      this.#request.socket.resetAndDestroy();
+    } else {
+      this.#request.socket.destroy();
+    }
   }
 
   refuse({ reason, retryAfterS }: Refusal): void {
--- a/packages/forwarding/src/exchange/exchange.ts
+++ b/packages/forwarding/src/exchange/exchange.ts
@@ -3,7 +3,7 @@
 import type { Dispatcher } from 'undici';
 import type { HeaderDialect, HeaderMap } from '../types.js';
 import type { ConnectionPool } from './connectionPool.js';
-import type { ExchangeListener, ExchangeVerdict, UpstreamRequest } from './types.js';
+import type { AnswerFraming, ExchangeListener, ExchangeVerdict, UpstreamRequest } from './types.js';
 import type { UpstreamConnection } from './upstreamConnection.js';
 
 type Phase = 'connecting' | 'sent' | 'answering' | 'over';
@@ -14,7 +14,15 @@
   answering: 'broken',
 };
 
-const isChunked = (headers: HeaderMap): boolean => headers['transfer-encoding'] !== undefined;
+/** Statuses whose answers have no body. */
+const BODILESS = new Set([204, 304]);
+
+const findFraming = (status: number, headers: HeaderMap): AnswerFraming => {
+  if (headers['transfer-encoding'] !== undefined) {
+    return 'chunked';
+  }
+  return headers['content-length'] !== undefined || BODILESS.has(status) ? 'length' : 'untilClose';
+};
 
 export class Exchange implements Dispatcher.DispatchHandler {
   readonly #pool: ConnectionPool;
@@ -31,7 +39,7 @@
 
   #controller: Dispatcher.DispatchController | undefined;
 
-  #isChunked = false;
+  #framing: AnswerFraming = 'length';
 
   constructor(
     pool: ConnectionPool,
@@ -103,8 +111,8 @@
       return;
     }
     this.#phase = 'answering';
-    this.#isChunked = isChunked(headers);
-    this.#listener.onHead({ status, headers, facts });
+    this.#framing = findFraming(status, headers);
+    this.#listener.onHead({ status, headers, facts, framing: this.#framing });
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -117,7 +125,7 @@
     if (this.#phase !== 'answering') {
       return;
     }
-    if (this.#connection.hasFailed || (this.#isChunked && this.#connection.hasEnded)) {
+    if (this.#connection.hasFailed || (this.#framing === 'chunked' && this.#connection.hasEnded)) {
       this.#fail('connection ended within the answer');
       return;
     }
--- a/packages/forwarding/src/exchange/types.ts
+++ b/packages/forwarding/src/exchange/types.ts
@@ -13,10 +13,14 @@
   readonly cause: string;
 }
 
+/** How the end of an answer is told. `untilClose`: by the end of its connection, whole or not. */
+export type AnswerFraming = 'length' | 'chunked' | 'untilClose';
+
 export interface AnswerHead {
   readonly status: number;
   readonly headers: HeaderMap;
   readonly facts: AnswerFacts;
+  readonly framing: AnswerFraming;
 }
 
 export interface ExchangeListener {
--- /dev/null
+++ b/packages/forwarding/src/peers/index.ts
@@ -0,0 +1,3 @@
+export { LoadExchange, type Peer } from './loadExchange.js';
+export { PeerLoads } from './peerLoads.js';
+export type { UpstreamLoad } from './loadMessage.js';
--- a/packages/forwarding/src/rollouts/types.ts
+++ b/packages/forwarding/src/rollouts/types.ts
@@ -22,10 +22,6 @@
   readonly present: VersionCounts;
 }
 
-export type StatusDocument =
-  | { readonly kind: 'rollout'; readonly status: RolloutStatus }
-  | { readonly kind: 'evidence'; readonly evidence: RolloutEvidence };
-
 /** An answer of an upstream, as the guard judges it. */
 export interface RolloutAnswer {
   readonly service: string;
--- a/packages/forwarding/src/runs/attempt.ts
+++ b/packages/forwarding/src/runs/attempt.ts
@@ -13,7 +13,8 @@
 
 export interface AttemptPlan {
   readonly entry: UpstreamEntry;
-  readonly work: number;
+  readonly startWork: number;
+  readonly runWork: number;
   readonly service: string;
   readonly route: ForwardRoute;
   readonly model: string | undefined;
@@ -64,6 +65,9 @@
 
   #isLoadCounted = false;
 
+  /** Work still counted at the upstream. */
+  #work = 0;
+
   constructor(
     dependencies: ForwardDependencies,
     request: CallerRequest,
@@ -104,7 +108,8 @@
   start(): void {
     this.#isLoadCounted = true;
     this.#startedAtMs = performance.now();
-    this.#plan.entry.begin(this.#plan.work);
+    this.#work = this.#plan.startWork + this.#plan.runWork;
+    this.#plan.entry.begin(this.#work);
     this.#armSilence();
     this.#exchange.start();
   }
@@ -170,6 +175,10 @@
 
   #onHead(head: AnswerHead): void {
     this.#hear();
+    if (this.#isLoadCounted) {
+      this.#plan.entry.reduce(this.#plan.startWork);
+      this.#work = this.#plan.runWork;
+    }
     if (this.#isListening) {
       this.#listener.onHead(head);
     }
@@ -240,7 +249,7 @@
   #uncount(): void {
     if (this.#isLoadCounted) {
       this.#isLoadCounted = false;
-      this.#plan.entry.finish(this.#plan.work);
+      this.#plan.entry.finish(this.#work);
     }
   }
 }
--- a/packages/forwarding/src/runs/estimateWork.ts
+++ b/packages/forwarding/src/runs/estimateWork.ts
@@ -1,14 +1,36 @@
-/** How much of an upstream one request takes, in places: 1 is a plain request, or a usual prompt. */
+/** How much of an upstream a request takes. */
 import type { ForwardRoute, RequestOptions, ServicePool } from '../types.js';
 
-/** A token generated in a full batch takes about as long as this many tokens of a prompt read. */
-const TOKENS_PER_OUTPUT_TOKEN = 5;
+/**
+ * Work of one request. For engines in prompt tokens of the pool's dearest model; for plain services one
+ * request is 1.
+ */
+export interface Work {
+  /** Until the answer begins, where no part of the prompt is kept. */
+  readonly own: number;
+  /** Reading the parts that other requests share. */
+  readonly shared: number;
+  /** From the answer's beginning to its end. */
+  readonly running: number;
+  /** What another data centre costs beside it. */
+  readonly remotePenalty: number;
+}
 
-/** Prompt and answer of a usual request, in prompt tokens. */
-const USUAL_TOKENS = 4_000;
+/** What a request adds to an engine's steps beside its prompt, in prompt tokens. */
+const STEP_TOKENS = 40;
 
-/** What each request takes of a batch beside its tokens. */
-const BASE_WORK = 0.15;
+/** An engine writes many answers at once: a token of one delays a new prompt by about this many tokens. */
+const DELAY_PER_OUTPUT_TOKEN = 0.5;
+
+/**
+ * About a tenth of a second of an engine that reads 60 tokens a ms: less than a caller notices, and worth
+ * the price of a prompt's bytes between data centres.
+ */
+const ENGINE_REMOTE_PENALTY = 5_000;
+
+/** Half of a small service's places. */
+const PLAIN_REMOTE_PENALTY = 3;
+const PLAIN_WORK: Work = { own: 1, shared: 0, running: 1, remotePenalty: PLAIN_REMOTE_PENALTY };
 
 /** Cost per token stands for the time that a model takes, relative to the pool's dearest one. */
 const getModelShare = (service: ServicePool, model: string | undefined): number => {
@@ -23,12 +45,17 @@
   service: ServicePool | undefined,
   options: RequestOptions,
   model: string | undefined,
-): number => {
+): Work => {
   if (route.kind !== 'stream' || service?.engine === undefined) {
-    return 1;
+    return PLAIN_WORK;
   }
-  const shared = options.promptParts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
-  const ownTokens = Math.max(0, options.promptTokens - shared);
-  const tokens = ownTokens + TOKENS_PER_OUTPUT_TOKEN * options.maxOutputTokens;
-  return BASE_WORK + (tokens / USUAL_TOKENS) * getModelShare(service, model);
+  const share = getModelShare(service, model);
+  const sharedTokens = options.promptParts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
+  const ownTokens = Math.max(0, options.promptTokens - sharedTokens);
+  return {
+    own: (STEP_TOKENS + ownTokens) * share,
+    shared: sharedTokens * share,
+    running: options.maxOutputTokens * DELAY_PER_OUTPUT_TOKEN * share,
+    remotePenalty: ENGINE_REMOTE_PENALTY,
+  };
 };
--- a/packages/forwarding/src/runs/findPlace.ts
+++ b/packages/forwarding/src/runs/findPlace.ts
@@ -15,13 +15,16 @@
 
 export interface Place {
   readonly entry: UpstreamEntry;
-  readonly work: number;
+  /** Until the answer begins, and from then to its end; see `Work`. */
+  readonly startWork: number;
+  readonly runWork: number;
 }
 
 const toCandidate = (entry: UpstreamEntry, nowMs: number): PlaceCandidate => ({
   id: entry.id,
   dataCentre: entry.upstream.dataCentre,
-  load: entry.load,
+  backlog: entry.backlog,
+  occupancy: entry.requests / entry.upstream.slots,
   failureShare: entry.failureShare,
   isSuspect: entry.isSuspect(nowMs),
 });
@@ -37,25 +40,26 @@
   question: PlaceQuestion,
 ): Place | undefined => {
   const { directory, rollouts, random, localDataCentre, configuration } = dependencies;
-  const ready = rollouts.narrow(
-    question.service,
-    question.options,
-    directory.listReady(question.service),
-  );
+  const { service, route, options, model } = question;
+  const ready = rollouts.narrow(service, options, directory.listReady(service));
   const unused = ready.filter((entry) => !question.usedUpstreams.has(entry.id));
   const entries = unused.length > 0 ? unused : ready;
+  const work = estimateWork(route, configuration.table?.findService(service), options, model);
   const affinityKey = getAffinityKey(question);
   const nowMs = performance.now();
-  const chosen = choosePlace({
+  const placed = choosePlace({
     candidates: entries.map((entry) => toCandidate(entry, nowMs)),
     localDataCentre,
+    sharedWork: work.shared,
+    ownWork: work.own,
+    remotePenalty: work.remotePenalty,
     random: random.next(),
     ...(affinityKey === undefined ? {} : { affinityKey }),
   });
-  const entry = chosen && directory.find(chosen.id);
+  const entry = placed && directory.find(placed.id);
   if (entry === undefined) {
     return undefined;
   }
-  const service = configuration.table?.findService(question.service);
-  return { entry, work: estimateWork(question.route, service, question.options, question.model) };
+  const startWork = work.own + (placed?.isOwner ? 0 : work.shared);
+  return { entry, startWork, runWork: work.running };
 };
--- a/packages/forwarding/src/runs/forwardRun.ts
+++ b/packages/forwarding/src/runs/forwardRun.ts
@@ -289,7 +289,7 @@
     });
     this.#log('sent', {
       upstream: place.entry.id,
-      load: Number(place.entry.load.toFixed(2)),
+      backlog: Math.round(place.entry.backlog),
       attempt: this.#sent,
       version: place.entry.upstream.softwareVersion,
       session: options.session,
--- a/packages/forwarding/src/runs/relays.ts
+++ b/packages/forwarding/src/runs/relays.ts
@@ -1,6 +1,6 @@
 /** How an answer's bytes go to the caller: held until whole, or event by event. */
 import { MAX_HELD_ANSWER_BYTES } from '../constants.js';
-import type { AnswerHead } from '../exchange/index.js';
+import type { AnswerFraming, AnswerHead } from '../exchange/index.js';
 import type { HeaderDialect, RouteKind } from '../types.js';
 import { EventSplitter } from './eventSplitter.js';
 import type { CallerPort } from './types.js';
@@ -74,7 +74,7 @@
       return true;
     }
     this.#hasBegun = true;
-    this.#port.begin(head.status, this.#dialect.buildCallerHeaders(head.headers));
+    this.#port.begin(head.status, this.#dialect.buildCallerHeaders(head.headers), head.framing);
     const isTaken = this.#heldBytes === 0 || this.#port.write(Buffer.concat(this.#held));
     this.interrupt();
     return isTaken;
@@ -93,6 +93,8 @@
 
   #head: AnswerHead | undefined;
 
+  #framing: AnswerFraming = 'chunked';
+
   #hasBegun = false;
 
   constructor(port: CallerPort, dialect: HeaderDialect, lastEventId: number | undefined) {
@@ -111,6 +113,7 @@
 
   begin(head: AnswerHead): void {
     this.#head ??= head;
+    this.#framing = head.framing;
     this.#splitter = new EventSplitter();
   }
 
@@ -121,6 +124,10 @@
   }
 
   finish(): void {
+    if (this.#isEndUnknown()) {
+      this.#port.breakOff();
+      return;
+    }
     const rest = this.#splitter.takeRest();
     this.#write(rest);
     this.#port.end();
@@ -133,10 +140,16 @@
     }
   }
 
+  /** The caller waits for a framed end, and a resumed run ended with its connection, whole or not. */
+  #isEndUnknown(): boolean {
+    return this.#hasBegun && this.#framing === 'untilClose' && this.#head?.framing !== 'untilClose';
+  }
+
   #write(bytes: Buffer): boolean {
     if (!this.#hasBegun && this.#head !== undefined) {
       this.#hasBegun = true;
-      this.#port.begin(this.#head.status, this.#dialect.buildCallerHeaders(this.#head.headers));
+      const { status, headers, framing } = this.#head;
+      this.#port.begin(status, this.#dialect.buildCallerHeaders(headers), framing);
     }
     return bytes.length === 0 || this.#port.write(bytes);
   }
--- a/packages/forwarding/src/runs/types.ts
+++ b/packages/forwarding/src/runs/types.ts
@@ -1,5 +1,7 @@
 /** What a run needs of the caller's connection, and its final refusals. */
 
+import type { AnswerFraming } from '../exchange/index.js';
+
 /** Why a caller gets no upstream's answer. */
 export type RefusalReason =
   | 'notReady'
@@ -24,7 +26,15 @@
 
 /** The caller's side of one request. */
 export interface CallerPort {
-  begin(status: number, headers: Readonly<Record<string, string | string[]>>): void;
+  /**
+   * `untilClose`: the upstream told the answer's end by closing. Nobody here can tell whether that is the
+   * whole of it, so the caller is told in the same way and no frame calls it complete.
+   */
+  begin(
+    status: number,
+    headers: Readonly<Record<string, string | string[]>>,
+    framing: AnswerFraming,
+  ): void;
   /** False when the caller reads more slowly than we write. */
   write(bytes: Buffer): boolean;
   end(): void;
--- a/packages/forwarding/src/upstreams/upstreamDirectory.ts
+++ b/packages/forwarding/src/upstreams/upstreamDirectory.ts
@@ -1,5 +1,6 @@
 /** The upstreams that the platform lists, by service. */
 import type { Logger } from '@snipehaven/common';
+import type { PeerLoads } from '../peers/index.js';
 import type { Upstream } from '../types.js';
 import { UpstreamEntry } from './upstreamEntry.js';
 
@@ -18,8 +19,11 @@
 
   #graceUntilMs = 0;
 
-  constructor(logger: Logger) {
+  readonly #peerLoads: PeerLoads;
+
+  constructor(logger: Logger, peerLoads: PeerLoads) {
     this.#logger = logger;
+    this.#peerLoads = peerLoads;
   }
 
   /** Upstreams of the service that may get new requests. */
@@ -53,7 +57,7 @@
   put(upstream: Upstream): void {
     const entry = this.#entries.get(upstream.id);
     if (entry === undefined) {
-      this.#entries.set(upstream.id, new UpstreamEntry(upstream));
+      this.#entries.set(upstream.id, new UpstreamEntry(upstream, this.#peerLoads));
       this.#logger.info({ event: 'upstreamListed', upstream }, 'upstream listed');
       return;
     }
--- a/packages/forwarding/src/upstreams/upstreamEntry.ts
+++ b/packages/forwarding/src/upstreams/upstreamEntry.ts
@@ -1,5 +1,6 @@
 /** One upstream as this daemon sees it: what it sent there, and how that went. */
 import { ConnectionPool } from '../exchange/index.js';
+import type { PeerLoads, UpstreamLoad } from '../peers/index.js';
 import type { Upstream } from '../types.js';
 
 /** Weight of the newest outcome in the share of failures; ten outcomes say most. */
@@ -30,8 +31,11 @@
 
   #isDoubtful = false;
 
-  constructor(upstream: Upstream) {
+  readonly #peerLoads: PeerLoads;
+
+  constructor(upstream: Upstream, peerLoads: PeerLoads) {
     this.#upstream = upstream;
+    this.#peerLoads = peerLoads;
     this.pool = new ConnectionPool(upstream.host, upstream.port);
   }
 
@@ -47,14 +51,19 @@
     return this.#failureShare;
   }
 
-  /** Requests of this daemon in flight. */
+  /** Requests in flight, of all daemons as far as known. */
   get requests(): number {
-    return this.#requests;
+    return this.#requests + this.#peerLoads.get(this.id).requests;
+  }
+
+  /** Work ahead of a new request, of all daemons as far as known. */
+  get backlog(): number {
+    return this.#work + this.#peerLoads.get(this.id).work;
   }
 
-  /** Work of this daemon in flight, as a share of what the upstream does at once. */
-  get load(): number {
-    return this.#work / this.#upstream.slots;
+  /** What this daemon has there. */
+  get ownLoad(): UpstreamLoad {
+    return { work: this.#work, requests: this.#requests };
   }
 
   get lastBytesAtMs(): number {
@@ -85,6 +94,12 @@
     this.#work += work;
   }
 
+  /** Part of a request's work is done. */
+  reduce(work: number): void {
+    this.#work -= work;
+  }
+
+  /** A request ended, with this much of its work still counted. */
   finish(work: number): void {
     this.#requests -= 1;
     this.#work = this.#requests === 0 ? 0 : this.#work - work;
--- a/packages/policy/src/forward/choosePlace.ts
+++ b/packages/policy/src/forward/choosePlace.ts
@@ -1,16 +1,18 @@
 /**
- * Chooses the upstream for one attempt. Answers the load of long prompts that share parts: requests of
- * one subject go to the upstream that has read the shared part, unless it is much busier than the
- * others; the rest go to the least busy one. Bytes between data centres cost, so another data
- * centre is used only when no local upstream has room.
+ * Chooses the upstream for one attempt: the one where the answer is expected to begin first. Answers the
+ * load of long prompts that share parts. What waits at an upstream, of all daemons, is counted in tokens
+ * rather than requests, since one prompt may be eighty times as long as another; reading a part that
+ * the upstream has not read is added; other data centres cost a penalty for the bytes between them.
  */
 import { getAffinityWeight, hashAffinityKey } from '../upstreamChoice/affinity/affinityHash.js';
 
 export interface PlaceCandidate {
   readonly id: string;
   readonly dataCentre: string;
-  /** Work in flight as a share of what the upstream runs at once; above 1 it queues. */
-  readonly load: number;
+  /** Work ahead of a new request, of all daemons as far as known. */
+  readonly backlog: number;
+  /** Places taken, as a share of those that the upstream has. */
+  readonly occupancy: number;
   /** Recent share of failures, 0 to 1. */
   readonly failureShare: number;
   /** Thought dead, or gone from the list for reasons that may be the list's own. */
@@ -22,77 +24,81 @@
   readonly localDataCentre: string;
   /** What requests have in common whose prompts share parts. */
   readonly affinityKey?: string;
+  /** Work of reading the shared parts where they are not kept; in the backlog's unit. */
+  readonly sharedWork: number;
+  /** What the request itself adds; in the backlog's unit. */
+  readonly ownWork: number;
+  /** What another data centre costs; in the backlog's unit. */
+  readonly remotePenalty: number;
   /** Uniform in [0, 1). */
   readonly random: number;
 }
 
-/** A subject's owner may be this much busier than the mean, as a factor and as a share of its places. */
-const OWNER_LOAD_FACTOR = 1.3;
-const OWNER_LOAD_SLACK = 0.08;
-
-/** Local upstreams busier than this share of their places hand new work to other data centres. */
-const SPILL_LOAD = 0.85;
-
-/** What a failing upstream's load counts more: at 40% failures it looks 3 times as busy. */
-const FAILURE_WEIGHT = 5;
-const FAILURE_BASE = 0.1;
+export interface Placed {
+  readonly id: string;
+  /** Whether the upstream is thought to keep the shared parts. */
+  readonly isOwner: boolean;
+}
 
 /** Failure shares below this are the requests' own fault as often as the upstream's. */
 const USUAL_FAILURE_SHARE = 0.2;
 
-const getCost = ({ load, failureShare }: PlaceCandidate): number => {
-  const excess = Math.max(0, failureShare - USUAL_FAILURE_SHARE);
-  return (load + FAILURE_BASE * Math.sign(excess)) * (1 + FAILURE_WEIGHT * excess);
-};
+/** An upstream that fails four in ten looks as if it had this many more of such requests waiting. */
+const FAILURE_WEIGHT = 20;
 
-const findOwner = (
-  key: string,
-  candidates: readonly PlaceCandidate[],
-): PlaceCandidate | undefined => {
-  const mean = candidates.reduce((sum, one) => sum + getCost(one), 0) / candidates.length;
-  const bound = mean * OWNER_LOAD_FACTOR + OWNER_LOAD_SLACK;
-  const hash = hashAffinityKey(key);
-  let owner: PlaceCandidate | undefined;
-  let ownerWeight = -1;
-  for (const candidate of candidates) {
-    const weight = getAffinityWeight(hash, candidate.id);
-    if (weight > ownerWeight && getCost(candidate) <= bound) {
-      owner = candidate;
-      ownerWeight = weight;
+/** With all places taken a request waits for one to end: as if several more of it were ahead. */
+const FULL_OCCUPANCY = 0.95;
+const FULL_WEIGHT = 8;
+
+/** Backlogs nearer to each other than this share of the request's own work are the same. */
+const TIE_SHARE = 0.05;
+
+const findOwners = (input: PlaceInput): ReadonlySet<string> => {
+  const owners = new Map<string, { readonly id: string; readonly weight: number }>();
+  if (input.affinityKey !== undefined) {
+    const hash = hashAffinityKey(input.affinityKey);
+    for (const { id, dataCentre, isSuspect } of input.candidates) {
+      const weight = getAffinityWeight(hash, id);
+      if (!isSuspect && weight > (owners.get(dataCentre)?.weight ?? -1)) {
+        owners.set(dataCentre, { id, weight });
+      }
     }
   }
-  return owner;
+  return new Set([...owners.values()].map(({ id }) => id));
 };
 
-const findLeastLoaded = (
-  candidates: readonly PlaceCandidate[],
-  random: number,
-): PlaceCandidate | undefined => {
-  const offset = Math.floor(random * candidates.length);
-  let best: PlaceCandidate | undefined;
-  for (let index = 0; index < candidates.length; index += 1) {
-    const candidate = candidates[(index + offset) % candidates.length];
-    if (candidate && (best === undefined || getCost(candidate) < getCost(best))) {
-      best = candidate;
-    }
-  }
-  return best;
+const getCost = (candidate: PlaceCandidate, isOwner: boolean, input: PlaceInput): number => {
+  const work = input.ownWork + input.sharedWork;
+  const failing = Math.max(0, candidate.failureShare - USUAL_FAILURE_SHARE);
+  const isFull = candidate.occupancy >= FULL_OCCUPANCY;
+  return (
+    candidate.backlog +
+    (isOwner ? 0 : input.sharedWork) +
+    (candidate.dataCentre === input.localDataCentre ? 0 : input.remotePenalty) +
+    work * (failing * FAILURE_WEIGHT + (isFull ? FULL_WEIGHT * candidate.occupancy : 0))
+  );
 };
 
-const orAll = (
-  some: readonly PlaceCandidate[],
-  all: readonly PlaceCandidate[],
-): readonly PlaceCandidate[] => (some.length > 0 ? some : all);
+const listSound = (candidates: readonly PlaceCandidate[]): readonly PlaceCandidate[] => {
+  const sound = candidates.filter((candidate) => !candidate.isSuspect);
+  return sound.length > 0 ? sound : candidates;
+};
 
 /** Undefined when there is no candidate at all. */
-export const choosePlace = (input: PlaceInput): PlaceCandidate | undefined => {
-  const sound = orAll(
-    input.candidates.filter((candidate) => !candidate.isSuspect),
-    input.candidates,
-  );
-  const local = sound.filter((candidate) => candidate.dataCentre === input.localDataCentre);
-  const hasLocalRoom = local.some((candidate) => getCost(candidate) < SPILL_LOAD);
-  const pool = hasLocalRoom ? local : sound;
-  const owner = input.affinityKey === undefined ? undefined : findOwner(input.affinityKey, pool);
-  return owner ?? findLeastLoaded(pool, input.random);
+export const choosePlace = (input: PlaceInput): Placed | undefined => {
+  const owners = findOwners(input);
+  const sound = listSound(input.candidates);
+  const tie = (input.ownWork + input.sharedWork) * TIE_SHARE;
+  const offset = Math.floor(input.random * sound.length);
+  let best: PlaceCandidate | undefined;
+  let bestCost = Infinity;
+  for (let index = 0; index < sound.length; index += 1) {
+    const candidate = sound[(index + offset) % sound.length];
+    const cost = candidate ? getCost(candidate, owners.has(candidate.id), input) : Infinity;
+    if (candidate && cost < bestCost - tie) {
+      best = candidate;
+      bestCost = cost;
+    }
+  }
+  return best && { id: best.id, isOwner: owners.has(best.id) };
 };
