Date a held answer by the store's clock; keep few idle connections

Cause 1: a feed that was held 2 s confirmed the configuration as of its question, so keyed requests were refused 1.2 s after the store went away. The store's steady clock, whose least offset is known from earlier answers, dates the answer itself; after a suspension only the question counts.

--- a/packages/forwarding/src/configuration/freshness.ts
+++ b/packages/forwarding/src/configuration/freshness.ts
@@ -5,7 +5,7 @@
  * time of day that jumps forward makes knowledge look older, which is safe: it is confirmed anew.
  */
 
-interface ClockReading {
+export interface ClockReading {
   readonly steadyMs: number;
   readonly timeOfDayMs: number;
 }
@@ -15,12 +15,46 @@
   timeOfDayMs: Date.now(),
 });
 
+/** How far the time of day is ahead of the steady clock; it changes by jumps and by suspensions. */
+const getAhead = ({ steadyMs, timeOfDayMs }: ClockReading): number => timeOfDayMs - steadyMs;
+
+/** The time of day drifts by less than this between two answers of the store. */
+const MAX_DRIFT_MS = 50;
+
+/** An answer of the store: when it was asked for, and the store's steady clock as it answered. */
+export interface StoreAnswer {
+  readonly asked: ClockReading;
+  readonly serverTimeMs: number;
+}
+
 export class Freshness {
   #confirmed: ClockReading | undefined;
 
-  /** Confirms by an answer; the reading is from when its question was sent. */
-  confirm(asked: ClockReading): void {
-    this.#confirmed = asked;
+  /** The least that our steady clock can be ahead of the store's, and the clocks when that was found. */
+  #offset: { readonly leastMs: number; readonly ahead: number } | undefined;
+
+  /**
+   * Confirms what is known by an answer of the store. An answer held back by the store tells its state at the
+   * answer, not at the question, two or three seconds earlier: that moment is known by the store's steady
+   * clock, as all earlier answers came after their questions. Where the clocks jumped since, only
+   * the question's time is sure.
+   */
+  confirm({ asked, serverTimeMs }: StoreAnswer): void {
+    const now = readClocks();
+    const ahead = getAhead(now);
+    const isOffsetSound =
+      this.#offset !== undefined &&
+      Math.abs(this.#offset.ahead - ahead) < MAX_DRIFT_MS &&
+      Math.abs(getAhead(asked) - ahead) < MAX_DRIFT_MS;
+    const leastMs = asked.steadyMs - serverTimeMs;
+    if (!isOffsetSound || this.#offset === undefined) {
+      this.#offset = { leastMs, ahead };
+      this.#confirmed = asked;
+      return;
+    }
+    this.#offset = { leastMs: Math.max(leastMs, this.#offset.leastMs), ahead };
+    const steadyMs = Math.max(asked.steadyMs, serverTimeMs + this.#offset.leastMs);
+    this.#confirmed = { steadyMs, timeOfDayMs: steadyMs + ahead };
   }
 
   /** Infinite before the first confirmation. */
--- a/packages/forwarding/src/constants.ts
+++ b/packages/forwarding/src/constants.ts
@@ -1,7 +1,7 @@
 /** Time-outs and limits of the forward path, with their units and reasons. */
 
 /** A TCP connection inside a region takes a few ms; one that takes longer leads to a dead machine. */
-export const CONNECT_TIMEOUT_MS = 600;
+export const CONNECT_TIMEOUT_MS = 300;
 
 /** Whole answers up to this size are held until complete, so that a broken one can be repeated. */
 export const MAX_HELD_ANSWER_BYTES = 262_144;
@@ -12,6 +12,13 @@
  */
 export const MAX_CONNECTION_IDLE_MS = 3_000;
 
+/**
+ * Idle connections kept to one upstream by one daemon. An upstream resets connections beyond its limit for
+ * all callers together, and a request on such a one may have run: with new connections for all that may not
+ * be repeated and all of them kept, three daemons of nine held a hundred at one small service.
+ */
+export const MAX_IDLE_CONNECTIONS = 3;
+
 /** Waits before an idempotent answer is asked for elsewhere, as a multiple of the route's target. */
 export const SILENCE_TARGETS = 2.5;
 
--- a/packages/forwarding/src/exchange/connectionPool.ts
+++ b/packages/forwarding/src/exchange/connectionPool.ts
@@ -1,5 +1,5 @@
 /** Connections to one upstream: each carries one request at a time, the youngest idle one first. */
-import { MAX_CONNECTION_IDLE_MS } from '../constants.js';
+import { MAX_CONNECTION_IDLE_MS, MAX_IDLE_CONNECTIONS } from '../constants.js';
 import { UpstreamConnection } from './upstreamConnection.js';
 
 export class ConnectionPool {
@@ -28,7 +28,8 @@
 
   /** Gives back a connection whose answer was whole and its own. */
   giveBack(connection: UpstreamConnection): void {
-    if (this.#isClosed || !connection.isUsable) {
+    const isWanted = !this.#isClosed && this.#idle.length < MAX_IDLE_CONNECTIONS;
+    if (!isWanted || !connection.isUsable) {
       connection.destroy();
       return;
     }
--- a/packages/forwarding/src/store/tableWatcher.ts
+++ b/packages/forwarding/src/store/tableWatcher.ts
@@ -59,27 +59,33 @@
   async #step(): Promise<void> {
     const asked = readClocks();
     try {
-      await (this.#version === undefined ? this.#readAll() : this.#readChanges(this.#version));
-      this.#options.freshness?.confirm(asked);
+      const version = this.#version;
+      const serverTimeMs = await (version === undefined
+        ? this.#readAll()
+        : this.#readChanges(version));
+      this.#options.freshness?.confirm({ asked, serverTimeMs });
     } catch (error) {
       await this.#recover(error);
     }
   }
 
-  async #readAll(): Promise<void> {
+  /** Resolves with the store's clock as it answered. */
+  async #readAll(): Promise<number> {
     const { store, table, listener } = this.#options;
     const page = await store.readRows(table);
     this.#noteAnswer();
     listener.onAll(page.items, page.serverTimeMs);
     this.#version = page.version;
+    return page.serverTimeMs;
   }
 
-  async #readChanges(after: number): Promise<void> {
+  async #readChanges(after: number): Promise<number> {
     const { store, table, waitMs, listener } = this.#options;
     const page = await store.readChanges(table, after, waitMs);
     this.#noteAnswer();
     page.items.forEach((change) => listener.onChange(change, page.serverTimeMs));
     this.#version = page.version;
+    return page.serverTimeMs;
   }
 
   #noteAnswer(): void {
