Keep a roll-out's status until its order comes

Cause: orders and statuses come by feeds of their own; a daemon that started (added at 8 s, or after the loss of all) and read the status table first dropped the status of an order that it did not know yet. It sent nothing to the new version, and after the move its service had no upstream.

--- /dev/null
+++ b/packages/forwarding/src/rollouts/rolloutGuide.test.ts
@@ -0,0 +1,96 @@
+/** Which version a request goes to, as rows of the store come in whatever order. */
+import { createSilentLogger } from '@snipehaven/common';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { Freshness, readClocks } from '../configuration/freshness.js';
+import { PeerLoads } from '../peers/index.js';
+import type { RequestOptions, RolloutOrder } from '../types.js';
+import { UpstreamEntry } from '../upstreams/index.js';
+import { RolloutGuide } from './rolloutGuide.js';
+import type { RolloutStatus } from './types.js';
+
+const ORDER: RolloutOrder = { service: 's', toVersion: 'v2', durationMs: 20_000 };
+const ORDER_VERSION = 7;
+
+const createEntry = (id: string, softwareVersion: string): UpstreamEntry =>
+  new UpstreamEntry(
+    {
+      id,
+      service: 's',
+      host: '127.0.0.1',
+      port: 1,
+      dataCentre: 'a',
+      softwareVersion,
+      slots: 4,
+      state: 'ready',
+    },
+    new PeerLoads(),
+  );
+
+const OLD = createEntry('old', 'v1');
+const NEW = createEntry('new', 'v2');
+
+const createStatus = (
+  state: RolloutStatus['state'],
+  orderVersion = ORDER_VERSION,
+): RolloutStatus => ({
+  service: 's',
+  toVersion: 'v2',
+  state,
+  orderVersion,
+  startedAtStoreMs: 0,
+});
+
+const createGuide = (): RolloutGuide => {
+  const freshness = new Freshness();
+  freshness.confirm({ asked: readClocks(), serverTimeMs: 0 });
+  return new RolloutGuide(createSilentLogger(), 'vm', freshness, 5_000);
+};
+
+const createOptions = (attemptId: string, session?: string): RequestOptions => ({
+  attemptId,
+  promptTokens: 0,
+  maxOutputTokens: 0,
+  promptParts: [],
+  ...(session === undefined ? {} : { session }),
+});
+
+const narrow = (guide: RolloutGuide, attemptId = 'a', session?: string): string[] =>
+  guide.narrow('s', createOptions(attemptId, session), [OLD, NEW]).map(({ id }) => id);
+
+// Symptom: after a restart a service has no upstream. Sequence: a daemon reads the status table before the
+// operator's, and drops the status of an order that it does not know yet. Cause: each row is read once.
+test('a status that comes before its order counts', () => {
+  const guide = createGuide();
+  guide.takeStatus(createStatus('completed'), 9, 0);
+  guide.takeOrder(ORDER, ORDER_VERSION, false);
+  assert.equal(narrow(guide), ['new']);
+});
+
+test('a status of an earlier order says nothing of this one', () => {
+  const guide = createGuide();
+  guide.takeStatus(createStatus('completed', 3), 4, 0);
+  guide.takeOrder(ORDER, ORDER_VERSION, false);
+  assert.equal(narrow(guide), ['old']);
+});
+
+test('after a roll-back nothing goes to the new version, whatever else is left', () => {
+  const guide = createGuide();
+  guide.takeOrder(ORDER, ORDER_VERSION, true);
+  guide.takeStatus(createStatus('rolledBack'), 9, performance.now());
+  assert.equal(narrow(guide), ['old']);
+  assert.equal(guide.narrow('s', createOptions('a'), [NEW]), []);
+});
+
+test('a session that ran on the old version stays there while the new one is tried', () => {
+  const guide = createGuide();
+  guide.takeOrder(ORDER, ORDER_VERSION, true);
+  const sessions = Array.from({ length: 400 }, (_, index) => `session ${index}`);
+  const first = sessions.map((session) => narrow(guide, 'a', session)[0]);
+  const second = sessions.map((session) => narrow(guide, 'b', session)[0]);
+  assert.equal(second, first);
+  const share = first.filter((id) => id === 'new').length / sessions.length;
+  assert.ok(share > 0.02 && share < 0.12, String(share));
+});
+
+test.run();
--- a/packages/forwarding/src/rollouts/rolloutGuide.ts
+++ b/packages/forwarding/src/rollouts/rolloutGuide.ts
@@ -11,6 +11,12 @@
 const HASH_RANGE = 2 ** 32;
 const SHARE_SALT = 'rollout';
 
+interface KnownStatus {
+  readonly status: RolloutStatus;
+  readonly rowVersion: number;
+  readonly startedAtMs: number;
+}
+
 type VersionChoice = 'new' | 'old' | 'any';
 
 const orOther = (wanted: UpstreamEntry[], other: UpstreamEntry[]): UpstreamEntry[] =>
@@ -26,6 +32,12 @@
 
   readonly #rollouts = new Map<string, ServiceRollout>();
 
+  /**
+   * The last status of each service, whether its order is known or not: orders and statuses come by feeds of
+   * their own, in any order, and a daemon that starts reads each row once.
+   */
+  readonly #statuses = new Map<string, KnownStatus>();
+
   readonly #sessions: SessionMemory;
 
   #onBadAnswer: (rollout: ServiceRollout) => void = () => {};
@@ -62,6 +74,7 @@
       rollout.startNow();
     }
     this.#rollouts.set(order.service, rollout);
+    this.#applyStatus(order.service);
     this.#logger.info(
       { event: 'rolloutOrdered', ...order, orderVersion, isNew },
       'roll-out ordered',
@@ -73,12 +86,8 @@
   }
 
   takeStatus(status: RolloutStatus, rowVersion: number, startedAtMs: number): void {
-    const rollout = this.#rollouts.get(status.service);
-    const before = rollout?.state;
-    rollout?.takeStatus(status, rowVersion, startedAtMs);
-    if (rollout && before !== rollout.state) {
-      this.#logState(rollout, 'store');
-    }
+    this.#statuses.set(status.service, { status, rowVersion, startedAtMs });
+    this.#applyStatus(status.service);
   }
 
   takeEvidence(evidence: RolloutEvidence): void {
@@ -151,6 +160,19 @@
     return choice;
   }
 
+  #applyStatus(service: string): void {
+    const rollout = this.#rollouts.get(service);
+    const known = this.#statuses.get(service);
+    if (rollout === undefined || known === undefined) {
+      return;
+    }
+    const before = rollout.state;
+    rollout.takeStatus(known.status, known.rowVersion, known.startedAtMs);
+    if (before !== rollout.state) {
+      this.#logState(rollout, 'store');
+    }
+  }
+
   #judge(rollout: ServiceRollout | undefined): void {
     if (rollout?.judge()) {
       this.#logState(rollout, 'evidence');
