A few daemons read the store's feeds and tell the others

Readers are the first by rank with fresh news, two and one more for every eight daemons; the others ask only when a reader tells of a change, and confirm their configuration by the store's time that readers heard.

--- a/packages/forwarding/src/configuration/freshness.ts
+++ b/packages/forwarding/src/configuration/freshness.ts
@@ -57,6 +57,22 @@
     this.#confirmed = { steadyMs, timeOfDayMs: steadyMs + ahead };
   }
 
+  /**
+   * Confirms by what another daemon heard of the store at that time on the store's steady clock. Counts only
+   * while our offset to that clock is sure.
+   */
+  confirmByPeer(serverTimeMs: number): void {
+    const ahead = getAhead(readClocks());
+    const offset = this.#offset;
+    if (offset === undefined || Math.abs(offset.ahead - ahead) >= MAX_DRIFT_MS) {
+      return;
+    }
+    const steadyMs = serverTimeMs + offset.leastMs;
+    if (this.#confirmed !== undefined && steadyMs > this.#confirmed.steadyMs) {
+      this.#confirmed = { steadyMs, timeOfDayMs: steadyMs + ahead };
+    }
+  }
+
   /** Infinite before the first confirmation. */
   get ageMs(): number {
     if (this.#confirmed === undefined) {
--- a/packages/forwarding/src/daemon/forwardDaemon.ts
+++ b/packages/forwarding/src/daemon/forwardDaemon.ts
@@ -14,7 +14,13 @@
 import { RolloutGuide, RolloutKeeper, type RolloutWriter } from '../rollouts/index.js';
 import { TableWatcher, type RowStore } from '../store/index.js';
 import { UpstreamDirectory } from '../upstreams/index.js';
-import { LoadExchange, PeerLoads, type Peer, type UpstreamLoad } from '../peers/index.js';
+import {
+  LoadExchange,
+  NewsBoard,
+  PeerLoads,
+  type Peer,
+  type UpstreamLoad,
+} from '../peers/index.js';
 import { OperatorListener, StatusListener, UpstreamListener } from './tableListeners.js';
 import type { ForwardSettings, PlatformAdapter } from './types.js';
 
@@ -76,6 +82,8 @@
 
   readonly #peerLoads = new PeerLoads();
 
+  readonly #board: NewsBoard;
+
   readonly #exchange: LoadExchange;
 
   readonly #metrics = new ForwardMetrics();
@@ -109,6 +117,7 @@
     this.#configuration = new ConfigurationHolder(logger);
     this.#directory = new UpstreamDirectory(logger, this.#peerLoads);
     const { vmName, sessionTtlMs } = adapter.settings;
+    this.#board = new NewsBoard(vmName);
     this.#rollouts = new RolloutGuide(logger, vmName, this.#statusFreshness, sessionTtlMs);
     this.#statusListener = new StatusListener(adapter, this.#rollouts, logger, (peer) =>
       this.#exchange.putPeer(peer),
@@ -229,6 +238,8 @@
       logger: this.#logger,
       random: this.#random,
       freshness: this.#configuration.freshness,
+      board: this.#board,
+      countDaemons: () => this.#exchange.daemons,
     });
   }
 
@@ -247,6 +258,9 @@
       listener,
       logger: this.#logger,
       random: this.#random,
+      freshness: new Freshness(),
+      board: this.#board,
+      countDaemons: () => this.#exchange.daemons,
     });
   }
 
@@ -260,6 +274,8 @@
       logger: this.#logger,
       random: this.#random,
       freshness: this.#statusFreshness,
+      board: this.#board,
+      countDaemons: () => this.#exchange.daemons,
     });
   }
 
@@ -272,6 +288,7 @@
     return new LoadExchange({
       self: this.#getSelf(),
       loads: this.#peerLoads,
+      board: this.#board,
       logger: this.#logger,
       processId: getEntropySeed(),
       readOwnLoads: () => this.#readOwnLoads(),
--- a/packages/forwarding/src/peers/loadExchange.ts
+++ b/packages/forwarding/src/peers/loadExchange.ts
@@ -1,4 +1,4 @@
-/** Sends this daemon's work to the others by datagrams, and takes theirs. The next one makes up a loss. */
+/** Sends this daemon's work and news to the others by datagrams, and takes theirs. */
 import { createSocket, type Socket } from 'node:dgram';
 import { getErrorMessage, type Logger } from '@snipehaven/common';
 import {
@@ -7,6 +7,7 @@
   type LoadMessage,
   type UpstreamLoad,
 } from './loadMessage.js';
+import type { NewsBoard } from './newsBoard.js';
 import type { PeerLoads } from './peerLoads.js';
 
 export interface Peer {
@@ -19,6 +20,7 @@
 export interface LoadExchangeOptions {
   readonly self: Peer;
   readonly loads: PeerLoads;
+  readonly board: NewsBoard;
   readonly logger: Logger;
   /** Tells this process from an earlier one of the same VM. */
   readonly processId: number;
@@ -57,11 +59,12 @@
   }
 
   async start(): Promise<void> {
-    const { self, loads, logger } = this.#options;
+    const { self, loads, board, logger } = this.#options;
     this.#socket.on('message', (bytes) => {
       const message = decodeLoadMessage(bytes);
       if (message !== undefined && message.vm !== self.vm) {
         loads.take(message, performance.now());
+        board.take(message, performance.now());
       }
     });
     this.#socket.on('error', (error) => {
@@ -70,6 +73,8 @@
     await new Promise<void>((resolve) => {
       this.#socket.bind(self.port, self.host, resolve);
     });
+    // A change is told at once: others ask the store for it only then.
+    board.onOwnChange(() => this.#send(this.#options.readOwnLoads(), true));
     this.#timer = setInterval(() => this.#tick(), TICK_MS);
   }
 
@@ -78,6 +83,11 @@
     this.#socket.close();
   }
 
+  /** Daemons known, this one among them. */
+  get daemons(): number {
+    return this.#peers.size + 1;
+  }
+
   putPeer(peer: Peer): void {
     if (peer.vm !== this.#options.self.vm) {
       this.#peers.set(peer.vm, peer);
@@ -92,7 +102,7 @@
       return;
     }
     const loads = this.#options.readOwnLoads();
-    const content = JSON.stringify([...loads]);
+    const content = JSON.stringify([[...loads], this.#options.board.own]);
     const isIdle = content === this.#lastSent && this.#ticks % IDLE_TICKS !== 0;
     if (!isIdle) {
       this.#lastSent = content;
@@ -108,6 +118,7 @@
       process: processId,
       sequence: this.#sequence,
       loads,
+      news: this.#options.board.own,
     };
     const bytes = encodeLoadMessage(message);
     for (const peer of this.#peers.values()) {
--- a/packages/forwarding/src/peers/loadMessage.ts
+++ b/packages/forwarding/src/peers/loadMessage.ts
@@ -1,4 +1,4 @@
-/** What a daemon tells the others of its work at the upstreams: a datagram of JSON. */
+/** What a daemon tells the others: its work at the upstreams, and news of the store. A datagram of JSON. */
 
 /** Work and requests of one daemon at one upstream. */
 export interface UpstreamLoad {
@@ -6,6 +6,15 @@
   readonly requests: number;
 }
 
+/** What a reader of a table saw with its own eyes. */
+export interface TableNews {
+  readonly table: string;
+  /** The store's version of the last change of the table. */
+  readonly lastChange: number;
+  /** The store's steady clock when it said so. */
+  readonly serverTimeMs: number;
+}
+
 export interface LoadMessage {
   readonly vm: string;
   /** Rises with each message of one process; an older one that comes late is dropped. */
@@ -13,27 +22,37 @@
   /** Tells a restarted process, which counts from the beginning again. */
   readonly process: number;
   readonly loads: ReadonlyMap<string, UpstreamLoad>;
+  /** Of the tables that the sender reads; empty while it does not reach the store. */
+  readonly news: readonly TableNews[];
 }
 
 type WireLoad = readonly [upstream: string, work: number, requests: number];
+type WireNews = readonly [table: string, lastChange: number, serverTimeMs: number];
 type WireMessage = readonly [
   vm: string,
   process: number,
   sequence: number,
   loads: readonly WireLoad[],
+  news: readonly WireNews[],
 ];
 
-export const encodeLoadMessage = ({ vm, process, sequence, loads }: LoadMessage): Buffer => {
-  const wireLoads = [...loads].map(([upstream, { work, requests }]): WireLoad => [
+export const encodeLoadMessage = (message: LoadMessage): Buffer => {
+  const loads = [...message.loads].map(([upstream, { work, requests }]): WireLoad => [
     upstream,
     Math.round(work),
     requests,
   ]);
-  const message: WireMessage = [vm, process, sequence, wireLoads];
-  return Buffer.from(JSON.stringify(message));
+  const news = message.news.map(({ table, lastChange, serverTimeMs }): WireNews => [
+    table,
+    lastChange,
+    serverTimeMs,
+  ]);
+  const wire: WireMessage = [message.vm, message.process, message.sequence, loads, news];
+  return Buffer.from(JSON.stringify(wire));
 };
 
-const isWireLoad = (value: unknown): value is WireLoad =>
+/** A name and two numbers, as loads and news are. */
+const isWireEntry = (value: unknown): value is WireLoad & WireNews =>
   Array.isArray(value) &&
   typeof value[0] === 'string' &&
   Number.isFinite(value[1]) &&
@@ -51,18 +70,26 @@
   if (!Array.isArray(value)) {
     return undefined;
   }
-  const [vm, process, sequence, loads] = value as unknown[];
+  const [vm, process, sequence, loads, news] = value as unknown[];
   const isOurs =
     typeof vm === 'string' &&
     typeof process === 'number' &&
     typeof sequence === 'number' &&
     Array.isArray(loads) &&
-    loads.every(isWireLoad);
+    loads.every(isWireEntry) &&
+    Array.isArray(news) &&
+    news.every(isWireEntry);
   if (!isOurs) {
     return undefined;
   }
   const entries = loads.map(
     ([upstream, work, requests]) => [upstream, { work, requests }] as const,
   );
-  return { vm, process, sequence, loads: new Map(entries) };
+  return {
+    vm,
+    process,
+    sequence,
+    loads: new Map(entries),
+    news: news.map(([table, lastChange, serverTimeMs]) => ({ table, lastChange, serverTimeMs })),
+  };
 };
--- /dev/null
+++ b/packages/forwarding/src/peers/newsBoard.ts
@@ -0,0 +1,147 @@
+/**
+ * News of the store's tables among daemons. Some daemons hold the feeds; the others follow what these tell
+ * and ask the store only when something changed. Sixty daemons that each held their feeds spent a tenth of
+ * all that their requests were worth on calls; with this a change is known everywhere as soon, and a daemon
+ * that the store turns away still knows whether its configuration is the newest.
+ */
+import { getAffinityWeight, hashAffinityKey } from '@snipehaven/policy';
+import type { LoadMessage, TableNews } from './loadMessage.js';
+
+interface HeardNews {
+  readonly vm: string;
+  readonly news: TableNews;
+  /** When the reader last had the store's word anew. */
+  readonly advancedAtMs: number;
+}
+
+/** When it is asked, and how long ago a reader may have had the store's word anew. */
+export interface NewsQuery {
+  readonly nowMs: number;
+  readonly maxAgeMs: number;
+}
+
+/** What all readers together say of a table. */
+export interface BestNews {
+  readonly lastChange: number;
+  readonly serverTimeMs: number;
+}
+
+/**
+ * Readers: a few, and more with the number of daemons. A reader's connection may go silent, and a third of
+ * all machines may be cut off at once; while one reader is well the others learn of changes in time.
+ */
+const MIN_READERS = 2;
+const DAEMONS_PER_READER = 8;
+
+const RANK_KEY = hashAffinityKey('reader');
+
+export class NewsBoard {
+  readonly #vm: string;
+
+  readonly #rank: number;
+
+  /** By table, then by reader. */
+  readonly #heard = new Map<string, Map<string, HeardNews>>();
+
+  readonly #own = new Map<string, TableNews>();
+
+  #waiting: (() => void)[] = [];
+
+  #onOwnChange: () => void = () => {};
+
+  constructor(vm: string) {
+    this.#vm = vm;
+    this.#rank = getAffinityWeight(RANK_KEY, vm);
+  }
+
+  /** What this daemon read itself. */
+  get own(): readonly TableNews[] {
+    return [...this.#own.values()];
+  }
+
+  /** Calls back when this daemon sees a change first. */
+  onOwnChange(listener: () => void): void {
+    this.#onOwnChange = listener;
+  }
+
+  publish(news: TableNews): void {
+    const known = this.#own.get(news.table);
+    this.#own.set(news.table, news);
+    if (known !== undefined && known.lastChange < news.lastChange) {
+      this.#onOwnChange();
+    }
+  }
+
+  /** This daemon does not read the table any more, or does not reach the store. */
+  withdraw(table: string): void {
+    this.#own.delete(table);
+  }
+
+  take({ vm, news }: LoadMessage, nowMs: number): void {
+    const told = new Set(news.map(({ table }) => table));
+    for (const [table, readers] of this.#heard) {
+      if (!told.has(table)) {
+        readers.delete(vm);
+      }
+    }
+    news.forEach((one) => this.#note(vm, one, nowMs));
+    if (news.length > 0) {
+      this.#wake();
+    }
+  }
+
+  /** Whether enough others read the table, so that this daemon need not. */
+  isCovered(table: string, daemons: number, query: NewsQuery): boolean {
+    const wanted = MIN_READERS + Math.ceil(daemons / DAEMONS_PER_READER);
+    const better = this.#listFresh(table, query).filter(({ vm }) => this.#isBetter(vm));
+    return better.length >= wanted;
+  }
+
+  /** Undefined while no reader is heard. */
+  getBest(table: string, query: NewsQuery): BestNews | undefined {
+    const fresh = this.#listFresh(table, query);
+    if (fresh.length === 0) {
+      return undefined;
+    }
+    return {
+      lastChange: Math.max(...fresh.map(({ news }) => news.lastChange)),
+      serverTimeMs: Math.max(...fresh.map(({ news }) => news.serverTimeMs)),
+    };
+  }
+
+  /** Resolves at the next news of any reader, or after the time. */
+  async waitForNews(waitMs: number): Promise<void> {
+    await new Promise<void>((resolve) => {
+      const timer = setTimeout(resolve, waitMs);
+      this.#waiting.push(() => {
+        clearTimeout(timer);
+        resolve();
+      });
+    });
+  }
+
+  #note(vm: string, news: TableNews, nowMs: number): void {
+    const readers = this.#heard.get(news.table) ?? new Map<string, HeardNews>();
+    const known = readers.get(vm);
+    const isNew = known === undefined || known.news.serverTimeMs < news.serverTimeMs;
+    readers.set(vm, { vm, news, advancedAtMs: isNew ? nowMs : known.advancedAtMs });
+    this.#heard.set(news.table, readers);
+  }
+
+  #listFresh(table: string, { nowMs, maxAgeMs }: NewsQuery): readonly HeardNews[] {
+    const readers = [...(this.#heard.get(table)?.values() ?? [])];
+    return readers.filter(({ advancedAtMs }) => nowMs - advancedAtMs < maxAgeMs);
+  }
+
+  /** Readers are those first in an order that mixes data centres and is the same for all. */
+  #isBetter(vm: string): boolean {
+    const rank = getAffinityWeight(RANK_KEY, vm);
+    return rank > this.#rank || (rank === this.#rank && vm < this.#vm);
+  }
+
+  #wake(): void {
+    const waiting = this.#waiting;
+    this.#waiting = [];
+    waiting.forEach((resolve) => resolve());
+  }
+}
--- a/packages/forwarding/src/store/tableWatcher.ts
+++ b/packages/forwarding/src/store/tableWatcher.ts
@@ -4,8 +4,9 @@
  * read again or the feed is resumed on a new connection.
  */
 import { getErrorMessage, sleep, type Logger, type Random } from '@snipehaven/common';
-import { readClocks, type Freshness } from '../configuration/freshness.js';
+import { readClocks, type ClockReading, type Freshness } from '../configuration/freshness.js';
 import { HistoryGoneError } from '../errors.js';
+import type { NewsBoard, NewsQuery } from '../peers/index.js';
 import type { RowStore, StoreChange, StoreRow } from './types.js';
 
 export interface TableListener {
@@ -28,10 +29,19 @@
   readonly listener: TableListener;
   readonly logger: Logger;
   readonly random: Random;
-  /** Confirmed by each answer. */
-  readonly freshness?: Freshness;
+  /** Confirmed by each answer, and by readers' news. */
+  readonly freshness: Freshness;
+  /** What other daemons read of the table. */
+  readonly board: NewsBoard;
+  countDaemons(): number;
 }
 
+/** Beyond a reader's wait: the time-out of its question, and of datagrams between data centres. */
+const NEWS_AGE_MARGIN_MS = 900;
+
+/** Readers tell what they know at least this often. */
+const NEWS_WAIT_MS = 700;
+
 /** Until the store is asked again: a cut that heals should not cost more than this beside the cut. */
 const FIRST_BACKOFF_MS = 120;
 const MAX_BACKOFF_MS = 400;
@@ -42,6 +52,11 @@
   /** Undefined: the table must be read whole. */
   #version: number | undefined;
 
+  /** The last change of the table that is taken, and the store's clock at its last answer. */
+  #lastChange = 0;
+
+  #serverTimeMs = 0;
+
   #failures = 0;
 
   #isStopped = false;
@@ -61,18 +76,74 @@
   }
 
   async #step(): Promise<void> {
-    const asked = readClocks();
     try {
-      const version = this.#version;
-      const serverTimeMs = await (version === undefined
-        ? this.#readAll()
-        : this.#readChanges(version));
-      this.#options.freshness?.confirm({ asked, serverTimeMs });
+      await this.#ask(readClocks());
     } catch (error) {
       await this.#recover(error);
     }
   }
 
+  async #ask(asked: ClockReading): Promise<void> {
+    const version = this.#version;
+    if (version === undefined) {
+      this.#note(asked, await this.#readAll());
+      return;
+    }
+    if (this.#isCovered()) {
+      await this.#follow(asked, version);
+      return;
+    }
+    this.#note(asked, await this.#readChanges(version, this.#options.getWaitMs()));
+    this.#publish();
+  }
+
+  #isCovered(): boolean {
+    const { board, table, countDaemons } = this.#options;
+    const isCovered = board.isCovered(table, countDaemons(), this.#getNewsQuery());
+    if (isCovered) {
+      board.withdraw(table);
+    }
+    return isCovered;
+  }
+
+  /**
+   * A reader whose feed went silent says nothing new; its question is given up a little after its wait.
+   */
+  #getNewsQuery(): NewsQuery {
+    return { nowMs: performance.now(), maxAgeMs: this.#options.getWaitMs() + NEWS_AGE_MARGIN_MS };
+  }
+
+  /** Takes readers' news: asks the store only for what changed, else knows that nothing did. */
+  async #follow(asked: ClockReading, version: number): Promise<void> {
+    if (this.#useNews(version)) {
+      await this.#options.board.waitForNews(NEWS_WAIT_MS);
+      return;
+    }
+    this.#note(asked, await this.#readChanges(version, 0));
+  }
+
+  /** False when readers know of a change that is not taken here. */
+  #useNews(version: number): boolean {
+    const { board, table, freshness } = this.#options;
+    const best = board.getBest(table, this.#getNewsQuery());
+    if (best !== undefined && best.lastChange > version) {
+      return false;
+    }
+    if (best !== undefined) {
+      freshness.confirmByPeer(best.serverTimeMs);
+    }
+    return true;
+  }
+
+  #note(asked: ClockReading, serverTimeMs: number): void {
+    this.#options.freshness.confirm({ asked, serverTimeMs });
+  }
+
+  #publish(): void {
+    const { board, table } = this.#options;
+    board.publish({ table, lastChange: this.#lastChange, serverTimeMs: this.#serverTimeMs });
+  }
+
   /** Resolves with the store's clock as it answered. */
   async #readAll(): Promise<number> {
     const { store, table, listener } = this.#options;
@@ -80,16 +151,21 @@
     this.#noteAnswer();
     listener.onAll(page.items, page.serverTimeMs);
     this.#version = page.version;
+    this.#lastChange = page.version;
+    this.#serverTimeMs = page.serverTimeMs;
     return page.serverTimeMs;
   }
 
-  async #readChanges(after: number): Promise<number> {
-    const { store, table, getWaitMs, gatherMs, listener } = this.#options;
-    const page = await store.readChanges(table, after, getWaitMs());
+  async #readChanges(after: number, waitMs: number): Promise<number> {
+    const { store, table, gatherMs, listener } = this.#options;
+    const page = await store.readChanges(table, after, waitMs);
     this.#noteAnswer();
     page.items.forEach((change) => listener.onChange(change, page.serverTimeMs));
     this.#version = page.version;
+    this.#lastChange = Math.max(this.#lastChange, ...page.items.map((item) => item.version));
+    this.#serverTimeMs = page.serverTimeMs;
     if (page.items.length > 0) {
+      this.#publish();
       await sleep(gatherMs);
     }
     return page.serverTimeMs;
@@ -108,7 +184,8 @@
   }
 
   async #recover(error: unknown): Promise<void> {
-    const { logger, table, listener, random } = this.#options;
+    const { logger, table, listener, random, board } = this.#options;
+    board.withdraw(table);
     if (error instanceof HistoryGoneError) {
       logger.info({ event: 'historyGone', table }, 'feed history gone; reading the table again');
       this.#version = undefined;
@@ -126,5 +203,8 @@
       FIRST_BACKOFF_MS * 2 ** Math.min(6, this.#failures - 1),
     );
     await sleep(backoffMs * (0.5 + random.next()));
+    if (this.#version !== undefined) {
+      this.#useNews(this.#version);
+    }
   }
 }
--- a/packages/policy/src/forward/repeatBudget.ts
+++ b/packages/policy/src/forward/repeatBudget.ts
@@ -19,10 +19,10 @@
 export type RepeatPurpose = 'failure' | 'quality';
 
 /** Part of the ratio that one daemon uses: windows slide, and the requests of the sum are counted apart. */
-const OWN_PART = 0.85;
+const OWN_PART = 0.92;
 
 /** Repeats for a better answer leave the rest of the budget to repeats after failures. */
-const QUALITY_PART = 0.7;
+const QUALITY_PART = 0.88;
 
 export class RepeatBudget {
   readonly #settings: RepeatBudgetSettings;
