Readers pass changes on; the cascade follows what waits

Readers pass the rows they read on to their data centre, others ask the store only for what they missed. The confidence that is sure enough falls from 60 to 20 as the better answer would come late, for less urgent requests first; waits are told from work ahead by a learned pace.

--- a/packages/forwarding/src/daemon/forwardDaemon.ts
+++ b/packages/forwarding/src/daemon/forwardDaemon.ts
@@ -13,7 +13,7 @@
 import { ForwardMetrics, FrontServer, StatusServer } from '../edge/index.js';
 import { RolloutGuide, RolloutKeeper, type RolloutWriter } from '../rollouts/index.js';
 import { TableWatcher, type RowStore } from '../store/index.js';
-import { UpstreamDirectory } from '../upstreams/index.js';
+import { UpstreamDirectory, WorkPace } from '../upstreams/index.js';
 import {
   LoadExchange,
   NewsBoard,
@@ -90,6 +90,8 @@
 
   readonly #budgets = new Map<string, RepeatBudget>();
 
+  readonly #paces = new Map<string, WorkPace>();
+
   readonly #front: FrontServer;
 
   readonly #readiness = new StatusServer(() => this.#answerReadiness());
@@ -117,7 +119,7 @@
     this.#configuration = new ConfigurationHolder(logger);
     this.#directory = new UpstreamDirectory(logger, this.#peerLoads);
     const { vmName, sessionTtlMs } = adapter.settings;
-    this.#board = new NewsBoard(vmName);
+    this.#board = new NewsBoard(vmName, adapter.settings.dataCentre);
     this.#rollouts = new RolloutGuide(logger, vmName, this.#statusFreshness, sessionTtlMs);
     this.#statusListener = new StatusListener(adapter, this.#rollouts, logger, (peer) =>
       this.#exchange.putPeer(peer),
@@ -133,6 +135,7 @@
       random: this.#random,
       localDataCentre: adapter.settings.dataCentre,
       getRepeatBudget: (service) => this.#getRepeatBudget(service),
+      getWorkPace: (service) => this.#getWorkPace(service),
       maxKeyAgeMs: adapter.settings.revokeDeadlineMs - REVOKE_MARGIN_MS,
     });
     this.#watchers = [this.#watchOperator(), this.#watchUpstreams(), this.#watchStatus()];
@@ -223,6 +226,12 @@
     return present;
   }
 
+  #getWorkPace(service: string): WorkPace {
+    const present = this.#paces.get(service) ?? new WorkPace();
+    this.#paces.set(service, present);
+    return present;
+  }
+
   #watchOperator(): TableWatcher {
     return new TableWatcher({
       table: this.#adapter.tables.operator,
--- a/packages/forwarding/src/peers/loadExchange.ts
+++ b/packages/forwarding/src/peers/loadExchange.ts
@@ -1,13 +1,14 @@
 /** Sends this daemon's work and news to the others by datagrams, and takes theirs. */
 import { createSocket, type Socket } from 'node:dgram';
 import { getErrorMessage, type Logger } from '@snipehaven/common';
+import { encodeChanges, restoreChanges, type TableChanges } from './changesMessage.js';
 import {
-  decodeLoadMessage,
   encodeLoadMessage,
+  restoreLoadMessage,
   type LoadMessage,
   type UpstreamLoad,
 } from './loadMessage.js';
-import type { NewsBoard } from './newsBoard.js';
+import { SMALL_FLEET, type NewsBoard } from './newsBoard.js';
 import type { PeerLoads } from './peerLoads.js';
 
 export interface Peer {
@@ -39,6 +40,17 @@
 /** Even with nothing to tell, so that peers know that we live. */
 const IDLE_TICKS = 6;
 
+const getSlowness = (peers: number): number => Math.max(1, Math.ceil(peers / PEERS_PER_TICK));
+
+/** Undefined for a stray datagram; the next one of a peer comes within a second. */
+const parseDatagram = (bytes: Buffer): unknown => {
+  try {
+    return JSON.parse(bytes.toString('utf8'));
+  } catch {
+    return undefined;
+  }
+};
+
 export class LoadExchange {
   readonly #options: LoadExchangeOptions;
 
@@ -59,22 +71,15 @@
   }
 
   async start(): Promise<void> {
-    const { self, loads, board, logger } = this.#options;
-    this.#socket.on('message', (bytes) => {
-      const message = decodeLoadMessage(bytes);
-      if (message !== undefined && message.vm !== self.vm) {
-        loads.take(message, performance.now());
-        board.take(message, performance.now());
-      }
-    });
+    const { self, board, logger } = this.#options;
+    this.#socket.on('message', (bytes) => this.#take(bytes));
     this.#socket.on('error', (error) => {
       logger.warn({ event: 'loadExchangeFailed', cause: getErrorMessage(error) });
     });
     await new Promise<void>((resolve) => {
       this.#socket.bind(self.port, self.host, resolve);
     });
-    // A change is told at once: others ask the store for it only then.
-    board.onOwnChange(() => this.#send(this.#options.readOwnLoads(), true));
+    board.onOwnChanges((changes) => this.#passOn(changes));
     this.#timer = setInterval(() => this.#tick(), TICK_MS);
   }
 
@@ -94,19 +99,56 @@
     }
   }
 
+  #take(bytes: Buffer): void {
+    const { self, loads, board } = this.#options;
+    const message = parseDatagram(bytes);
+    const load = restoreLoadMessage(message);
+    if (load !== undefined && load.vm !== self.vm) {
+      loads.take(load, performance.now());
+      board.take(load, performance.now());
+    }
+    const changes = restoreChanges(message);
+    if (changes !== undefined) {
+      board.takeChanges(changes);
+    }
+  }
+
+  /** What a reader learns is told at once: the others ask the store for it only if they miss it. */
+  #passOn(changes: TableChanges): void {
+    const isRemoteToo = this.daemons <= SMALL_FLEET;
+    const bytes = encodeChanges(changes);
+    if (bytes !== undefined) {
+      this.#sendTo(this.#listPeers(isRemoteToo), bytes);
+    }
+    this.#send(this.#options.readOwnLoads(), isRemoteToo);
+  }
+
+  #listPeers(isRemoteToo: boolean): readonly Peer[] {
+    const { dataCentre } = this.#options.self;
+    return [...this.#peers.values()].filter(
+      (peer) => isRemoteToo || peer.dataCentre === dataCentre,
+    );
+  }
+
+  #sendTo(peers: readonly Peer[], bytes: Buffer): void {
+    peers.forEach(({ port, host }) => this.#socket.send(bytes, port, host));
+  }
+
   #tick(): void {
     this.#ticks += 1;
     this.#options.loads.dropSilent(performance.now());
-    const slowness = Math.ceil(this.#peers.size / PEERS_PER_TICK);
-    if (this.#ticks % Math.max(1, slowness) !== 0) {
+    const localSlowness = getSlowness(this.#listPeers(false).length);
+    if (this.#ticks % localSlowness !== 0) {
       return;
     }
+    const remoteTicks = REMOTE_TICKS * getSlowness(this.#peers.size);
+    const isRemoteDue = Math.floor(this.#ticks / localSlowness) % remoteTicks === 0;
     const loads = this.#options.readOwnLoads();
     const content = JSON.stringify([[...loads], this.#options.board.own]);
     const isIdle = content === this.#lastSent && this.#ticks % IDLE_TICKS !== 0;
-    if (!isIdle) {
+    if (!isIdle || isRemoteDue) {
       this.#lastSent = content;
-      this.#send(loads, this.#ticks % (REMOTE_TICKS * Math.max(1, slowness)) === 0);
+      this.#send(loads, isRemoteDue);
     }
   }
 
@@ -115,16 +157,13 @@
     this.#sequence += 1;
     const message: LoadMessage = {
       vm: self.vm,
+      dataCentre: self.dataCentre,
       process: processId,
       sequence: this.#sequence,
       loads,
       news: this.#options.board.own,
     };
     const bytes = encodeLoadMessage(message);
-    for (const peer of this.#peers.values()) {
-      if (isRemoteDue || peer.dataCentre === self.dataCentre) {
-        this.#socket.send(bytes, peer.port, peer.host);
-      }
-    }
+    this.#sendTo(this.#listPeers(isRemoteDue), bytes);
   }
 }
--- a/packages/forwarding/src/peers/loadMessage.ts
+++ b/packages/forwarding/src/peers/loadMessage.ts
@@ -17,6 +17,7 @@
 
 export interface LoadMessage {
   readonly vm: string;
+  readonly dataCentre: string;
   /** Rises with each message of one process; an older one that comes late is dropped. */
   readonly sequence: number;
   /** Tells a restarted process, which counts from the beginning again. */
@@ -30,6 +31,7 @@
 type WireNews = readonly [table: string, lastChange: number, serverTimeMs: number];
 type WireMessage = readonly [
   vm: string,
+  dataCentre: string,
   process: number,
   sequence: number,
   loads: readonly WireLoad[],
@@ -47,7 +49,8 @@
     lastChange,
     serverTimeMs,
   ]);
-  const wire: WireMessage = [message.vm, message.process, message.sequence, loads, news];
+  const { vm, dataCentre, process, sequence } = message;
+  const wire: WireMessage = [vm, dataCentre, process, sequence, loads, news];
   return Buffer.from(JSON.stringify(wire));
 };
 
@@ -58,21 +61,15 @@
   Number.isFinite(value[1]) &&
   Number.isFinite(value[2]);
 
-/** Undefined when the datagram is none of ours. */
-export const decodeLoadMessage = (bytes: Buffer): LoadMessage | undefined => {
-  let value: unknown;
-  try {
-    value = JSON.parse(bytes.toString('utf8'));
-  } catch {
-    // A stray datagram; the next one of a peer comes within a second.
-    return undefined;
-  }
+/** Undefined when the decoded datagram is no load message. */
+export const restoreLoadMessage = (value: unknown): LoadMessage | undefined => {
   if (!Array.isArray(value)) {
     return undefined;
   }
-  const [vm, process, sequence, loads, news] = value as unknown[];
+  const [vm, dataCentre, process, sequence, loads, news] = value as unknown[];
   const isOurs =
     typeof vm === 'string' &&
+    typeof dataCentre === 'string' &&
     typeof process === 'number' &&
     typeof sequence === 'number' &&
     Array.isArray(loads) &&
@@ -87,6 +84,7 @@
   );
   return {
     vm,
+    dataCentre,
     process,
     sequence,
     loads: new Map(entries),
--- a/packages/forwarding/src/peers/newsBoard.ts
+++ b/packages/forwarding/src/peers/newsBoard.ts
@@ -5,10 +5,12 @@
  * that the store turns away still knows whether its configuration is the newest.
  */
 import { getAffinityWeight, hashAffinityKey } from '@snipehaven/policy';
+import type { TableChanges } from './changesMessage.js';
 import type { LoadMessage, TableNews } from './loadMessage.js';
 
 interface HeardNews {
   readonly vm: string;
+  readonly dataCentre: string;
   readonly news: TableNews;
   /** When the reader last had the store's word anew. */
   readonly advancedAtMs: number;
@@ -33,6 +35,16 @@
 const MIN_READERS = 2;
 const DAEMONS_PER_READER = 8;
 
+/** More than a burst of changes; what is lost is read from the store. */
+const MAX_WAITING_CHANGES = 40;
+
+/**
+ * Up to this many daemons readers tell all others at once. Beyond, only those of their data centre, so that
+ * each data centre needs readers of its own.
+ */
+export const SMALL_FLEET = 16;
+const MIN_LOCAL_READERS = 2;
+
 const RANK_KEY = hashAffinityKey('reader');
 
 export class NewsBoard {
@@ -45,12 +57,18 @@
 
   readonly #own = new Map<string, TableNews>();
 
+  /** Changes that readers passed on and that were not taken yet, by table. */
+  readonly #changes = new Map<string, TableChanges[]>();
+
+  readonly #dataCentre: string;
+
   #waiting: (() => void)[] = [];
 
-  #onOwnChange: () => void = () => {};
+  #onOwnChanges: (changes: TableChanges) => void = () => {};
 
-  constructor(vm: string) {
+  constructor(vm: string, dataCentre: string) {
     this.#vm = vm;
+    this.#dataCentre = dataCentre;
     this.#rank = getAffinityWeight(RANK_KEY, vm);
   }
 
@@ -59,17 +77,32 @@
     return [...this.#own.values()];
   }
 
-  /** Calls back when this daemon sees a change first. */
-  onOwnChange(listener: () => void): void {
-    this.#onOwnChange = listener;
+  /** Calls back when this daemon reads changes. */
+  onOwnChanges(listener: (changes: TableChanges) => void): void {
+    this.#onOwnChanges = listener;
   }
 
   publish(news: TableNews): void {
-    const known = this.#own.get(news.table);
     this.#own.set(news.table, news);
-    if (known !== undefined && known.lastChange < news.lastChange) {
-      this.#onOwnChange();
-    }
+  }
+
+  /** Passes on what this daemon read. */
+  publishChanges(changes: TableChanges): void {
+    this.#onOwnChanges(changes);
+  }
+
+  takeChanges(changes: TableChanges): void {
+    const waiting = this.#changes.get(changes.table) ?? [];
+    waiting.push(changes);
+    this.#changes.set(changes.table, waiting.slice(-MAX_WAITING_CHANGES));
+    this.#wake();
+  }
+
+  /** Changes that go on from the version, without a gap; undefined when none is at hand. */
+  findChanges(table: string, version: number): TableChanges | undefined {
+    const waiting = (this.#changes.get(table) ?? []).filter(({ upTo }) => upTo > version);
+    this.#changes.set(table, waiting);
+    return waiting.find(({ after }) => after <= version);
   }
 
   /** This daemon does not read the table any more, or does not reach the store. */
@@ -77,14 +110,14 @@
     this.#own.delete(table);
   }
 
-  take({ vm, news }: LoadMessage, nowMs: number): void {
+  take({ vm, dataCentre, news }: LoadMessage, nowMs: number): void {
     const told = new Set(news.map(({ table }) => table));
     for (const [table, readers] of this.#heard) {
       if (!told.has(table)) {
         readers.delete(vm);
       }
     }
-    news.forEach((one) => this.#note(vm, one, nowMs));
+    news.forEach((one) => this.#note({ vm, dataCentre, news: one, advancedAtMs: nowMs }));
     if (news.length > 0) {
       this.#wake();
     }
@@ -94,7 +127,9 @@
   isCovered(table: string, daemons: number, query: NewsQuery): boolean {
     const wanted = MIN_READERS + Math.ceil(daemons / DAEMONS_PER_READER);
     const better = this.#listFresh(table, query).filter(({ vm }) => this.#isBetter(vm));
-    return better.length >= wanted;
+    const local = better.filter(({ dataCentre }) => dataCentre === this.#dataCentre);
+    const hasLocal = daemons <= SMALL_FLEET || local.length >= MIN_LOCAL_READERS;
+    return better.length >= wanted && hasLocal;
   }
 
   /** Undefined while no reader is heard. */
@@ -120,12 +155,13 @@
     });
   }
 
-  #note(vm: string, news: TableNews, nowMs: number): void {
-    const readers = this.#heard.get(news.table) ?? new Map<string, HeardNews>();
-    const known = readers.get(vm);
-    const isNew = known === undefined || known.news.serverTimeMs < news.serverTimeMs;
-    readers.set(vm, { vm, news, advancedAtMs: isNew ? nowMs : known.advancedAtMs });
-    this.#heard.set(news.table, readers);
+  #note(heard: HeardNews): void {
+    const { table, serverTimeMs } = heard.news;
+    const readers = this.#heard.get(table) ?? new Map<string, HeardNews>();
+    const known = readers.get(heard.vm);
+    const isNew = known === undefined || known.news.serverTimeMs < serverTimeMs;
+    readers.set(heard.vm, isNew ? heard : { ...heard, advancedAtMs: known.advancedAtMs });
+    this.#heard.set(table, readers);
   }
 
   #listFresh(table: string, { nowMs, maxAgeMs }: NewsQuery): readonly HeardNews[] {
--- a/packages/forwarding/src/runs/attempt.ts
+++ b/packages/forwarding/src/runs/attempt.ts
@@ -15,6 +15,7 @@
   readonly entry: UpstreamEntry;
   readonly startWork: number;
   readonly runWork: number;
+  readonly workAhead: number;
   readonly service: string;
   readonly route: ForwardRoute;
   readonly model: string | undefined;
@@ -175,6 +176,11 @@
 
   #onHead(head: AnswerHead): void {
     this.#hear();
+    const { service, workAhead, isResumed } = this.#plan;
+    if (!head.facts.isNotRun && !isResumed) {
+      const tookMs = performance.now() - this.#startedAtMs;
+      this.#dependencies.getWorkPace(service).note(workAhead, tookMs);
+    }
     if (this.#isLoadCounted) {
       this.#plan.entry.reduce(this.#plan.startWork);
       this.#work = this.#plan.runWork;
--- a/packages/forwarding/src/runs/dependencies.ts
+++ b/packages/forwarding/src/runs/dependencies.ts
@@ -5,7 +5,7 @@
 import type { ForwardMetrics } from '../edge/forwardMetrics.js';
 import type { RolloutGuide } from '../rollouts/rolloutGuide.js';
 import type { HeaderDialect } from '../types.js';
-import type { UpstreamDirectory } from '../upstreams/index.js';
+import type { UpstreamDirectory, WorkPace } from '../upstreams/index.js';
 
 export interface ForwardDependencies {
   readonly configuration: ConfigurationHolder;
@@ -18,6 +18,8 @@
   readonly localDataCentre: string;
   /** The budget of a service, shared by its requests at this daemon. */
   getRepeatBudget(service: string): RepeatBudget;
+  /** How fast the service's engines read. */
+  getWorkPace(service: string): WorkPace;
   /** Keyed requests are refused when the configuration was confirmed longer ago, in ms. */
   readonly maxKeyAgeMs: number;
 }
--- a/packages/forwarding/src/runs/findPlace.ts
+++ b/packages/forwarding/src/runs/findPlace.ts
@@ -18,6 +18,8 @@
   /** Until the answer begins, and from then to its end; see `Work`. */
   readonly startWork: number;
   readonly runWork: number;
+  /** Work at the upstream until the answer begins, its own among it. */
+  readonly workAhead: number;
 }
 
 const toCandidate = (entry: UpstreamEntry, nowMs: number): PlaceCandidate => ({
@@ -61,5 +63,5 @@
     return undefined;
   }
   const startWork = work.own + (placed?.isOwner ? 0 : work.shared);
-  return { entry, startWork, runWork: work.running };
+  return { entry, startWork, runWork: work.running, workAhead: entry.backlog + startWork };
 };
--- a/packages/forwarding/src/runs/forwardRun.ts
+++ b/packages/forwarding/src/runs/forwardRun.ts
@@ -1,6 +1,5 @@
 /** One caller attempt, from its whole request to its final answer. */
 import {
-  DEFAULT_CONFIDENCE_THRESHOLD,
   chooseNextModel,
   mayTryAgain,
   type AttemptOutcome,
@@ -167,7 +166,11 @@
     const nextModel = this.#findBetterModel(head);
     if (nextModel !== undefined && this.#takeRepeat('quality')) {
       this.#attempt?.abort();
-      this.#log('askedLargerModel', { confidence: head.facts.confidence, model: nextModel });
+      this.#log('askedLargerModel', {
+        confidence: head.facts.confidence,
+        expectedStartMs: Math.round(this.#estimateStartMs(nextModel)),
+        model: nextModel,
+      });
       this.#model = nextModel;
       this.#send();
       return;
@@ -176,7 +179,7 @@
   }
 
   #findBetterModel(head: AnswerHead): string | undefined {
-    const { route } = this.#resolved;
+    const { route, team } = this.#resolved;
     if (this.#relay.hasBegun || this.#model === undefined || head.facts.confidence === undefined) {
       return undefined;
     }
@@ -184,14 +187,25 @@
       {
         models: route.models,
         confidence: head.facts.confidence,
-        threshold: DEFAULT_CONFIDENCE_THRESHOLD,
         onTimeLeftMs: this.#request.arrivedAtMs + route.targetLatencyMs - performance.now(),
+        expectedStartMs: this.#estimateStartMs(route.models.at(-1)),
+        priority: team?.priority ?? route.priority,
         canAttemptAgain: this.#canTryAgain('failed'),
       },
       this.#model,
     );
   }
 
+  /** How long an answer of the model would take to begin at the best upstream. */
+  #estimateStartMs(model: string | undefined): number {
+    const service = this.#attempt?.service ?? '';
+    const { options } = this.#request;
+    const { route } = this.#resolved;
+    const question = { service, route, options, model, usedUpstreams: this.#usedUpstreams };
+    const place = findPlace(this.#dependencies, question);
+    return this.#dependencies.getWorkPace(service).estimateMs(place?.workAhead ?? Infinity);
+  }
+
   #continueAfter(outcome: AttemptOutcome, cause: string): void {
     this.#relay.interrupt();
     if (outcome === 'notSent') {
--- a/packages/forwarding/src/store/tableWatcher.ts
+++ b/packages/forwarding/src/store/tableWatcher.ts
@@ -39,6 +39,9 @@
 /** Beyond a reader's wait: the time-out of its question, and of datagrams between data centres. */
 const NEWS_AGE_MARGIN_MS = 900;
 
+/** What a reader passes on comes with its news or right after. */
+const PASS_ON_MS = 120;
+
 /** Readers tell what they know at least this often. */
 const NEWS_WAIT_MS = 700;
 
@@ -113,13 +116,32 @@
     return { nowMs: performance.now(), maxAgeMs: this.#options.getWaitMs() + NEWS_AGE_MARGIN_MS };
   }
 
-  /** Takes readers' news: asks the store only for what changed, else knows that nothing did. */
+  /** Takes readers' news: asks the store only for what they did not pass on. */
   async #follow(asked: ClockReading, version: number): Promise<void> {
-    if (this.#useNews(version)) {
+    this.#takePassedOn();
+    if (this.#useNews(this.#version ?? version)) {
       await this.#options.board.waitForNews(NEWS_WAIT_MS);
       return;
     }
-    this.#note(asked, await this.#readChanges(version, 0));
+    await this.#options.board.waitForNews(PASS_ON_MS);
+    this.#takePassedOn();
+    if (!this.#useNews(this.#version ?? version)) {
+      this.#note(asked, await this.#readChanges(this.#version ?? version, 0));
+    }
+  }
+
+  #takePassedOn(): void {
+    const { board, table, listener } = this.#options;
+    for (;;) {
+      const version = this.#version ?? 0;
+      const changes = board.findChanges(table, version);
+      if (changes === undefined) {
+        return;
+      }
+      const news = changes.items.filter((item) => item.version > version);
+      news.forEach((item) => listener.onChange(item, changes.serverTimeMs));
+      this.#version = changes.upTo;
+    }
   }
 
   /** False when readers know of a change that is not taken here. */
@@ -157,7 +179,7 @@
   }
 
   async #readChanges(after: number, waitMs: number): Promise<number> {
-    const { store, table, gatherMs, listener } = this.#options;
+    const { store, table, gatherMs, listener, board } = this.#options;
     const page = await store.readChanges(table, after, waitMs);
     this.#noteAnswer();
     page.items.forEach((change) => listener.onChange(change, page.serverTimeMs));
@@ -166,6 +188,8 @@
     this.#serverTimeMs = page.serverTimeMs;
     if (page.items.length > 0) {
       this.#publish();
+      const { items, version: upTo, serverTimeMs } = page;
+      board.publishChanges({ table, after, upTo, serverTimeMs, items });
       await sleep(gatherMs);
     }
     return page.serverTimeMs;
--- a/packages/forwarding/src/upstreams/index.ts
+++ b/packages/forwarding/src/upstreams/index.ts
@@ -1,2 +1,3 @@
 export { UpstreamDirectory } from './upstreamDirectory.js';
 export { UpstreamEntry, type UpstreamOutcome } from './upstreamEntry.js';
+export { WorkPace } from './workPace.js';
--- a/packages/policy/src/forward/chooseModelStep.ts
+++ b/packages/policy/src/forward/chooseModelStep.ts
@@ -1,23 +1,50 @@
 /**
  * The cascade of one route's models: the smallest model answers first and reports how sure it is; an
- * unsure answer is dropped before the caller has any of it and the largest model is asked.
+ * unsure answer is dropped before the caller has any of it, and the largest model is asked.
+ *
+ * How sure is sure enough follows from what waits. The largest model takes ten times the smallest one's
+ * time: while upstreams have room an unsure answer is worth asking again, but when the better answer would
+ * come late, or make those behind it late, the one at hand is worth more.
  */
 
 export interface CascadeInput {
   /** Smallest first. */
   readonly models: readonly string[];
+  /** The model's opinion of its answer, 0 to 100. */
   readonly confidence: number;
-  readonly threshold: number;
   /** Left until the answer counts as late. */
   readonly onTimeLeftMs: number;
+  /** Until the largest model's answer is expected to begin, by what waits at its upstream. */
+  readonly expectedStartMs: number;
+  /** 0 is the most urgent. */
+  readonly priority: number;
   readonly canAttemptAgain: boolean;
 }
 
-/** Share of the largest model's place in the line: answers below the threshold go to it at once. */
-export const isGoodEnough = ({
-  confidence,
-  threshold,
-}: Pick<CascadeInput, 'confidence' | 'threshold'>): boolean => confidence >= threshold;
+/**
+ * Confidence below which an answer is asked for again while there is room. Measured at 30, 45, 60, 75 and 90
+ * on a day without trouble: credit less cost is flat from 55 to 70 and falls on both sides.
+ */
+const CALM_THRESHOLD = 60;
+
+/** Where the better answer would be late, only one that is most likely wrong is worth it. */
+const LATE_THRESHOLD = 20;
+
+/** Part of the time left that the start may take before the threshold falls. */
+const CALM_PART = 0.3;
+
+/** Less urgent requests give way earlier: each rank makes the wait count this much more. */
+const RANK_WEIGHT = 0.5;
+
+/** The confidence that is sure enough. */
+export const getSureConfidence = (
+  input: Pick<CascadeInput, 'expectedStartMs' | 'onTimeLeftMs' | 'priority'>,
+): number => {
+  const waitPart = input.expectedStartMs / Math.max(1, input.onTimeLeftMs);
+  const pressure = waitPart * (1 + RANK_WEIGHT * input.priority);
+  const excess = Math.min(1, Math.max(0, (pressure - CALM_PART) / (1 - CALM_PART)));
+  return CALM_THRESHOLD - (CALM_THRESHOLD - LATE_THRESHOLD) * excess;
+};
 
 /** The model to ask instead, or undefined when the answer at hand is to be kept. */
 export const chooseNextModel = (input: CascadeInput, present: string): string | undefined => {
@@ -25,8 +52,5 @@
   if (largest === undefined || largest === present || !input.canAttemptAgain) {
     return undefined;
   }
-  return isGoodEnough(input) ? undefined : largest;
+  return input.confidence >= getSureConfidence(input) ? undefined : largest;
 };
-
-/** Confidence below which an answer is asked for again. */
-export const DEFAULT_CONFIDENCE_THRESHOLD = 60;
