Placing counts the answers that a prompt holds up

Cause: an engine reads a prompt between the tokens of all answers it writes; the longest ones made ten streams pause.

--- a/packages/forwarding/src/runs/findPlace.ts
+++ b/packages/forwarding/src/runs/findPlace.ts
@@ -26,6 +26,7 @@
   id: entry.id,
   dataCentre: entry.upstream.dataCentre,
   backlog: entry.backlog,
+  requests: entry.requests,
   occupancy: entry.requests / entry.upstream.slots,
   failureShare: entry.failureShare,
   isSuspect: entry.isSuspect(nowMs),
--- a/packages/policy/src/forward/choosePlace.test.ts
+++ b/packages/policy/src/forward/choosePlace.test.ts
@@ -8,6 +8,7 @@
   id,
   dataCentre: 'a',
   backlog: 0,
+  requests: 0,
   occupancy: 0,
   failureShare: 0,
   isSuspect: false,
@@ -58,6 +59,17 @@
   assert.is(place({ candidates })?.id, 'busy');
 });
 
+// Symptom: answers pause for over a second. Sequence: a prompt of 50,000 tokens is read at an upstream that
+// writes ten answers, each of whose tokens waits for a part of it. Cause: only the reader's wait was weighed.
+test('a long prompt goes where few answers run, a short one where little waits', () => {
+  const candidates = [
+    candidate('writing', { requests: 10 }),
+    candidate('waiting', { backlog: 9_000, requests: 1 }),
+  ];
+  assert.is(place({ candidates, ownWork: 20_000, sharedWork: 0 })?.id, 'waiting');
+  assert.is(place({ candidates, ownWork: 800, sharedWork: 0 })?.id, 'writing');
+});
+
 test('a suspect is the last resort, but a resort', () => {
   const suspect = candidate('one', { isSuspect: true });
   assert.is(place({ candidates: [suspect, candidate('two', { backlog: 90_000 })] })?.id, 'two');
--- a/packages/policy/src/forward/choosePlace.ts
+++ b/packages/policy/src/forward/choosePlace.ts
@@ -11,6 +11,8 @@
   readonly dataCentre: string;
   /** Work ahead of a new request, of all daemons as far as known. */
   readonly backlog: number;
+  /** Requests there. */
+  readonly requests: number;
   /** Places taken, as a share of those that the upstream has. */
   readonly occupancy: number;
   /** Recent share of failures, 0 to 1. */
@@ -46,6 +48,12 @@
 /** An upstream that fails four in ten looks as if it had this many more of such requests waiting. */
 const FAILURE_WEIGHT = 20;
 
+/**
+ * Reading a prompt holds up each answer that is being written there. One held up counts this part of the
+ * request's own wait; by it the longest prompts go where few answers run.
+ */
+const HOLD_UP_SHARE = 0.15;
+
 /** With all places taken a request waits for one to end: as if several more of it were ahead. */
 const FULL_OCCUPANCY = 0.95;
 const FULL_WEIGHT = 8;
@@ -69,11 +77,12 @@
 
 const getCost = (candidate: PlaceCandidate, isOwner: boolean, input: PlaceInput): number => {
   const work = input.ownWork + input.sharedWork;
+  const reading = input.ownWork + (isOwner ? 0 : input.sharedWork);
   const failing = Math.max(0, candidate.failureShare - USUAL_FAILURE_SHARE);
   const isFull = candidate.occupancy >= FULL_OCCUPANCY;
   return (
     candidate.backlog +
-    (isOwner ? 0 : input.sharedWork) +
+    reading * (1 + HOLD_UP_SHARE * candidate.requests) +
     (candidate.dataCentre === input.localDataCentre ? 0 : input.remotePenalty) +
     work * (failing * FAILURE_WEIGHT + (isFull ? FULL_WEIGHT * candidate.occupancy : 0))
   );
