Decision lines are bounded and written in the background

Cause: standard output was written synchronously, a reader that stops would have stopped requests; and lines grew with the load.

--- a/packages/common/src/logger.ts
+++ b/packages/common/src/logger.ts
@@ -1,5 +1,6 @@
 /** Structured logs: JSON lines by `pino`, secrets redacted. */
-import { pino, type DestinationStream, type Logger } from 'pino';
+import { pino, type DestinationStream, type Logger, type LoggerOptions } from 'pino';
+import { LineBudget } from './lineBudget.js';
 
 export type { Logger } from 'pino';
 
@@ -14,21 +15,69 @@
   '*.apiKey',
 ];
 
+const buildOptions = (level: LogLevel, bindings: Record<string, string>): LoggerOptions => ({
+  level,
+  base: bindings,
+  timestamp: () => `,"timeMs":${Date.now()}`,
+  redact: { paths: SECRET_PATHS, censor: '[redacted]' },
+});
+
 /** Creates the root logger of a process; every line carries the bindings. Standard output by default. */
 export const createLogger = (
   level: LogLevel,
   bindings: Record<string, string>,
   destination: DestinationStream = pino.destination(1),
-): Logger =>
-  pino(
+): Logger => pino(buildOptions(level, bindings), destination);
+
+/** Bytes of lines held while nobody reads them; beyond, the newest are dropped. */
+const MAX_HELD_BYTES = 1_048_576;
+const MIN_WRITE_BYTES = 4_096;
+const FLUSH_MS = 400;
+
+/**
+ * Standard output that never blocks: lines are gathered and written in the background. A reader that stops
+ * reading costs lines, not requests.
+ */
+export const createBackgroundDestination = (fd: number): DestinationStream =>
+  pino.destination({
+    dest: fd,
+    sync: false,
+    minLength: MIN_WRITE_BYTES,
+    maxLength: MAX_HELD_BYTES,
+    periodicFlush: FLUSH_MS,
+  });
+
+const getKind = (args: readonly unknown[]): string => {
+  const [fields] = args;
+  const isNamed = typeof fields === 'object' && fields !== null && 'event' in fields;
+  return isNamed ? String(fields.event) : 'other';
+};
+
+/** A logger for a line for each decision: bounded by kind and second, see `LineBudget`. */
+export const createDecisionLogger = (
+  bindings: Record<string, string>,
+  destination: DestinationStream = createBackgroundDestination(1),
+): Logger => {
+  const budget = new LineBudget();
+  return pino(
     {
-      level,
-      base: bindings,
-      timestamp: () => `,"timeMs":${Date.now()}`,
-      redact: { paths: SECRET_PATHS, censor: '[redacted]' },
+      ...buildOptions('info', bindings),
+      hooks: {
+        logMethod(args, method) {
+          const nowMs = performance.now();
+          const leftOut = budget.takeLeftOut(nowMs);
+          if (leftOut !== undefined) {
+            method.apply(this, [{ event: 'linesLeftOut', leftOut }]);
+          }
+          if (budget.take(getKind(args), nowMs)) {
+            method.apply(this, args);
+          }
+        },
+      },
     },
     destination,
   );
+};
 
 /** A logger that writes nothing; for tests. */
 export const createSilentLogger = (): Logger => pino({ level: 'silent' });
--- a/packages/forwarding/src/runs/forwardRun.ts
+++ b/packages/forwarding/src/runs/forwardRun.ts
@@ -309,6 +309,7 @@
       session: options.session,
       model: this.#model,
       configuration: this.#dependencies.configuration.table?.configuration.version,
+      configurationAgeMs: Math.round(this.#dependencies.configuration.freshness.ageMs),
     });
     this.#attempt.start();
   }
