Tests of the readers' news; a paused stream is heard anew when its caller reads again

A caller that read slowly for longer than the silence limit had its stream moved to another upstream at the moment it read again: while paused nothing could be heard.

--- /dev/null
+++ b/packages/forwarding/src/peers/newsBoard.test.ts
@@ -0,0 +1,127 @@
+/** Who reads the store's feeds, and what the others learn from them. */
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { encodeChanges, restoreChanges, type TableChanges } from './changesMessage.js';
+import { encodeLoadMessage, restoreLoadMessage, type LoadMessage } from './loadMessage.js';
+import { NewsBoard } from './newsBoard.js';
+import { PeerLoads } from './peerLoads.js';
+
+const TABLE = 'upstreams';
+const VMS = Array.from({ length: 9 }, (_, index) => `vm-${index}`);
+const MAX_AGE_MS = 3_000;
+
+const createMessage = (vm: string, more: Partial<LoadMessage> = {}): LoadMessage => ({
+  vm,
+  dataCentre: 'a',
+  process: 1,
+  sequence: 1,
+  loads: new Map(),
+  news: [{ table: TABLE, lastChange: 5, serverTimeMs: 100 }],
+  ...more,
+});
+
+/** Boards of all daemons, each having heard of all others that read. */
+const createBoards = (readers: readonly string[], nowMs: number): ReadonlyMap<string, NewsBoard> =>
+  new Map(
+    VMS.map((vm) => {
+      const board = new NewsBoard(vm, 'a');
+      readers
+        .filter((other) => other !== vm)
+        .forEach((other) => board.take(createMessage(other), nowMs));
+      return [vm, board];
+    }),
+  );
+
+const listHolders = (boards: ReadonlyMap<string, NewsBoard>, nowMs: number): readonly string[] =>
+  [...boards]
+    .filter(([, board]) => !board.isCovered(TABLE, VMS.length, { nowMs, maxAgeMs: MAX_AGE_MS }))
+    .map(([vm]) => vm);
+
+test('a few of the daemons hold the feeds', () => {
+  const holders = listHolders(createBoards(VMS, 0), 10);
+  assert.is(holders.length, 4);
+});
+
+// Symptom: a change is known nowhere for long. Sequence: the feeds of all readers go silent without a reset.
+// Cause: the others wait for readers that hear nothing.
+test('readers that hear nothing new are replaced', () => {
+  const readers = listHolders(createBoards(VMS, 0), 10);
+  const boards = createBoards(VMS, 0);
+  VMS.filter((vm) => !readers.includes(vm)).forEach((vm) => {
+    boards.get(vm)?.take(createMessage(readers[0] ?? '', { sequence: 2 }), MAX_AGE_MS - 1);
+  });
+  assert.is(listHolders(boards, MAX_AGE_MS + 1).length, VMS.length);
+});
+
+test('a reader that lost the store is replaced at once', () => {
+  const boards = createBoards(VMS, 0);
+  const [lost = ''] = listHolders(boards, 10);
+  boards.forEach((board) => board.take(createMessage(lost, { sequence: 2, news: [] }), 20));
+  const holders = listHolders(boards, 30).filter((vm) => vm !== lost);
+  assert.is(holders.length, 4);
+});
+
+test('with many daemons each data centre has readers of its own', () => {
+  const board = new NewsBoard('vm-last', 'b');
+  const many = Array.from({ length: 60 }, (_, index) => `vm-${index}`);
+  many.forEach((vm) => board.take(createMessage(vm), 0));
+  const query = { nowMs: 10, maxAgeMs: MAX_AGE_MS };
+  assert.not(board.isCovered(TABLE, 61, query));
+});
+
+const CHANGES: TableChanges = {
+  table: TABLE,
+  after: 5,
+  upTo: 9,
+  serverTimeMs: 200,
+  items: [
+    { key: 'u-1', value: '{}', version: 7 },
+    { key: 'u-2', version: 9 },
+  ],
+};
+
+test('changes that leave a gap are not taken, repeated ones are dropped', () => {
+  const board = new NewsBoard('vm-0', 'a');
+  board.takeChanges(CHANGES);
+  assert.is(board.findChanges(TABLE, 4), undefined);
+  assert.equal(board.findChanges(TABLE, 6), CHANGES);
+  assert.is(board.findChanges(TABLE, 9), undefined);
+  assert.is(board.findChanges(TABLE, 5), undefined);
+});
+
+test('messages come back as they were sent, and stray datagrams are nothing', () => {
+  const bytes = encodeChanges(CHANGES);
+  assert.equal(restoreChanges(JSON.parse(String(bytes))), CHANGES);
+  const message = createMessage('vm-1', { loads: new Map([['u-1', { work: 12, requests: 2 }]]) });
+  assert.equal(restoreLoadMessage(JSON.parse(String(encodeLoadMessage(message)))), message);
+  for (const stray of [null, 7, {}, [], ['x'], { changes: [1] }]) {
+    assert.is(restoreChanges(stray), undefined);
+    assert.is(restoreLoadMessage(stray), undefined);
+  }
+  const large = { ...CHANGES, items: [{ key: 'u', value: 'x'.repeat(20_000), version: 9 }] };
+  assert.is(encodeChanges(large), undefined);
+});
+
+// Symptom: an upstream looks busy for good. Sequence: a daemon with work there is killed; or its old datagram
+// comes after a newer one. Cause: what it said last counts for ever.
+test('the work of a silent daemon is forgotten, and old datagrams change nothing', () => {
+  const loads = new PeerLoads();
+  const tell = (sequence: number, work: number, nowMs: number, process = 1) =>
+    loads.take(
+      createMessage('vm-1', {
+        process,
+        sequence,
+        loads: new Map([['u-1', { work, requests: 1 }]]),
+      }),
+      nowMs,
+    );
+  tell(2, 500, 0);
+  tell(1, 900, 10);
+  assert.is(loads.get('u-1').work, 500);
+  tell(1, 70, 20, 2);
+  assert.is(loads.get('u-1').work, 70);
+  loads.dropSilent(5_000);
+  assert.equal(loads.get('u-1'), { work: 0, requests: 0 });
+});
+
+test.run();
--- a/packages/forwarding/src/runs/attempt.ts
+++ b/packages/forwarding/src/runs/attempt.ts
@@ -120,7 +120,9 @@
     this.#exchange.pause();
   }
 
+  /** The caller reads again; the upstream could not be heard meanwhile. */
   resume(): void {
+    this.#heardAtMs = performance.now();
     this.#armSilence();
     this.#exchange.resume();
   }
--- a/packages/forwarding/src/runs/forwardRun.ts
+++ b/packages/forwarding/src/runs/forwardRun.ts
@@ -353,7 +353,7 @@
       notReady: NOT_READY_RETRY_AFTER_S,
       noUpstream: NOT_READY_RETRY_AFTER_S,
       upstreamsBusy: BUSY_RETRY_AFTER_S,
-      overloaded: BUSY_RETRY_AFTER_S,
+      deadlineNotRun: BUSY_RETRY_AFTER_S,
     };
     const after = retryAfterS[reason];
     return after === undefined ? { reason } : { reason, retryAfterS: after };
--- a/packages/forwarding/src/runs/refusals.ts
+++ b/packages/forwarding/src/runs/refusals.ts
@@ -18,7 +18,6 @@
   bodyTooLarge: { status: 413, message: 'body too large', closesConnection: true },
   noUpstream: { status: 503, message: 'no upstream for this service' },
   upstreamsBusy: { status: 503, message: 'upstreams are full' },
-  overloaded: { status: 503, message: 'too much work waits already' },
   deadlineNotRun: { status: 503, message: 'no upstream took it in time' },
   deadline: { status: 504, message: 'no answer in time' },
   upstreamFailed: { status: 502, message: 'the upstream failed; the request may have run' },
--- a/packages/forwarding/src/runs/types.ts
+++ b/packages/forwarding/src/runs/types.ts
@@ -14,7 +14,6 @@
   | 'bodyTooLarge'
   | 'noUpstream'
   | 'upstreamsBusy'
-  | 'overloaded'
   | 'deadlineNotRun'
   | 'deadline'
   | 'upstreamFailed';
