--- a/tools/definePackages.mjs
+++ b/tools/definePackages.mjs
@@ -156,7 +156,11 @@
 };
 /** Packages outside `packages/`: name: [folder, ...as above]. */
 const rootPackages = {
-  'platform-adapter': ['platform', ['common', 'forwarding'], ['smol-toml', 'undici', 'zod']],
+  'platform-adapter': [
+    'platform',
+    ['common', 'forwarding'],
+    ['clipanion', 'smol-toml', 'undici', 'zod'],
+  ],
 };
 const privatePackages = new Set(['standins', 'demo', 'bench', 'proofs']);
 
