--- a/packages/policy/src/forward/decideAttempt.ts
+++ b/packages/policy/src/forward/decideAttempt.ts
@@ -18,8 +18,11 @@
   readonly minAttemptMs: number;
 }
 
-/** Connections that may be refused one after the other before the request is given up. */
-const MAX_UNSENT = 3;
+/**
+ * Connections that may fail one after the other before the request is given up. In a data centre that is cut
+ * off all upstreams of the others refuse at once; with 3, requests ended before a local one was asked.
+ */
+const MAX_UNSENT = 8;
 
 const mayRunAgain: Readonly<Record<AttemptOutcome, (isRepeatable: boolean) => boolean>> = {
   notSent: () => true,
