Split the daemon's and the run's files; one latency histogram; a log test no longer hangs

The test of a reader that stops closed its pipe while the destination still tried to write, so its process ended at times only by the runner's time-out (seen once, 240 s); the destination is destroyed first.

--- a/packages/common/src/decisionLogger.test.ts
+++ b/packages/common/src/decisionLogger.test.ts
@@ -40,7 +40,8 @@
   // Opened for both, so that opening waits for nobody; never read.
   // eslint-disable-next-line no-bitwise -- flags of open are bits
   const handle = await open(pipe, constants.O_RDWR | constants.O_NONBLOCK);
-  const logger = createDecisionLogger({ vm: 'a' }, createBackgroundDestination(handle.fd));
+  const destination = createBackgroundDestination(handle.fd);
+  const logger = createDecisionLogger({ vm: 'a' }, destination);
   const text = 'x'.repeat(20_000);
   let ticks = 0;
   for (let index = 0; index < 100; index += 1) {
@@ -51,6 +52,8 @@
     ticks += 1;
   }
   assert.is(ticks, 100);
+  // It would go on writing to the descriptor, whoever has it next.
+  destination.destroy();
   await handle.close();
   await rm(folder, { recursive: true });
 });
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -3,6 +3,7 @@
 export * from './handlerActor.js';
 export * from './ids.js';
 export * from './invariant.js';
+export * from './latencyHistogram.js';
 export * from './lineBudget.js';
 export * from './logger.js';
 export * from './random.js';
--- a/packages/common/src/logger.ts
+++ b/packages/common/src/logger.ts
@@ -38,7 +38,7 @@
  * Standard output that never blocks: lines are gathered and written in the background. A reader that stops
  * reading costs lines, not requests.
  */
-export const createBackgroundDestination = (fd: number): DestinationStream =>
+export const createBackgroundDestination = (fd: number): ReturnType<typeof pino.destination> =>
   pino.destination({
     dest: fd,
     sync: false,
--- a/packages/daemon/src/metrics/daemonMetrics.ts
+++ b/packages/daemon/src/metrics/daemonMetrics.ts
@@ -1,6 +1,10 @@
 /** What a daemon measures: latency by `hdr-histogram-js`, counters by `prom-client`. */
-import { build, type Histogram } from 'hdr-histogram-js';
-import { getViolationCounts } from '@snipehaven/common';
+import {
+  LATENCY_QUANTILES,
+  createLatencyHistogram,
+  getViolationCounts,
+  type Histogram,
+} from '@snipehaven/common';
 import type { AnswerMeasure, RoutingMetrics } from '@snipehaven/routing';
 import { Counter, Gauge, Registry } from 'prom-client';
 import type { LatencyRow } from '../operatorApi/index.js';
@@ -13,17 +17,8 @@
 }
 
 const HIGHEST_MS = 600_000;
-const SIGNIFICANT_DIGITS = 2;
-const QUANTILES = [50, 95, 99] as const;
-
-const createHistogram = (): Histogram =>
-  build({
-    bitBucketSize: 32,
-    autoResize: true,
-    lowestDiscernibleValue: 1,
-    highestTrackableValue: HIGHEST_MS,
-    numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
-  });
+
+const createHistogram = (): Histogram => createLatencyHistogram(HIGHEST_MS);
 
 /** A number read when the metrics are asked for. */
 export interface GaugeSource {
@@ -148,7 +143,7 @@
   }
 
   #exportLatency({ team, version, firstToken, total }: VersionHistograms): void {
-    QUANTILES.forEach((quantile) => {
+    LATENCY_QUANTILES.forEach((quantile) => {
       const labels = { team, version, quantile: String(quantile / 100) };
       const firstTokenMs = firstToken.getValueAtPercentile(quantile);
       this.#latency.set({ ...labels, phase: 'firstToken' }, firstTokenMs);
--- a/packages/forwarding/src/daemon/forwardDaemon.ts
+++ b/packages/forwarding/src/daemon/forwardDaemon.ts
@@ -1,17 +1,10 @@
 /** One daemon of the forward path: all alike, nothing kept beyond the process. */
-import {
-  createRandom,
-  getEntropySeed,
-  getErrorMessage,
-  sleep,
-  type Logger,
-  type Random,
-} from '@snipehaven/common';
+import { createRandom, getEntropySeed, sleep, type Logger, type Random } from '@snipehaven/common';
 import { RepeatBudget } from '@snipehaven/policy';
 import { ConfigurationHolder } from '../configuration/configurationHolder.js';
 import { Freshness } from '../configuration/freshness.js';
 import { ForwardMetrics, FrontServer, StatusServer } from '../edge/index.js';
-import { RolloutGuide, RolloutKeeper, type RolloutWriter } from '../rollouts/index.js';
+import { RolloutGuide, RolloutKeeper } from '../rollouts/index.js';
 import { TableWatcher, type RowStore } from '../store/index.js';
 import { UpstreamDirectory, WorkPace } from '../upstreams/index.js';
 import {
@@ -21,6 +14,9 @@
   type Peer,
   type UpstreamLoad,
 } from '../peers/index.js';
+import { announcePeer } from './announcePeer.js';
+import { PerService } from './perService.js';
+import { StoreRolloutWriter } from './storeRolloutWriter.js';
 import { OperatorListener, StatusListener, UpstreamListener } from './tableListeners.js';
 import type { ForwardSettings, PlatformAdapter } from './types.js';
 
@@ -57,9 +53,6 @@
 const GRACE_MARGIN_MS = 500;
 const DRAIN_CHECK_MS = 100;
 
-/** Between tries to tell the others where this daemon is. */
-const ANNOUNCE_RETRY_MS = 1_000;
-
 /** The settings file may change without a signal. */
 const SETTINGS_CHECK_MS = 2_000;
 
@@ -88,9 +81,9 @@
 
   readonly #metrics = new ForwardMetrics();
 
-  readonly #budgets = new Map<string, RepeatBudget>();
+  readonly #budgets = new PerService(() => new RepeatBudget(this.#settings.repeatBudget));
 
-  readonly #paces = new Map<string, WorkPace>();
+  readonly #paces = new PerService(() => new WorkPace());
 
   readonly #front: FrontServer;
 
@@ -134,8 +127,8 @@
       logger,
       random: this.#random,
       localDataCentre: adapter.settings.dataCentre,
-      getRepeatBudget: (service) => this.#getRepeatBudget(service),
-      getWorkPace: (service) => this.#getWorkPace(service),
+      getRepeatBudget: (service) => this.#budgets.get(service),
+      getWorkPace: (service) => this.#paces.get(service),
       maxKeyAgeMs: adapter.settings.revokeDeadlineMs - REVOKE_MARGIN_MS,
     });
     this.#watchers = [this.#watchOperator(), this.#watchUpstreams(), this.#watchStatus()];
@@ -152,7 +145,7 @@
       void watcher.run();
     });
     await this.#exchange.start();
-    void this.#announce();
+    void announcePeer(this.#adapter, this.#createStore(), this.#getSelf(), this.#logger);
     setInterval(() => this.reload('check'), SETTINGS_CHECK_MS).unref();
     this.#logger.info({ event: 'started', settings: this.#settings }, 'started');
   }
@@ -220,16 +213,15 @@
     };
   }
 
-  #getRepeatBudget(service: string): RepeatBudget {
-    const present = this.#budgets.get(service) ?? new RepeatBudget(this.#settings.repeatBudget);
-    this.#budgets.set(service, present);
-    return present;
-  }
-
-  #getWorkPace(service: string): WorkPace {
-    const present = this.#paces.get(service) ?? new WorkPace();
-    this.#paces.set(service, present);
-    return present;
+  /** What all watchers have in common; each has a client of its own, so that a held call delays no other. */
+  #getWatchSetting() {
+    return {
+      store: this.#createStore(),
+      logger: this.#logger,
+      random: this.#random,
+      board: this.#board,
+      countDaemons: () => this.#exchange.daemons,
+    };
   }
 
   #watchOperator(): TableWatcher {
@@ -237,18 +229,14 @@
       table: this.#adapter.tables.operator,
       getWaitMs: () => OPERATOR_WAIT_MS,
       gatherMs: OPERATOR_GATHER_MS,
-      store: this.#createStore(),
       listener: new OperatorListener(
         this.#adapter,
         this.#configuration,
         this.#rollouts,
         this.#logger,
       ),
-      logger: this.#logger,
-      random: this.#random,
       freshness: this.#configuration.freshness,
-      board: this.#board,
-      countDaemons: () => this.#exchange.daemons,
+      ...this.#getWatchSetting(),
     });
   }
 
@@ -263,13 +251,9 @@
       table: this.#adapter.tables.upstreams,
       getWaitMs: () => UPSTREAM_WAIT_MS,
       gatherMs: UPSTREAM_GATHER_MS,
-      store: this.#createStore(),
       listener,
-      logger: this.#logger,
-      random: this.#random,
       freshness: new Freshness(),
-      board: this.#board,
-      countDaemons: () => this.#exchange.daemons,
+      ...this.#getWatchSetting(),
     });
   }
 
@@ -278,13 +262,9 @@
       table: this.#adapter.tables.status,
       getWaitMs: () => (this.#rollouts.isAnyRunning ? ROLLOUT_WAIT_MS : STATUS_WAIT_MS),
       gatherMs: STATUS_GATHER_MS,
-      store: this.#createStore(),
       listener: this.#statusListener,
-      logger: this.#logger,
-      random: this.#random,
       freshness: this.#statusFreshness,
-      board: this.#board,
-      countDaemons: () => this.#exchange.daemons,
+      ...this.#getWatchSetting(),
     });
   }
 
@@ -314,28 +294,10 @@
     return loads;
   }
 
-  /** Tells the other daemons where this one is, until the store has taken it. */
-  async #announce(): Promise<void> {
-    const store = this.#createStore();
-    const row = {
-      table: this.#adapter.tables.status,
-      ...this.#adapter.renderPeer(this.#getSelf()),
-    };
-    for (;;) {
-      try {
-        await store.write(row);
-        return;
-      } catch (error) {
-        this.#logger.warn({ event: 'notAnnounced', cause: getErrorMessage(error) });
-        await sleep(ANNOUNCE_RETRY_MS);
-      }
-    }
-  }
-
   #createKeeper(): RolloutKeeper {
     return new RolloutKeeper({
       guide: this.#rollouts,
-      writer: this.#createRolloutWriter(),
+      writer: new StoreRolloutWriter(this.#adapter, this.#createStore()),
       vm: this.#settings.vmName,
       freshness: this.#statusFreshness,
       logger: this.#logger,
@@ -344,22 +306,6 @@
     });
   }
 
-  #createRolloutWriter(): RolloutWriter {
-    const adapter = this.#adapter;
-    const store = this.#createStore();
-    const table = adapter.tables.status;
-    return {
-      async writeStatus(status, expectedVersion) {
-        const row = adapter.renderRolloutStatus(status);
-        const { isWritten } = await store.write({ table, ...row, expectedVersion });
-        return isWritten;
-      },
-      async writeEvidence(evidence) {
-        await store.write({ table, ...adapter.renderRolloutEvidence(evidence) });
-      },
-    };
-  }
-
   #addGauges(): void {
     this.#metrics.addGauge(
       'snipehaven_in_flight',
--- a/packages/forwarding/src/daemon/runForwardDaemon.ts
+++ b/packages/forwarding/src/daemon/runForwardDaemon.ts
@@ -3,6 +3,9 @@
 import { ForwardDaemon } from './forwardDaemon.js';
 import type { PlatformAdapter } from './types.js';
 
+/** For writing the last lines; less than what is left of the grace period. */
+const LAST_LINES_MS = 250;
+
 export const runForwardDaemon = async (adapter: PlatformAdapter, logger: Logger): Promise<void> => {
   const daemon = new ForwardDaemon(adapter, logger);
   process.on('SIGHUP', () => daemon.reload('SIGHUP'));
@@ -10,7 +13,11 @@
     daemon
       .leave()
       .catch((error: unknown) => logger.error({ event: 'leaveFailed', error }))
-      .finally(() => logger.flush(() => process.exit(0)));
+      .finally(() => {
+        // A reader that stopped reading would keep the last lines, and the process, for ever.
+        setTimeout(() => process.exit(0), LAST_LINES_MS);
+        logger.flush(() => process.exit(0));
+      });
   });
   await daemon.start();
 };
--- a/packages/forwarding/src/edge/forwardMetrics.ts
+++ b/packages/forwarding/src/edge/forwardMetrics.ts
@@ -1,20 +1,11 @@
 /** Counters by `prom-client` and latencies by `hdr-histogram-js`, as text for the metrics address. */
-import { build, type Histogram } from 'hdr-histogram-js';
+import { LATENCY_QUANTILES, createLatencyHistogram, type Histogram } from '@snipehaven/common';
 import { Counter, Gauge, Registry } from 'prom-client';
 import type { RouteKind } from '../types.js';
 
 const HIGHEST_MS = 120_000;
-const SIGNIFICANT_DIGITS = 2;
-const QUANTILES = [50, 95, 99] as const;
 
-const createHistogram = (): Histogram =>
-  build({
-    bitBucketSize: 32,
-    autoResize: true,
-    lowestDiscernibleValue: 1,
-    highestTrackableValue: HIGHEST_MS,
-    numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
-  });
+const createHistogram = (): Histogram => createLatencyHistogram(HIGHEST_MS);
 
 export class ForwardMetrics {
   readonly #registry = new Registry();
@@ -64,7 +55,7 @@
 
   async render(): Promise<string> {
     this.#histograms.forEach((histogram, kind) => {
-      QUANTILES.forEach((quantile) => {
+      LATENCY_QUANTILES.forEach((quantile) => {
         const valueMs = histogram.getValueAtPercentile(quantile);
         this.#latency.set({ kind, quantile: String(quantile / 100) }, valueMs);
       });
--- a/packages/forwarding/src/runs/forwardRun.ts
+++ b/packages/forwarding/src/runs/forwardRun.ts
@@ -2,18 +2,20 @@
 import {
   chooseNextModel,
   mayTryAgain,
+  pickTarget,
   type AttemptOutcome,
   type RepeatPurpose,
 } from '@snipehaven/policy';
-import { BUSY_RETRY_AFTER_S, MIN_ATTEMPT_MS, NOT_READY_RETRY_AFTER_S } from '../constants.js';
+import { MIN_ATTEMPT_MS } from '../constants.js';
 import type { AnswerHead, ExchangeFailure } from '../exchange/index.js';
 import type { ForwardRoute, RequestOptions } from '../types.js';
 import { Attempt, type AttemptListener } from './attempt.js';
 import type { ForwardDependencies } from './dependencies.js';
+import { buildRefusal } from './buildRefusal.js';
 import { findPlace } from './findPlace.js';
 import { relayFactories, type AnswerRelay } from './relays.js';
 import { isRefused, resolveRequest, type ResolvedRequest } from './resolveRequest.js';
-import type { CallerPort, Refusal, RefusalReason } from './types.js';
+import type { CallerPort, RefusalReason } from './types.js';
 
 export interface CallerRequest {
   readonly method: string;
@@ -56,6 +58,9 @@
 
   #model: string | undefined;
 
+  /** Of the answer that the caller gets. */
+  #status: number | undefined;
+
   #sent = 0;
 
   #unsent = 0;
@@ -86,7 +91,7 @@
 
   start(): void {
     const { route } = this.#resolved;
-    const service = this.#pickService(route);
+    const service = pickTarget(route.targets, this.#dependencies.random.next());
     this.#dependencies.getRepeatBudget(service).countFirst(performance.now());
     this.#send();
   }
@@ -121,7 +126,7 @@
 
   onEnd(): void {
     this.#relay.finish();
-    this.#log('answered', { attempts: this.#sent, model: this.#model });
+    this.#log('answered', { status: this.#status, attempts: this.#sent, model: this.#model });
     this.#finish('answered');
   }
 
@@ -163,6 +168,7 @@
       this.#concludeFailure('upstreamFailed');
       return;
     }
+    this.#status = head.status;
     this.#relay.begin(head);
   }
 
@@ -180,6 +186,7 @@
       this.#send();
       return;
     }
+    this.#status = head.status;
     this.#relay.begin(head);
   }
 
@@ -269,16 +276,6 @@
     return undefined;
   }
 
-  #pickService(route: ForwardRoute): string {
-    const total = route.targets.reduce((sum, { weight }) => sum + weight, 0);
-    let left = this.#dependencies.random.next() * total;
-    const target = route.targets.find(({ weight }) => {
-      left -= weight;
-      return left < 0;
-    });
-    return (target ?? route.targets.at(-1))?.service ?? '';
-  }
-
   #send(): void {
     const refused = this.#refreshRoute();
     if (refused !== undefined) {
@@ -286,7 +283,7 @@
       return;
     }
     const { route, team } = this.#resolved;
-    const service = this.#pickService(route);
+    const service = pickTarget(route.targets, this.#dependencies.random.next());
     const { options } = this.#request;
     const place = findPlace(this.#dependencies, {
       service,
@@ -343,22 +340,11 @@
     if (this.#relay.hasBegun) {
       this.#port.breakOff();
     } else {
-      this.#port.refuse(this.#buildRefusal(told));
+      this.#port.refuse(buildRefusal(told));
     }
     this.#finish(told);
   }
 
-  #buildRefusal(reason: RefusalReason): Refusal {
-    const retryAfterS: Partial<Record<RefusalReason, number>> = {
-      notReady: NOT_READY_RETRY_AFTER_S,
-      noUpstream: NOT_READY_RETRY_AFTER_S,
-      upstreamsBusy: BUSY_RETRY_AFTER_S,
-      deadlineNotRun: BUSY_RETRY_AFTER_S,
-    };
-    const after = retryAfterS[reason];
-    return after === undefined ? { reason } : { reason, retryAfterS: after };
-  }
-
   #finish(outcome: string): void {
     this.#isOver = true;
     clearTimeout(this.#deadlineTimer);
--- a/packages/policy/src/forward/forward.test.ts
+++ b/packages/policy/src/forward/forward.test.ts
@@ -9,6 +9,7 @@
   getRolloutPlace,
   isVersionBad,
   mayTryAgain,
+  pickTarget,
   type AfterAttempt,
 } from './index.js';
 
@@ -100,6 +101,16 @@
   assert.not(isVersionBad({ answers: 200, bad: 4 }, { answers: 100, bad: 0 }), 'too rare');
 });
 
+test('a route’s requests are split by weight', () => {
+  const targets = [
+    { service: 'a', weight: 90 },
+    { service: 'b', weight: 10 },
+  ];
+  const picked = Array.from({ length: 100 }, (_, index) => pickTarget(targets, index / 100));
+  assert.is(picked.filter((service) => service === 'b').length, 10);
+  assert.is(pickTarget([], 0.5), '');
+});
+
 test('an unsure answer is asked of the largest model, while an attempt is left', () => {
   const input = {
     models: ['small', 'middle', 'large'],
--- a/packages/policy/src/forward/index.ts
+++ b/packages/policy/src/forward/index.ts
@@ -2,5 +2,6 @@
 export * from './choosePlace.js';
 export * from './decideAttempt.js';
 export * from './judgeVersion.js';
+export * from './pickTarget.js';
 export * from './repeatBudget.js';
 export * from './rolloutSchedule.js';
--- a/tools/definePackages.mjs
+++ b/tools/definePackages.mjs
@@ -30,7 +30,7 @@
 
 /** name: [own packages it depends on, libraries, binary name] */
 const packages = {
-  common: [[], ['pino', 'murmurhash', 'pure-rand', 'nact']],
+  common: [[], ['pino', 'murmurhash', 'pure-rand', 'nact', 'hdr-histogram-js']],
   resources: [['common'], ['zod']],
   policy: [['common', 'resources'], ['pure-rand']],
   platform: [['common'], ['undici', 'zod']],
