A log write that fails costs lines, not the daemon

The test closed the descriptor while a write was pending: an unhandled error of the destination, which in the daemon would have ended the process. It is told on standard error now.

--- a/packages/common/src/decisionLogger.test.ts
+++ b/packages/common/src/decisionLogger.test.ts
@@ -1,6 +1,6 @@
 /** Lines for each decision: bounded, and never in the way of requests. */
-import { constants } from 'node:fs';
-import { mkdtemp, open, rm } from 'node:fs/promises';
+import { constants, open } from 'node:fs';
+import { mkdtemp, rm } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { execFile } from 'node:child_process';
@@ -39,8 +39,8 @@
   await promisify(execFile)('mkfifo', [pipe]);
   // Opened for both, so that opening waits for nobody; never read.
   // eslint-disable-next-line no-bitwise -- flags of open are bits
-  const handle = await open(pipe, constants.O_RDWR | constants.O_NONBLOCK);
-  const destination = createBackgroundDestination(handle.fd);
+  const fd = await promisify(open)(pipe, constants.O_RDWR | constants.O_NONBLOCK);
+  const destination = createBackgroundDestination(fd);
   const logger = createDecisionLogger({ vm: 'a' }, destination);
   const text = 'x'.repeat(20_000);
   let ticks = 0;
@@ -52,9 +52,8 @@
     ticks += 1;
   }
   assert.is(ticks, 100);
-  // It would go on writing to the descriptor, whoever has it next.
+  // Closes the descriptor; else it would go on trying to write, and the process would not end.
   destination.destroy();
-  await handle.close();
   await rm(folder, { recursive: true });
 });
 
--- a/packages/common/src/logger.ts
+++ b/packages/common/src/logger.ts
@@ -35,17 +35,23 @@
 const FLUSH_MS = 400;
 
 /**
- * Standard output that never blocks: lines are gathered and written in the background. A reader that stops
- * reading costs lines, not requests.
+ * A descriptor, such as standard output, that is written without blocking: lines are gathered and written in
+ * the background. A reader that stops reading costs lines, not requests; a write that fails costs lines too and
+ * is told on standard error, where it would else end the process.
  */
-export const createBackgroundDestination = (fd: number): ReturnType<typeof pino.destination> =>
-  pino.destination({
+export const createBackgroundDestination = (fd: number): ReturnType<typeof pino.destination> => {
+  const destination = pino.destination({
     dest: fd,
     sync: false,
     minLength: MIN_WRITE_BYTES,
     maxLength: MAX_HELD_BYTES,
     periodicFlush: FLUSH_MS,
   });
+  destination.on('error', (error: Error) => {
+    console.error(`log lines were lost: ${error.message}`);
+  });
+  return destination;
+};
 
 const getKind = (args: readonly unknown[]): string => {
   const [fields] = args;
