--- a/packages/common/src/logger.ts
+++ b/packages/common/src/logger.ts
@@ -36,8 +36,8 @@
 
 /**
  * A descriptor, such as standard output, that is written without blocking: lines are gathered and written in
- * the background. A reader that stops reading costs lines, not requests; a write that fails costs lines too and
- * is told on standard error, where it would else end the process.
+ * the background. A reader that stops reading costs lines, not requests; so does a write that fails, which is
+ * told on standard error and would else end the process.
  */
 export const createBackgroundDestination = (fd: number): ReturnType<typeof pino.destination> => {
   const destination = pino.destination({
