--- a/packages/forwarding/src/rollouts/rolloutGuide.ts
+++ b/packages/forwarding/src/rollouts/rolloutGuide.ts
@@ -17,7 +17,7 @@
   readonly startedAtMs: number;
 }
 
-type VersionChoice = 'new' | 'old' | 'any';
+type VersionChoice = 'new' | 'old';
 
 const orOther = (wanted: UpstreamEntry[], other: UpstreamEntry[]): UpstreamEntry[] =>
   wanted.length > 0 ? wanted : other;
--- a/packages/forwarding/src/runs/estimateWork.ts
+++ b/packages/forwarding/src/runs/estimateWork.ts
@@ -19,12 +19,13 @@
 /** What a request adds to an engine's steps beside its prompt, in prompt tokens. */
 const STEP_TOKENS = 40;
 
-/** An engine writes many answers at once: a token of one delays a new prompt by about this many tokens. */
+/** An engine writes many answers at once: a token of one delays a new prompt by about this many tokens.
+ * An estimate; the engines do not tell. */
 const DELAY_PER_OUTPUT_TOKEN = 0.5;
 
 /**
- * About a tenth of a second of an engine that reads 60 tokens a ms: less than a caller notices, and worth
- * the price of a prompt's bytes between data centres.
+ * About a tenth of a second of an engine that reads 60 tokens a ms: less than a caller notices, and more than
+ * the bytes of a usual prompt cost. Chosen, not measured.
  */
 const ENGINE_REMOTE_PENALTY = 5_000;
 
--- a/packages/forwarding/src/runs/findPlace.ts
+++ b/packages/forwarding/src/runs/findPlace.ts
@@ -60,9 +60,9 @@
     ...(affinityKey === undefined ? {} : { affinityKey }),
   });
   const entry = placed && directory.find(placed.id);
-  if (entry === undefined) {
+  if (placed === undefined || entry === undefined) {
     return undefined;
   }
-  const startWork = work.own + (placed?.isOwner ? 0 : work.shared);
+  const startWork = work.own + (placed.isOwner ? 0 : work.shared);
   return { entry, startWork, runWork: work.running, workAhead: entry.backlog + startWork };
 };
--- a/packages/policy/src/forward/judgeVersion.ts
+++ b/packages/policy/src/forward/judgeVersion.ts
@@ -10,7 +10,7 @@
   readonly bad: number;
 }
 
-/** Three bad answers of a version come by chance about once in 10,000 windows at 1% of failures. */
+/** Three bad ones in ten answers come by chance about once in 8,000 times where 1% of answers fail. */
 const MIN_BAD = 3;
 const MIN_BAD_SHARE = 0.12;
 
