--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -45,7 +45,7 @@
 };
 
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**', '.tmp/**', '**/*.d.ts'] },
+  { ignores: ['**/dist/**', 'target/**', '**/node_modules/**', '.tmp/**', '**/*.d.ts'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
