--- a/tools/runTests.mjs
+++ b/tools/runTests.mjs
@@ -19,9 +19,15 @@
     : [];
 
 const wanted = process.argv.slice(2);
-const packages = wanted.length > 0 ? wanted : [...readdirSync('packages'), 'platform'];
-const toFolder = (name) => (name === 'platform' ? name : join('packages', name));
-const files = packages.flatMap((name) => listTests(join(toFolder(name), 'dist'))).sort();
+/** Folders with tests: all packages, and the platform's adapter at the root. A name may stand for both. */
+const allFolders = [...readdirSync('packages').map((name) => join('packages', name)), 'platform'];
+const folders =
+  wanted.length > 0
+    ? allFolders.filter((folder) =>
+        wanted.some((name) => folder === name || folder === join('packages', name)),
+      )
+    : allFolders;
+const files = folders.flatMap((folder) => listTests(join(folder, 'dist'))).sort();
 const knownRed = existsSync('KNOWN-RED.txt')
   ? readFileSync('KNOWN-RED.txt', 'utf8').split('\n').filter(Boolean)
   : [];
