Forget requests older than the repeat budget's window also while nothing is repeated

Cause: counts were dropped only when a repeat was asked for, so a service that never fails grew the list by each request for the life of the daemon. Found by reading the change again; test with the mend.

--- a/packages/policy/src/forward/forward.test.ts
+++ b/packages/policy/src/forward/forward.test.ts
@@ -58,6 +58,16 @@
   assert.ok(budget.tryRepeat('failure', 10_300));
 });
 
+// Symptom: a daemon's memory grows for days. Sequence: a service never fails, so nothing is ever repeated.
+// Cause: requests older than the window were forgotten only when a repeat was asked for.
+test('requests older than the window are forgotten, also while nothing is repeated', () => {
+  const budget = new RepeatBudget({ ratio: 0.5, slack: 2, windowMs: 1_000 });
+  for (let nowMs = 0; nowMs < 100_000; nowMs += 10) {
+    budget.countFirst(nowMs);
+  }
+  assert.is(budget.size, 100);
+});
+
 test('better answers leave a part of the budget to failures', () => {
   const budget = new RepeatBudget({ ratio: 0.5, slack: 0, windowMs: 10_000 });
   for (let index = 0; index < 100; index += 1) {
--- a/packages/policy/src/forward/repeatBudget.ts
+++ b/packages/policy/src/forward/repeatBudget.ts
@@ -35,7 +35,13 @@
     this.#settings = settings;
   }
 
+  /** Requests and repeats remembered. */
+  get size(): number {
+    return this.#counts.length;
+  }
+
   countFirst(nowMs: number): void {
+    this.#dropOld(nowMs);
     this.#counts.push({ atMs: nowMs, isRepeat: false });
   }
 
