Forward path: one estimate a head, one draw of the service, dead parts out

The start of the largest model's answer was estimated twice and for answers that could not be asked again; route, key and service were looked up twice in one tick, and with a split of traffic the request was counted at another service than it went to. Out, as nobody read them: the roll-out bounds of the settings, signed, slots and memory of engines, the store-lost callback with its flag. Readiness asks the directory instead of a patched method. No other behaviour meant to change.

--- a/packages/forwarding/src/daemon/forwardDaemon.ts
+++ b/packages/forwarding/src/daemon/forwardDaemon.ts
@@ -101,8 +101,6 @@
 
   #settings: ForwardSettings;
 
-  #hasUpstreams = false;
-
   #isLeaving = false;
 
   constructor(adapter: PlatformAdapter, logger: Logger) {
@@ -138,9 +136,9 @@
 
   async start(): Promise<void> {
     const { callerAddress, readinessAddress, metricsAddress } = this.#settings;
-    await this.#front.listen(callerAddress.host, callerAddress.port);
-    await this.#readiness.listen(readinessAddress.host, readinessAddress.port);
-    await this.#metricsServer.listen(metricsAddress.host, metricsAddress.port);
+    await this.#front.listen(callerAddress);
+    await this.#readiness.listen(readinessAddress);
+    await this.#metricsServer.listen(metricsAddress);
     this.#watchers.forEach((watcher) => {
       void watcher.run();
     });
@@ -205,7 +203,7 @@
 
   #answerReadiness() {
     const isReady =
-      !this.#isLeaving && this.#configuration.table !== undefined && this.#hasUpstreams;
+      !this.#isLeaving && this.#configuration.table !== undefined && this.#directory.isListed;
     return {
       status: isReady ? 200 : 503,
       contentType: 'text/plain',
@@ -241,17 +239,11 @@
   }
 
   #watchUpstreams(): TableWatcher {
-    const listener = new UpstreamListener(this.#adapter, this.#directory, this.#logger);
-    const { onAll } = listener;
-    listener.onAll = (rows) => {
-      onAll.call(listener, rows);
-      this.#hasUpstreams = true;
-    };
     return new TableWatcher({
       table: this.#adapter.tables.upstreams,
       getWaitMs: () => UPSTREAM_WAIT_MS,
       gatherMs: UPSTREAM_GATHER_MS,
-      listener,
+      listener: new UpstreamListener(this.#adapter, this.#directory, this.#logger),
       freshness: new Freshness(),
       ...this.#getWatchSetting(),
     });
--- a/packages/forwarding/src/daemon/tableListeners.ts
+++ b/packages/forwarding/src/daemon/tableListeners.ts
@@ -64,14 +64,6 @@
     }
   }
 
-  onLost(): void {
-    // What is known stays in force; its age decides about keys.
-  }
-
-  onBack(): void {
-    // The rows that follow say all.
-  }
-
   /** `isNew`: written just now, as a feed tells. */
   #take(row: StoreRow, isNew: boolean): void {
     const document = tryDecode(this.#logger, row, (one) => this.#adapter.restoreOperatorRow(one));
@@ -120,10 +112,6 @@
     }
   }
 
-  onLost(): void {
-    this.#directory.noteStoreLost();
-  }
-
   onBack(): void {
     this.#directory.noteStoreBack();
   }
@@ -178,14 +166,6 @@
     }
   }
 
-  onLost(): void {
-    // A roll-out out of touch rests where it is, by the age of what is known.
-  }
-
-  onBack(): void {
-    // The rows that follow say all.
-  }
-
   #decode(row: StoreRow): StatusDocument | undefined {
     return tryDecode(this.#logger, row, (one) => this.#adapter.restoreStatusRow(one));
   }
--- a/packages/forwarding/src/daemon/types.ts
+++ b/packages/forwarding/src/daemon/types.ts
@@ -4,19 +4,13 @@
 import type { RowStore, StoreRow } from '../store/index.js';
 import type { Peer } from '../peers/index.js';
 import type { RolloutEvidence, RolloutStatus } from '../rollouts/index.js';
-import type { ForwardConfiguration, HeaderDialect, RolloutOrder, Upstream } from '../types.js';
-
-export interface SocketAddress {
-  readonly host: string;
-  readonly port: number;
-}
-
-export interface RolloutBounds {
-  /** Of a service's requests while a roll-out runs, the share that an unproved version may get. */
-  readonly exposureShare: number;
-  /** Requests that it may get beside the share. */
-  readonly exposureSlack: number;
-}
+import type {
+  ForwardConfiguration,
+  HeaderDialect,
+  RolloutOrder,
+  SocketAddress,
+  Upstream,
+} from '../types.js';
 
 export interface ForwardSettings {
   readonly vmName: string;
@@ -33,7 +27,6 @@
   /** A revoked key must not be let in later than this after its removal. */
   readonly revokeDeadlineMs: number;
   readonly repeatBudget: RepeatBudgetSettings;
-  readonly rollout: RolloutBounds;
 }
 
 export type OperatorDocument =
--- a/packages/forwarding/src/edge/frontServer.ts
+++ b/packages/forwarding/src/edge/frontServer.ts
@@ -11,8 +11,9 @@
   type Refusal,
   type RefusalReason,
 } from '../runs/index.js';
-import type { RequestOptions } from '../types.js';
+import type { RequestOptions, SocketAddress } from '../types.js';
 import { HttpCallerPort } from './httpCallerPort.js';
+import { listenOn } from './listenOn.js';
 import { readCallerBody } from './readCallerBody.js';
 
 /** Above any limit that a configuration may set; the configured one is checked for each request. */
@@ -65,11 +66,8 @@
     return this.#inFlight;
   }
 
-  async listen(host: string, port: number): Promise<void> {
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen({ host, port, backlog: 1_024 }, resolve);
-    });
+  listen(address: SocketAddress): Promise<void> {
+    return listenOn(this.#server, address);
   }
 
   /** From now on each answer says that its connection closes. */
--- a/packages/forwarding/src/edge/statusServer.ts
+++ b/packages/forwarding/src/edge/statusServer.ts
@@ -1,5 +1,7 @@
 /** Small servers beside the callers': readiness for the balancer, metrics for operators. */
 import { createServer, type Server } from 'node:http';
+import type { SocketAddress } from '../types.js';
+import { listenOn } from './listenOn.js';
 
 export interface StatusAnswer {
   readonly status: number;
@@ -7,7 +9,7 @@
   readonly body: string;
 }
 
-export type StatusHandler = (path: string) => Promise<StatusAnswer> | StatusAnswer;
+export type StatusHandler = () => Promise<StatusAnswer> | StatusAnswer;
 
 export class StatusServer {
   readonly #server: Server;
@@ -15,7 +17,7 @@
   constructor(handle: StatusHandler) {
     this.#server = createServer((request, response) => {
       request.resume();
-      Promise.resolve(handle(request.url ?? '/'))
+      Promise.resolve(handle())
         .then(({ status, contentType, body }) => {
           response.writeHead(status, { 'Content-Type': contentType }).end(body);
         })
@@ -23,11 +25,8 @@
     });
   }
 
-  async listen(host: string, port: number): Promise<void> {
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen({ host, port }, resolve);
-    });
+  listen(address: SocketAddress): Promise<void> {
+    return listenOn(this.#server, address);
   }
 
   close(): void {
--- a/packages/forwarding/src/exchange/connectionPool.ts
+++ b/packages/forwarding/src/exchange/connectionPool.ts
@@ -41,8 +41,7 @@
   /** Closes idle connections; those in use end with their request. */
   close(): void {
     this.#isClosed = true;
-    this.#idle.forEach((connection) => connection.destroy());
-    this.#idle = [];
+    this.dropIdle();
   }
 
   /** Drops idle connections, after they were found silent or dead. */
--- a/packages/forwarding/src/peers/changesMessage.ts
+++ b/packages/forwarding/src/peers/changesMessage.ts
@@ -1,11 +1,6 @@
 /** Changes of a table that a reader passes on to the daemons of its data centre: a datagram of JSON. */
 
-/** A row as it is now; removed when it has no value. */
-export interface RowChange {
-  readonly key: string;
-  readonly value?: string;
-  readonly version: number;
-}
+import type { StoreChange } from '../store/types.js';
 
 /** All changes of a table after one version of the store up to another. */
 export interface TableChanges {
@@ -14,7 +9,7 @@
   readonly upTo: number;
   /** The store's steady clock when it told them. */
   readonly serverTimeMs: number;
-  readonly items: readonly RowChange[];
+  readonly items: readonly StoreChange[];
 }
 
 /** Larger ones are not passed on: a datagram holds 64 KB, and each daemon can read them itself. */
@@ -48,7 +43,7 @@
   typeof value[1] === 'number' &&
   (value[2] === null || typeof value[2] === 'string');
 
-const toRowChange = ([key, version, value]: WireRow): RowChange =>
+const toChange = ([key, version, value]: WireRow): StoreChange =>
   value === null ? { key, version } : { key, version, value };
 
 /** Undefined when the decoded datagram holds no changes. */
@@ -68,5 +63,5 @@
     typeof serverTimeMs === 'number' &&
     Array.isArray(rows) &&
     rows.every(isWireRow);
-  return isOurs ? { table, after, upTo, serverTimeMs, items: rows.map(toRowChange) } : undefined;
+  return isOurs ? { table, after, upTo, serverTimeMs, items: rows.map(toChange) } : undefined;
 };
--- a/packages/forwarding/src/runs/attempt.ts
+++ b/packages/forwarding/src/runs/attempt.ts
@@ -5,7 +5,12 @@
   STREAM_SILENCE_GAPS,
   STREAM_START_TARGETS,
 } from '../constants.js';
-import { Exchange, type AnswerHead, type ExchangeFailure } from '../exchange/index.js';
+import {
+  Exchange,
+  type AnswerHead,
+  type ExchangeFailure,
+  type ExchangeListener,
+} from '../exchange/index.js';
 import type { ForwardRoute, UpstreamHeaderValues } from '../types.js';
 import type { UpstreamEntry, UpstreamOutcome } from '../upstreams/index.js';
 import type { ForwardDependencies } from './dependencies.js';
@@ -27,11 +32,7 @@
   readonly isResumed: boolean;
 }
 
-export interface AttemptListener {
-  onHead(head: AnswerHead): void;
-  onData(bytes: Buffer): void;
-  onEnd(): void;
-  onFailure(failure: ExchangeFailure): void;
+export interface AttemptListener extends ExchangeListener {
   /** True when the attempt was given up for it. */
   onSilence(silentMs: number): boolean;
 }
--- a/packages/forwarding/src/runs/forwardRun.ts
+++ b/packages/forwarding/src/runs/forwardRun.ts
@@ -8,7 +8,7 @@
 } from '@snipehaven/policy';
 import { MIN_ATTEMPT_MS } from '../constants.js';
 import type { AnswerHead, ExchangeFailure } from '../exchange/index.js';
-import type { ForwardRoute, RequestOptions } from '../types.js';
+import type { ForwardRoute, HeaderMap, RequestOptions } from '../types.js';
 import { Attempt, type AttemptListener } from './attempt.js';
 import type { ForwardDependencies } from './dependencies.js';
 import { buildRefusal } from './buildRefusal.js';
@@ -21,7 +21,7 @@
   readonly method: string;
   readonly host: string;
   readonly target: string;
-  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly headers: HeaderMap;
   readonly options: RequestOptions;
   readonly body: Buffer;
   readonly arrivedAtMs: number;
@@ -32,6 +32,10 @@
   readonly expectedStartMs: number;
 }
 
+interface BetterModel extends StartEstimate {
+  readonly model: string;
+}
+
 const isSuccess = (status: number): boolean => status >= 200 && status < 300;
 
 const isRepeatable = (route: ForwardRoute): boolean =>
@@ -90,10 +94,9 @@
   }
 
   start(): void {
-    const { route } = this.#resolved;
-    const service = pickTarget(route.targets, this.#dependencies.random.next());
+    const service = this.#pickService();
     this.#dependencies.getRepeatBudget(service).countFirst(performance.now());
-    this.#send();
+    this.#send(service);
   }
 
   /** The caller closed its connection: nobody waits for the answer any more. */
@@ -147,7 +150,7 @@
     this.#mayHaveRun = true;
     this.#relay.interrupt();
     this.#log('movedOnSilence', { silentMs: Math.round(silentMs) });
-    this.#send();
+    this.#sendAgain();
     return true;
   }
 
@@ -160,7 +163,7 @@
     if (canRepeat) {
       this.#attempt?.detach();
       this.#log('repeatedAfterFailure', { status: head.status });
-      this.#send();
+      this.#sendAgain();
       return;
     }
     if (this.#relay.hasBegun) {
@@ -174,38 +177,38 @@
 
   #takeSuccessHead(head: AnswerHead): void {
     this.#attempt?.settle('answered');
-    const nextModel = this.#findBetterModel(head);
-    if (nextModel !== undefined && this.#takeRepeat('quality')) {
+    const better = this.#findBetterModel(head);
+    if (better !== undefined && this.#takeRepeat('quality')) {
       this.#attempt?.abort();
-      this.#log('askedLargerModel', {
-        confidence: head.facts.confidence,
-        ...this.#estimateStart(nextModel),
-        model: nextModel,
-      });
-      this.#model = nextModel;
-      this.#send();
+      this.#log('askedLargerModel', { confidence: head.facts.confidence, ...better });
+      this.#model = better.model;
+      this.#sendAgain();
       return;
     }
     this.#status = head.status;
     this.#relay.begin(head);
   }
 
-  #findBetterModel(head: AnswerHead): string | undefined {
+  #findBetterModel({ facts: { confidence } }: AnswerHead): BetterModel | undefined {
     const { route, team } = this.#resolved;
-    if (this.#relay.hasBegun || this.#model === undefined || head.facts.confidence === undefined) {
+    const present = this.#model;
+    const isLargest = present === route.models.at(-1);
+    if (this.#relay.hasBegun || present === undefined || isLargest || confidence === undefined) {
       return undefined;
     }
-    return chooseNextModel(
+    const start = this.#estimateStart(route.models.at(-1));
+    const model = chooseNextModel(
       {
         models: route.models,
-        confidence: head.facts.confidence,
+        confidence,
         onTimeLeftMs: this.#request.arrivedAtMs + route.targetLatencyMs - performance.now(),
-        ...this.#estimateStart(route.models.at(-1)),
+        ...start,
         priority: team?.priority ?? route.priority,
         canAttemptAgain: this.#canTryAgain('failed'),
       },
-      this.#model,
+      present,
     );
+    return model === undefined ? undefined : { ...start, model };
   }
 
   /** What waits at the best upstream for the model, and when an answer of it would begin there. */
@@ -236,7 +239,7 @@
     this.#log('attemptFailed', { outcome, cause, repeated: canRepeat });
     this.#attempt?.detach();
     if (canRepeat) {
-      this.#send();
+      this.#sendAgain();
       return;
     }
     this.#concludeFailure(
@@ -276,14 +279,21 @@
     return undefined;
   }
 
-  #send(): void {
+  #pickService(): string {
+    return pickTarget(this.#resolved.route.targets, this.#dependencies.random.next());
+  }
+
+  #sendAgain(): void {
     const refused = this.#refreshRoute();
-    if (refused !== undefined) {
+    if (refused === undefined) {
+      this.#send(this.#pickService());
+    } else {
       this.#concludeFailure(refused);
-      return;
     }
+  }
+
+  #send(service: string): void {
     const { route, team } = this.#resolved;
-    const service = pickTarget(route.targets, this.#dependencies.random.next());
     const { options } = this.#request;
     const place = findPlace(this.#dependencies, {
       service,
--- a/packages/forwarding/src/store/tableWatcher.ts
+++ b/packages/forwarding/src/store/tableWatcher.ts
@@ -13,10 +13,8 @@
   /** `serverTimeMs`: the store's steady clock as it answered. */
   onAll(rows: readonly StoreRow[], serverTimeMs: number): void;
   onChange(change: StoreChange, serverTimeMs: number): void;
-  /** The store did not answer. */
-  onLost(): void;
   /** The store answers again after it was lost, before its rows are taken. */
-  onBack(): void;
+  onBack?(): void;
 }
 
 export interface WatchOptions {
@@ -203,23 +201,21 @@
         'store answers again',
       );
       this.#failures = 0;
-      listener.onBack();
+      listener.onBack?.();
     }
   }
 
   async #recover(error: unknown): Promise<void> {
-    const { logger, table, listener, random, board } = this.#options;
+    const { logger, table, random, board } = this.#options;
     board.withdraw(table);
     if (error instanceof HistoryGoneError) {
       logger.info({ event: 'historyGone', table }, 'feed history gone; reading the table again');
       this.#version = undefined;
       this.#failures += 1;
-      listener.onLost();
       return;
     }
     if (this.#failures === 0) {
       logger.warn({ event: 'storeLost', table, cause: getErrorMessage(error) }, 'store lost');
-      listener.onLost();
     }
     this.#failures += 1;
     const backoffMs = Math.min(
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -43,8 +43,6 @@
 
 /** What is declared of a pool whose upstreams run language models. */
 export interface EngineFacts {
-  readonly slots: number;
-  readonly kvTokens: number;
   readonly models: readonly EngineModel[];
 }
 
@@ -129,8 +127,6 @@
   readonly isNotRun: boolean;
   /** The model's opinion of its answer, 0 to 100. */
   readonly confidence?: number;
-  /** Whether the upstream signed the answer, as it does for all that it ran. */
-  readonly isSigned: boolean;
 }
 
 /** The headers that the forwarder sets on what it sends to an upstream. */
@@ -158,3 +154,8 @@
   /** The answer's end-to-end headers, as the caller gets them. */
   buildCallerHeaders(headers: HeaderMap): Record<string, string | string[]>;
 }
+
+export interface SocketAddress {
+  readonly host: string;
+  readonly port: number;
+}
--- a/packages/forwarding/src/upstreams/upstreamDirectory.ts
+++ b/packages/forwarding/src/upstreams/upstreamDirectory.ts
@@ -15,7 +15,7 @@
 
   readonly #entries = new Map<string, UpstreamEntry>();
 
-  #isStoreBack = false;
+  #isListed = false;
 
   #graceUntilMs = 0;
 
@@ -42,16 +42,14 @@
     return this.#entries.values();
   }
 
-  /** The store was out of reach: entries that it lost meanwhile are doubtful, not gone. */
-  noteStoreLost(): void {
-    this.#isStoreBack = false;
+  /** Whether a whole list was taken. */
+  get isListed(): boolean {
+    return this.#isListed;
   }
 
+  /** The store was out of reach: entries that it lost meanwhile are doubtful, not gone. */
   noteStoreBack(): void {
-    if (!this.#isStoreBack) {
-      this.#isStoreBack = true;
-      this.#graceUntilMs = performance.now() + LAPSE_GRACE_MS;
-    }
+    this.#graceUntilMs = performance.now() + LAPSE_GRACE_MS;
   }
 
   put(upstream: Upstream): void {
@@ -88,6 +86,7 @@
     const listed = new Set(upstreams.map(({ id }) => id));
     upstreams.forEach((upstream) => this.put(upstream));
     [...this.#entries.keys()].filter((id) => !listed.has(id)).forEach((id) => this.remove(id));
+    this.#isListed = true;
   }
 
   #doubt(entry: UpstreamEntry, waitMs: number): void {
