Stand-ins of the published protocol move to packages/standins

Cause: a fault soak of the real programs needs the stand-ins of store and upstreams; they stood inside the adapter, where only its own tests could use them. Change: store, upstream, configuration and settings documents move to standins/published, unchanged; the adapter keeps the in-process system of its tests under testSupport.

--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -8,6 +8,7 @@
 export * from './objectStore.js';
 export * from './objectStoreServer.js';
 export * from './platformServer.js';
+export * from './published/index.js';
 export * from './quality.js';
 export * from './rater.js';
 export * from './raterServer.js';
--- /dev/null
+++ b/packages/standins/src/published/index.ts
@@ -0,0 +1,4 @@
+/** Stand-ins that speak the published protocol of the users' platform. */
+export * from './standinDocuments.js';
+export * from './standinStore.js';
+export * from './standinUpstream.js';
--- /dev/null
+++ b/packages/standins/src/published/standinDocuments.ts
@@ -0,0 +1,105 @@
+/** Settings and configuration as the platform renders them. */
+
+export const KEY = 'key-of-north';
+export const HOST = 'api.example';
+
+/** What a process of one VM is told of itself. */
+export interface VmFacts {
+  readonly name: string;
+  readonly address: string;
+  readonly dataCentre: string;
+  readonly callerPort: number;
+  readonly readinessPort: number;
+  readonly peerPort: number;
+  readonly graceS: number;
+  /** `host:port` of the store. */
+  readonly store: string;
+}
+
+export const renderSettings = (vm: VmFacts): string => `
+node-name = "${vm.name}"
+bind-ip = "${vm.address}"
+zone = "${vm.dataCentre}"
+internal-ports = [${vm.peerPort}, ${vm.peerPort}]
+[listen]
+front = "${vm.address}:${vm.callerPort}"
+ready = "${vm.address}:${vm.readinessPort}"
+[bounds]
+grace-period-s = ${vm.graceS}
+revoke-deadline-ms = 5000
+session-ttl-s = 5
+retry-budget-ratio = 0.9
+retry-window-s = 10
+canary-share = 0.15
+canary-slack = 30
+[platform]
+address = "${vm.store}"
+`;
+
+/** A configuration as the operator writes it; fields of routes may be overridden. */
+export const buildConfiguration = (
+  version: number,
+  changes: {
+    readonly keys?: readonly string[];
+    readonly routes?: readonly Readonly<Record<string, unknown>>[];
+  } = {},
+) => ({
+  version,
+  routes: changes.routes ?? [
+    {
+      name: 'read',
+      host: HOST,
+      'path-prefix': '/read/',
+      kind: 'idempotent',
+      'timeout-ms': 3_000,
+      'target-latency-ms': 200,
+      'max-attempts': 2,
+      service: 'plain',
+    },
+    {
+      name: 'write',
+      host: HOST,
+      'path-prefix': '/write/',
+      kind: 'non_idempotent',
+      'timeout-ms': 3_000,
+      'target-latency-ms': 200,
+      'max-attempts': 1,
+      service: 'plain',
+    },
+    {
+      name: 'chat',
+      host: HOST,
+      'path-prefix': '/chat/',
+      kind: 'streaming',
+      'timeout-ms': 6_000,
+      'target-latency-ms': 1_000,
+      'target-gap-ms': 500,
+      'max-attempts': 3,
+      resumable: true,
+      sizes: ['small', 'large'],
+      service: 'models',
+    },
+  ],
+  services: [
+    { name: 'plain', 'health-path': '/health' },
+    {
+      name: 'models',
+      'health-path': '/health',
+      engine: {
+        slots: 8,
+        'kv-capacity': 100_000,
+        models: [
+          { name: 'small', cost: 0.02 },
+          { name: 'large', cost: 0.3 },
+        ],
+      },
+    },
+  ],
+  limits: {
+    'max-header-bytes': 4_096,
+    'max-body-bytes': 10_000,
+    'header-timeout-ms': 1_000,
+    'idle-timeout-ms': 4_000,
+  },
+  tenants: [{ name: 'north', 'api-keys': changes.keys ?? [KEY] }],
+});
--- a/tools/definePackages.mjs
+++ b/tools/definePackages.mjs
@@ -26,7 +26,7 @@
 };
 
 /** Private packages that only the tests of a package use. */
-const testPackages = { daemon: ['standins'] };
+const testPackages = { daemon: ['standins'], 'platform-adapter': ['standins'] };
 
 /** name: [own packages it depends on, libraries, binary name] */
 const packages = {
