A fault soak of the platform's daemon: real processes, faults from outside, promises judged

Change: packages/proofs/platformSoak starts snipehavend as processes (one a VM, three data centres), with the stand-ins of store and upstreams behind loopback forwarders. Four lanes of faults overlap: processes killed, paused, restarted in series, told to reload, their time of day stepped; paths delayed, reset, cut one way, silenced; the store busy, silent, slow, losing answers or its history; configuration storms, revoked keys, upstreams replaced, crashed and grey, good and bad roll-outs. Fifteen promises are judged from what callers and upstreams saw; each has a test that breaks it. The forwarder learns delays, resets and one-way cuts, the store stand-in slowness and lost answers.

--- /dev/null
+++ b/packages/proofs/src/platformSoak/callers/callers.ts
@@ -0,0 +1,84 @@
+/** Callers that send one request after the other, each on a connection kept until it closes. */
+import { Agent } from 'node:http';
+import { createRandom, pickRandom, sleep, type Random } from '@snipehaven/common';
+import type { Operator, Team } from '../outside/operator.js';
+import type { AttemptRecord, RequestKind, VmState } from '../types.js';
+import type { Balancer } from './balancer.js';
+import { sendAttempt } from './sendAttempt.js';
+
+export interface CallersOptions {
+  readonly seed: number;
+  readonly count: number;
+  readonly operator: Operator;
+  readonly balancer: Balancer;
+}
+
+const PAUSE_MS = 60;
+const LEAVING_SHARE = 0.04;
+const LEAVES_WITHIN_MS = 150;
+const SESSION_SHARE = 0.4;
+const MAX_RETRY_AFTER_S = 1;
+const SEED_STEP = 7_919;
+
+const kinds: readonly RequestKind[] = ['read', 'write', 'chat', 'chat'];
+
+export class Callers {
+  readonly records: AttemptRecord[] = [];
+
+  readonly #options: CallersOptions;
+
+  #isOver = false;
+
+  constructor(options: CallersOptions) {
+    this.#options = options;
+  }
+
+  /** Resolves when all callers have stopped. */
+  async run(): Promise<void> {
+    const { count } = this.#options;
+    await Promise.all(Array.from({ length: count }, (_, index) => this.#runCaller(index)));
+  }
+
+  stop(): void {
+    this.#isOver = true;
+  }
+
+  async #runCaller(index: number): Promise<void> {
+    const random = createRandom(this.#options.seed + index * SEED_STEP);
+    while (!this.#isOver) {
+      const vm = this.#options.balancer.pick(random);
+      const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+      await this.#useConnection(vm, agent, `caller-${index}`, random);
+      agent.destroy();
+    }
+  }
+
+  /** Sends on one connection until it closes, however long the VM is out of rotation. */
+  async #useConnection(vm: VmState, agent: Agent, caller: string, random: Random): Promise<void> {
+    let isOpen = true;
+    while (isOpen && !this.#isOver) {
+      const record = await this.#send(vm, agent, caller, random);
+      isOpen = record.isWhole && Object.keys(agent.freeSockets).length > 0;
+      const mustWait = record.retryAfterS ?? 0;
+      await sleep(Math.min(mustWait, MAX_RETRY_AFTER_S) * 1_000 + random.nextInt(PAUSE_MS));
+    }
+  }
+
+  #send(vm: VmState, agent: Agent, caller: string, random: Random): Promise<AttemptRecord> {
+    const { operator } = this.#options;
+    const kind = pickRandom(kinds, random) as RequestKind;
+    const extraPath = kind === 'read' ? pickRandom(operator.extraPaths, random) : undefined;
+    const isLeaving = random.next() < LEAVING_SHARE;
+    const plan = {
+      id: `s-${caller}-${this.records.length}`,
+      kind,
+      team: pickRandom(operator.teams, random) as Team,
+      vm,
+      agent,
+      ...(extraPath === undefined ? {} : { path: `/${extraPath}/it` }),
+      ...(random.next() < SESSION_SHARE ? { session: caller } : {}),
+      ...(isLeaving ? { leavesAfterMs: random.nextInt(LEAVES_WITHIN_MS) } : {}),
+    };
+    return sendAttempt(plan, this.records);
+  }
+}
--- /dev/null
+++ b/packages/proofs/src/platformSoak/constants.ts
@@ -0,0 +1,35 @@
+/** Sizes and times of the platform soak. */
+
+export const DATA_CENTRES = ['a', 'b', 'c'] as const;
+
+/** What the settings say of the grace period, in seconds; long streams end within it. */
+export const GRACE_S = 4;
+
+/** Until a killed process is started again, as the platform does. */
+export const RESTART_MS = 300;
+
+/** The balancer asks this often, and takes a VM out after two misses. */
+export const BALANCER_PERIOD_MS = 1_000;
+export const BALANCER_MISSES = 2;
+
+/** A VM or the store counts as calm this long after its last fault. */
+export const CONTACT_MS = 3_000;
+
+/** Bounds that the settings tell the daemons. */
+export const REVOKE_DEADLINE_MS = 5_000;
+export const DRAIN_MS = 2_000;
+
+/** How long a caller waits; a little more is allowed before an answer counts as overdue. */
+export const CALLER_DEADLINE_MS = 4_000;
+export const OVERDUE_MS = 700;
+
+/** An upstream's work for a caller that has left may go on this long. */
+export const GONE_MS = 700;
+
+/** The processes have this long to recover before the last, calm part of a run. */
+export const HEAL_MS = 6_000;
+export const CALM_MS = 3_000;
+
+/** Of the calm part's requests, the least that must be served. */
+export const LEAST_CALM_SHARE = 0.9;
+export const READY_TIMEOUT_MS = 10_000;
--- /dev/null
+++ b/packages/proofs/src/platformSoak/faultLog.ts
@@ -0,0 +1,41 @@
+/** When what was disturbed: promises with a time bound hold only for what was calm. */
+import { CONTACT_MS } from './constants.js';
+
+/** A VM's name, `store`, or `upstreams`. */
+export type FaultTarget = string;
+
+interface FaultSpan {
+  readonly target: FaultTarget;
+  readonly name: string;
+  readonly fromMs: number;
+  toMs: number;
+}
+
+export class FaultLog {
+  readonly #spans: FaultSpan[] = [];
+
+  /** Returns what ends the span. */
+  begin(target: FaultTarget, name: string): () => void {
+    const span = { target, name, fromMs: performance.now(), toMs: Infinity };
+    this.#spans.push(span);
+    return () => {
+      span.toMs = performance.now();
+    };
+  }
+
+  /** Whether nothing disturbed the target from a contact time before the span until its end. */
+  isCalm(target: FaultTarget, fromMs: number, toMs: number): boolean {
+    return !this.#spans.some(
+      (span) => span.target === target && span.fromMs <= toMs && span.toMs >= fromMs - CONTACT_MS,
+    );
+  }
+
+  /** How often each fault struck. */
+  countByName(): Readonly<Record<string, number>> {
+    const counts: Record<string, number> = {};
+    this.#spans.forEach(({ name }) => {
+      counts[name] = (counts[name] ?? 0) + 1;
+    });
+    return counts;
+  }
+}
--- /dev/null
+++ b/packages/proofs/src/platformSoak/faults/index.ts
@@ -0,0 +1,20 @@
+/** All faults by name, and the lanes that strike with them. */
+import type { Fault } from '../world.js';
+import * as network from './networkFaults.js';
+import * as operators from './operatorFaults.js';
+import * as processes from './processFaults.js';
+import * as stores from './storeFaults.js';
+
+/** A lane strikes one after the other; lanes overlap. A lane for roll-outs: there is one at a time. */
+export const lanes: readonly (readonly Fault[])[] = [
+  Object.values(processes),
+  Object.values(network).concat(Object.values(stores)),
+  [
+    operators.stormConfiguration,
+    operators.revokeKey,
+    operators.greyUpstream,
+    operators.replaceUpstream,
+    operators.crashUpstream,
+  ],
+  [operators.goodRollout, operators.badRollout],
+];
--- /dev/null
+++ b/packages/proofs/src/platformSoak/fleet.ts
@@ -0,0 +1,161 @@
+/** The daemons under test: real processes, one a VM, each with a path of its own to the store. */
+import { writeFileSync } from 'node:fs';
+import { dirname, join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { sleep } from '@snipehaven/common';
+import { ManagedProcess } from '@snipehaven/demo';
+import { renderSettings, startSilentForwarder, type SilentForwarder } from '@snipehaven/standins';
+import { request } from 'undici';
+import { DATA_CENTRES, GRACE_S, READY_TIMEOUT_MS, RESTART_MS } from './constants.js';
+import type { VmState } from './types.js';
+
+const CALLER_PORT = 8_080;
+const READINESS_PORT = 8_081;
+const PEER_PORT = 8_082;
+const READY_POLL_MS = 50;
+const READY_ASK_TIMEOUT_MS = 900;
+
+/** The built entry point of the deployed daemon, beside the adapter's index. */
+const DAEMON_SCRIPT = join(
+  dirname(fileURLToPath(import.meta.resolve('@snipehaven/platform-adapter'))),
+  'main.js',
+);
+
+/** Loaded into each daemon, so that a signal steps its time of day. */
+const CLOCK_SCRIPT = fileURLToPath(new URL('stepClock.js', import.meta.url));
+
+export class Fleet {
+  readonly vms: readonly VmState[];
+
+  readonly #folder: string;
+
+  /** To the store, by VM. */
+  readonly #paths = new Map<string, SilentForwarder>();
+
+  /** Exits that nobody asked for. */
+  readonly unexpectedExits: string[] = [];
+
+  /** `network`: the first two bytes of the VMs' addresses, apart from other runs. */
+  constructor(folder: string, network: string, vmsPerDataCentre: number) {
+    this.#folder = folder;
+    this.vms = DATA_CENTRES.flatMap((dataCentre, place) =>
+      Array.from({ length: vmsPerDataCentre }, (_, index) => {
+        const name = `vm-${dataCentre}-${index + 1}`;
+        const settingsFile = join(folder, `${name}.toml`);
+        const address = `${network}.${place + 1}.${index + 1}`;
+        return { name, dataCentre, address, settingsFile, process: undefined, isEnding: false };
+      }),
+    );
+  }
+
+  async start(storeAddress: string): Promise<void> {
+    const [targetAddress = '', port] = storeAddress.split(':');
+    for (const vm of this.vms) {
+      const path = await startSilentForwarder({ targetAddress, targetPort: Number(port) });
+      this.#paths.set(vm.name, path);
+      this.writeSettings(vm, GRACE_S);
+      this.spawn(vm);
+    }
+    await Promise.all(this.vms.map((vm) => this.waitReady(vm)));
+  }
+
+  /** The VM's path to the store. */
+  getStorePath(vm: VmState): SilentForwarder {
+    const path = this.#paths.get(vm.name);
+    if (path === undefined) {
+      throw new Error(`${vm.name} has no path to the store`);
+    }
+    return path;
+  }
+
+  writeSettings(vm: VmState, graceS: number): void {
+    const path = this.getStorePath(vm);
+    const text = renderSettings({
+      name: vm.name,
+      address: vm.address,
+      dataCentre: vm.dataCentre,
+      callerPort: CALLER_PORT,
+      readinessPort: READINESS_PORT,
+      peerPort: PEER_PORT,
+      graceS,
+      store: `${path.address}:${path.port}`,
+    });
+    writeFileSync(vm.settingsFile, text);
+  }
+
+  spawn(vm: VmState): void {
+    const child = new ManagedProcess({
+      name: vm.name,
+      script: DAEMON_SCRIPT,
+      args: [],
+      nodeArgs: ['--import', CLOCK_SCRIPT],
+      env: { SNIPEHAVEN_SETTINGS: vm.settingsFile },
+      logFile: join(this.#folder, `${vm.name}.log`),
+    });
+    Object.assign(vm, { process: child, isEnding: false });
+    void this.#watch(vm, child);
+  }
+
+  /** Ends the process by the signal and starts it again, as the platform does. */
+  async restart(vm: VmState, signal: 'SIGTERM' | 'SIGKILL'): Promise<void> {
+    await this.#end(vm, signal);
+    await sleep(RESTART_MS);
+    this.spawn(vm);
+  }
+
+  async isReady(vm: VmState): Promise<boolean> {
+    try {
+      const answer = await request(`http://${vm.address}:${READINESS_PORT}/ready`, {
+        signal: AbortSignal.timeout(READY_ASK_TIMEOUT_MS),
+        reset: true,
+      });
+      await answer.body.dump();
+      return answer.statusCode === 200;
+    } catch {
+      // No answer is a miss, as for the balancer.
+      return false;
+    }
+  }
+
+  async waitReady(vm: VmState): Promise<void> {
+    const endAtMs = performance.now() + READY_TIMEOUT_MS;
+    while (!(await this.isReady(vm))) {
+      if (performance.now() > endAtMs) {
+        throw new Error(`${vm.name} is not ready after ${READY_TIMEOUT_MS} ms`);
+      }
+      await sleep(READY_POLL_MS);
+    }
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.vms.map((vm) => this.#end(vm, 'SIGKILL')));
+    await Promise.all([...this.#paths.values()].map((path) => path.stop()));
+  }
+
+  static getCallerUrl(vm: VmState): { host: string; port: number } {
+    return { host: vm.address, port: CALLER_PORT };
+  }
+
+  /** A process that outlives its grace period is killed. */
+  async #end(vm: VmState, signal: 'SIGTERM' | 'SIGKILL'): Promise<void> {
+    const child = vm.process;
+    if (child === undefined) {
+      return;
+    }
+    Object.assign(vm, { isEnding: true });
+    child.signal(signal);
+    const timer = setTimeout(() => child.signal('SIGKILL'), GRACE_S * 1_000);
+    await child.waitForExit();
+    clearTimeout(timer);
+  }
+
+  async #watch(vm: VmState, child: ManagedProcess): Promise<void> {
+    child.firstLine.catch(() => {
+      // The exit below tells it.
+    });
+    const { code, signal } = await child.waitForExit();
+    if (vm.process === child && !vm.isEnding) {
+      this.unexpectedExits.push(`${vm.name}: code ${code}, signal ${signal}`);
+    }
+  }
+}
--- /dev/null
+++ b/packages/proofs/src/platformSoak/judge/promises.test.ts
@@ -0,0 +1,140 @@
+/** Each promise is broken once by hand: a judge that sees nothing would call every run sound. */
+import { StandinStore } from '@snipehaven/standins';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { FaultLog } from '../faultLog.js';
+import { Fleet } from '../fleet.js';
+import { BackEnds, renderPlainBody, renderStreamBody } from '../outside/backEnds.js';
+import { Operator } from '../outside/operator.js';
+import type { AttemptRecord, RunRecord } from '../types.js';
+import { promises, type Evidence } from './promises.js';
+
+const ATTEMPT: AttemptRecord = {
+  id: 's-1',
+  kind: 'write',
+  key: 'key-1',
+  team: 'north',
+  vm: 'vm-a-1',
+  sentAtMs: 10_000,
+  isOnOldConnection: false,
+  endedAtMs: 10_100,
+  status: 200,
+  signature: 'signed-s-1',
+  retryAfterS: undefined,
+  body: renderPlainBody('s-1'),
+  isWhole: true,
+  cancelledAtMs: undefined,
+};
+
+const RUN: RunRecord = {
+  attemptId: 's-1',
+  upstream: 'plain-1',
+  startedAtMs: 10_010,
+  team: 'north',
+  hasKey: false,
+  status: 200,
+  endedAtMs: 10_050,
+  isFaulty: false,
+};
+
+const createEvidence = (
+  attempts: readonly AttemptRecord[],
+  runs: readonly RunRecord[],
+): Evidence => {
+  const store = new StandinStore();
+  const backEnds = new BackEnds(1);
+  const fleet = new Fleet('', '127.9', 1);
+  const operator = new Operator(store, backEnds);
+  return {
+    world: { store, backEnds, fleet, operator, faultLog: new FaultLog() },
+    attempts,
+    runsByAttempt: new Map([['s-1', runs]]),
+    healedAtMs: 50_000,
+  };
+};
+
+const listBroken = (evidence: Evidence): readonly string[] =>
+  Object.entries(promises)
+    .filter(([, check]) => check(evidence).length > 0)
+    .map(([name]) => name);
+
+test('a whole answer of one run breaks nothing', () => {
+  assert.equal(listBroken(createEvidence([ATTEMPT], [RUN])), []);
+});
+
+test('two runs of what may run once', () => {
+  assert.equal(listBroken(createEvidence([ATTEMPT], [RUN, RUN])), ['ranTwice']);
+});
+
+test('a refusal of what has run', () => {
+  const refused = { ...ATTEMPT, status: 503, signature: undefined };
+  assert.equal(listBroken(createEvidence([refused], [RUN])), ['falselyNotRun']);
+});
+
+test('another body, another signature, a stream with a piece missing', () => {
+  const spoiled = [
+    { ...ATTEMPT, body: renderPlainBody('s-2') },
+    { ...ATTEMPT, signature: undefined },
+    { ...ATTEMPT, kind: 'chat' as const, body: renderStreamBody('s-1').slice(20) },
+  ];
+  spoiled.forEach((attempt) => {
+    assert.equal(listBroken(createEvidence([attempt], [RUN])), ['wrongAnswer']);
+  });
+});
+
+test('a broken stream whose pieces are out of order', () => {
+  const chat = { ...ATTEMPT, kind: 'chat' as const, isWhole: false, endedAtMs: 10_100 };
+  const run = { ...RUN, isFaulty: true };
+  const swapped = { ...chat, body: renderStreamBody('s-1').slice(20) };
+  assert.equal(listBroken(createEvidence([swapped], [run])), ['brokenOrder']);
+  const cut = { ...chat, body: renderStreamBody('s-1').slice(0, 20) };
+  assert.equal(listBroken(createEvidence([cut], [run])), []);
+});
+
+test('a failure of ours under an upstream’s signature', () => {
+  const signed = { ...ATTEMPT, status: 502 };
+  assert.equal(listBroken(createEvidence([signed], [RUN])), ['signedFailure']);
+});
+
+test('another team’s name, a key that was passed on, a run that nobody asked for', () => {
+  assert.equal(listBroken(createEvidence([ATTEMPT], [{ ...RUN, team: 'south' }])), ['foreignTeam']);
+  assert.equal(listBroken(createEvidence([ATTEMPT], [{ ...RUN, hasKey: true }])), ['foreignTeam']);
+  assert.equal(listBroken(createEvidence([], [RUN])), ['unasked']);
+});
+
+test('a revoked key that still runs after its deadline', () => {
+  const evidence = createEvidence([ATTEMPT], [RUN]);
+  evidence.world.operator.revokedAtMs.set('key-1', 4_000);
+  assert.equal(listBroken(evidence), ['revokedKeyRan']);
+});
+
+test('a request at an upstream that left, and the same on a VM that was disturbed', () => {
+  const evidence = createEvidence([ATTEMPT], [RUN]);
+  evidence.world.operator.leavings.push({ upstream: 'plain-1', acknowledgedAtMs: 7_000 });
+  evidence.world.backEnds.arrivals.push({ attemptId: 's-1', upstream: 'plain-1', atMs: 10_010 });
+  assert.equal(listBroken(evidence), ['reachedLeaving']);
+  evidence.world.faultLog.begin('vm-a-1', 'pause');
+  assert.equal(listBroken({ ...evidence, attempts: [{ ...ATTEMPT, endedAtMs: 1e9 }] }), []);
+});
+
+test('an answer that is lost, late, or worked on after its caller left', () => {
+  const lost = { ...ATTEMPT, isWhole: false, status: undefined, signature: undefined };
+  assert.equal(listBroken(createEvidence([lost], [RUN])), ['lost']);
+  assert.equal(listBroken(createEvidence([{ ...ATTEMPT, endedAtMs: 15_000 }], [RUN])), ['overdue']);
+  const left = { ...lost, cancelledAtMs: 10_020 };
+  const working = { ...RUN, endedAtMs: 12_000 };
+  assert.equal(listBroken(createEvidence([left], [working])), ['workedForNobody']);
+});
+
+test('denied or unserved once all is healed, and a process that ends by itself', () => {
+  const late = { ...ATTEMPT, sentAtMs: 60_000, endedAtMs: 60_100, signature: undefined };
+  const denied = { ...late, status: 404 };
+  assert.equal(listBroken(createEvidence([denied], [])), ['denied', 'notHealed']);
+  const failed = { ...late, status: 502 };
+  assert.equal(listBroken(createEvidence([failed], [])), ['notHealed']);
+  const evidence = createEvidence([ATTEMPT], [RUN]);
+  evidence.world.fleet.unexpectedExits.push('vm-a-1: code 1');
+  assert.equal(listBroken(evidence), ['unexpectedExit']);
+});
+
+test.run();
--- /dev/null
+++ b/packages/proofs/src/platformSoak/judge/promises.ts
@@ -0,0 +1,181 @@
+/** The promises, each as a check over what callers and upstreams saw. */
+import {
+  CALLER_DEADLINE_MS,
+  CONTACT_MS,
+  DRAIN_MS,
+  GONE_MS,
+  LEAST_CALM_SHARE,
+  OVERDUE_MS,
+  REVOKE_DEADLINE_MS,
+} from '../constants.js';
+import { renderPlainBody, renderStreamBody } from '../outside/backEnds.js';
+import type { AttemptRecord, RunRecord } from '../types.js';
+import type { SoakWorld } from '../world.js';
+
+export interface Evidence {
+  readonly world: SoakWorld;
+  readonly attempts: readonly AttemptRecord[];
+  readonly runsByAttempt: ReadonlyMap<string, readonly RunRecord[]>;
+  /** From here on nothing is disturbed. */
+  readonly healedAtMs: number;
+}
+
+/** Lists what breaks the promise, a line each. */
+export type PromiseCheck = (evidence: Evidence) => readonly string[];
+
+const SAYS_NOT_RUN = new Set([408, 421, 429, 503]);
+
+/** Workers that go on for callers who left: this share is the network's own delay. */
+const GONE_SHARE = 0.25;
+
+const getRuns = ({ runsByAttempt }: Evidence, { id }: AttemptRecord): readonly RunRecord[] =>
+  runsByAttempt.get(id) ?? [];
+
+const isSuccess = ({ status, isWhole }: AttemptRecord): boolean => status === 200 && isWhole;
+
+const describe = (attempt: AttemptRecord): string =>
+  `${attempt.id} ${attempt.kind} at ${attempt.vm} status ${attempt.status}` +
+  ` sent ${Math.round(attempt.sentAtMs)} ended ${Math.round(attempt.endedAtMs ?? 0)}`;
+
+/** Nothing disturbed the VM, the store or the upstreams while the attempt ran. */
+const isCalm = ({ world }: Evidence, attempt: AttemptRecord): boolean => {
+  const endMs = attempt.endedAtMs ?? performance.now();
+  return [attempt.vm, 'store', 'upstreams'].every((target) =>
+    world.faultLog.isCalm(target, attempt.sentAtMs, endMs),
+  );
+};
+
+const ranTwice: PromiseCheck = (evidence) =>
+  evidence.attempts
+    .filter((attempt) => attempt.kind === 'write' && getRuns(evidence, attempt).length > 1)
+    .map(describe);
+
+const falselyNotRun: PromiseCheck = (evidence) =>
+  evidence.attempts
+    .filter(({ kind, status }) => kind === 'write' && SAYS_NOT_RUN.has(status ?? 0))
+    .filter((attempt) => getRuns(evidence, attempt).length > 0)
+    .map(describe);
+
+const wrongAnswer: PromiseCheck = ({ attempts }) =>
+  attempts
+    .filter(isSuccess)
+    .filter(({ id, kind, body, signature }) => {
+      const expected = kind === 'chat' ? renderStreamBody(id) : renderPlainBody(id);
+      return body !== expected || signature !== `signed-${id}`;
+    })
+    .map(describe);
+
+/** What came of a stream that broke off must be the beginning of the whole. */
+const brokenOrder: PromiseCheck = ({ attempts }) =>
+  attempts
+    .filter(({ kind, status, isWhole }) => kind === 'chat' && status === 200 && !isWhole)
+    .filter(({ id, body }) => !renderStreamBody(id).startsWith(body))
+    .map(describe);
+
+const signedFailure: PromiseCheck = (evidence) =>
+  evidence.attempts
+    .filter(({ status, signature }) => signature !== undefined && status !== 200)
+    .filter((attempt) => !getRuns(evidence, attempt).some((run) => run.status === attempt.status))
+    .map(describe);
+
+const foreignTeam: PromiseCheck = (evidence) =>
+  evidence.attempts.flatMap((attempt) =>
+    getRuns(evidence, attempt)
+      .filter(({ team, hasKey }) => hasKey || team !== attempt.team)
+      .map(({ team }) => `${describe(attempt)} ran for ${team}`),
+  );
+
+const unasked: PromiseCheck = ({ attempts, runsByAttempt }) => {
+  const asked = new Set(attempts.map(({ id }) => id));
+  return [...runsByAttempt.keys()].filter((id) => !asked.has(id));
+};
+
+/** Binds machines that are out of touch, too. */
+const revokedKeyRan: PromiseCheck = (evidence) =>
+  evidence.attempts
+    .filter(({ key, sentAtMs }) => {
+      const revokedAtMs = evidence.world.operator.revokedAtMs.get(key) ?? Infinity;
+      return sentAtMs > revokedAtMs + REVOKE_DEADLINE_MS;
+    })
+    .filter((attempt) => getRuns(evidence, attempt).length > 0)
+    .map(describe);
+
+const reachedLeaving: PromiseCheck = (evidence) => {
+  const { world, attempts } = evidence;
+  const byId = new Map(attempts.map((attempt) => [attempt.id, attempt]));
+  return world.backEnds.arrivals.flatMap(({ attemptId, upstream, atMs }) => {
+    const leaving = world.operator.leavings.find((one) => one.upstream === upstream);
+    const attempt = byId.get(attemptId);
+    const isLate = leaving !== undefined && atMs > leaving.acknowledgedAtMs + DRAIN_MS;
+    return isLate && attempt && isCalm(evidence, attempt) ? [describe(attempt)] : [];
+  });
+};
+
+/** A request that an upstream has, on a VM that nothing but planned work disturbs, gets its answer. */
+const lost: PromiseCheck = (evidence) =>
+  evidence.attempts
+    .filter(({ cancelledAtMs, isWhole }) => cancelledAtMs === undefined && !isWhole)
+    .filter((attempt) => getRuns(evidence, attempt).length > 0 && isCalm(evidence, attempt))
+    .filter((attempt) => !getRuns(evidence, attempt).some(({ isFaulty }) => isFaulty))
+    .map(describe);
+
+const overdue: PromiseCheck = (evidence) =>
+  evidence.attempts
+    .filter(({ sentAtMs, endedAtMs, cancelledAtMs }) => {
+      const tookMs = (endedAtMs ?? performance.now()) - sentAtMs;
+      return tookMs > CALLER_DEADLINE_MS + OVERDUE_MS && (cancelledAtMs ?? Infinity) > sentAtMs;
+    })
+    .filter((attempt) => isCalm(evidence, attempt))
+    .map(describe);
+
+const workedForNobody: PromiseCheck = (evidence) => {
+  const left = evidence.attempts.filter(
+    (attempt) => attempt.cancelledAtMs !== undefined && isCalm(evidence, attempt),
+  );
+  const working = left.filter((attempt) =>
+    getRuns(evidence, attempt).some(
+      ({ endedAtMs }) => (endedAtMs ?? Infinity) > (attempt.cancelledAtMs ?? 0) + GONE_MS,
+    ),
+  );
+  return working.length > left.length * GONE_SHARE ? working.map(describe) : [];
+};
+
+const unexpectedExit: PromiseCheck = ({ world }) => world.fleet.unexpectedExits;
+
+/** A refusal for lack of a route or key, of a calm VM, once all is healed. */
+const denied: PromiseCheck = ({ attempts, healedAtMs }) =>
+  attempts
+    .filter(
+      ({ sentAtMs, status }) => sentAtMs > healedAtMs && [401, 403, 404].includes(status ?? 0),
+    )
+    .map(describe);
+
+const notHealed: PromiseCheck = ({ world, attempts, healedAtMs }) =>
+  world.fleet.vms.flatMap(({ name }) => {
+    const mine = attempts.filter(
+      ({ vm, sentAtMs, cancelledAtMs }) =>
+        vm === name && sentAtMs > healedAtMs && cancelledAtMs === undefined,
+    );
+    const served = mine.filter(isSuccess);
+    return served.length < mine.length * LEAST_CALM_SHARE
+      ? [`${name} serves ${served.length} of ${mine.length} after ${CONTACT_MS} ms of calm`]
+      : [];
+  });
+
+export const promises: Readonly<Record<string, PromiseCheck>> = {
+  ranTwice,
+  falselyNotRun,
+  wrongAnswer,
+  brokenOrder,
+  signedFailure,
+  foreignTeam,
+  unasked,
+  revokedKeyRan,
+  reachedLeaving,
+  lost,
+  overdue,
+  workedForNobody,
+  unexpectedExit,
+  denied,
+  notHealed,
+};
--- /dev/null
+++ b/packages/proofs/src/platformSoak/outside/backEnds.ts
@@ -0,0 +1,195 @@
+/** The upstreams: what they answer, how they fail, and what they saw. */
+import type { Socket } from 'node:net';
+import { createRandom, pickRandom, sleep, type Random } from '@snipehaven/common';
+import { hashAffinityKey } from '@snipehaven/policy';
+import {
+  renderChunk,
+  renderEvent,
+  renderHead,
+  SilentForwarder,
+  StandinUpstream,
+  startSilentForwarder,
+  type SeenRequest,
+} from '@snipehaven/standins';
+import type { ArrivalRecord, RunRecord } from '../types.js';
+
+export type ServiceName = 'plain' | 'models';
+
+/** Of one upstream; `version` is that of its software. */
+export interface BackEnd {
+  readonly id: string;
+  readonly service: ServiceName;
+  readonly version: string;
+  readonly upstream: StandinUpstream;
+  /** Daemons reach the upstream through it. */
+  readonly forwarder: SilentForwarder;
+  /** Share of requests that fail on it in some way of `FailureWay`. */
+  failureShare: number;
+  isOpen: boolean;
+}
+
+type FailureWay = 'refuse' | 'fail' | 'reset' | 'cut' | 'hang';
+const failureWays: readonly FailureWay[] = ['refuse', 'fail', 'reset', 'cut', 'hang'];
+
+const PLAIN_WORK_MS = 25;
+const EVENT_GAP_MS = 15;
+const MIN_EVENTS = 3;
+const EVENT_SPREAD = 14;
+
+/** A little always fails, as in life. */
+export const USUAL_FAILURE_SHARE = 0.02;
+
+/** How many events the attempt's whole stream has. */
+export const countEvents = (attemptId: string): number =>
+  MIN_EVENTS + (hashAffinityKey(attemptId) % EVENT_SPREAD);
+
+export const renderPlainBody = (attemptId: string): string => `answer of ${attemptId}`;
+
+export const renderStreamBody = (attemptId: string): string =>
+  Array.from({ length: countEvents(attemptId) }, (_, index) => renderEvent(index + 1)).join('');
+
+export class BackEnds {
+  readonly runs: RunRecord[] = [];
+
+  readonly arrivals: ArrivalRecord[] = [];
+
+  readonly all: BackEnd[] = [];
+
+  readonly #random: Random;
+
+  #started = 0;
+
+  constructor(seed: number) {
+    this.#random = createRandom(seed);
+  }
+
+  async start(service: ServiceName, version: string): Promise<BackEnd> {
+    this.#started += 1;
+    const id = `${service}-${this.#started}`;
+    const upstream = new StandinUpstream((request, socket) =>
+      this.#serve(backEnd, request, socket),
+    );
+    await upstream.start();
+    const [targetAddress = '', port] = upstream.address.split(':');
+    const forwarder = await startSilentForwarder({ targetAddress, targetPort: Number(port) });
+    const failureShare = USUAL_FAILURE_SHARE;
+    const backEnd = { id, service, version, upstream, forwarder, failureShare, isOpen: true };
+    this.all.push(backEnd);
+    return backEnd;
+  }
+
+  listOpen(service: ServiceName): readonly BackEnd[] {
+    return this.all.filter((one) => one.isOpen && one.service === service);
+  }
+
+  stop(backEnd: BackEnd): void {
+    Object.assign(backEnd, { isOpen: false });
+    backEnd.upstream.stop();
+    void backEnd.forwarder.stop();
+  }
+
+  #serve(backEnd: BackEnd, request: SeenRequest, socket: Socket): void {
+    const attemptId = request.headers.get('x-attempt-id') ?? '';
+    this.arrivals.push({ attemptId, upstream: backEnd.id, atMs: performance.now() });
+    const way =
+      this.#random.next() < backEnd.failureShare
+        ? pickRandom(failureWays, this.#random)
+        : undefined;
+    if (request.headers.get('x-expect-instance') !== backEnd.id) {
+      socket.write(renderHead(request, 421, { 'Content-Length': '0' }));
+    } else if (way === 'refuse') {
+      socket.write(renderHead(request, 503, { 'X-Not-Executed': '1', 'Content-Length': '0' }));
+    } else {
+      void this.#run(backEnd, request, socket, way);
+    }
+  }
+
+  async #run(
+    backEnd: BackEnd,
+    request: SeenRequest,
+    socket: Socket,
+    way: FailureWay | undefined,
+  ): Promise<void> {
+    const attemptId = request.headers.get('x-attempt-id') ?? '';
+    const run: RunRecord = {
+      attemptId,
+      upstream: backEnd.id,
+      startedAtMs: performance.now(),
+      team: request.headers.get('x-tenant'),
+      hasKey: request.headers.has('authorization'),
+      status: way === 'fail' ? 500 : 200,
+      endedAtMs: undefined,
+      isFaulty: way !== undefined,
+    };
+    this.runs.push(run);
+    const end = (): void => {
+      run.endedAtMs ??= performance.now();
+    };
+    socket.once('close', end);
+    if (way === 'hang') {
+      return;
+    }
+    await (backEnd.service === 'models'
+      ? this.#stream(request, socket, run, way)
+      : this.#answer(request, socket, run, way));
+    end();
+    socket.off('close', end);
+  }
+
+  async #answer(
+    request: SeenRequest,
+    socket: Socket,
+    run: RunRecord,
+    way: FailureWay | undefined,
+  ): Promise<void> {
+    await sleep(PLAIN_WORK_MS * (0.5 + this.#random.next()));
+    if (socket.destroyed) {
+      return;
+    }
+    if (way === 'reset') {
+      socket.resetAndDestroy();
+      return;
+    }
+    const body = way === 'fail' ? 'failed' : renderPlainBody(run.attemptId);
+    const head = renderHead(request, run.status, { 'Content-Length': String(body.length) });
+    socket.write(way === 'cut' ? head + body.slice(1) : head + body);
+    if (way === 'cut') {
+      socket.end();
+    }
+  }
+
+  async #stream(
+    request: SeenRequest,
+    socket: Socket,
+    run: RunRecord,
+    way: FailureWay | undefined,
+  ): Promise<void> {
+    await sleep(EVENT_GAP_MS);
+    if (way === 'fail') {
+      socket.write(renderHead(request, 500, { 'Content-Length': '0' }));
+      return;
+    }
+    socket.write(
+      renderHead(request, 200, {
+        'Content-Type': 'text/event-stream',
+        'Transfer-Encoding': 'chunked',
+        'X-Confidence': String(hashAffinityKey(run.attemptId) % 100),
+      }),
+    );
+    const from = Number(request.headers.get('last-event-id') ?? 0);
+    const count = countEvents(run.attemptId);
+    const cutAt = way === undefined ? Infinity : from + 1 + this.#random.nextInt(count);
+    for (let id = from + 1; id <= count && !socket.destroyed; id += 1) {
+      if (id >= cutAt) {
+        socket.write(renderChunk(renderEvent(id).slice(0, 7)));
+        socket.resetAndDestroy();
+        return;
+      }
+      socket.write(renderChunk(renderEvent(id)));
+      await sleep(EVENT_GAP_MS);
+    }
+    if (!socket.destroyed) {
+      socket.write('0\r\n\r\n');
+    }
+  }
+}
--- /dev/null
+++ b/packages/proofs/src/platformSoak/types.ts
@@ -0,0 +1,61 @@
+/** What the soak records of callers and upstreams. */
+import type { ManagedProcess } from '@snipehaven/demo';
+
+export type RequestKind = 'read' | 'write' | 'chat';
+
+/** One caller attempt, as the caller saw it. */
+export interface AttemptRecord {
+  readonly id: string;
+  readonly kind: RequestKind;
+  readonly key: string;
+  readonly team: string;
+  readonly vm: string;
+  readonly sentAtMs: number;
+  /** Sent on a connection that had served before. */
+  readonly isOnOldConnection: boolean;
+  endedAtMs: number | undefined;
+  /** Undefined when the connection ended without the head of an answer. */
+  status: number | undefined;
+  signature: string | undefined;
+  retryAfterS: number | undefined;
+  body: string;
+  isWhole: boolean;
+  /** The caller left by itself. */
+  cancelledAtMs: number | undefined;
+}
+
+/** One run of an attempt at an upstream. */
+export interface RunRecord {
+  readonly attemptId: string;
+  readonly upstream: string;
+  readonly startedAtMs: number;
+  readonly team: string | undefined;
+  readonly hasKey: boolean;
+  readonly status: number;
+  endedAtMs: number | undefined;
+  /** The upstream itself broke off, or answered with a failure. */
+  isFaulty: boolean;
+}
+
+/** A request that reached an upstream, whether it ran or not. */
+export interface ArrivalRecord {
+  readonly attemptId: string;
+  readonly upstream: string;
+  readonly atMs: number;
+}
+
+export interface VmState {
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly address: string;
+  readonly settingsFile: string;
+  process: ManagedProcess | undefined;
+  /** The soak itself ends the process, so that its exit is expected. */
+  isEnding: boolean;
+}
+
+/** A broken promise, with what shows it. */
+export interface Violation {
+  readonly promise: string;
+  readonly detail: string;
+}
--- /dev/null
+++ b/packages/proofs/src/platformSoak/world.ts
@@ -0,0 +1,18 @@
+/** What faults act on. */
+import type { Random } from '@snipehaven/common';
+import type { StandinStore } from '@snipehaven/standins';
+import type { FaultLog } from './faultLog.js';
+import type { Fleet } from './fleet.js';
+import type { BackEnds } from './outside/backEnds.js';
+import type { Operator } from './outside/operator.js';
+
+export interface SoakWorld {
+  readonly fleet: Fleet;
+  readonly store: StandinStore;
+  readonly backEnds: BackEnds;
+  readonly operator: Operator;
+  readonly faultLog: FaultLog;
+}
+
+/** Strikes once and resolves when the fault is over. */
+export type Fault = (world: SoakWorld, random: Random) => Promise<void>;
--- a/packages/standins/src/published/standinDocuments.ts
+++ b/packages/standins/src/published/standinDocuments.ts
@@ -36,6 +36,43 @@
 address = "${vm.store}"
 `;
 
+export type RouteName = 'read' | 'write' | 'chat';
+
+const routes = {
+  read: {
+    kind: 'idempotent',
+    'timeout-ms': 3_000,
+    'target-latency-ms': 200,
+    'max-attempts': 2,
+    service: 'plain',
+  },
+  write: {
+    kind: 'non_idempotent',
+    'timeout-ms': 3_000,
+    'target-latency-ms': 200,
+    'max-attempts': 1,
+    service: 'plain',
+  },
+  chat: {
+    kind: 'streaming',
+    'timeout-ms': 6_000,
+    'target-latency-ms': 1_000,
+    'target-gap-ms': 500,
+    'max-attempts': 3,
+    resumable: true,
+    sizes: ['small', 'large'],
+    service: 'models',
+  },
+} as const satisfies Record<RouteName, unknown>;
+
+/** One of the usual routes, at its own path or another one. */
+export const buildRoute = (route: RouteName, name: string = route) => ({
+  name,
+  host: HOST,
+  'path-prefix': `/${name}/`,
+  ...routes[route],
+});
+
 /** A configuration as the operator writes it; fields of routes may be overridden. */
 export const buildConfiguration = (
   version: number,
@@ -45,41 +82,7 @@
   } = {},
 ) => ({
   version,
-  routes: changes.routes ?? [
-    {
-      name: 'read',
-      host: HOST,
-      'path-prefix': '/read/',
-      kind: 'idempotent',
-      'timeout-ms': 3_000,
-      'target-latency-ms': 200,
-      'max-attempts': 2,
-      service: 'plain',
-    },
-    {
-      name: 'write',
-      host: HOST,
-      'path-prefix': '/write/',
-      kind: 'non_idempotent',
-      'timeout-ms': 3_000,
-      'target-latency-ms': 200,
-      'max-attempts': 1,
-      service: 'plain',
-    },
-    {
-      name: 'chat',
-      host: HOST,
-      'path-prefix': '/chat/',
-      kind: 'streaming',
-      'timeout-ms': 6_000,
-      'target-latency-ms': 1_000,
-      'target-gap-ms': 500,
-      'max-attempts': 3,
-      resumable: true,
-      sizes: ['small', 'large'],
-      service: 'models',
-    },
-  ],
+  routes: changes.routes ?? [buildRoute('read'), buildRoute('write'), buildRoute('chat')],
   services: [
     { name: 'plain', 'health-path': '/health' },
     {
--- a/packages/standins/src/published/standinStore.ts
+++ b/packages/standins/src/published/standinStore.ts
@@ -1,6 +1,7 @@
 /** A stand-in of the platform's store, over HTTP: rows, transactions, feeds, and its failures. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { sleep } from '@snipehaven/common';
 
 interface Row {
   readonly table: string;
@@ -23,8 +24,14 @@
   readonly remove?: readonly RowRef[];
 }
 
-/** `busy` answers 503, `silent` never answers, `reset` cuts the connection. */
-export type StoreFault = 'none' | 'busy' | 'silent' | 'reset';
+/**
+ * `busy` answers 503, `silent` never answers, `reset` cuts the connection, `slow` answers late, `lost` does
+ * what is asked and cuts the connection instead of answering.
+ */
+export type StoreFault = 'none' | 'busy' | 'silent' | 'reset' | 'slow' | 'lost';
+
+/** How late a slow store answers. */
+const SLOW_MS = 250;
 
 const toId = ({ table, part = '', key }: RowRef): string => JSON.stringify([table, part, key]);
 
@@ -113,8 +120,7 @@
     this.#calls += 1;
     const url = new URL(request.url ?? '/', 'http://store');
     const body = await readBody(request);
-    if (this.#fault !== 'none') {
-      this.#fail(response);
+    if (await this.#isSpoiled(response)) {
       return;
     }
     const handlers: Readonly<Record<string, () => Promise<void> | void>> = {
@@ -125,13 +131,29 @@
     await (handlers[url.pathname] ?? (() => send(response, 404, {})))();
   }
 
-  #fail(response: ServerResponse): void {
-    if (this.#fault === 'busy') {
-      send(response, 503, {});
-    }
-    if (this.#fault === 'reset') {
-      response.destroy();
-    }
+  /** True when the call is not to be done. */
+  async #isSpoiled(response: ServerResponse): Promise<boolean> {
+    const handlers: Readonly<Record<StoreFault, () => Promise<boolean> | boolean>> = {
+      none: () => false,
+      busy: () => {
+        send(response, 503, {});
+        return true;
+      },
+      silent: () => true,
+      reset: () => {
+        response.destroy();
+        return true;
+      },
+      slow: async () => {
+        await sleep(SLOW_MS);
+        return false;
+      },
+      lost: () => {
+        response.destroy();
+        return false;
+      },
+    };
+    return handlers[this.#fault]();
   }
 
   #get(query: URLSearchParams, response: ServerResponse): void {
--- a/packages/standins/src/published/standinUpstream.ts
+++ b/packages/standins/src/published/standinUpstream.ts
@@ -51,7 +51,7 @@
   socket.write(renderHead(request, 503, { 'X-Not-Executed': '1', 'Content-Length': '0' }));
 };
 
-const renderChunk = (text: string): string =>
+export const renderChunk = (text: string): string =>
   `${Buffer.byteLength(text).toString(16)}\r\n${text}\r\n`;
 
 export const renderEvent = (id: number): string => `id: ${id}\ndata: piece ${id}\n\n`;
--- a/packages/standins/src/silentForwarder.ts
+++ b/packages/standins/src/silentForwarder.ts
@@ -13,8 +13,8 @@
   readonly port?: number | undefined;
 }
 
-/** A cut path swallows everything without a word, or breaks connections. */
-export type CutKind = 'silent' | 'broken';
+/** A cut path swallows everything without a word, only what comes back, or breaks connections. */
+export type CutKind = 'silent' | 'oneWay' | 'broken';
 
 const DEFAULT_ADDRESS = '127.0.0.1';
 
@@ -24,20 +24,33 @@
 
   readonly #target: Socket;
 
-  #isSilent = false;
+  /** Sides whose bytes are dropped. */
+  readonly #dropped = new Set<Socket>();
 
-  constructor(client: Socket, target: Socket) {
+  readonly #delayMs: number;
+
+  constructor(client: Socket, target: Socket, delayMs: number) {
     this.#client = client;
     this.#target = target;
+    this.#delayMs = delayMs;
     this.#join(client, target);
     this.#join(target, client);
   }
 
   /** Nothing passes any more, not even a close; what arrives is dropped. */
   silence(): void {
-    this.#isSilent = true;
-    this.#client.resume();
-    this.#target.resume();
+    this.#drop(this.#client);
+    this.#drop(this.#target);
+  }
+
+  /** Nothing that the target sends passes any more. */
+  silenceAnswers(): void {
+    this.#drop(this.#target);
+  }
+
+  reset(): void {
+    this.#client.resetAndDestroy();
+    this.#target.resetAndDestroy();
   }
 
   destroy(): void {
@@ -48,20 +61,37 @@
   #join(from: Socket, to: Socket): void {
     from.setNoDelay(true);
     from.on('data', (chunk) => {
-      if (!this.#isSilent && !to.write(chunk)) {
-        from.pause();
-      }
+      this.#pass(from, () => {
+        if (!to.write(chunk)) {
+          from.pause();
+        }
+      });
     });
     to.on('drain', () => from.resume());
-    from.on('end', () => this.#pass(() => to.end()));
-    from.on('error', () => this.#pass(() => to.destroy()));
-    from.on('close', () => this.#pass(() => to.destroy()));
+    from.on('end', () => this.#pass(from, () => to.end()));
+    from.on('error', () => this.#pass(from, () => to.destroy()));
+    from.on('close', () => this.#pass(from, () => to.destroy()));
   }
 
-  #pass(act: () => void): void {
-    if (!this.#isSilent) {
+  /** A delayed pair passes on in order, as all timers of one length fire in order. */
+  #pass(from: Socket, act: () => void): void {
+    if (this.#dropped.has(from)) {
+      return;
+    }
+    if (this.#delayMs === 0) {
       act();
+      return;
     }
+    setTimeout(() => {
+      if (!this.#dropped.has(from)) {
+        act();
+      }
+    }, this.#delayMs);
+  }
+
+  #drop(from: Socket): void {
+    this.#dropped.add(from);
+    from.resume();
   }
 }
 
@@ -78,6 +108,8 @@
 
   #cut: CutKind | undefined;
 
+  #delayMs = 0;
+
   constructor(options: ForwarderOptions) {
     this.#options = options;
     this.#server = createServer({ allowHalfOpen: true }, (client) => this.#accept(client));
@@ -112,14 +144,25 @@
     this.#pairs.forEach((pair) => pair.silence());
   }
 
+  /** The connections open now are reset; new ones work. */
+  resetConnections(): void {
+    this.#pairs.forEach((pair) => pair.reset());
+  }
+
+  /** On new connections bytes pass this much later each way; 0 for at once. */
+  delay(delayMs: number): void {
+    this.#delayMs = delayMs;
+  }
+
   /** Cuts the path for connections old and new, until healed. */
   cut(kind: CutKind): void {
     this.#cut = kind;
-    if (kind === 'silent') {
-      this.silenceConnections();
-    } else {
-      this.#pairs.forEach((pair) => pair.destroy());
-    }
+    const strike: Readonly<Record<CutKind, (pair: ForwardedPair) => void>> = {
+      silent: (pair) => pair.silence(),
+      oneWay: (pair) => pair.silenceAnswers(),
+      broken: (pair) => pair.destroy(),
+    };
+    this.#pairs.forEach(strike[kind]);
   }
 
   /** New connections work again; silent ones stay silent. */
@@ -156,7 +199,10 @@
   #forward(client: Socket): void {
     const { targetAddress: host, targetPort: port } = this.#options;
     const target = connect({ host, port, allowHalfOpen: true });
-    const pair = new ForwardedPair(client, target);
+    const pair = new ForwardedPair(client, target, this.#delayMs);
+    if (this.#cut === 'oneWay') {
+      pair.silenceAnswers();
+    }
     this.#pairs.add(pair);
     const forget = (): void => {
       if (client.destroyed && target.destroyed) {
--- a/tools/definePackages.mjs
+++ b/tools/definePackages.mjs
@@ -150,6 +150,7 @@
       'daemon',
       'standins',
       'demo',
+      'platform-adapter',
     ],
     ['fast-check', '@sinonjs/fake-timers', 'pure-rand', 'undici'],
   ],
@@ -205,7 +206,9 @@
       extends: `${base}/tsconfig.base.json`,
       compilerOptions: { rootDir: 'src', outDir: 'dist', tsBuildInfoFile: 'dist/.tsbuildinfo' },
       include: ['src'],
-      references: [...own, ...forTests].map((other) => ({ path: `${up}/${other}` })),
+      references: [...own, ...forTests].map((other) => ({
+        path: other === 'platform-adapter' ? '../../platform' : `${up}/${other}`,
+      })),
     }),
   );
   if (!existsSync(`${folder}/src/index.ts`)) {
