Lost readers lean on others; two readers a data centre; changes cross data centres by one daemon

With fewer readers a data centre whose readers are all cut off from the store must hear of changes from another one. Change: a daemon that lost the store follows whoever reads in its data centre and asks again after 2 s. In a fleet of more than 16 a change also goes to one daemon of each other data centre, drawn anew, which passes it on where it is new. Work of a tenth of a second of an engine is told to the data centre at once.

--- a/packages/forwarding/src/daemon/forwardDaemon.ts
+++ b/packages/forwarding/src/daemon/forwardDaemon.ts
@@ -127,6 +127,7 @@
       localDataCentre: adapter.settings.dataCentre,
       getRepeatBudget: (service) => this.#budgets.get(service),
       getWorkPace: (service) => this.#paces.get(service),
+      notePlaced: (work) => this.#exchange.noteWork(work),
       maxKeyAgeMs: adapter.settings.revokeDeadlineMs - REVOKE_MARGIN_MS,
     });
     this.#watchers = [this.#watchOperator(), this.#watchUpstreams(), this.#watchStatus()];
@@ -271,6 +272,7 @@
       loads: this.#peerLoads,
       board: this.#board,
       logger: this.#logger,
+      random: this.#random,
       processId: getEntropySeed(),
       readOwnLoads: () => this.#readOwnLoads(),
     });
--- a/packages/forwarding/src/peers/loadExchange.ts
+++ b/packages/forwarding/src/peers/loadExchange.ts
@@ -1,6 +1,6 @@
 /** Sends this daemon's work and news to the others by datagrams, and takes theirs. */
 import { createSocket, type Socket } from 'node:dgram';
-import { getErrorMessage, type Logger } from '@snipehaven/common';
+import { getErrorMessage, pickRandom, type Logger, type Random } from '@snipehaven/common';
 import { encodeChanges, restoreChanges, type TableChanges } from './changesMessage.js';
 import {
   encodeLoadMessage,
@@ -24,6 +24,7 @@
   readonly loads: PeerLoads;
   readonly board: NewsBoard;
   readonly logger: Logger;
+  readonly random: Random;
   /** Tells this process from an earlier one of the same VM. */
   readonly processId: number;
   readOwnLoads(): ReadonlyMap<string, UpstreamLoad>;
@@ -41,6 +42,12 @@
 /** Even with nothing to tell, so that peers know that we live. */
 const IDLE_TICKS = 6;
 
+/**
+ * Work that is told to the data centre at once instead of at the next tick: a tenth of a second of an engine.
+ * Until it is known, other daemons see an idle engine and send their long prompts there too.
+ */
+const LARGE_WORK = 4_000;
+
 const getSlowness = (peers: number): number => Math.max(1, Math.ceil(peers / PEERS_PER_TICK));
 
 export class LoadExchange {
@@ -64,7 +71,7 @@
 
   async start(): Promise<void> {
     const { self, board, logger } = this.#options;
-    this.#socket.on('message', (bytes) => this.#take(bytes));
+    this.#socket.on('message', (bytes, { address }) => this.#take(bytes, address));
     this.#socket.on('error', (error) => {
       logger.warn({ event: 'loadExchangeFailed', cause: getErrorMessage(error) });
     });
@@ -85,13 +92,20 @@
     return this.#peers.size + 1;
   }
 
+  /** This daemon has placed work. */
+  noteWork(work: number): void {
+    if (work >= LARGE_WORK) {
+      this.#send(this.#options.readOwnLoads(), false);
+    }
+  }
+
   putPeer(peer: Peer): void {
     if (peer.vm !== this.#options.self.vm) {
       this.#peers.set(peer.vm, peer);
     }
   }
 
-  #take(bytes: Buffer): void {
+  #take(bytes: Buffer, host: string): void {
     const { self, loads, board } = this.#options;
     const message = parseDatagram(bytes);
     const load = restoreLoadMessage(message);
@@ -100,21 +114,44 @@
       board.take(load, performance.now());
     }
     const changes = restoreChanges(message);
-    if (changes !== undefined) {
-      board.takeChanges(changes);
+    if (changes !== undefined && board.takeChanges(changes) && this.#isFarFleetMember(host)) {
+      this.#sendTo(this.#listPeers(false), bytes);
     }
   }
 
+  /** A daemon of another data centre in a fleet too large for everyone to tell everyone. */
+  #isFarFleetMember(host: string): boolean {
+    const sender = [...this.#peers.values()].find((peer) => peer.host === host);
+    const isFar = sender !== undefined && sender.dataCentre !== this.#options.self.dataCentre;
+    return isFar && this.daemons > SMALL_FLEET;
+  }
+
   /** What a reader learns is told at once: the others ask the store for it only if they miss it. */
   #passOn(changes: TableChanges): void {
     const isRemoteToo = this.daemons <= SMALL_FLEET;
     const bytes = encodeChanges(changes);
     if (bytes !== undefined) {
       this.#sendTo(this.#listPeers(isRemoteToo), bytes);
+      this.#sendTo(isRemoteToo ? [] : this.#pickFarPeers(), bytes);
     }
     this.#send(this.#options.readOwnLoads(), isRemoteToo);
   }
 
+  /**
+   * One of each other data centre, drawn anew each time: where its readers are cut off from the store it
+   * alone tells the others, and whoever is drawn may be cut off too.
+   */
+  #pickFarPeers(): readonly Peer[] {
+    const { self, random } = this.#options;
+    const groups = new Map<string, Peer[]>();
+    for (const peer of this.#peers.values()) {
+      if (peer.dataCentre !== self.dataCentre) {
+        groups.set(peer.dataCentre, [...(groups.get(peer.dataCentre) ?? []), peer]);
+      }
+    }
+    return [...groups.values()].flatMap((group) => pickRandom(group, random) ?? []);
+  }
+
   #listPeers(isRemoteToo: boolean): readonly Peer[] {
     const { dataCentre } = this.#options.self;
     return [...this.#peers.values()].filter(
--- a/packages/forwarding/src/peers/newsBoard.test.ts
+++ b/packages/forwarding/src/peers/newsBoard.test.ts
@@ -71,6 +71,18 @@
   assert.not(board.isCovered(TABLE, 61, query));
 });
 
+// Symptom: a reader that the store turns away asks it three times a second for nine seconds. Sequence: it is
+// among the first in the readers' order, so that no others count for it. Cause: its place in the order.
+test('a reader that lost the store leans on whoever reads in its data centre', () => {
+  const board = new NewsBoard('vm-0', 'a');
+  const query = { nowMs: 10, maxAgeMs: MAX_AGE_MS };
+  board.take(createMessage('vm-1'), 0);
+  board.take(createMessage('vm-2', { dataCentre: 'b' }), 0);
+  assert.not(board.canLean(TABLE, query));
+  board.take(createMessage('vm-3'), 0);
+  assert.ok(board.canLean(TABLE, query));
+});
+
 const CHANGES: TableChanges = {
   table: TABLE,
   after: 5,
@@ -91,6 +103,14 @@
   assert.is(board.findChanges(TABLE, 5), undefined);
 });
 
+test('what was passed on before is not new', () => {
+  const board = new NewsBoard('vm-0', 'a');
+  assert.ok(board.takeChanges(CHANGES));
+  assert.not(board.takeChanges(CHANGES));
+  board.publishChanges({ ...CHANGES, upTo: 12 });
+  assert.not(board.takeChanges({ ...CHANGES, upTo: 11 }));
+});
+
 test('messages come back as they were sent, and stray datagrams are nothing', () => {
   const bytes = encodeChanges(CHANGES) ?? Buffer.of();
   assert.equal(restoreChanges(parseDatagram(bytes)), CHANGES);
--- a/packages/forwarding/src/peers/newsBoard.ts
+++ b/packages/forwarding/src/peers/newsBoard.ts
@@ -29,8 +29,9 @@
 }
 
 /**
- * Readers: a few, and more with the number of daemons. A reader's connection may go silent, and a third of
- * all machines may be cut off at once; while one reader is well the others learn of changes in time.
+ * Readers of a small fleet: a few, and more with the number of daemons. A reader's connection may go silent,
+ * and a third of all machines may be cut off at once; while one reader is well the others learn of changes
+ * in time.
  */
 const MIN_READERS = 2;
 const DAEMONS_PER_READER = 8;
@@ -39,8 +40,9 @@
 const MAX_WAITING_CHANGES = 40;
 
 /**
- * Up to this many daemons readers tell all others at once. Beyond, only those of their data centre, so that
- * each data centre needs readers of its own.
+ * Up to this many daemons readers tell all others at once. Beyond, only those of their data centre and one of
+ * each other, who passes it on where it is new; so each data centre needs readers of its own, and learns from
+ * the others' where its own are cut off.
  */
 export const SMALL_FLEET = 16;
 const MIN_LOCAL_READERS = 2;
@@ -60,6 +62,9 @@
   /** Changes that readers passed on and that were not taken yet, by table. */
   readonly #changes = new Map<string, TableChanges[]>();
 
+  /** The newest version of the store up to which changes were read or passed on, by table. */
+  readonly #newest = new Map<string, number>();
+
   readonly #dataCentre: string;
 
   #waiting: (() => void)[] = [];
@@ -88,14 +93,18 @@
 
   /** Passes on what this daemon read. */
   publishChanges(changes: TableChanges): void {
+    this.#noteNewest(changes.table, changes.upTo);
     this.#onOwnChanges(changes);
   }
 
-  takeChanges(changes: TableChanges): void {
-    const waiting = this.#changes.get(changes.table) ?? [];
+  /** False when they were passed on before. */
+  takeChanges(changes: TableChanges): boolean {
+    const { table, upTo } = changes;
+    const waiting = this.#changes.get(table) ?? [];
     waiting.push(changes);
-    this.#changes.set(changes.table, waiting.slice(-MAX_WAITING_CHANGES));
+    this.#changes.set(table, waiting.slice(-MAX_WAITING_CHANGES));
     this.#wake();
+    return this.#noteNewest(table, upTo);
   }
 
   /** Changes that go on from the version, without a gap; undefined when none is at hand. */
@@ -125,11 +134,18 @@
 
   /** Whether enough others read the table, so that this daemon need not. */
   isCovered(table: string, daemons: number, query: NewsQuery): boolean {
-    const wanted = MIN_READERS + Math.ceil(daemons / DAEMONS_PER_READER);
     const better = this.#listFresh(table, query).filter(({ vm }) => this.#isBetter(vm));
-    const local = better.filter(({ dataCentre }) => dataCentre === this.#dataCentre);
-    const hasLocal = daemons <= SMALL_FLEET || local.length >= MIN_LOCAL_READERS;
-    return better.length >= wanted && hasLocal;
+    return daemons <= SMALL_FLEET
+      ? better.length >= MIN_READERS + Math.ceil(daemons / DAEMONS_PER_READER)
+      : this.#countLocal(better) >= MIN_LOCAL_READERS;
+  }
+
+  /**
+   * Whether a daemon that lost the store can leave the reading to others, whoever they are. Asking on at the
+   * pace of a reader would cost a call each 0.3 s and table for as long as the store turns this one away.
+   */
+  canLean(table: string, query: NewsQuery): boolean {
+    return this.#countLocal(this.#listFresh(table, query)) >= MIN_LOCAL_READERS;
   }
 
   /** Undefined while no reader is heard. */
@@ -155,6 +171,19 @@
     });
   }
 
+  #countLocal(readers: readonly HeardNews[]): number {
+    return readers.filter(({ dataCentre }) => dataCentre === this.#dataCentre).length;
+  }
+
+  /** True when the version is beyond all before. */
+  #noteNewest(table: string, version: number): boolean {
+    const isNew = version > (this.#newest.get(table) ?? 0);
+    if (isNew) {
+      this.#newest.set(table, version);
+    }
+    return isNew;
+  }
+
   #note(heard: HeardNews): void {
     const { table, serverTimeMs } = heard.news;
     const readers = this.#heard.get(table) ?? new Map<string, HeardNews>();
--- a/packages/forwarding/src/runs/attempt.ts
+++ b/packages/forwarding/src/runs/attempt.ts
@@ -112,6 +112,7 @@
     this.#startedAtMs = performance.now();
     this.#work = this.#plan.startWork + this.#plan.runWork;
     this.#plan.entry.begin(this.#work);
+    this.#dependencies.notePlaced(this.#work);
     this.#armSilence();
     this.#exchange.start();
   }
--- a/packages/forwarding/src/runs/dependencies.ts
+++ b/packages/forwarding/src/runs/dependencies.ts
@@ -20,6 +20,8 @@
   getRepeatBudget(service: string): RepeatBudget;
   /** How fast the service's engines read. */
   getWorkPace(service: string): WorkPace;
+  /** Work was sent to an upstream; other daemons may have to know at once. */
+  notePlaced(work: number): void;
   /** Keyed requests are refused when the configuration was confirmed longer ago, in ms. */
   readonly maxKeyAgeMs: number;
 }
--- a/packages/forwarding/src/store/tableWatcher.test.ts
+++ b/packages/forwarding/src/store/tableWatcher.test.ts
@@ -190,7 +190,7 @@
     assert.ok(follower);
     const { board } = follower;
     const takeChanges = board.takeChanges.bind(board);
-    board.takeChanges = () => {};
+    board.takeChanges = () => false;
     store.remove('first');
     await waitUntil(() => !daemons.some((one) => one !== follower && one.known.has('first')));
     board.takeChanges = takeChanges;
--- a/packages/forwarding/src/store/tableWatcher.ts
+++ b/packages/forwarding/src/store/tableWatcher.ts
@@ -47,6 +47,9 @@
 const FIRST_BACKOFF_MS = 120;
 const MAX_BACKOFF_MS = 400;
 
+/** A reader that lost the store asks it again after this, while others read. */
+const LEAN_MS = 2_000;
+
 export class TableWatcher {
   readonly #options: WatchOptions;
 
@@ -66,6 +69,9 @@
 
   #failures = 0;
 
+  /** Until then a daemon that lost the store leaves the reading to others, if there are any. */
+  #leansUntilMs = 0;
+
   #isStopped = false;
 
   constructor(options: WatchOptions) {
@@ -106,7 +112,11 @@
 
   #isCovered(): boolean {
     const { board, table, countDaemons } = this.#options;
-    const isCovered = board.isCovered(table, countDaemons(), this.#getNewsQuery());
+    const query = this.#getNewsQuery();
+    const isCovered =
+      performance.now() < this.#leansUntilMs
+        ? board.canLean(table, query)
+        : board.isCovered(table, countDaemons(), query);
     if (isCovered) {
       board.withdraw(table);
     }
@@ -122,6 +132,7 @@
 
   /** Takes readers' news: asks the store only for what they did not pass on. */
   async #follow(asked: ClockReading, version: number): Promise<void> {
+    this.#noteBack('readers');
     this.#takePassedOn();
     if (this.#useNews(this.#version ?? version)) {
       await this.#options.board.waitForNews(NEWS_WAIT_MS);
@@ -217,10 +228,16 @@
   }
 
   #noteAnswer(): void {
+    this.#leansUntilMs = 0;
+    this.#noteBack('store');
+  }
+
+  /** The store's word comes again, by itself or by readers. */
+  #noteBack(source: 'store' | 'readers'): void {
     if (this.#failures > 0) {
       const { logger, table, listener } = this.#options;
       logger.info(
-        { event: 'storeRegained', table, failures: this.#failures },
+        { event: 'storeRegained', table, source, failures: this.#failures },
         'store answers again',
       );
       this.#failures = 0;
@@ -241,6 +258,7 @@
       logger.warn({ event: 'storeLost', table, cause: getErrorMessage(error) }, 'store lost');
     }
     this.#failures += 1;
+    this.#leansUntilMs = performance.now() + LEAN_MS;
     const backoffMs = Math.min(
       MAX_BACKOFF_MS,
       FIRST_BACKOFF_MS * 2 ** Math.min(6, this.#failures - 1),
