Between data centres only sums of work travel; each hears of the others' load within a second

Change: one daemon of a data centre, the first alive in an order known to all, tells the sum of its data centre to one daemon of each other, drawn anew each 0.6 s, who passes it on; packed. Peers stand in a directory of their own.

--- a/packages/forwarding/src/peers/changesMessage.ts
+++ b/packages/forwarding/src/peers/changesMessage.ts
@@ -1,6 +1,5 @@
 /** Changes of a table that a reader passes on to its data centre: a datagram of packed JSON. */
-import { deflateRawSync } from 'node:zlib';
-import { PACKED_MARK } from './parseDatagram.js';
+import { packDatagram } from './datagram.js';
 import type { StoreChange } from '../store/types.js';
 
 /** All changes of a table after one version of the store up to another. */
@@ -37,9 +36,7 @@
   const { table, after, upTo, serverTimeMs, items } = changes;
   const rows = items.map(({ key, version, value }): WireRow => [key, version, value ?? null]);
   const message: WireMessage = { changes: [table, after, upTo, serverTimeMs, rows] };
-  // eslint-disable-next-line n/no-sync -- some KB in memory; nothing waits for a disk or a peer
-  const packed = deflateRawSync(JSON.stringify(message));
-  const bytes = Buffer.concat([Buffer.of(PACKED_MARK), packed]);
+  const bytes = packDatagram(JSON.stringify(message));
   return bytes.length <= MAX_BYTES ? bytes : undefined;
 };
 
--- a/packages/forwarding/src/peers/parseDatagram.ts
+++ b/packages/forwarding/src/peers/datagram.ts
@@ -1,15 +1,21 @@
 /** Datagrams between daemons: JSON, or packed JSON after a mark. */
-import { inflateRawSync } from 'node:zlib';
+import { deflateRawSync, inflateRawSync } from 'node:zlib';
 
 /**
  * First byte of packed JSON; plain JSON here begins with a bracket. A configuration of forty routes packs to
  * a sixth, so that it fits where before each daemon had to read it from the store.
  */
-export const PACKED_MARK = 0x7a;
+const PACKED_MARK = 0x7a;
 
 /** Many times what a row of the store may hold: a stray datagram must not fill the memory. */
 const MAX_UNPACKED_BYTES = 4_194_304;
 
+export const packDatagram = (json: string): Buffer => {
+  // eslint-disable-next-line n/no-sync -- some KB in memory; nothing waits for a disk or a peer
+  const packed = deflateRawSync(json);
+  return Buffer.concat([Buffer.of(PACKED_MARK), packed]);
+};
+
 const unpack = (bytes: Buffer): Buffer => {
   if (bytes[0] !== PACKED_MARK) {
     return bytes;
--- a/packages/forwarding/src/peers/loadExchange.ts
+++ b/packages/forwarding/src/peers/loadExchange.ts
@@ -1,24 +1,13 @@
 /** Sends this daemon's work and news to the others by datagrams, and takes theirs. */
 import { createSocket, type Socket } from 'node:dgram';
-import { getErrorMessage, pickRandom, type Logger, type Random } from '@snipehaven/common';
+import { getErrorMessage, type Logger, type Random } from '@snipehaven/common';
 import { encodeChanges, restoreChanges, type TableChanges } from './changesMessage.js';
-import {
-  encodeLoadMessage,
-  restoreLoadMessage,
-  type LoadMessage,
-  type UpstreamLoad,
-} from './loadMessage.js';
+import { parseDatagram } from './datagram.js';
+import { encodeLoadMessage, restoreLoadMessage, type UpstreamLoad } from './loadMessage.js';
 import { SMALL_FLEET, type NewsBoard } from './newsBoard.js';
-import { parseDatagram } from './parseDatagram.js';
+import { PeerDirectory, type Peer } from './peerDirectory.js';
 import type { PeerLoads } from './peerLoads.js';
 
-export interface Peer {
-  readonly vm: string;
-  readonly dataCentre: string;
-  readonly host: string;
-  readonly port: number;
-}
-
 export interface LoadExchangeOptions {
   readonly self: Peer;
   readonly loads: PeerLoads;
@@ -33,7 +22,11 @@
 /** A prompt of usual length is read in about this time: news older than that is of little use. */
 const TICK_MS = 150;
 
-/** Bytes between data centres cost, and work there matters only when the local upstreams are full. */
+/**
+ * Bytes between data centres cost, and work there matters only when the local upstreams are full. In a large
+ * fleet only sums cross: when each of 64 daemons told 42 far ones, that was two thirds of all such bytes, and
+ * had to be so seldom that what they told was out of date for most of the time.
+ */
 const REMOTE_TICKS = 4;
 
 /** With many peers each hears from all of them: news come more slowly, at a bounded cost. */
@@ -55,7 +48,7 @@
 
   readonly #socket: Socket = createSocket('udp4');
 
-  readonly #peers = new Map<string, Peer>();
+  readonly #directory: PeerDirectory;
 
   #timer: NodeJS.Timeout | undefined;
 
@@ -67,6 +60,7 @@
 
   constructor(options: LoadExchangeOptions) {
     this.#options = options;
+    this.#directory = new PeerDirectory(options.self, options.random);
   }
 
   async start(): Promise<void> {
@@ -89,7 +83,7 @@
 
   /** Daemons known, this one among them. */
   get daemons(): number {
-    return this.#peers.size + 1;
+    return this.#directory.daemons;
   }
 
   /** This daemon has placed work. */
@@ -100,63 +94,43 @@
   }
 
   putPeer(peer: Peer): void {
-    if (peer.vm !== this.#options.self.vm) {
-      this.#peers.set(peer.vm, peer);
-    }
+    this.#directory.put(peer);
+  }
+
+  get #isSmallFleet(): boolean {
+    return this.daemons <= SMALL_FLEET;
   }
 
   #take(bytes: Buffer, host: string): void {
-    const { self, loads, board } = this.#options;
+    const { loads, board } = this.#options;
     const message = parseDatagram(bytes);
     const load = restoreLoadMessage(message);
-    if (load !== undefined && load.vm !== self.vm) {
+    if (load !== undefined && load.vm !== this.#directory.self.vm) {
       loads.take(load, performance.now());
+    }
+    if (load !== undefined && !load.isSum) {
       board.take(load, performance.now());
     }
     const changes = restoreChanges(message);
-    if (changes !== undefined && board.takeChanges(changes) && this.#isFarFleetMember(host)) {
-      this.#sendTo(this.#listPeers(false), bytes);
+    const isNew = changes !== undefined && board.takeChanges(changes);
+    const concernsAll = isNew || load?.isSum === true;
+    if (concernsAll && !this.#isSmallFleet && this.#directory.isFar(host)) {
+      this.#sendTo(this.#directory.local, bytes);
     }
   }
 
-  /** A daemon of another data centre in a fleet too large for everyone to tell everyone. */
-  #isFarFleetMember(host: string): boolean {
-    const sender = [...this.#peers.values()].find((peer) => peer.host === host);
-    const isFar = sender !== undefined && sender.dataCentre !== this.#options.self.dataCentre;
-    return isFar && this.daemons > SMALL_FLEET;
-  }
-
   /** What a reader learns is told at once: the others ask the store for it only if they miss it. */
   #passOn(changes: TableChanges): void {
-    const isRemoteToo = this.daemons <= SMALL_FLEET;
     const bytes = encodeChanges(changes);
     if (bytes !== undefined) {
-      this.#sendTo(this.#listPeers(isRemoteToo), bytes);
-      this.#sendTo(isRemoteToo ? [] : this.#pickFarPeers(), bytes);
-    }
-    this.#send(this.#options.readOwnLoads(), isRemoteToo);
-  }
-
-  /**
-   * One of each other data centre, drawn anew each time: where its readers are cut off from the store it
-   * alone tells the others, and whoever is drawn may be cut off too.
-   */
-  #pickFarPeers(): readonly Peer[] {
-    const { self, random } = this.#options;
-    const groups = new Map<string, Peer[]>();
-    for (const peer of this.#peers.values()) {
-      if (peer.dataCentre !== self.dataCentre) {
-        groups.set(peer.dataCentre, [...(groups.get(peer.dataCentre) ?? []), peer]);
-      }
+      this.#sendTo(this.#listHearers(this.#isSmallFleet), bytes);
+      this.#sendTo(this.#isSmallFleet ? [] : this.#directory.pickFar(), bytes);
     }
-    return [...groups.values()].flatMap((group) => pickRandom(group, random) ?? []);
+    this.#send(this.#options.readOwnLoads(), this.#isSmallFleet);
   }
 
-  #listPeers(isRemoteToo: boolean): readonly Peer[] {
-    const { dataCentre } = this.#options.self;
-    return [...this.#peers.values()].filter(
-      (peer) => isRemoteToo || peer.dataCentre === dataCentre,
-    );
+  #listHearers(isRemoteToo: boolean): readonly Peer[] {
+    return isRemoteToo ? this.#directory.all : this.#directory.local;
   }
 
   #sendTo(peers: readonly Peer[], bytes: Buffer): void {
@@ -166,33 +140,46 @@
   #tick(): void {
     this.#ticks += 1;
     this.#options.loads.dropSilent(performance.now());
-    const localSlowness = getSlowness(this.#listPeers(false).length);
-    if (this.#ticks % localSlowness !== 0) {
-      return;
+    const isRemoteDue = this.#ticks % REMOTE_TICKS === 0;
+    if (isRemoteDue && !this.#isSmallFleet) {
+      this.#tellSum();
+    }
+    if (this.#ticks % getSlowness(this.#directory.local.length) === 0) {
+      this.#tellLoads(isRemoteDue && this.#isSmallFleet);
     }
-    const remoteTicks = REMOTE_TICKS * getSlowness(this.#peers.size);
-    const isRemoteDue = Math.floor(this.#ticks / localSlowness) % remoteTicks === 0;
+  }
+
+  #tellLoads(isRemoteToo: boolean): void {
     const loads = this.#options.readOwnLoads();
     const content = JSON.stringify([[...loads], this.#options.board.own]);
     const isIdle = content === this.#lastSent && this.#ticks % IDLE_TICKS !== 0;
-    if (!isIdle || isRemoteDue) {
+    if (!isIdle || isRemoteToo) {
       this.#lastSent = content;
-      this.#send(loads, isRemoteDue);
+      this.#send(loads, isRemoteToo);
+    }
+  }
+
+  #send(loads: ReadonlyMap<string, UpstreamLoad>, isRemoteToo: boolean): void {
+    const news = this.#options.board.own;
+    const bytes = encodeLoadMessage({ ...this.#stamp(this.#directory.self.vm), loads, news });
+    this.#sendTo(this.#listHearers(isRemoteToo), bytes);
+  }
+
+  /** What the data centre has at the upstreams goes to one daemon of each other one, who tells it there. */
+  #tellSum(): void {
+    const { loads, readOwnLoads } = this.#options;
+    if (!this.#directory.isTeller((vm) => loads.isHeard(vm))) {
+      return;
     }
+    const { dataCentre } = this.#directory.self;
+    const sums = loads.sumUp(dataCentre, readOwnLoads());
+    const message = { ...this.#stamp(dataCentre), loads: sums, news: [], isSum: true };
+    this.#sendTo(this.#directory.pickFar(), encodeLoadMessage(message));
   }
 
-  #send(loads: ReadonlyMap<string, UpstreamLoad>, isRemoteDue: boolean): void {
-    const { self, processId } = this.#options;
+  #stamp(vm: string) {
     this.#sequence += 1;
-    const message: LoadMessage = {
-      vm: self.vm,
-      dataCentre: self.dataCentre,
-      process: processId,
-      sequence: this.#sequence,
-      loads,
-      news: this.#options.board.own,
-    };
-    const bytes = encodeLoadMessage(message);
-    this.#sendTo(this.#listPeers(isRemoteDue), bytes);
+    const { dataCentre } = this.#directory.self;
+    return { vm, dataCentre, process: this.#options.processId, sequence: this.#sequence };
   }
 }
--- a/packages/forwarding/src/peers/loadMessage.ts
+++ b/packages/forwarding/src/peers/loadMessage.ts
@@ -1,4 +1,5 @@
 /** What a daemon tells the others: its work at the upstreams, and news of the store. A datagram of JSON. */
+import { packDatagram } from './datagram.js';
 
 /** Work and requests of one daemon at one upstream. */
 export interface UpstreamLoad {
@@ -25,6 +26,8 @@
   readonly loads: ReadonlyMap<string, UpstreamLoad>;
   /** Of the tables that the sender reads; empty while it does not reach the store. */
   readonly news: readonly TableNews[];
+  /** The sum of a data centre, which stands in place of the VM's name. */
+  readonly isSum?: boolean;
 }
 
 type WireLoad = readonly [upstream: string, work: number, requests: number];
@@ -36,6 +39,7 @@
   sequence: number,
   loads: readonly WireLoad[],
   news: readonly WireNews[],
+  sum: 0 | 1,
 ];
 
 export const encodeLoadMessage = (message: LoadMessage): Buffer => {
@@ -49,9 +53,11 @@
     lastChange,
     serverTimeMs,
   ]);
-  const { vm, dataCentre, process, sequence } = message;
-  const wire: WireMessage = [vm, dataCentre, process, sequence, loads, news];
-  return Buffer.from(JSON.stringify(wire));
+  const { vm, dataCentre, process, sequence, isSum = false } = message;
+  const wire: WireMessage = [vm, dataCentre, process, sequence, loads, news, isSum ? 1 : 0];
+  const json = JSON.stringify(wire);
+  // Sums are long and cross data centres, where bytes are dear.
+  return isSum ? packDatagram(json) : Buffer.from(json);
 };
 
 /** A name and two numbers, as loads and news are. */
@@ -66,7 +72,7 @@
   if (!Array.isArray(value)) {
     return undefined;
   }
-  const [vm, dataCentre, process, sequence, loads, news] = value as unknown[];
+  const [vm, dataCentre, process, sequence, loads, news, sum] = value as unknown[];
   const isOurs =
     typeof vm === 'string' &&
     typeof dataCentre === 'string' &&
@@ -89,5 +95,6 @@
     sequence,
     loads: new Map(entries),
     news: news.map(([table, lastChange, serverTimeMs]) => ({ table, lastChange, serverTimeMs })),
+    ...(sum === 1 ? { isSum: true } : {}),
   };
 };
--- a/packages/forwarding/src/peers/newsBoard.test.ts
+++ b/packages/forwarding/src/peers/newsBoard.test.ts
@@ -3,9 +3,10 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { encodeChanges, restoreChanges, type TableChanges } from './changesMessage.js';
+import { parseDatagram } from './datagram.js';
 import { encodeLoadMessage, restoreLoadMessage, type LoadMessage } from './loadMessage.js';
 import { NewsBoard } from './newsBoard.js';
-import { parseDatagram } from './parseDatagram.js';
+import { PeerDirectory } from './peerDirectory.js';
 import { PeerLoads } from './peerLoads.js';
 
 const TABLE = 'upstreams';
@@ -116,6 +117,8 @@
   assert.equal(restoreChanges(parseDatagram(bytes)), CHANGES);
   const message = createMessage('vm-1', { loads: new Map([['u-1', { work: 12, requests: 2 }]]) });
   assert.equal(restoreLoadMessage(parseDatagram(encodeLoadMessage(message))), message);
+  const sum = { ...message, vm: 'a', isSum: true };
+  assert.equal(restoreLoadMessage(parseDatagram(encodeLoadMessage(sum))), sum);
   for (const stray of [null, 7, {}, [], ['x'], { changes: [1] }]) {
     assert.is(restoreChanges(stray), undefined);
     assert.is(restoreLoadMessage(stray), undefined);
@@ -149,4 +152,44 @@
   assert.equal(loads.get('u-1'), { work: 0, requests: 0 });
 });
 
+// Symptom: daemons of another data centre know nothing of an engine's work here, or count it twice. Sequence:
+// each daemon is heard by itself in its data centre, and as part of a sum in others.
+test('a data centre’s sum holds its daemons once, and no other data centre’s', () => {
+  const loads = new PeerLoads();
+  const here = new Map([['u-1', { work: 10, requests: 1 }]]);
+  loads.take(createMessage('vm-1', { loads: here }), 0);
+  loads.take(createMessage('vm-2', { loads: here, dataCentre: 'b' }), 0);
+  loads.take(createMessage('c', { loads: here, dataCentre: 'c', isSum: true }), 0);
+  assert.equal([...loads.sumUp('a', here)], [['u-1', { work: 20, requests: 2 }]]);
+  assert.is(loads.get('u-1').work, 30);
+});
+
+test('one daemon of a data centre tells the others, and the next when it is gone', () => {
+  const peers = VMS.map((vm) => ({ vm, dataCentre: 'a', host: vm, port: 1 }));
+  const listTellers = (isAlive: (vm: string) => boolean) =>
+    peers.filter((self) => {
+      const directory = new PeerDirectory(self, createRandom(1));
+      peers.forEach((peer) => directory.put(peer));
+      return isAlive(self.vm) && directory.isTeller(isAlive);
+    });
+  const [first, ...others] = listTellers(() => true);
+  assert.is(others.length, 0);
+  assert.is(listTellers((vm) => vm !== first?.vm).length, 1);
+});
+
+test('one daemon of each other data centre is drawn, and none of one’s own', () => {
+  const self = { vm: 'vm-0', dataCentre: 'a', host: 'h-0', port: 1 };
+  const directory = new PeerDirectory(self, createRandom(1));
+  for (const [index, dataCentre] of ['a', 'b', 'b', 'c', 'c'].entries()) {
+    directory.put({ vm: `vm-${index + 1}`, dataCentre, host: `h-${index + 1}`, port: 1 });
+  }
+  assert.equal(
+    directory.pickFar().map(({ dataCentre }) => dataCentre),
+    ['b', 'c'],
+  );
+  assert.ok(directory.isFar('h-2'));
+  assert.not(directory.isFar('h-1'));
+  assert.not(directory.isFar('unknown'));
+});
+
 test.run();
--- a/packages/forwarding/src/peers/peerLoads.ts
+++ b/packages/forwarding/src/peers/peerLoads.ts
@@ -42,6 +42,25 @@
     }
   }
 
+  /** Heard within the time after which it counts as gone. */
+  isHeard(vm: string): boolean {
+    return this.#peers.has(vm);
+  }
+
+  /** What the daemons of a data centre have, this one's own loads among them. */
+  sumUp(dataCentre: string, own: ReadonlyMap<string, UpstreamLoad>): Map<string, UpstreamLoad> {
+    const sums = new Map<string, UpstreamLoad>(own);
+    for (const { message } of this.#peers.values()) {
+      if (message.dataCentre === dataCentre && !message.isSum) {
+        for (const [upstream, { work, requests }] of message.loads) {
+          const sum = sums.get(upstream) ?? NO_LOAD;
+          sums.set(upstream, { work: sum.work + work, requests: sum.requests + requests });
+        }
+      }
+    }
+    return sums;
+  }
+
   get(upstream: string): UpstreamLoad {
     return this.#sums.get(upstream) ?? NO_LOAD;
   }
