Slow answers weigh half of a failure against a new version

Change: a slow answer weighs 0.5. Ruled out: counting overlapping waits once (daemons see them apart), expected waits from the backlog (the long prompt may come later and be read first).

--- a/packages/forwarding/src/rollouts/versionLedger.ts
+++ b/packages/forwarding/src/rollouts/versionLedger.ts
@@ -5,6 +5,13 @@
 /** An answer this many times slower than usual on the old version is as bad as a failure. */
 const SLOW_FACTOR = 4;
 
+/**
+ * A slow answer is weaker evidence than a failure: one long prompt holds up all requests behind it at its
+ * upstream, whatever the version. With a weight of 1 three answers behind one prompt rolled a good version
+ * back in six of eleven plays of calm days; with this it takes six answers.
+ */
+const SLOW_WEIGHT = 0.5;
+
 /** Short times vary by as much as this for reasons of their own. */
 const SLOW_SLACK_MS = 250;
 const TIME_SMOOTHING = 0.1;
@@ -35,13 +42,21 @@
 
   /** True when the answer was bad. */
   count(role: VersionRole, answer: RolloutAnswer): boolean {
-    const isBad = answer.isFailed || this.#isSlow(answer);
+    const weight = this.#weigh(answer);
     const { answers, bad } = fade(this.#counts[role]);
-    this.#counts[role] = { answers: answers + 1, bad: bad + (isBad ? 1 : 0) };
+    this.#counts[role] = { answers: answers + 1, bad: bad + weight };
     if (role === 'present' && answer.headMs !== undefined) {
       this.#learn(answer.workKind, answer.headMs);
     }
-    return isBad;
+    return weight > 0;
+  }
+
+  /** How bad it is, from 0 to 1. */
+  #weigh(answer: RolloutAnswer): number {
+    if (answer.isFailed) {
+      return 1;
+    }
+    return this.#isSlow(answer) ? SLOW_WEIGHT : 0;
   }
 
   #isSlow({ workKind, headMs }: RolloutAnswer): boolean {
