A build leaves no compiled code of an earlier one

Cause: V8 takes compiled code for that of any source of the same length. Change: the old code is removed before the build.

--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -4,7 +4,7 @@
  * 0.75 s. One file, without parts of libraries that are never called, and with its compiled code beside it:
  * 0.13 s (user time of `snipehavend.cjs` without settings, five starts each).
  */
-import { copyFileSync, readdirSync, writeFileSync } from 'node:fs';
+import { copyFileSync, readdirSync, rmSync, writeFileSync } from 'node:fs';
 import { createRequire } from 'node:module';
 import { resolve } from 'node:path';
 import { build } from 'esbuild';
@@ -23,6 +23,12 @@
   'hdr-histogram-js': resolve('node_modules/hdr-histogram-js/dist/HistogramBuilder.js'),
 };
 
+/**
+ * The runtime tells code of another source by its length alone: a daemon whose constant was changed from 60
+ * to 75 ran with 60. So no code of an earlier build may be left.
+ */
+rmSync('target/daemon.code', { force: true });
+
 await build({
   entryPoints: ['platform/src/main.ts'],
   outfile: 'target/daemon.cjs',
