--- a/packages/proofs/src/platformSoak/faults/operatorFaults.ts
+++ b/packages/proofs/src/platformSoak/faults/operatorFaults.ts
@@ -48,7 +48,7 @@
   }
   const end = world.faultLog.begin('fleet of upstreams', 'replaceUpstream');
   await world.operator.addBackEnd(old.service, old.version);
-  if (random.next() < 0.7) {
+  if (old.isOpen && random.next() < 0.7) {
     world.operator.drain(old);
   } else {
     world.operator.remove(old);
@@ -104,7 +104,8 @@
     await sleep(ROLLOUT_POLL_MS);
   }
   const leaving = operator.readRolloutState('models') === 'completed' ? old : fresh;
-  leaving.forEach((backEnd) => operator.drain(backEnd));
+  // Another lane may have crashed some meanwhile.
+  leaving.filter(({ isOpen }) => isOpen).forEach((backEnd) => operator.drain(backEnd));
   await sleep(DRAIN_MS + STAY_AFTER_DRAIN_MS);
   leaving.forEach((backEnd) => {
     operator.remove(backEnd);
