A second SIGTERM waits for the same end; a signal while the daemon loads does not end it

Cause: found by the platform soak. Change: leave() has one end for all who ask; the start file hears SIGHUP before it loads anything. The soak runs the bundle as deployed. Ruled out: the grace period (the process ended 1 s after the first signal, of 4).

--- a/packages/forwarding/src/daemon/forwardDaemon.ts
+++ b/packages/forwarding/src/daemon/forwardDaemon.ts
@@ -103,6 +103,8 @@
 
   #isLeaving = false;
 
+  #leaving: Promise<void> | undefined;
+
   constructor(adapter: PlatformAdapter, logger: Logger) {
     this.#adapter = adapter;
     this.#logger = logger;
@@ -173,12 +175,15 @@
 
   /**
    * Leaves without losing a request: not ready at once, but serving while the balancer still sends;
-   * then connections close with their answers; ends when nothing runs, or before it would be killed.
+   * then connections close with their answers; ends when nothing runs, or before it would be killed. A second
+   * signal waits for the same end: taken for done, it cut off all that ran.
    */
-  async leave(): Promise<void> {
-    if (this.#isLeaving) {
-      return;
-    }
+  leave(): Promise<void> {
+    this.#leaving ??= this.#leaveOnce();
+    return this.#leaving;
+  }
+
+  async #leaveOnce(): Promise<void> {
     const endAtMs = performance.now() + this.#settings.graceMs - GRACE_MARGIN_MS;
     this.#isLeaving = true;
     this.#logger.info({ event: 'leaving', inFlight: this.#front.inFlight }, 'leaving');
--- a/packages/proofs/src/platformSoak/fleet.ts
+++ b/packages/proofs/src/platformSoak/fleet.ts
@@ -1,7 +1,9 @@
 /** The daemons under test: real processes, one a VM, each with a path of its own to the store. */
+import { execFile } from 'node:child_process';
 import { writeFileSync } from 'node:fs';
 import { dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
+import { promisify } from 'node:util';
 import { sleep } from '@snipehaven/common';
 import { ManagedProcess } from '@snipehaven/demo';
 import { renderSettings, startSilentForwarder, type SilentForwarder } from '@snipehaven/standins';
@@ -15,11 +17,10 @@
 const READY_POLL_MS = 50;
 const READY_ASK_TIMEOUT_MS = 900;
 
-/** The built entry point of the deployed daemon, beside the adapter's index. */
-const DAEMON_SCRIPT = join(
-  dirname(fileURLToPath(import.meta.resolve('@snipehaven/platform-adapter'))),
-  'main.js',
-);
+const ROOT = join(dirname(fileURLToPath(import.meta.url)), '../../../..');
+
+/** As in the deploy file. */
+const RUNTIME_OPTIONS = ['--max-old-space-size=220'];
 
 /** Loaded into each daemon, so that a signal steps its time of day. */
 const CLOCK_SCRIPT = fileURLToPath(new URL('stepClock.js', import.meta.url));
@@ -48,7 +49,17 @@
     );
   }
 
+  get #program(): string {
+    return join(this.#folder, 'program');
+  }
+
+  /** Builds the program as it is deployed, and starts it on each VM. */
   async start(storeAddress: string): Promise<void> {
+    await promisify(execFile)(
+      process.execPath,
+      [...RUNTIME_OPTIONS, 'tools/bundle.mjs', this.#program],
+      { cwd: ROOT },
+    );
     const [targetAddress = '', port] = storeAddress.split(':');
     for (const vm of this.vms) {
       const path = await startSilentForwarder({ targetAddress, targetPort: Number(port) });
@@ -86,9 +97,9 @@
   spawn(vm: VmState): void {
     const child = new ManagedProcess({
       name: vm.name,
-      script: DAEMON_SCRIPT,
+      script: join(this.#program, 'snipehavend.cjs'),
       args: [],
-      nodeArgs: ['--import', CLOCK_SCRIPT],
+      nodeArgs: [...RUNTIME_OPTIONS, '--import', CLOCK_SCRIPT],
       env: { SNIPEHAVEN_SETTINGS: vm.settingsFile },
       logFile: join(this.#folder, `${vm.name}.log`),
     });
--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -1,14 +1,17 @@
 /**
- * Bundles the platform's daemon under target/. After a loss of power all daemons start at once, and until
- * they do nobody is served: a start took 0.25 s of a core, of which Node itself 0.08 s; on a third of a core
- * 0.75 s. One file, without parts of libraries that are never called, and with its compiled code beside it:
- * 0.13 s (user time of `snipehavend.cjs` without settings, five starts each).
+ * Bundles the platform's daemon under target/, or the folder given as argument. After a loss of power all
+ * daemons start at once, and until they do nobody is served: a start took 0.25 s of a core, of which Node
+ * itself 0.08 s; on a third of a core 0.75 s. One file, without parts of libraries that are never called, and
+ * with its compiled code beside it: 0.13 s (user time of `snipehavend.cjs` without settings, five starts).
  */
 import { copyFileSync, readdirSync, rmSync, writeFileSync } from 'node:fs';
 import { createRequire } from 'node:module';
-import { resolve } from 'node:path';
+import { join, resolve } from 'node:path';
 import { build } from 'esbuild';
 
+const folder = resolve(process.argv[2] ?? 'target');
+const codeFile = join(folder, 'daemon.code');
+
 /** The workspace's own packages from their sources, so that nothing is written beside target/. */
 const ownPackages = Object.fromEntries(
   readdirSync('packages').map((name) => [
@@ -27,11 +30,11 @@
  * The runtime tells code of another source by its length alone: a daemon whose constant was changed from 60
  * to 75 ran with 60. So no code of an earlier build may be left.
  */
-rmSync('target/daemon.code', { force: true });
+rmSync(codeFile, { force: true });
 
 await build({
   entryPoints: ['platform/src/main.ts'],
-  outfile: 'target/daemon.cjs',
+  outfile: join(folder, 'daemon.cjs'),
   bundle: true,
   platform: 'node',
   format: 'cjs',
@@ -42,14 +45,15 @@
   alias: { ...ownPackages, ...usedParts },
   logLevel: 'warning',
 });
-copyFileSync('tools/startDaemon.cjs', 'target/snipehavend.cjs');
+const startFile = join(folder, 'snipehavend.cjs');
+copyFileSync('tools/startDaemon.cjs', startFile);
 
 /** Compiled by this very runtime, while the daemon prints its help: most of what a start needs. */
-const { createScript, run } = createRequire(import.meta.url)('../target/snipehavend.cjs');
+const { createScript, run } = createRequire(import.meta.url)(startFile);
 const script = createScript();
 process.argv = [process.argv[0], 'snipehavend', '--help'];
 process.stdout.write = () => true;
 run(script);
 process.once('beforeExit', () => {
-  writeFileSync('target/daemon.code', script.createCachedData());
+  writeFileSync(codeFile, script.createCachedData());
 });
--- a/tools/startDaemon.cjs
+++ b/tools/startDaemon.cjs
@@ -3,6 +3,12 @@
 const { join } = require('node:path');
 const { Script } = require('node:vm');
 
+/**
+ * The platform may say that settings changed while the daemon still loads; unheard, that signal ends the
+ * process. The daemon reads its settings after this, so nothing is missed.
+ */
+process.on('SIGHUP', () => {});
+
 const SOURCE_FILE = join(__dirname, 'daemon.cjs');
 const CODE_FILE = join(__dirname, 'daemon.code');
 
