--- a/packages/proofs/src/platformSoak/callers/sendAttempt.ts
+++ b/packages/proofs/src/platformSoak/callers/sendAttempt.ts
@@ -61,7 +61,7 @@
 export const sendAttempt = (plan: AttemptPlan, records: AttemptRecord[]): Promise<AttemptRecord> =>
   new Promise((resolve) => {
     const request = sendRequest({
-      ...Fleet.getCallerUrl(plan.vm),
+      ...Fleet.getCallerAddress(plan.vm),
       path: plan.path ?? `/${plan.kind}/it`,
       method: methods[plan.kind],
       headers: buildHeaders(plan),
@@ -74,7 +74,6 @@
       team: plan.team.name,
       vm: plan.vm.name,
       sentAtMs: performance.now(),
-      isOnOldConnection: request.reusedSocket,
       endedAtMs: undefined,
       status: undefined,
       signature: undefined,
--- a/packages/proofs/src/platformSoak/fleet.ts
+++ b/packages/proofs/src/platformSoak/fleet.ts
@@ -143,7 +143,7 @@
     await Promise.all([...this.#paths.values()].map((path) => path.stop()));
   }
 
-  static getCallerUrl(vm: VmState): { host: string; port: number } {
+  static getCallerAddress(vm: VmState): { host: string; port: number } {
     return { host: vm.address, port: CALLER_PORT };
   }
 
--- a/packages/proofs/src/platformSoak/judge/promises.test.ts
+++ b/packages/proofs/src/platformSoak/judge/promises.test.ts
@@ -16,7 +16,6 @@
   team: 'north',
   vm: 'vm-a-1',
   sentAtMs: 10_000,
-  isOnOldConnection: false,
   endedAtMs: 10_100,
   status: 200,
   signature: 'signed-s-1',
--- a/packages/proofs/src/platformSoak/types.ts
+++ b/packages/proofs/src/platformSoak/types.ts
@@ -11,8 +11,6 @@
   readonly team: string;
   readonly vm: string;
   readonly sentAtMs: number;
-  /** Sent on a connection that had served before. */
-  readonly isOnOldConnection: boolean;
   endedAtMs: number | undefined;
   /** Undefined when the connection ended without the head of an answer. */
   status: number | undefined;
