--- a/packages/forwarding/src/daemon/forwardDaemon.ts
+++ b/packages/forwarding/src/daemon/forwardDaemon.ts
@@ -101,8 +101,7 @@
 
   #settings: ForwardSettings;
 
-  #isLeaving = false;
-
+  /** The end of leaving, once it has begun. */
   #leaving: Promise<void> | undefined;
 
   constructor(adapter: PlatformAdapter, logger: Logger) {
@@ -185,7 +184,6 @@
 
   async #leaveOnce(): Promise<void> {
     const endAtMs = performance.now() + this.#settings.graceMs - GRACE_MARGIN_MS;
-    this.#isLeaving = true;
     this.#logger.info({ event: 'leaving', inFlight: this.#front.inFlight }, 'leaving');
     await sleep(BALANCER_NOTICE_MS);
     this.#front.leave();
@@ -215,7 +213,9 @@
 
   #answerReadiness() {
     const isReady =
-      !this.#isLeaving && this.#configuration.table !== undefined && this.#directory.isListed;
+      this.#leaving === undefined &&
+      this.#configuration.table !== undefined &&
+      this.#directory.isListed;
     return {
       status: isReady ? 200 : 503,
       contentType: 'text/plain',
--- a/packages/forwarding/src/peers/loadExchange.ts
+++ b/packages/forwarding/src/peers/loadExchange.ts
@@ -107,9 +107,9 @@
     const load = restoreLoadMessage(message);
     if (load !== undefined && load.vm !== this.#directory.self.vm) {
       loads.take(load, performance.now());
-    }
-    if (load !== undefined && !load.isSum) {
-      board.take(load, performance.now());
+      if (!load.isSum) {
+        board.take(load, performance.now());
+      }
     }
     const changes = restoreChanges(message);
     const isNew = changes !== undefined && board.takeChanges(changes);
--- a/packages/forwarding/src/peers/peerLoads.ts
+++ b/packages/forwarding/src/peers/peerLoads.ts
@@ -14,10 +14,25 @@
 
 const NO_LOAD: UpstreamLoad = { work: 0, requests: 0 };
 
+type LoadSums = Map<string, UpstreamLoad>;
+
+/** Adds a message's loads to the sums, or takes them off; upstreams without requests are left out. */
+const addLoads = (sums: LoadSums, { loads }: LoadMessage, sign: 1 | -1): void => {
+  for (const [upstream, load] of loads) {
+    const sum = sums.get(upstream) ?? NO_LOAD;
+    const requests = sum.requests + sign * load.requests;
+    if (requests > 0) {
+      sums.set(upstream, { work: sum.work + sign * load.work, requests });
+    } else {
+      sums.delete(upstream);
+    }
+  }
+};
+
 export class PeerLoads {
   readonly #peers = new Map<string, PeerState>();
 
-  readonly #sums = new Map<string, { work: number; requests: number }>();
+  readonly #sums: LoadSums = new Map();
 
   /** Takes a peer's message unless a newer one of the same process came before. */
   take(message: LoadMessage, nowMs: number): void {
@@ -26,17 +41,17 @@
       return;
     }
     if (known !== undefined) {
-      this.#add(known, -1);
+      addLoads(this.#sums, known, -1);
     }
     this.#peers.set(message.vm, { message, heardAtMs: nowMs });
-    this.#add(message, 1);
+    addLoads(this.#sums, message, 1);
   }
 
   /** Forgets peers that fell silent. */
   dropSilent(nowMs: number): void {
     for (const [vm, { message, heardAtMs }] of this.#peers) {
       if (nowMs - heardAtMs > MAX_AGE_MS) {
-        this.#add(message, -1);
+        addLoads(this.#sums, message, -1);
         this.#peers.delete(vm);
       }
     }
@@ -48,14 +63,11 @@
   }
 
   /** What the daemons of a data centre have, this one's own loads among them. */
-  sumUp(dataCentre: string, own: ReadonlyMap<string, UpstreamLoad>): Map<string, UpstreamLoad> {
-    const sums = new Map<string, UpstreamLoad>(own);
+  sumUp(dataCentre: string, own: ReadonlyMap<string, UpstreamLoad>): LoadSums {
+    const sums: LoadSums = new Map(own);
     for (const { message } of this.#peers.values()) {
       if (message.dataCentre === dataCentre && !message.isSum) {
-        for (const [upstream, { work, requests }] of message.loads) {
-          const sum = sums.get(upstream) ?? NO_LOAD;
-          sums.set(upstream, { work: sum.work + work, requests: sum.requests + requests });
-        }
+        addLoads(sums, message, 1);
       }
     }
     return sums;
@@ -64,17 +76,4 @@
   get(upstream: string): UpstreamLoad {
     return this.#sums.get(upstream) ?? NO_LOAD;
   }
-
-  #add(message: LoadMessage, sign: 1 | -1): void {
-    for (const [upstream, { work, requests }] of message.loads) {
-      const sum = this.#sums.get(upstream) ?? { work: 0, requests: 0 };
-      sum.work += sign * work;
-      sum.requests += sign * requests;
-      if (sum.requests > 0) {
-        this.#sums.set(upstream, sum);
-      } else {
-        this.#sums.delete(upstream);
-      }
-    }
-  }
 }
--- a/packages/forwarding/src/store/tableWatcher.ts
+++ b/packages/forwarding/src/store/tableWatcher.ts
@@ -50,6 +50,10 @@
 /** A reader that lost the store asks it again after this, while others read. */
 const LEAN_MS = 2_000;
 
+/** The newest version among the items, or the one given where none is newer. */
+const findNewest = (version: number, items: readonly StoreChange[]): number =>
+  Math.max(version, ...items.map((item) => item.version));
+
 export class TableWatcher {
   readonly #options: WatchOptions;
 
@@ -156,7 +160,7 @@
       const news = changes.items.filter((item) => item.version > version);
       news.forEach((item) => listener.onChange(item, changes.serverTimeMs));
       this.#version = changes.upTo;
-      this.#lastChange = Math.max(this.#lastChange, ...news.map((item) => item.version));
+      this.#lastChange = findNewest(this.#lastChange, news);
     }
   }
 
@@ -202,9 +206,7 @@
   #findLastChange({ items, version }: StorePage<StoreRow>): number {
     const { board, table } = this.#options;
     const best = board.getBest(table, this.#getNewsQuery());
-    return best === undefined
-      ? version
-      : Math.max(best.lastChange, ...items.map((item) => item.version));
+    return best === undefined ? version : findNewest(best.lastChange, items);
   }
 
   async #readChanges(after: number, waitMs: number): Promise<number> {
@@ -214,7 +216,7 @@
     page.items.forEach((change) => listener.onChange(change, page.serverTimeMs));
     this.#version = page.version;
     const lastBefore = this.#lastChange;
-    this.#lastChange = Math.max(lastBefore, ...page.items.map((item) => item.version));
+    this.#lastChange = findNewest(lastBefore, page.items);
     this.#serverTimeMs = page.serverTimeMs;
     if (page.items.length > 0) {
       this.#publish();
