--- a/tools/definePackages.mjs
+++ b/tools/definePackages.mjs
@@ -3,6 +3,7 @@
  * dependencies between packages stand in one place and point one way.
  */
 import { mkdirSync, writeFileSync, existsSync } from 'node:fs';
+import { relative } from 'node:path';
 import { format } from 'prettier';
 
 const versions = {
@@ -176,9 +177,10 @@
   ...Object.entries(rootPackages).map(([name, spec]) => [name, ...spec]),
 ];
 
+const folderOf = new Map(allPackages.map(([name, folder]) => [name, folder]));
+
 for (const [name, folder, own, libraries, bin] of allPackages) {
-  const up = folder.startsWith('packages/') ? '..' : '../packages';
-  const base = folder.startsWith('packages/') ? '../..' : '..';
+  const base = relative(folder, '.');
   mkdirSync(`${folder}/src`, { recursive: true });
   const forTests = testPackages[name] ?? [];
   const dependencies = toOwnDependencies(own);
@@ -207,7 +209,7 @@
       compilerOptions: { rootDir: 'src', outDir: 'dist', tsBuildInfoFile: 'dist/.tsbuildinfo' },
       include: ['src'],
       references: [...own, ...forTests].map((other) => ({
-        path: other === 'platform-adapter' ? '../../platform' : `${up}/${other}`,
+        path: relative(folder, folderOf.get(other)),
       })),
     }),
   );
