--- a/packages/proofs/src/platformSoak/faultLog.ts
+++ b/packages/proofs/src/platformSoak/faultLog.ts
@@ -1,7 +1,7 @@
 /** When what was disturbed: promises with a time bound hold only for what was calm. */
 import { CONTACT_MS } from './constants.js';
 
-/** A VM's name, `store`, or `upstreams`. */
+/** A VM's name, `store` or `upstreams`; others are only counted. */
 export type FaultTarget = string;
 
 interface FaultSpan {
@@ -23,6 +23,20 @@
     };
   }
 
+  /** The target counts as disturbed until the action is over, also where it fails. */
+  async during(
+    target: FaultTarget,
+    name: string,
+    action: () => Promise<void> | void,
+  ): Promise<void> {
+    const end = this.begin(target, name);
+    try {
+      await action();
+    } finally {
+      end();
+    }
+  }
+
   /** Whether nothing disturbed the target from a contact time before the span until its end. */
   isCalm(target: FaultTarget, fromMs: number, toMs: number): boolean {
     return !this.#spans.some(
--- a/packages/proofs/src/platformSoak/faults/networkFaults.ts
+++ b/packages/proofs/src/platformSoak/faults/networkFaults.ts
@@ -2,8 +2,7 @@
 import { pickRandom, sleep, type Random } from '@snipehaven/common';
 import type { CutKind, SilentForwarder } from '@snipehaven/standins';
 import type { BackEnd } from '../outside/backEnds.js';
-import type { VmState } from '../types.js';
-import type { Fault, SoakWorld } from '../world.js';
+import { pickVm, type Fault, type SoakWorld } from '../world.js';
 
 const MIN_CUT_MS = 400;
 const CUT_SPREAD_MS = 3_000;
@@ -51,22 +50,23 @@
 export const spoilUpstreamPath: Fault = async (world, random) => {
   const backEnd = pickBackEnd(world, random);
   if (backEnd !== undefined) {
-    const end = world.faultLog.begin('upstreams', 'spoilUpstreamPath');
-    await strike(backEnd.forwarder, random);
-    end();
+    await world.faultLog.during('upstreams', 'spoilUpstreamPath', () =>
+      strike(backEnd.forwarder, random),
+    );
   }
 };
 
-export const spoilStorePath: Fault = async ({ fleet, faultLog }, random) => {
-  const vm = pickRandom(fleet.vms, random) as VmState;
-  const end = faultLog.begin(vm.name, 'spoilStorePath');
-  await strike(fleet.getStorePath(vm), random);
-  end();
+export const spoilStorePath: Fault = async (world, random) => {
+  const vm = pickVm(world, random);
+  await world.faultLog.during(vm.name, 'spoilStorePath', () =>
+    strike(world.fleet.getStorePath(vm), random),
+  );
 };
 
 /** All paths of a data centre to the store; a part of the machines that the store turns away. */
-export const cutDataCentreFromStore: Fault = async ({ fleet, faultLog }, random) => {
-  const { dataCentre } = pickRandom(fleet.vms, random) as VmState;
+export const cutDataCentreFromStore: Fault = async (world, random) => {
+  const { fleet, faultLog } = world;
+  const { dataCentre } = pickVm(world, random);
   const cut = fleet.vms.filter((vm) => vm.dataCentre === dataCentre);
   const ends = cut.map((vm) => faultLog.begin(vm.name, 'cutDataCentreFromStore'));
   cut.forEach((vm) => fleet.getStorePath(vm).cut('silent'));
--- a/packages/proofs/src/platformSoak/faults/processFaults.ts
+++ b/packages/proofs/src/platformSoak/faults/processFaults.ts
@@ -1,8 +1,8 @@
 /** Daemons killed, paused, restarted, told to read their settings, and their time of day stepped. */
-import { pickRandom, sleep, type Random } from '@snipehaven/common';
+import { sleep } from '@snipehaven/common';
 import { GRACE_S } from '../constants.js';
 import type { VmState } from '../types.js';
-import type { Fault, SoakWorld } from '../world.js';
+import { pickVm, type Fault, type SoakWorld } from '../world.js';
 
 const MIN_PAUSE_MS = 300;
 const PAUSE_SPREAD_MS = 3_500;
@@ -12,21 +12,12 @@
 const STEP_MS = 1_500;
 const SOON_MS = 150;
 
-const pickVm = ({ fleet }: SoakWorld, random: Random): VmState =>
-  pickRandom(fleet.vms, random) as VmState;
-
-const killOne = async ({ fleet, faultLog }: SoakWorld, vm: VmState): Promise<void> => {
-  const end = faultLog.begin(vm.name, 'kill');
-  await fleet.restart(vm, 'SIGKILL');
-  end();
-};
+const killOne = ({ fleet, faultLog }: SoakWorld, vm: VmState): Promise<void> =>
+  faultLog.during(vm.name, 'kill', () => fleet.restart(vm, 'SIGKILL'));
 
 /** Planned work: the VM stays calm in the fault log, so that a request lost by it counts. */
-const terminate = async ({ fleet, faultLog }: SoakWorld, vm: VmState): Promise<void> => {
-  const end = faultLog.begin(`${vm.name} planned`, 'terminate');
-  await fleet.restart(vm, 'SIGTERM');
-  end();
-};
+const terminate = ({ fleet, faultLog }: SoakWorld, vm: VmState): Promise<void> =>
+  faultLog.during(`${vm.name} planned`, 'terminate', () => fleet.restart(vm, 'SIGTERM'));
 
 export const kill: Fault = (world, random) => killOne(world, pickVm(world, random));
 
@@ -52,35 +43,35 @@
   await over;
 };
 
-export const pause: Fault = async ({ fleet, faultLog }, random) => {
-  const vm = pickRandom(fleet.vms, random) as VmState;
-  const end = faultLog.begin(vm.name, 'pause');
-  const { process: child } = vm;
-  child?.signal('SIGSTOP');
-  await sleep(MIN_PAUSE_MS + random.nextInt(PAUSE_SPREAD_MS));
-  child?.signal('SIGCONT');
-  end();
+export const pause: Fault = async (world, random) => {
+  const vm = pickVm(world, random);
+  await world.faultLog.during(vm.name, 'pause', async () => {
+    const { process: child } = vm;
+    child?.signal('SIGSTOP');
+    await sleep(MIN_PAUSE_MS + random.nextInt(PAUSE_SPREAD_MS));
+    child?.signal('SIGCONT');
+  });
 };
 
 /** Some are told by a signal; a changed file without one must be noticed too. */
 export const reload: Fault = async (world, random) => {
   for (let index = 0; index < SERIES; index += 1) {
     const vm = pickVm(world, random);
-    const end = world.faultLog.begin(`${vm.name} planned`, 'reload');
-    world.fleet.writeSettings(vm, GRACE_S + (index % 2));
-    if (random.next() < 0.5) {
-      vm.process?.signal('SIGHUP');
-    }
-    await sleep(SERIES_GAP_MS);
-    end();
+    await world.faultLog.during(`${vm.name} planned`, 'reload', async () => {
+      world.fleet.writeSettings(vm, GRACE_S + (index % 2));
+      if (random.next() < 0.5) {
+        vm.process?.signal('SIGHUP');
+      }
+      await sleep(SERIES_GAP_MS);
+    });
   }
 };
 
 export const stepClock: Fault = async (world, random) => {
   const vm = pickVm(world, random);
-  const end = world.faultLog.begin(vm.name, 'stepClock');
-  vm.process?.signal('SIGUSR2');
-  await sleep(STEP_MS);
-  vm.process?.signal('SIGUSR2');
-  end();
+  await world.faultLog.during(vm.name, 'stepClock', async () => {
+    vm.process?.signal('SIGUSR2');
+    await sleep(STEP_MS);
+    vm.process?.signal('SIGUSR2');
+  });
 };
--- a/packages/proofs/src/platformSoak/faults/storeFaults.ts
+++ b/packages/proofs/src/platformSoak/faults/storeFaults.ts
@@ -7,19 +7,17 @@
 const SPREAD_MS = 4_000;
 const kinds: readonly StoreFault[] = ['busy', 'silent', 'reset', 'slow', 'lost'];
 
-export const spoilStore: Fault = async ({ store, faultLog }, random) => {
-  const end = faultLog.begin('store', 'spoilStore');
-  store.setFault(pickRandom(kinds, random) ?? 'busy');
-  await sleep(MIN_MS + random.nextInt(SPREAD_MS));
-  store.setFault('none');
-  end();
-};
+export const spoilStore: Fault = ({ store, faultLog }, random) =>
+  faultLog.during('store', 'spoilStore', async () => {
+    store.setFault(pickRandom(kinds, random) ?? 'busy');
+    await sleep(MIN_MS + random.nextInt(SPREAD_MS));
+    store.setFault('none');
+  });
 
-export const dropHistory: Fault = async ({ store, operator, faultLog }) => {
-  const end = faultLog.begin('store', 'dropHistory');
-  operator.apply();
-  store.dropHistory();
-  operator.apply();
-  await sleep(MIN_MS);
-  end();
-};
+export const dropHistory: Fault = ({ store, operator, faultLog }) =>
+  faultLog.during('store', 'dropHistory', async () => {
+    operator.apply();
+    store.dropHistory();
+    operator.apply();
+    await sleep(MIN_MS);
+  });
--- a/packages/proofs/src/platformSoak/fleet.ts
+++ b/packages/proofs/src/platformSoak/fleet.ts
@@ -8,6 +8,7 @@
 import { ManagedProcess } from '@snipehaven/demo';
 import { renderSettings, startSilentForwarder, type SilentForwarder } from '@snipehaven/standins';
 import { request } from 'undici';
+import { waitUntil } from '../soak/watch/repeat.js';
 import { DATA_CENTRES, GRACE_S, READY_TIMEOUT_MS, RESTART_MS } from './constants.js';
 import type { VmState } from './types.js';
 
@@ -55,11 +56,7 @@
 
   /** Builds the program as it is deployed, and starts it on each VM. */
   async start(storeAddress: string): Promise<void> {
-    await promisify(execFile)(
-      process.execPath,
-      [...RUNTIME_OPTIONS, 'tools/bundle.mjs', this.#program],
-      { cwd: ROOT },
-    );
+    await promisify(execFile)('npm', ['run', '-s', 'bundle', '--', this.#program], { cwd: ROOT });
     const [targetAddress = '', port] = storeAddress.split(':');
     for (const vm of this.vms) {
       const path = await startSilentForwarder({ targetAddress, targetPort: Number(port) });
@@ -129,12 +126,8 @@
   }
 
   async waitReady(vm: VmState): Promise<void> {
-    const endAtMs = performance.now() + READY_TIMEOUT_MS;
-    while (!(await this.isReady(vm))) {
-      if (performance.now() > endAtMs) {
-        throw new Error(`${vm.name} is not ready after ${READY_TIMEOUT_MS} ms`);
-      }
-      await sleep(READY_POLL_MS);
+    if (!(await waitUntil(() => this.isReady(vm), READY_TIMEOUT_MS, READY_POLL_MS))) {
+      throw new Error(`${vm.name} is not ready after ${READY_TIMEOUT_MS} ms`);
     }
   }
 
--- a/packages/proofs/src/platformSoak/types.ts
+++ b/packages/proofs/src/platformSoak/types.ts
@@ -1,7 +1,9 @@
 /** What the soak records of callers and upstreams. */
 import type { ManagedProcess } from '@snipehaven/demo';
+import type { RouteName } from '@snipehaven/standins';
 
-export type RequestKind = 'read' | 'write' | 'chat';
+/** Each kind is sent on the route of its name. */
+export type RequestKind = RouteName;
 
 /** One caller attempt, as the caller saw it. */
 export interface AttemptRecord {
--- a/packages/proofs/src/platformSoak/world.ts
+++ b/packages/proofs/src/platformSoak/world.ts
@@ -1,10 +1,11 @@
 /** What faults act on. */
-import type { Random } from '@snipehaven/common';
+import { pickRandom, type Random } from '@snipehaven/common';
 import type { StandinStore } from '@snipehaven/standins';
 import type { FaultLog } from './faultLog.js';
 import type { Fleet } from './fleet.js';
 import type { BackEnds } from './outside/backEnds.js';
 import type { Operator } from './outside/operator.js';
+import type { VmState } from './types.js';
 
 export interface SoakWorld {
   readonly fleet: Fleet;
@@ -14,5 +15,8 @@
   readonly faultLog: FaultLog;
 }
 
+export const pickVm = ({ fleet }: SoakWorld, random: Random): VmState =>
+  pickRandom(fleet.vms, random) as VmState;
+
 /** Strikes once and resolves when the fault is over. */
 export type Fault = (world: SoakWorld, random: Random) => Promise<void>;
