An upstream that starts again under its id is another one; odd rows name none

Cause: an id was taken for one life of a worker. What changed: a directory entry stands for one life (load, failures, connections and peers' reports end with it); a row of an earlier life changes nothing, also after the removal; an entry with a field missing, of another type, or of bytes that are no text names no upstream at once, is logged once, and the others hold.

Ruled out: keeping the last good entry. Figures: no policy changed, none measured.

--- a/packages/forwarding/src/daemon/forwardDaemon.ts
+++ b/packages/forwarding/src/daemon/forwardDaemon.ts
@@ -293,7 +293,7 @@
     const loads = new Map<string, UpstreamLoad>();
     for (const entry of this.#directory.entries) {
       if (entry.ownLoad.requests > 0) {
-        loads.set(entry.id, entry.ownLoad);
+        loads.set(entry.lifeId, entry.ownLoad);
       }
     }
     return loads;
--- a/packages/forwarding/src/daemon/tableListeners.ts
+++ b/packages/forwarding/src/daemon/tableListeners.ts
@@ -1,5 +1,5 @@
-/** Takes rows of the store into the daemon's state. A row that does not decode is logged and skipped. */
-import { getErrorMessage, type Logger } from '@snipehaven/common';
+/** Takes rows of the store into the daemon's state. A row that does not decode is logged once and skipped. */
+import type { Logger } from '@snipehaven/common';
 import type { ConfigurationHolder } from '../configuration/configurationHolder.js';
 import type { Peer } from '../peers/index.js';
 import type { RolloutGuide } from '../rollouts/rolloutGuide.js';
@@ -7,26 +7,9 @@
 import type { UpstreamDirectory } from '../upstreams/index.js';
 import type { Upstream } from '../types.js';
 import type { StatusDocument } from './statusDocument.js';
+import { RowDecoder, type Row } from './rowDecoder.js';
 import type { PlatformAdapter } from './types.js';
 
-type Row = Pick<StoreRow, 'key' | 'value'>;
-
-const tryDecode = <Value>(
-  logger: Logger,
-  row: Row,
-  decode: (row: Row) => Value,
-): Value | undefined => {
-  try {
-    return decode(row);
-  } catch (error) {
-    logger.error(
-      { event: 'rowSkipped', key: row.key, cause: getErrorMessage(error) },
-      'a row does not decode; what was known before stays',
-    );
-    return undefined;
-  }
-};
-
 /** Configuration and roll-out orders. */
 export class OperatorListener implements TableListener {
   readonly #adapter: PlatformAdapter;
@@ -35,7 +18,7 @@
 
   readonly #rollouts: RolloutGuide;
 
-  readonly #logger: Logger;
+  readonly #decoder: RowDecoder;
 
   constructor(
     adapter: PlatformAdapter,
@@ -46,7 +29,7 @@
     this.#adapter = adapter;
     this.#configuration = configuration;
     this.#rollouts = rollouts;
-    this.#logger = logger;
+    this.#decoder = new RowDecoder(logger);
   }
 
   onAll(rows: readonly StoreRow[]): void {
@@ -66,7 +49,7 @@
 
   /** `isNew`: written just now, as a feed tells. */
   #take(row: StoreRow, isNew: boolean): void {
-    const document = tryDecode(this.#logger, row, (one) => this.#adapter.restoreOperatorRow(one));
+    const document = this.#decoder.decode(row, (one) => this.#adapter.restoreOperatorRow(one));
     if (document?.kind === 'configuration') {
       this.#configuration.apply(document.configuration);
     }
@@ -82,18 +65,18 @@
 
   readonly #directory: UpstreamDirectory;
 
-  readonly #logger: Logger;
+  readonly #decoder: RowDecoder;
 
   constructor(adapter: PlatformAdapter, directory: UpstreamDirectory, logger: Logger) {
     this.#adapter = adapter;
     this.#directory = directory;
-    this.#logger = logger;
+    this.#decoder = new RowDecoder(logger);
   }
 
   onAll(rows: readonly StoreRow[]): void {
     const known: Upstream[] = [];
     for (const row of rows) {
-      const upstream = this.#restore(row) ?? this.#directory.find(row.key)?.upstream;
+      const upstream = this.#restore(row);
       if (upstream !== undefined) {
         known.push(upstream);
       }
@@ -103,6 +86,7 @@
 
   onChange({ key, value }: StoreChange): void {
     if (value === undefined) {
+      this.#decoder.forget(key);
       this.#directory.remove(key);
       return;
     }
@@ -116,8 +100,13 @@
     this.#directory.noteStoreBack();
   }
 
+  /** An entry that can't be read may be another writer's: the upstream that it named is not used again. */
   #restore(row: Row): Upstream | undefined {
-    return tryDecode(this.#logger, row, (one) => this.#adapter.restoreUpstream(one));
+    const upstream = this.#decoder.decode(row, (one) => this.#adapter.restoreUpstream(one));
+    if (upstream === undefined) {
+      this.#directory.reject(row.key);
+    }
+    return upstream;
   }
 }
 
@@ -127,7 +116,7 @@
 
   readonly #rollouts: RolloutGuide;
 
-  readonly #logger: Logger;
+  readonly #decoder: RowDecoder;
 
   #storeOffsetMs: number | undefined;
 
@@ -141,7 +130,7 @@
   ) {
     this.#adapter = adapter;
     this.#rollouts = rollouts;
-    this.#logger = logger;
+    this.#decoder = new RowDecoder(logger);
     this.#onPeer = onPeer;
   }
 
@@ -167,7 +156,7 @@
   }
 
   #decode(row: StoreRow): StatusDocument | undefined {
-    return tryDecode(this.#logger, row, (one) => this.#adapter.restoreStatusRow(one));
+    return this.#decoder.decode(row, (one) => this.#adapter.restoreStatusRow(one));
   }
 
   #take(row: StoreRow, document: StatusDocument | undefined): void {
--- a/packages/forwarding/src/peers/loadMessage.ts
+++ b/packages/forwarding/src/peers/loadMessage.ts
@@ -45,7 +45,7 @@
 export const encodeLoadMessage = (message: LoadMessage): Buffer => {
   const loads = [...message.loads].map(([upstream, { work, requests }]): WireLoad => [
     upstream,
-    Math.round(work),
+    Math.max(0, Math.round(work)),
     requests,
   ]);
   const news = message.news.map(({ table, lastChange, serverTimeMs }): WireNews => [
@@ -60,12 +60,11 @@
   return isSum ? packDatagram(json) : Buffer.from(json);
 };
 
-/** A name and two numbers, as loads and news are. */
+const isAmount = (value: unknown): boolean => Number.isFinite(value) && (value as number) >= 0;
+
+/** A name and two amounts, as loads and news are. */
 const isWireEntry = (value: unknown): value is WireLoad & WireNews =>
-  Array.isArray(value) &&
-  typeof value[0] === 'string' &&
-  Number.isFinite(value[1]) &&
-  Number.isFinite(value[2]);
+  Array.isArray(value) && typeof value[0] === 'string' && isAmount(value[1]) && isAmount(value[2]);
 
 /** Undefined when the decoded datagram is no load message. */
 export const restoreLoadMessage = (value: unknown): LoadMessage | undefined => {
--- a/packages/forwarding/src/runs/findPlace.ts
+++ b/packages/forwarding/src/runs/findPlace.ts
@@ -10,6 +10,7 @@
   readonly route: ForwardRoute;
   readonly options: RequestOptions;
   readonly model: string | undefined;
+  /** Lives of upstreams, as `UpstreamEntry.lifeId`. */
   readonly usedUpstreams: ReadonlySet<string>;
 }
 
@@ -45,7 +46,7 @@
   const { directory, rollouts, random, localDataCentre, configuration } = dependencies;
   const { service, route, options, model } = question;
   const ready = rollouts.narrow(service, options, directory.listReady(service));
-  const unused = ready.filter((entry) => !question.usedUpstreams.has(entry.id));
+  const unused = ready.filter((entry) => !question.usedUpstreams.has(entry.lifeId));
   const entries = unused.length > 0 ? unused : ready;
   const work = estimateWork(route, configuration.table?.findService(service), options, model);
   const affinityKey = getAffinityKey(question);
--- a/packages/forwarding/src/runs/forwardRun.ts
+++ b/packages/forwarding/src/runs/forwardRun.ts
@@ -306,7 +306,7 @@
       this.#concludeFailure('noUpstream');
       return;
     }
-    this.#usedUpstreams.add(place.entry.id);
+    this.#usedUpstreams.add(place.entry.lifeId);
     this.#sent += 1;
     this.#attempt = new Attempt(this.#dependencies, this.#request, this, {
       ...place,
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -87,8 +87,9 @@
 export type UpstreamState = 'ready' | 'draining';
 
 export interface Upstream {
-  /** One incarnation; a restarted upstream has another id. */
   readonly id: string;
+  /** Unix ms of its start. One that starts again under its id knows nothing of its earlier life. */
+  readonly bornAtMs?: number;
   readonly service: string;
   readonly host: string;
   readonly port: number;
--- /dev/null
+++ b/packages/forwarding/src/upstreams/upstreamDirectory.test.ts
@@ -0,0 +1,72 @@
+/** Lives of upstreams, as their rows tell them. */
+import { createSilentLogger } from '@snipehaven/common';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { PeerLoads } from '../peers/index.js';
+import type { Upstream } from '../types.js';
+import { UpstreamDirectory } from './upstreamDirectory.js';
+
+const UPSTREAM: Upstream = {
+  id: 'u-1',
+  service: 's',
+  host: '127.0.0.1',
+  port: 80,
+  dataCentre: 'a',
+  softwareVersion: 'v1',
+  slots: 8,
+  state: 'ready',
+  bornAtMs: 1_000,
+};
+
+const createDirectory = (loads = new PeerLoads()): UpstreamDirectory =>
+  new UpstreamDirectory(createSilentLogger(), loads);
+
+// Symptom: a fresh upstream gets no work. Sequence: it failed and was loaded, and starts again under its id.
+// Cause: what was believed of the life before was kept for the new one.
+test('nothing of an earlier life is believed of the next', () => {
+  const loads = new PeerLoads();
+  const directory = createDirectory(loads);
+  directory.put(UPSTREAM);
+  const before = directory.find('u-1');
+  before?.begin(500);
+  before?.noteOutcome('unreachable', 0);
+  const reported = new Map([[before?.lifeId ?? '', { work: 900, requests: 3 }]]);
+  const stamp = { vm: 'vm', dataCentre: 'a', process: 1, sequence: 1, news: [] };
+  loads.take({ ...stamp, loads: reported }, 0);
+  assert.is(before?.requests, 4);
+  directory.put({ ...UPSTREAM, bornAtMs: 2_000, softwareVersion: 'v2' });
+  const after = directory.find('u-1');
+  assert.is(after?.backlog, 0);
+  assert.is(after?.requests, 0);
+  assert.is(after?.failureShare, 0);
+  assert.not(after?.isSuspect(1));
+  assert.is(after?.upstream.softwareVersion, 'v2');
+  before?.finish(500);
+  assert.is(after?.requests, 0);
+});
+
+// Symptom: requests go to an address that its worker has left. Sequence: a row of the life before is
+// acknowledged late, after the new one, or after the upstream has left for good.
+test('a row of an earlier life changes nothing, whenever it comes', () => {
+  const directory = createDirectory();
+  directory.put({ ...UPSTREAM, bornAtMs: 2_000, port: 90 });
+  directory.put(UPSTREAM);
+  assert.is(directory.find('u-1')?.upstream.port, 90);
+  const unnamed: Upstream = { ...UPSTREAM };
+  delete (unnamed as { bornAtMs?: number }).bornAtMs;
+  directory.put(unnamed);
+  assert.is(directory.find('u-1')?.upstream.port, 90);
+  directory.remove('u-1');
+  directory.put(UPSTREAM);
+  assert.is(directory.find('u-1'), undefined);
+});
+
+test('a rejected entry is not kept for the grace that a lost store gives', () => {
+  const directory = createDirectory();
+  directory.put(UPSTREAM);
+  directory.noteStoreBack();
+  directory.reject('u-1');
+  assert.is(directory.find('u-1'), undefined);
+});
+
+test.run();
--- a/packages/forwarding/src/upstreams/upstreamDirectory.ts
+++ b/packages/forwarding/src/upstreams/upstreamDirectory.ts
@@ -10,11 +10,17 @@
  */
 const LAPSE_GRACE_MS = 2_400;
 
+/** Ids whose newest life is remembered, present or not; far more than a day's upstreams. */
+const MAX_REMEMBERED_LIVES = 4_096;
+
 export class UpstreamDirectory {
   readonly #logger: Logger;
 
   readonly #entries = new Map<string, UpstreamEntry>();
 
+  /** By id, when its newest known life began. */
+  readonly #newestBirths = new Map<string, number>();
+
   #isListed = false;
 
   #graceUntilMs = 0;
@@ -53,6 +59,15 @@
   }
 
   put(upstream: Upstream): void {
+    if (this.#isOfEarlierLife(upstream)) {
+      this.#logger.info(
+        { event: 'earlierLifeIgnored', upstream: upstream.id, bornAtMs: upstream.bornAtMs },
+        'a row of an earlier life came late',
+      );
+      return;
+    }
+    this.#rememberBirth(upstream);
+    this.#endEarlierLife(upstream);
     const entry = this.#entries.get(upstream.id);
     if (entry === undefined) {
       this.#entries.set(upstream.id, new UpstreamEntry(upstream, this.#peerLoads));
@@ -68,6 +83,14 @@
     entry.update(upstream);
   }
 
+  /** Its row can't be read: it names no upstream, however sure the list is otherwise. */
+  reject(id: string): void {
+    const entry = this.#entries.get(id);
+    if (entry !== undefined) {
+      this.#drop(entry);
+    }
+  }
+
   remove(id: string): void {
     const entry = this.#entries.get(id);
     if (entry === undefined) {
@@ -89,6 +112,39 @@
     this.#isListed = true;
   }
 
+  /** A late row must not bring back an upstream that has ended, or started anew since. */
+  #isOfEarlierLife({ id, bornAtMs }: Upstream): boolean {
+    const newest = this.#newestBirths.get(id);
+    return newest !== undefined && (bornAtMs ?? 0) < newest;
+  }
+
+  #rememberBirth({ id, bornAtMs }: Upstream): void {
+    if (bornAtMs === undefined) {
+      return;
+    }
+    this.#newestBirths.delete(id);
+    this.#newestBirths.set(id, bornAtMs);
+    if (this.#newestBirths.size > MAX_REMEMBERED_LIVES) {
+      const [oldest = ''] = this.#newestBirths.keys();
+      this.#newestBirths.delete(oldest);
+    }
+  }
+
+  /**
+   * An upstream that starts again under its id would inherit load, failures, suspicion and dead connections
+   * of its earlier life. What still runs there keeps its own entry, and is judged by what that life proves.
+   */
+  #endEarlierLife(upstream: Upstream): void {
+    const entry = this.#entries.get(upstream.id);
+    if (entry !== undefined && entry.upstream.bornAtMs !== upstream.bornAtMs) {
+      this.#logger.info(
+        { event: 'upstreamRestarted', upstream: upstream.id, earlier: entry.lifeId },
+        'upstream started again',
+      );
+      this.#drop(entry);
+    }
+  }
+
   #doubt(entry: UpstreamEntry, waitMs: number): void {
     entry.doubt();
     this.#logger.info(
@@ -96,7 +152,7 @@
       'upstream missing from the list after the store was away',
     );
     setTimeout(() => {
-      if (entry.isDoubtful) {
+      if (entry.isDoubtful && this.#entries.get(entry.id) === entry) {
         this.#drop(entry);
       }
     }, waitMs).unref();
--- a/packages/forwarding/src/upstreams/upstreamEntry.ts
+++ b/packages/forwarding/src/upstreams/upstreamEntry.ts
@@ -1,4 +1,4 @@
-/** One upstream as this daemon sees it: what it sent there, and how that went. */
+/** One life of an upstream as this daemon sees it: what it sent there, and how that went. */
 import { ConnectionPool } from '../exchange/index.js';
 import type { PeerLoads, UpstreamLoad } from '../peers/index.js';
 import type { Upstream } from '../types.js';
@@ -47,18 +47,24 @@
     return this.#upstream.id;
   }
 
+  /** Names one life of the upstream: what was counted or sent in an earlier one is not this one's. */
+  get lifeId(): string {
+    const { id, bornAtMs } = this.#upstream;
+    return bornAtMs === undefined ? id : `${id}@${bornAtMs}`;
+  }
+
   get failureShare(): number {
     return this.#failureShare;
   }
 
   /** Requests in flight, of all daemons as far as known. */
   get requests(): number {
-    return this.#requests + this.#peerLoads.get(this.id).requests;
+    return this.#requests + this.#peerLoads.get(this.lifeId).requests;
   }
 
   /** Work ahead of a new request, of all daemons as far as known. */
   get backlog(): number {
-    return this.#work + this.#peerLoads.get(this.id).work;
+    return this.#work + this.#peerLoads.get(this.lifeId).work;
   }
 
   /** What this daemon has there. */
--- a/packages/proofs/src/platformSoak/outside/operator.ts
+++ b/packages/proofs/src/platformSoak/outside/operator.ts
@@ -109,6 +109,8 @@
       version,
       slots: SLOTS,
       state,
+      'cold-remaining-ms': 0,
+      sequence: 1,
     });
   }
 
