Answered lines tell whether an answer was late, and by which bound

Cause: the lines told who answered, not when: why a stream was late could not be read from them. Each answered line now has the time to the first byte, the longest pause and the route's target; each sending has what was expected there, and each second run what the first one took. No decision changed.

--- a/packages/forwarding/src/runs/attempt.ts
+++ b/packages/forwarding/src/runs/attempt.ts
@@ -61,6 +61,8 @@
 
   #startedAtMs = performance.now();
 
+  #headMs: number | undefined;
+
   #silenceMs: number;
 
   #isListening = true;
@@ -107,6 +109,11 @@
     return this.#plan.service;
   }
 
+  /** Until the upstream's answer began; absent before. */
+  get headMs(): number | undefined {
+    return this.#headMs;
+  }
+
   start(): void {
     this.#isLoadCounted = true;
     this.#startedAtMs = performance.now();
@@ -181,8 +188,9 @@
   #onHead(head: AnswerHead): void {
     this.#hear();
     const { service, workAhead, isResumed } = this.#plan;
+    const tookMs = performance.now() - this.#startedAtMs;
+    this.#headMs = tookMs;
     if (!head.facts.isNotRun && !isResumed) {
-      const tookMs = performance.now() - this.#startedAtMs;
       this.#dependencies.getWorkPace(service).note(workAhead, tookMs);
     }
     if (this.#isLoadCounted) {
--- a/packages/forwarding/src/runs/forwardRun.ts
+++ b/packages/forwarding/src/runs/forwardRun.ts
@@ -13,6 +13,7 @@
 import type { ForwardDependencies } from './dependencies.js';
 import { buildRefusal } from './buildRefusal.js';
 import { findPlace } from './findPlace.js';
+import { Punctuality, roundMs } from './punctuality.js';
 import { relayFactories, type AnswerRelay } from './relays.js';
 import { isRefused, resolveRequest, type ResolvedRequest } from './resolveRequest.js';
 import type { CallerPort, RefusalReason } from './types.js';
@@ -62,6 +63,8 @@
 
   #model: string | undefined;
 
+  readonly #punctuality: Punctuality;
+
   /** Of the answer that the caller gets. */
   #status: number | undefined;
 
@@ -85,6 +88,7 @@
     this.#port = port;
     const { route } = resolved;
     const { options, arrivedAtMs } = request;
+    this.#punctuality = new Punctuality(arrivedAtMs);
     this.#relay = relayFactories[route.kind](port, dependencies.dialect, options.lastEventId);
     [this.#model] = route.models;
     const waitMs = Math.min(route.timeoutMs, options.deadlineMs ?? Infinity);
@@ -122,6 +126,7 @@
   }
 
   onData(bytes: Buffer): void {
+    this.#punctuality.note(performance.now());
     if (!this.#relay.take(bytes)) {
       this.#attempt?.pause();
     }
@@ -129,7 +134,13 @@
 
   onEnd(): void {
     this.#relay.finish();
-    this.#log('answered', { status: this.#status, attempts: this.#sent, model: this.#model });
+    this.#log('answered', {
+      status: this.#status,
+      attempts: this.#sent,
+      model: this.#model,
+      upstreamMs: roundMs(this.#attempt?.headMs),
+      ...this.#punctuality.describe(this.#resolved.route),
+    });
     this.#finish('answered');
   }
 
@@ -180,7 +191,11 @@
     const better = this.#findBetterModel(head);
     if (better !== undefined && this.#takeRepeat('quality')) {
       this.#attempt?.abort();
-      this.#log('askedLargerModel', { confidence: head.facts.confidence, ...better });
+      this.#log('askedLargerModel', {
+        confidence: head.facts.confidence,
+        upstreamMs: roundMs(this.#attempt?.headMs),
+        ...better,
+      });
       this.#model = better.model;
       this.#sendAgain();
       return;
@@ -322,10 +337,15 @@
     this.#log('sent', {
       upstream: place.entry.id,
       backlog: Math.round(place.entry.backlog),
+      requests: place.entry.requests,
+      startWork: Math.round(place.startWork),
+      expectedMs: roundMs(this.#dependencies.getWorkPace(service).estimateMs(place.workAhead)),
       attempt: this.#sent,
       version: place.entry.upstream.softwareVersion,
       session: options.session,
       model: this.#model,
+      promptTokens: options.promptTokens,
+      maxOutputTokens: options.maxOutputTokens,
       configuration: this.#dependencies.configuration.table?.configuration.version,
       configurationAgeMs: Math.round(this.#dependencies.configuration.freshness.ageMs),
     });
