A second run is not asked for where its answer would be late

Seen on a burst of 2.2 times: 258 of 516 second runs were sent though their begin was expected in over 1 s, 89 of them in over 2.5 s; they took the time of ten first answers each.

Change: no confidence is low enough for an answer that will be late (0 in place of 20); in turn the ramp begins at 0.7 of the time left and ends at 1.2 (0.45 and 1.1).

--- a/packages/policy/src/forward/chooseModelStep.ts
+++ b/packages/policy/src/forward/chooseModelStep.ts
@@ -4,7 +4,7 @@
  *
  * How sure is sure enough follows from what waits. The largest model takes ten times the smallest one's
  * time: while upstreams have room an unsure answer is worth asking again, but when the better answer would
- * come late, or make those behind it late, the one at hand is worth more.
+ * come late, or make those behind it late, the one at hand is kept.
  */
 
 export interface CascadeInput {
@@ -34,12 +34,20 @@
 /** For the ranks after those. */
 const CALM_THRESHOLD_AFTER = 35;
 
-/** Where the better answer would be late, only one that is most likely wrong is worth it. */
-const LATE_THRESHOLD = 20;
+/**
+ * Where the better answer would be late none is worth it: an unsure answer in time is worth more to its
+ * caller than a sure one late, and the engine's time makes those behind it late as well. With 20, six days of
+ * bursts and of a hot team had 1,633 streams late and 0.662 of the worth; with 0, 393 and 0.708.
+ */
+const LATE_THRESHOLD = 0;
 
-/** Parts of the time left. Beyond the first the better answer may come late, beyond the second it will. */
-const RISKY_START_PART = 0.45;
-const LATE_START_PART = 1.1;
+/**
+ * Parts of the time left. Up to the first the better answer mostly comes in time, beyond the second it mostly
+ * does not. Estimates are right at the median: of answers expected in 1 to 1.5 s half came in 1.1 s. From
+ * 0.45 on, calm days lost 0.01 to 0.03 of the worth: prompts that are long themselves were not asked again.
+ */
+const RISKY_START_PART = 0.7;
+const LATE_START_PART = 1.2;
 
 /** Parts of the time left that others wait already: from the first on more work makes some of them late. */
 const BUSY_WAIT_PART = 0.3;
