A fleet in virtual time: engines by rounds, daemons by the shipped policy, what callers get

For tests of queueing and placing without a network: rounds with one chunk of prompts between tokens, models of different pace, parts kept by model and last use, stale news between daemons.

--- /dev/null
+++ b/packages/bench/src/fleet/index.ts
@@ -0,0 +1,2 @@
+export { playFleet } from './playFleet.js';
+export type * from './types.js';
--- /dev/null
+++ b/packages/bench/src/fleet/playFleet.ts
@@ -0,0 +1,296 @@
+/** Plays a fleet's day in virtual time, its daemons deciding by the shipped policy. */
+import { createRandom, type Random } from '@snipehaven/common';
+import {
+  choosePlace,
+  chooseNextModel,
+  getLeaveMs,
+  ModelDemand,
+  WorkPace,
+  type PlaceInput,
+} from '@snipehaven/policy';
+import { EventQueue } from '../policy/world/eventQueue.js';
+import { drawExponential, drawIndex, drawLogNormal } from '../policy/world/sampling.js';
+import { FleetEngine, type FleetRun } from './fleetEngine.js';
+import type { FleetModel, FleetOutcome, FleetPlan, FleetSwitches, RequestKind } from './types.js';
+
+/** How far a model's opinion of its answer strays from what is so. */
+const CONFIDENCE_SPREAD = 0.25;
+const TOKEN_SIGMA = 0.6;
+
+/** Daemons hear of each other's work this often. */
+const NEWS_MS = 150;
+
+/** As the daemon counts work: what a token written delays a prompt by, and what a request adds to a round. */
+const DELAY_PER_OUTPUT_TOKEN = 0.5;
+const STEP_TOKENS = 40;
+const REMOTE_MS = 40;
+
+interface PlayedRequest {
+  readonly kind: RequestKind;
+  readonly subject: string;
+  readonly ownTokens: number;
+  readonly outputTokens: number;
+  /** Models whose quality is above it answer well. */
+  readonly hardness: number;
+  readonly confidence: number;
+  readonly atMs: number;
+}
+
+interface Load {
+  work: number;
+  requests: number;
+}
+
+interface DaemonState {
+  readonly dataCentre: string;
+  readonly pace: WorkPace;
+  readonly demand: ModelDemand;
+  readonly loads: readonly Load[];
+}
+
+interface Placing {
+  readonly input: PlaceInput;
+  readonly index: number;
+  readonly startWork: number;
+  readonly runWork: number;
+  readonly backlog: number;
+}
+
+const drawRequest = (plan: FleetPlan, atMs: number, random: Random): PlayedRequest => {
+  const kind = plan.kinds[
+    drawIndex(
+      plan.kinds.map(({ perS }) => perS),
+      random,
+    )
+  ] as RequestKind;
+  const hardness = random.next();
+  const smallest = plan.models[0]?.quality ?? 1;
+  const stray = (random.next() + random.next() - 1) * CONFIDENCE_SPREAD * 2;
+  const size = drawLogNormal(1, TOKEN_SIGMA, random);
+  return {
+    kind,
+    subject: `${kind.name}-${random.nextInt(plan.subjects)}`,
+    ownTokens: Math.round(kind.ownTokens * size),
+    outputTokens: Math.max(1, Math.round(kind.outputTokens * size)),
+    hardness,
+    confidence: 100 * Math.min(1, Math.max(0, 0.5 + (smallest - hardness) + stray)),
+    atMs,
+  };
+};
+
+class FleetPlay {
+  readonly #plan: FleetPlan;
+
+  readonly #switches: FleetSwitches;
+
+  readonly #clock = new EventQueue();
+
+  readonly #random: Random;
+
+  readonly #engines: readonly FleetEngine[];
+
+  readonly #daemons: readonly DaemonState[];
+
+  /** What all daemons had at each engine when they last told. */
+  #told: readonly (readonly Load[])[] = [];
+
+  #requests = 0;
+
+  #onTime = 0;
+
+  #onTimeAndRight = 0;
+
+  #askedAgain = 0;
+
+  constructor(plan: FleetPlan, switches: FleetSwitches) {
+    this.#plan = plan;
+    this.#switches = switches;
+    this.#random = createRandom(plan.seed);
+    const everRead = new Set<string>();
+    this.#engines = Array.from(
+      { length: plan.engines },
+      () => new FleetEngine(plan.shape, this.#clock, everRead),
+    );
+    this.#daemons = Array.from({ length: plan.daemons }, (_, index) => ({
+      dataCentre: this.#nameDataCentre(index),
+      pace: new WorkPace(),
+      demand: new ModelDemand(),
+      loads: this.#engines.map(() => ({ work: 0, requests: 0 })),
+    }));
+  }
+
+  play(): FleetOutcome {
+    this.#scheduleArrivals();
+    for (let atMs = 0; atMs < this.#plan.lengthMs; atMs += NEWS_MS) {
+      this.#clock.schedule(atMs, () => this.#tellLoads());
+    }
+    this.#clock.runUntil(this.#plan.lengthMs * 2);
+    const readAgain = this.#engines.reduce((sum, one) => sum + one.readAgainTokens, 0);
+    return {
+      requests: this.#requests,
+      onTime: this.#onTime / this.#requests,
+      onTimeAndRight: this.#onTimeAndRight / this.#requests,
+      askedAgain: this.#askedAgain / this.#requests,
+      readAgainK: Math.round(readAgain / 1_000),
+    };
+  }
+
+  #nameDataCentre(index: number): string {
+    return `dc-${index % this.#plan.dataCentres}`;
+  }
+
+  #scheduleArrivals(): void {
+    const { kinds, burst, lengthMs } = this.#plan;
+    const perMs = kinds.reduce((sum, { perS }) => sum + perS, 0) / 1_000;
+    let atMs = 0;
+    while (atMs < lengthMs) {
+      const isBurst = burst !== undefined && atMs >= burst.fromMs && atMs < burst.toMs;
+      atMs += drawExponential(1 / (perMs * (isBurst ? burst.factor : 1)), this.#random);
+      const request = drawRequest(this.#plan, atMs, this.#random);
+      const daemon = this.#daemons[this.#random.nextInt(this.#daemons.length)] as DaemonState;
+      this.#clock.schedule(atMs, () => this.#serve(daemon, request));
+    }
+  }
+
+  #tellLoads(): void {
+    this.#told = this.#daemons.map(({ loads }) => loads.map((load) => ({ ...load })));
+  }
+
+  #serve(daemon: DaemonState, request: PlayedRequest): void {
+    this.#requests += 1;
+    const smallest = this.#plan.models[0] as FleetModel;
+    this.#run(daemon, request, smallest, undefined);
+  }
+
+  /** Sends the request to an engine; `used` has answered already. */
+  #run(
+    daemon: DaemonState,
+    request: PlayedRequest,
+    model: FleetModel,
+    used: number | undefined,
+  ): void {
+    const placing = this.#place(daemon, request, model, used);
+    const { index, startWork, runWork, backlog } = placing;
+    const engine = this.#engines[index] as FleetEngine;
+    const load = daemon.loads[index] as Load;
+    load.work += startWork + runWork;
+    load.requests += 1;
+    daemon.demand.note(model.name, startWork + runWork);
+    const sentAtMs = this.#clock.nowMs;
+    const settle = (work: number): void => {
+      load.requests -= 1;
+      load.work -= work;
+    };
+    const run: FleetRun = {
+      model,
+      subject: request.kind.sharedTokens > 0 ? request.subject : '',
+      sharedTokens: request.kind.sharedTokens,
+      ownTokens: request.ownTokens,
+      outputTokens: request.outputTokens,
+      priority: request.kind.priority,
+      onBegin: () => {
+        daemon.pace.note(backlog + startWork, this.#clock.nowMs - sentAtMs);
+        load.work -= startWork;
+        if (used === undefined && this.#wantsLarger(daemon, request, index)) {
+          engine.cancel(run);
+          settle(runWork);
+          this.#askedAgain += 1;
+          this.#run(daemon, request, this.#plan.models.at(-1) as FleetModel, index);
+          return;
+        }
+        this.#noteAnswer(request, model);
+      },
+      onEnd: () => settle(runWork),
+    };
+    engine.submit(run);
+  }
+
+  #noteAnswer(request: PlayedRequest, { quality }: FleetModel): void {
+    if (this.#clock.nowMs - request.atMs <= request.kind.targetMs) {
+      this.#onTime += 1;
+      this.#onTimeAndRight += request.hardness <= quality ? 1 : 0;
+    }
+  }
+
+  #wantsLarger(daemon: DaemonState, request: PlayedRequest, used: number): boolean {
+    const largest = this.#plan.models.at(-1) as FleetModel;
+    const place = this.#place(daemon, request, largest, used);
+    const leftMs = request.atMs + request.kind.targetMs - this.#clock.nowMs;
+    const { followsLoad } = this.#switches;
+    const next = chooseNextModel(
+      {
+        models: this.#plan.models.map(({ name }) => name),
+        confidence: request.confidence,
+        onTimeLeftMs: leftMs,
+        waitMs: followsLoad ? daemon.pace.estimateMs(place.backlog) : 0,
+        expectedStartMs: followsLoad ? daemon.pace.estimateMs(place.backlog + place.startWork) : 0,
+        priority: request.kind.priority,
+        canAttemptAgain: true,
+      },
+      this.#plan.models[0]?.name ?? '',
+    );
+    return next !== undefined;
+  }
+
+  #getBacklog(daemon: DaemonState, index: number): Load {
+    const own = daemon.loads[index] as Load;
+    const at = this.#daemons.indexOf(daemon);
+    const others = this.#told.filter((_loads, told) => told !== at);
+    return others.reduce<Load>(
+      (sum, loads) => ({
+        work: sum.work + (loads[index]?.work ?? 0),
+        requests: sum.requests + (loads[index]?.requests ?? 0),
+      }),
+      { ...own },
+    );
+  }
+
+  #place(
+    daemon: DaemonState,
+    request: PlayedRequest,
+    model: FleetModel,
+    used: number | undefined,
+  ): Placing {
+    const largestCost = this.#plan.models.at(-1)?.costPer1000Tokens ?? 1;
+    const share = model.costPer1000Tokens / largestCost;
+    const loads = this.#engines.map((_engine, index) => this.#getBacklog(daemon, index));
+    const meanWork = loads.reduce((sum, { work }) => sum + work, 0) / loads.length;
+    const { hasLanes, hasSharedHomes } = this.#switches;
+    const names = this.#plan.models.map(({ name }) => name);
+    const lane = hasLanes ? daemon.demand.findLane(names, model.name) : undefined;
+    const sharedWork = request.kind.sharedTokens * share;
+    const wayThere = daemon.pace.estimateWork(REMOTE_MS);
+    const remotePenalty = hasSharedHomes ? wayThere : Math.max(wayThere, sharedWork);
+    const input: PlaceInput = {
+      candidates: loads.map(({ work, requests }, index) => ({
+        id: `engine-${index}`,
+        dataCentre: this.#nameDataCentre(index),
+        remotePenalty: this.#nameDataCentre(index) === daemon.dataCentre ? 0 : remotePenalty,
+        backlog: work,
+        requests,
+        occupancy: requests / this.#plan.shape.slots,
+        failureShare: 0,
+        isSuspect: index === used,
+      })),
+      sharedWork,
+      ownWork: (STEP_TOKENS + request.ownTokens) * share,
+      leavePenalty: daemon.pace.estimateWork(getLeaveMs(daemon.pace.estimateMs(meanWork))),
+      random: this.#random.next(),
+      ...(lane === undefined ? {} : { lane }),
+      ...(sharedWork > 0 ? { affinityKey: `${model.name}|${request.subject}` } : {}),
+    };
+    const placed = choosePlace(input);
+    const index = Number(placed?.id.slice('engine-'.length) ?? 0);
+    return {
+      input,
+      index,
+      startWork: input.ownWork + (placed?.isOwner ? 0 : sharedWork),
+      runWork: request.outputTokens * DELAY_PER_OUTPUT_TOKEN * share,
+      backlog: loads[index]?.work ?? 0,
+    };
+  }
+}
+
+/** The same plan and switches give the same outcome. */
+export const playFleet = (plan: FleetPlan, switches: FleetSwitches): FleetOutcome =>
+  new FleetPlay(plan, switches).play();
