snipectl account: where late and unserved requests spent their time

Reads the lines of any number of daemons and tells for each request that was late, refused or left by its caller which step took most of its time (here, first run, second run, failed runs, pauses) and the decision behind it with its inputs; a table by route, and a page with each engine's requests over time. For whoever is on call, on any deployment; it says so when a file holds no such lines. No decision changed, none measured.

--- /dev/null
+++ b/packages/cli/src/account/index.ts
@@ -0,0 +1,3 @@
+export { buildAccount } from './buildAccount.js';
+export { buildAccountPage, formatAccount } from './formatAccount.js';
+export type * from './types.js';
--- a/packages/cli/src/commands/index.ts
+++ b/packages/cli/src/commands/index.ts
@@ -1,5 +1,6 @@
 /** All commands. */
 import { Builtins } from 'clipanion';
+import { AccountCommand } from './accountCommand.js';
 import { ApplyCommand } from './applyCommand.js';
 import { CompletionCommand } from './completionCommand.js';
 import { ConfigCheckCommand } from './configCheckCommand.js';
@@ -37,6 +38,7 @@
   BillingCommand,
   TimelineCommand,
   ReportCommand,
+  AccountCommand,
   StatusCommand,
   MembersCommand,
   TopCommand,
