A follower whose clock stepped asks the store itself

Cause: it lived by readers' news; after a step of its time of day its offset to the store's clock is unsure, news confirm nothing, and that was passed over in silence, so it never asked. Ruled out: a lost store (news of other tables were taken meanwhile). Now news that confirm nothing count as news that are not taken, and the store is asked once.

--- a/packages/forwarding/src/configuration/freshness.ts
+++ b/packages/forwarding/src/configuration/freshness.ts
@@ -58,19 +58,21 @@
   }
 
   /**
-   * Confirms by what another daemon heard of the store at that time on the store's steady clock. Counts only
-   * while our offset to that clock is sure.
+   * Confirms by what another daemon heard of the store at that time on the store's steady clock. False when
+   * our offset to that clock is not sure, as after a step of the time of day: only an answer of the store to
+   * ourselves finds it anew. A follower that went on with others' news refused keyed requests from then on.
    */
-  confirmByPeer(serverTimeMs: number): void {
+  confirmByPeer(serverTimeMs: number): boolean {
     const ahead = getAhead(readClocks());
     const offset = this.#offset;
     if (offset === undefined || Math.abs(offset.ahead - ahead) >= MAX_DRIFT_MS) {
-      return;
+      return false;
     }
     const steadyMs = serverTimeMs + offset.leastMs;
     if (this.#confirmed !== undefined && steadyMs > this.#confirmed.steadyMs) {
       this.#confirmed = { steadyMs, timeOfDayMs: steadyMs + ahead };
     }
+    return true;
   }
 
   /** Infinite before the first confirmation. */
--- a/packages/forwarding/src/store/tableWatcher.test.ts
+++ b/packages/forwarding/src/store/tableWatcher.test.ts
@@ -12,6 +12,7 @@
 const READERS = 4;
 const WAIT_MS = 60;
 const POLL_MS = 5;
+const STEP_MS = 60_000;
 
 /** Rows of one table; other tables only raise the version. */
 class MemoryStore {
@@ -79,11 +80,13 @@
   readonly board: NewsBoard;
   readonly watcher: TableWatcher;
   readonly known: Set<string>;
+  readonly freshness: Freshness;
 }
 
 const createDaemon = (vm: string, store: MemoryStore): Daemon => {
   const board = new NewsBoard(vm, 'a');
   const known = new Set<string>();
+  const freshness = new Freshness();
   const watcher = new TableWatcher({
     table: TABLE,
     getWaitMs: () => WAIT_MS,
@@ -101,11 +104,11 @@
     },
     logger: createSilentLogger(),
     random: createRandom(1),
-    freshness: new Freshness(),
+    freshness,
     board,
     countDaemons: () => DAEMONS,
   });
-  return { vm, board, watcher, known };
+  return { vm, board, watcher, known, freshness };
 };
 
 const TELL_MS = 10;
@@ -199,4 +202,22 @@
   });
 });
 
+// Symptom: a daemon refuses keyed requests for good, 18 s in a soak, while the store is well and its news
+// come. Sequence: a follower's time of day steps. Cause: others' news confirm nothing then; it asked nobody.
+test('a follower whose time of day stepped asks the store itself, and is fresh again', async () => {
+  await play(async (store, daemons) => {
+    const followers = daemons.filter(({ board }) => board.own.length === 0);
+    const before = followers.map(({ vm }) => store.getCalls(vm));
+    const readTime = Date.now;
+    Date.now = () => readTime() + STEP_MS;
+    try {
+      const hasAsked = ({ vm }: Daemon, index: number) => store.getCalls(vm) > (before[index] ?? 0);
+      await waitUntil(() => followers.every(hasAsked));
+      await waitUntil(() => followers.every(({ freshness }) => freshness.ageMs < STEP_MS));
+    } finally {
+      Date.now = readTime;
+    }
+  });
+});
+
 test.run();
--- a/packages/forwarding/src/store/tableWatcher.ts
+++ b/packages/forwarding/src/store/tableWatcher.ts
@@ -164,17 +164,14 @@
     }
   }
 
-  /** False when readers know of a change that is not taken here. */
+  /** False when readers know of a change that is not taken here, or their news confirm nothing here. */
   #useNews(version: number): boolean {
     const { board, table, freshness } = this.#options;
     const best = board.getBest(table, this.#getNewsQuery());
     if (best !== undefined && best.lastChange > version) {
       return false;
     }
-    if (best !== undefined) {
-      freshness.confirmByPeer(best.serverTimeMs);
-    }
-    return true;
+    return best === undefined || freshness.confirmByPeer(best.serverTimeMs);
   }
 
   #note(asked: ClockReading, serverTimeMs: number): void {
