Daemons join by seeds and follow two readers; a lost store is asked by few

Cause: each of 195 daemons read three tables and wrote a row of its own at its start, and each row woke all readers: 2,768 calls before the first request; two readers for each table in each of five data centres; and a store that was down was asked by all at the pace of the first. Now a daemon that starts asks the daemons that the settings name for tables, other daemons and a bound of the store's clock; two daemons of two data centres read for all, and others take over by turns; questions to a lost store grow rarer by the square of a daemon's rank. Only daemons that read leave their address in the store. Lists of daemons are told to one other each 3 s, and who was not heard of for two minutes is forgotten.

Ruled out: two readers wherever they are (a data centre that is cut off took both); a first question that is held (keys were 6.5 s old); one list at the start (daemons that start within its 150 ms know nothing of each other).

--- a/packages/forwarding/src/configuration/configurationHolder.ts
+++ b/packages/forwarding/src/configuration/configurationHolder.ts
@@ -2,12 +2,13 @@
 import type { Logger } from '@snipehaven/common';
 import type { ForwardConfiguration } from '../types.js';
 import { Freshness } from './freshness.js';
+import { StoreClock } from './storeClock.js';
 import { RouteTable } from './routeTable.js';
 
 export type ConfigurationListener = (table: RouteTable) => void;
 
 export class ConfigurationHolder {
-  readonly freshness = new Freshness();
+  readonly freshness: Freshness;
 
   readonly #logger: Logger;
 
@@ -15,8 +16,9 @@
 
   #table: RouteTable | undefined;
 
-  constructor(logger: Logger) {
+  constructor(logger: Logger, clock: StoreClock = new StoreClock()) {
     this.#logger = logger;
+    this.freshness = new Freshness(clock);
   }
 
   /** Undefined before the first configuration. */
--- a/packages/forwarding/src/configuration/freshness.test.ts
+++ b/packages/forwarding/src/configuration/freshness.test.ts
@@ -2,7 +2,8 @@
 import FakeTimers, { type Clock } from '@sinonjs/fake-timers';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
-import { Freshness, readClocks } from './freshness.js';
+import { Freshness } from './freshness.js';
+import { readClocks } from './storeClock.js';
 
 interface Context {
   clock: Clock;
@@ -42,16 +43,16 @@
   assert.ok(context.freshness.ageMs <= 4, String(context.freshness.ageMs));
 });
 
-// Symptom: a revoked key is let in. Sequence: an answer is long on its way back. Cause: the state was dated
-// by the answer's arrival.
+// Symptom: a revoked key is let in. Sequence: an answer is long on its way back. Cause: the state was
+// dated by the answer's arrival.
 test('the way back of an answer does not make it fresher', (context) => {
   ask(context, 2, 2);
   ask(context, 2_000, 3_000);
   assert.ok(context.freshness.ageMs >= 3_000);
 });
 
-// Symptom: a revoked key is let in after a suspension. Sequence: the machine sleeps while a feed is held; the
-// steady clock stands still. Cause: the offset to the store's clock is from before.
+// Symptom: a revoked key is let in after a suspension. Sequence: the machine sleeps while a feed is
+// held; the steady clock stands still. Cause: the offset to the store's clock is from before.
 test('after a suspension only the question’s time counts, by the time of day', (context) => {
   const { clock, freshness } = context;
   ask(context, 2, 2);
@@ -75,7 +76,8 @@
 });
 
 // Symptom: keyed requests are refused for good though the store is well. Sequence: a daemon lives by
-// readers' news; its time of day steps. Cause: its offset to the store's clock is unsure, and it went on.
+// readers' news; its time of day steps. Cause: its offset to the store's clock is unsure, and it went
+// on.
 test('after a step of the time of day others’ news say that they confirm nothing', (context) => {
   const { clock, freshness } = context;
   ask(context, 2, 2);
--- a/packages/forwarding/src/configuration/freshness.ts
+++ b/packages/forwarding/src/configuration/freshness.ts
@@ -4,22 +4,7 @@
  * would still be let in. The time of day counted the pause; the older of both readings is taken. A
  * time of day that jumps forward makes knowledge look older, which is safe: it is confirmed anew.
  */
-
-export interface ClockReading {
-  readonly steadyMs: number;
-  readonly timeOfDayMs: number;
-}
-
-export const readClocks = (): ClockReading => ({
-  steadyMs: performance.now(),
-  timeOfDayMs: Date.now(),
-});
-
-/** How far the time of day is ahead of the steady clock; it changes by jumps and by suspensions. */
-const getAhead = ({ steadyMs, timeOfDayMs }: ClockReading): number => timeOfDayMs - steadyMs;
-
-/** The time of day drifts by less than this between two answers of the store. */
-const MAX_DRIFT_MS = 50;
+import { StoreClock, getAhead, isSameAhead, readClocks, type ClockReading } from './storeClock.js';
 
 /** An answer of the store: when it was asked for, and the store's steady clock as it answered. */
 export interface StoreAnswer {
@@ -28,49 +13,45 @@
 }
 
 export class Freshness {
+  readonly #clock: StoreClock;
+
   #confirmed: ClockReading | undefined;
 
-  /** The least that our steady clock can be ahead of the store's, and the clocks when that was found. */
-  #offset: { readonly leastMs: number; readonly ahead: number } | undefined;
+  constructor(clock: StoreClock = new StoreClock()) {
+    this.#clock = clock;
+  }
 
   /**
-   * Confirms what is known by an answer of the store. An answer held back by the store tells its state at the
-   * answer, not at the question, two or three seconds earlier: that moment is known by the store's steady
-   * clock, as all earlier answers came after their questions. Where the clocks jumped since, only
-   * the question's time is sure.
+   * Confirms what is known by an answer of the store. An answer held back by the store tells its state
+   * at the answer, not at the question, two or three seconds earlier: that moment is known by the
+   * store's steady clock, as all earlier answers came after their questions. Where the clocks jumped
+   * since, only the question's time is sure.
    */
   confirm({ asked, serverTimeMs }: StoreAnswer): void {
-    const now = readClocks();
-    const ahead = getAhead(now);
-    const isOffsetSound =
-      this.#offset !== undefined &&
-      Math.abs(this.#offset.ahead - ahead) < MAX_DRIFT_MS &&
-      Math.abs(getAhead(asked) - ahead) < MAX_DRIFT_MS;
-    const leastMs = asked.steadyMs - serverTimeMs;
-    if (!isOffsetSound || this.#offset === undefined) {
-      this.#offset = { leastMs, ahead };
+    const ahead = getAhead(readClocks());
+    const wasSure = this.#clock.noteAnswer(asked.steadyMs, serverTimeMs);
+    const answeredMs = this.#clock.toSteadyMs(serverTimeMs);
+    if (!wasSure || answeredMs === undefined || !isSameAhead(getAhead(asked), ahead)) {
       this.#confirmed = asked;
       return;
     }
-    this.#offset = { leastMs: Math.max(leastMs, this.#offset.leastMs), ahead };
-    const steadyMs = Math.max(asked.steadyMs, serverTimeMs + this.#offset.leastMs);
+    const steadyMs = Math.max(asked.steadyMs, answeredMs);
     this.#confirmed = { steadyMs, timeOfDayMs: steadyMs + ahead };
   }
 
   /**
-   * Confirms by what another daemon heard of the store at that time on the store's steady clock. False when
-   * our offset to that clock is not sure, as after a step of the time of day: only an answer of the store to
-   * ourselves finds it anew. A follower that went on with others' news refused keyed requests from then on.
+   * Confirms by what another daemon heard of the store at that time on the store's steady clock. False
+   * when our offset to that clock is not sure, as after a step of the time of day: only an answer to a
+   * question of ours finds it anew. A follower that went on with others' news refused keyed requests
+   * from then on.
    */
   confirmByPeer(serverTimeMs: number): boolean {
-    const ahead = getAhead(readClocks());
-    const offset = this.#offset;
-    if (offset === undefined || Math.abs(offset.ahead - ahead) >= MAX_DRIFT_MS) {
+    const steadyMs = this.#clock.toSteadyMs(serverTimeMs);
+    if (steadyMs === undefined) {
       return false;
     }
-    const steadyMs = serverTimeMs + offset.leastMs;
-    if (this.#confirmed !== undefined && steadyMs > this.#confirmed.steadyMs) {
-      this.#confirmed = { steadyMs, timeOfDayMs: steadyMs + ahead };
+    if (steadyMs > (this.#confirmed?.steadyMs ?? -Infinity)) {
+      this.#confirmed = { steadyMs, timeOfDayMs: steadyMs + getAhead(readClocks()) };
     }
     return true;
   }
--- a/packages/forwarding/src/daemon/forwardDaemon.ts
+++ b/packages/forwarding/src/daemon/forwardDaemon.ts
@@ -3,14 +3,15 @@
 import { ModelDemand, RepeatBudget, WorkPace } from '@snipehaven/policy';
 import { ConfigurationHolder } from '../configuration/configurationHolder.js';
 import { Freshness } from '../configuration/freshness.js';
+import { StoreClock } from '../configuration/storeClock.js';
 import { ForwardMetrics, FrontServer, StatusServer } from '../edge/index.js';
 import { RolloutGuide, RolloutKeeper } from '../rollouts/index.js';
 import { TableWatcher, type RowStore } from '../store/index.js';
 import { UpstreamDirectory } from '../upstreams/index.js';
 import {
-  LoadExchange,
   NewsBoard,
   PeerDirectory,
+  PeerExchange,
   PeerLoads,
   createUdpPort,
   type Peer,
@@ -74,7 +75,9 @@
 
   readonly #rollouts: RolloutGuide;
 
-  readonly #statusFreshness = new Freshness();
+  readonly #storeClock = new StoreClock();
+
+  readonly #statusFreshness = new Freshness(this.#storeClock);
 
   readonly #statusListener: StatusListener;
 
@@ -82,7 +85,7 @@
 
   readonly #board: NewsBoard;
 
-  readonly #exchange: LoadExchange;
+  readonly #exchange: PeerExchange;
 
   readonly #metrics = new ForwardMetrics();
 
@@ -106,6 +109,8 @@
 
   readonly #stores: RowStore[] = [];
 
+  readonly #stopping = new AbortController();
+
   #settings: ForwardSettings;
 
   /** The end of leaving, once it has begun. */
@@ -115,7 +120,7 @@
     this.#adapter = adapter;
     this.#logger = logger;
     this.#settings = adapter.settings;
-    this.#configuration = new ConfigurationHolder(logger);
+    this.#configuration = new ConfigurationHolder(logger, this.#storeClock);
     this.#directory = new UpstreamDirectory(logger, this.#peerLoads);
     const { vmName, sessionTtlMs, allowedExposure } = adapter.settings;
     this.#board = new NewsBoard(vmName, adapter.settings.dataCentre);
@@ -126,8 +131,12 @@
       sessionTtlMs,
       allowedExposure,
     });
-    this.#statusListener = new StatusListener(adapter, this.#rollouts, logger, (peer) =>
-      this.#exchange.putPeer(peer),
+    this.#statusListener = new StatusListener(
+      adapter,
+      this.#rollouts,
+      logger,
+      this.#storeClock,
+      (peer) => this.#exchange.putPeer(peer),
     );
     this.#exchange = this.#createExchange();
     this.#front = new FrontServer({
@@ -155,11 +164,18 @@
     await this.#front.listen(callerAddress);
     await this.#readiness.listen(readinessAddress);
     await this.#metricsServer.listen(metricsAddress);
+    await this.#exchange.start();
     this.#watchers.forEach((watcher) => {
       void watcher.run();
     });
-    await this.#exchange.start();
-    void announcePeer(this.#adapter, this.#createStore(), this.#getSelf(), this.#logger);
+    void announcePeer({
+      adapter: this.#adapter,
+      store: this.#createStore(),
+      self: this.#getSelf(),
+      logger: this.#logger,
+      signal: this.#stopping.signal,
+      isReading: () => this.#board.own.length > 0,
+    });
     setInterval(() => this.reload('check'), SETTINGS_CHECK_MS).unref();
     this.#logger.info({ event: 'started', settings: this.#settings }, 'started');
   }
@@ -205,6 +221,7 @@
 
   /** Ends at once, without a thought for what runs. */
   stop(): void {
+    this.#stopping.abort();
     this.#watchers.forEach((watcher) => watcher.stop());
     this.#stores.forEach((store) => store.close());
     this.#front.destroy();
@@ -242,6 +259,8 @@
       random: this.#random,
       board: this.#board,
       countDaemons: () => this.#exchange.daemons,
+      getReaderRank: () => this.#exchange.readerRank,
+      source: this.#exchange,
     };
   }
 
@@ -267,7 +286,7 @@
       getWaitMs: () => UPSTREAM_WAIT_MS,
       gatherMs: UPSTREAM_GATHER_MS,
       listener: new UpstreamListener(this.#adapter, this.#directory, this.#logger),
-      freshness: new Freshness(),
+      freshness: new Freshness(this.#storeClock),
       ...this.#getWatchSetting(),
     });
   }
@@ -288,11 +307,14 @@
     return { vm: vmName, dataCentre, ...peerAddress };
   }
 
-  #createExchange(): LoadExchange {
+  #createExchange(): PeerExchange {
     const self = this.#getSelf();
-    return new LoadExchange({
+    return new PeerExchange({
       directory: new PeerDirectory(self, this.#random),
       port: createUdpPort(self, this.#logger),
+      clock: this.#storeClock,
+      seeds: this.#settings.seedAddresses,
+      listSnapshots: () => this.#watchers.flatMap(({ snapshot }) => snapshot ?? []),
       loads: this.#peerLoads,
       board: this.#board,
       logger: this.#logger,
--- a/packages/forwarding/src/daemon/tableListeners.ts
+++ b/packages/forwarding/src/daemon/tableListeners.ts
@@ -1,6 +1,10 @@
-/** Takes rows of the store into the daemon's state. A row that does not decode is logged once and skipped. */
+/**
+ * Takes rows of the store into the daemon's state. A row that does not decode is logged once and
+ * skipped.
+ */
 import type { Logger } from '@snipehaven/common';
 import type { ConfigurationHolder } from '../configuration/configurationHolder.js';
+import type { StoreClock } from '../configuration/storeClock.js';
 import type { Peer } from '../peers/index.js';
 import type { RolloutGuide } from '../rollouts/rolloutGuide.js';
 import type { StoreChange, StoreRow, TableListener } from '../store/index.js';
@@ -100,7 +104,9 @@
     this.#directory.noteStoreBack();
   }
 
-  /** An entry that can't be read may be another writer's: the upstream that it named is not used again. */
+  /**
+   * An entry that can't be read may be another writer's: the upstream that it named is not used again.
+   */
   #restore(row: Row): Upstream | undefined {
     const upstream = this.#decoder.decode(row, (one) => this.#adapter.restoreUpstream(one));
     if (upstream === undefined) {
@@ -118,7 +124,10 @@
 
   readonly #decoder: RowDecoder;
 
-  #storeOffsetMs: number | undefined;
+  readonly #clock: StoreClock;
+
+  /** Until the clock knows better: by the first answer. */
+  #firstOffsetMs: number | undefined;
 
   readonly #onPeer: (peer: Peer) => void;
 
@@ -126,22 +135,25 @@
     adapter: PlatformAdapter,
     rollouts: RolloutGuide,
     logger: Logger,
+    clock: StoreClock,
     onPeer: (peer: Peer) => void,
   ) {
     this.#adapter = adapter;
     this.#rollouts = rollouts;
     this.#decoder = new RowDecoder(logger);
+    this.#clock = clock;
     this.#onPeer = onPeer;
   }
 
   /** The store's steady clock less ours. */
   get storeOffsetMs(): number | undefined {
-    return this.#storeOffsetMs;
+    return this.#clock.lastOffsetMs ?? this.#firstOffsetMs;
   }
 
   onAll(rows: readonly StoreRow[], serverTimeMs: number): void {
-    this.#storeOffsetMs = serverTimeMs - performance.now();
-    // States first: evidence of a roll-out that is over must not be judged anew, as by a daemon that starts.
+    this.#firstOffsetMs = serverTimeMs - performance.now();
+    // States first: evidence of a roll-out that is over must not be judged anew, as by a daemon that
+    // starts.
     const documents = rows.map((row) => ({ row, document: this.#decode(row) }));
     const isState = ({ document }: (typeof documents)[number]) => document?.kind === 'rollout';
     const ordered = [...documents.filter(isState), ...documents.filter((one) => !isState(one))];
@@ -161,7 +173,7 @@
 
   #take(row: StoreRow, document: StatusDocument | undefined): void {
     if (document?.kind === 'rollout') {
-      const startedAtMs = document.status.startedAtStoreMs - (this.#storeOffsetMs ?? 0);
+      const startedAtMs = document.status.startedAtStoreMs - (this.storeOffsetMs ?? 0);
       this.#rollouts.takeStatus(document.status, row.version, startedAtMs);
     }
     if (document?.kind === 'evidence') {
--- a/packages/forwarding/src/daemon/types.ts
+++ b/packages/forwarding/src/daemon/types.ts
@@ -20,6 +20,8 @@
   readonly metricsAddress: SocketAddress;
   /** Where this daemon hears from the others. */
   readonly peerAddress: SocketAddress;
+  /** Where a few other daemons hear, to be asked at the start; they may be gone. */
+  readonly seedAddresses: readonly SocketAddress[];
   /** Requests of one session follow each other within this. */
   readonly sessionTtlMs: number;
   /** From SIGTERM until the process is killed. */
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -1,6 +1,7 @@
 /** Forwards requests by host and path to upstreams, byte for byte. */
 export { ConfigurationHolder } from './configuration/configurationHolder.js';
-export { Freshness, readClocks } from './configuration/freshness.js';
+export { Freshness } from './configuration/freshness.js';
+export { StoreClock, readClocks } from './configuration/storeClock.js';
 export { RouteTable } from './configuration/routeTable.js';
 export * from './daemon/index.js';
 export * from './edge/index.js';
--- a/packages/forwarding/src/peers/index.ts
+++ b/packages/forwarding/src/peers/index.ts
@@ -1,5 +1,5 @@
 export { createUdpPort, type DatagramPort } from './datagramPort.js';
-export { LoadExchange } from './loadExchange.js';
+export { PeerExchange } from './peerExchange.js';
 export { PeerDirectory, type Peer } from './peerDirectory.js';
 export { PeerLoads } from './peerLoads.js';
 export type { UpstreamLoad } from './loadMessage.js';
--- a/packages/forwarding/src/peers/newsBoard.ts
+++ b/packages/forwarding/src/peers/newsBoard.ts
@@ -45,7 +45,13 @@
  * them on there.
  */
 export const SMALL_FLEET = 16;
-const MIN_LOCAL_READERS = 2;
+
+/**
+ * Readers of a larger fleet, each in a data centre of its own: one is enough for a change to be known
+ * everywhere, and the other goes on while the first one's connection is silent or its data centre is
+ * gone. A data centre that is cut off hears of neither and has its own read.
+ */
+const LARGE_FLEET_READERS = 2;
 
 /** How long news of a reader are passed on without anything new in them; no table's wait is longer. */
 const MAX_PASSED_ON_AGE_MS = 11_500;
@@ -145,9 +151,11 @@
     const better = this.#listFresh(table, query).filter(({ vm }) =>
       READER_ORDER.isBefore(vm, this.#vm),
     );
-    return daemons <= SMALL_FLEET
-      ? better.length >= MIN_READERS + Math.ceil(daemons / DAEMONS_PER_READER)
-      : this.#countLocal(better) >= MIN_LOCAL_READERS;
+    if (daemons <= SMALL_FLEET) {
+      return better.length >= MIN_READERS + Math.ceil(daemons / DAEMONS_PER_READER);
+    }
+    const dataCentres = new Set(better.map(({ dataCentre }) => dataCentre));
+    return dataCentres.has(this.#dataCentre) || dataCentres.size >= LARGE_FLEET_READERS;
   }
 
   /**
@@ -155,8 +163,9 @@
    * at the pace of a reader would cost a call each 0.3 s and table for as long as the store turns this
    * one away.
    */
-  canLean(table: string, query: NewsQuery): boolean {
-    return this.#countLocal(this.#listFresh(table, query)) >= MIN_LOCAL_READERS;
+  canLean(table: string, daemons: number, query: NewsQuery): boolean {
+    const fresh = this.#listFresh(table, query);
+    return daemons <= SMALL_FLEET ? this.#countLocal(fresh) >= MIN_READERS : fresh.length > 0;
   }
 
   /** Undefined while no reader is heard. */
--- /dev/null
+++ b/packages/forwarding/src/peers/peerExchange.ts
@@ -0,0 +1,204 @@
+/** All that a daemon tells the others and hears of them, by datagrams. */
+import type { Logger, Random } from '@snipehaven/common';
+import type { StoreClock } from '../configuration/storeClock.js';
+import type { SnapshotSource } from '../store/tableWatcher.js';
+import type { TableSnapshot } from '../store/types.js';
+import type { SocketAddress } from '../types.js';
+import { restoreChanges } from './changesMessage.js';
+import { ChangesRelay } from './changesRelay.js';
+import { parseDatagram } from './datagram.js';
+import type { DatagramPort } from './datagramPort.js';
+import { encodeJoinMessage, restoreJoinMessage, type JoinMessage } from './joinMessages.js';
+import { Joining } from './joining.js';
+import { restoreLoadMessage, type UpstreamLoad } from './loadMessage.js';
+import { MeshScheme } from './meshScheme.js';
+import { SMALL_FLEET, type NewsBoard } from './newsBoard.js';
+import type { Peer, PeerDirectory } from './peerDirectory.js';
+import type { PeerLoads } from './peerLoads.js';
+import { PeerMessenger } from './peerMessenger.js';
+import { READER_ORDER, type PeerOrder } from './peerOrder.js';
+import { Roster } from './roster.js';
+import { SumScheme } from './sumScheme.js';
+import { TICK_MS, type LoadDatagram, type TellingScheme } from './tellingScheme.js';
+
+export interface PeerExchangeOptions {
+  readonly directory: PeerDirectory;
+  readonly loads: PeerLoads;
+  readonly board: NewsBoard;
+  readonly port: DatagramPort;
+  readonly clock: StoreClock;
+  readonly logger: Logger;
+  readonly random: Random;
+  /** Tells this process from an earlier one of the same VM. */
+  readonly processId: number;
+  /** Daemons that the settings name; they may be gone. */
+  readonly seeds: readonly SocketAddress[];
+  readOwnLoads(): ReadonlyMap<string, UpstreamLoad>;
+  /** What this daemon knows of the store's tables. */
+  listSnapshots(): readonly TableSnapshot[];
+}
+
+/**
+ * Work that is told at once instead of at the next tick: a tenth of a second of an engine. Until it is
+ * known, other daemons see an idle engine and send their long prompts there too.
+ */
+const LARGE_WORK = 4_000;
+
+/** A tick that comes later than this after the last one: the VM stood still. */
+const PAUSE_MS = 4 * TICK_MS;
+
+/** Each 3 s: a list of 400 daemons packs to some 5 KB. */
+const ROSTER_TICKS = 20;
+
+type SchemeName = 'mesh' | 'sums';
+
+export class PeerExchange implements SnapshotSource {
+  readonly #options: PeerExchangeOptions;
+
+  readonly #messenger: PeerMessenger;
+
+  readonly #schemes: Readonly<Record<SchemeName, TellingScheme>>;
+
+  readonly #roster: Roster;
+
+  readonly #joining: Joining;
+
+  readonly #relay: ChangesRelay;
+
+  #timer: NodeJS.Timeout | undefined;
+
+  #ticks = 0;
+
+  #tickedAtMs = performance.now();
+
+  constructor(options: PeerExchangeOptions) {
+    this.#options = options;
+    const { directory, processId, port, board } = options;
+    const messenger = new PeerMessenger(directory.self, processId, port);
+    this.#messenger = messenger;
+    this.#roster = new Roster(directory);
+    this.#joining = new Joining({ ...options, messenger, roster: this.#roster });
+    this.#relay = new ChangesRelay(directory, board, messenger);
+    const context = { ...options, messenger };
+    this.#schemes = {
+      mesh: new MeshScheme(context),
+      sums: new SumScheme(context, performance.now()),
+    };
+  }
+
+  async start(): Promise<void> {
+    const { port, board } = this.#options;
+    await port.open((bytes, host) => this.#take(bytes, host));
+    board.onOwnChanges((changes) => {
+      this.#relay.passOn(changes);
+      this.#scheme.tellNews(performance.now());
+    });
+    this.#tickedAtMs = performance.now();
+    this.#timer = setInterval(() => this.#tick(), TICK_MS);
+    this.#joining.start();
+  }
+
+  stop(): void {
+    clearInterval(this.#timer);
+    this.#joining.stop();
+    this.#options.port.close();
+  }
+
+  /** Daemons known, this one among them. */
+  get daemons(): number {
+    return this.#options.directory.daemons;
+  }
+
+  /** How many daemons come before this one to read the store; of a small fleet all may at once. */
+  get readerRank(): number {
+    return this.#isSmallFleet ? 0 : this.findRank(READER_ORDER);
+  }
+
+  /**
+   * This daemon's place in the order, 0 the first: in the region, or twice that in its data centre, so
+   * that one that is cut off has its own first ones.
+   */
+  findRank(order: PeerOrder): number {
+    const { directory } = this.#options;
+    const { vm } = directory.self;
+    const localRank = directory.rankLocal(order).indexOf(vm);
+    return Math.min(directory.rank(order).indexOf(vm), 2 * localRank);
+  }
+
+  waitForSnapshot(table: string): Promise<TableSnapshot | undefined> {
+    return this.#joining.waitForSnapshot(table);
+  }
+
+  /** This daemon has placed work. */
+  noteWork(work: number): void {
+    if (work >= LARGE_WORK) {
+      this.#scheme.tellWork(performance.now());
+    }
+  }
+
+  /** A daemon that the store names. */
+  putPeer(peer: Peer): void {
+    this.#roster.note(peer, performance.now());
+  }
+
+  get #isSmallFleet(): boolean {
+    return this.daemons <= SMALL_FLEET;
+  }
+
+  get #scheme(): TellingScheme {
+    return this.#schemes[this.#isSmallFleet ? 'mesh' : 'sums'];
+  }
+
+  #take(bytes: Buffer, host: string): void {
+    const message = parseDatagram(bytes);
+    const load = restoreLoadMessage(message);
+    if (load !== undefined) {
+      this.#takeLoad({ message: load, bytes, host });
+      return;
+    }
+    const changes = restoreChanges(message);
+    if (changes !== undefined) {
+      this.#relay.take(changes, bytes, host);
+      return;
+    }
+    const joining = restoreJoinMessage(message);
+    if (joining !== undefined) {
+      this.#joining.take(joining, performance.now());
+    }
+  }
+
+  #takeLoad(datagram: LoadDatagram): void {
+    const { message, host } = datagram;
+    const { self } = this.#options.directory;
+    if (message.vm !== self.vm) {
+      const { vm, dataCentre } = message;
+      const nowMs = performance.now();
+      // Handed on, it comes from another host than its sender's.
+      if (this.#options.directory.find(vm) === undefined && message.scope !== 'dataCentre') {
+        this.#roster.note({ vm, dataCentre, host, port: self.port }, nowMs);
+      }
+      this.#scheme.take(datagram, nowMs);
+    }
+  }
+
+  #tick(): void {
+    const nowMs = performance.now();
+    if (nowMs - this.#tickedAtMs > PAUSE_MS) {
+      this.#schemes.sums.notePause(nowMs);
+    }
+    this.#tickedAtMs = nowMs;
+    this.#ticks += 1;
+    this.#options.loads.dropSilent(nowMs);
+    this.#scheme.tick(this.#ticks, nowMs);
+    if (this.#ticks % ROSTER_TICKS === 0) {
+      this.#tellRoster(nowMs);
+    }
+  }
+
+  #tellRoster(nowMs: number): void {
+    this.#roster.forgetGone(nowMs);
+    const peer = this.#options.directory.pickAny();
+    const message: JoinMessage = { kind: 'roster', roster: this.#roster.list(nowMs) };
+    this.#messenger.sendPacked(peer === undefined ? [] : [peer], encodeJoinMessage(message));
+  }
+}
--- a/packages/forwarding/src/peers/peerMessenger.ts
+++ b/packages/forwarding/src/peers/peerMessenger.ts
@@ -1,6 +1,7 @@
 /** Sends this daemon's messages to others, each with its origin and number. */
 import { encodeLoadMessage, type LoadMessage } from './loadMessage.js';
 import type { DatagramPort } from './datagramPort.js';
+import type { SocketAddress } from '../types.js';
 import type { Peer } from './peerDirectory.js';
 
 export type MessageContent = Omit<LoadMessage, 'vm' | 'dataCentre' | 'process' | 'sequence'>;
@@ -27,7 +28,14 @@
     this.sendTo(peers, encodeLoadMessage({ ...origin, ...content }));
   }
 
-  sendTo(peers: readonly Peer[], bytes: Buffer): void {
-    peers.forEach((peer) => this.#port.send(bytes, peer));
+  sendTo(addresses: readonly SocketAddress[], bytes: Buffer): void {
+    addresses.forEach((address) => this.#port.send(bytes, address));
+  }
+
+  /** Undefined bytes: the message was too large, nothing is sent. */
+  sendPacked(addresses: readonly SocketAddress[], bytes: Buffer | undefined): void {
+    if (bytes !== undefined) {
+      this.sendTo(addresses, bytes);
+    }
   }
 }
--- a/packages/forwarding/src/peers/testSupport/daemonFleet.ts
+++ b/packages/forwarding/src/peers/testSupport/daemonFleet.ts
@@ -1,21 +1,40 @@
-/** Exchanges of many daemons in one process, over a network in memory and a faked clock. */
+/**
+ * Many daemons in one process, over a network and a store in memory and a faked clock: what they tell
+ * and read.
+ */
 import type { Clock } from '@sinonjs/fake-timers';
 import { createRandom, createSilentLogger } from '@snipehaven/common';
-import { LoadExchange } from '../loadExchange.js';
+import { Freshness } from '../../configuration/freshness.js';
+import { StoreClock } from '../../configuration/storeClock.js';
+import { TableWatcher } from '../../store/tableWatcher.js';
+import { MemoryStore } from '../../store/testSupport/memoryStore.js';
 import type { UpstreamLoad } from '../loadMessage.js';
 import { NewsBoard } from '../newsBoard.js';
 import { PeerDirectory, type Peer } from '../peerDirectory.js';
+import { PeerExchange } from '../peerExchange.js';
 import { PeerLoads } from '../peerLoads.js';
 import { DatagramNetwork, type Traffic } from './datagramNetwork.js';
 
+export interface TableReading {
+  readonly watcher: TableWatcher;
+  readonly freshness: Freshness;
+  readonly known: Set<string>;
+  /** When the table was first known, on the steady clock. */
+  knownAtMs: number | undefined;
+  /** How often the store was said to be back. */
+  backs: number;
+}
+
 export interface FleetMember {
   readonly self: Peer;
   readonly directory: PeerDirectory;
   readonly loads: PeerLoads;
   readonly board: NewsBoard;
-  readonly exchange: LoadExchange;
+  readonly exchange: PeerExchange;
   /** What it has at upstreams now; the fleet's owner changes it. */
   readonly own: Map<string, UpstreamLoad>;
+  /** Empty unless the fleet has a store. */
+  readonly tables: readonly TableReading[];
 }
 
 export interface FleetOptions {
@@ -23,6 +42,10 @@
   readonly dataCentres: number;
   readonly lossShare?: number;
   readonly seed?: number;
+  /** Daemons that the settings of all name; they learn of the others by them. None: all know all. */
+  readonly seeds?: number;
+  /** Tables of a store that all follow. */
+  readonly tables?: readonly string[];
 }
 
 /** One way between two daemons of a region. */
@@ -30,6 +53,11 @@
 
 const SEED = 1;
 
+/** Promises are kept between steps of the faked clock. */
+const STEP_MS = 5;
+
+const TABLE_WAIT_MS = 2_400;
+
 const createSelf = (index: number, dataCentres: number): Peer => ({
   vm: `vm-${index}`,
   dataCentre: `dc-${index % dataCentres}`,
@@ -37,36 +65,69 @@
   port: 7_000,
 });
 
+const { setImmediate: waitForTurn } = globalThis;
+
 export class DaemonFleet {
   readonly network: DatagramNetwork;
 
+  readonly store = new MemoryStore();
+
   readonly members: readonly FleetMember[];
 
   readonly #clock: Clock;
 
-  constructor(clock: Clock, { daemons, dataCentres, lossShare = 0, seed = SEED }: FleetOptions) {
+  readonly #options: FleetOptions;
+
+  readonly #selves: readonly Peer[];
+
+  constructor(clock: Clock, options: FleetOptions) {
+    const { daemons, dataCentres, lossShare = 0, seed = SEED, seeds = 0 } = options;
     this.#clock = clock;
+    this.#options = options;
     this.network = new DatagramNetwork({
       random: createRandom(seed),
       delayMs: DELAY_MS,
       lossShare,
     });
-    const selves = Array.from({ length: daemons }, (_, index) => createSelf(index, dataCentres));
-    this.members = selves.map((self, index) => this.#createMember(self, seed + index));
-    this.members.forEach(({ directory }) => selves.forEach((peer) => directory.put(peer)));
+    this.#selves = Array.from({ length: daemons }, (_, index) => createSelf(index, dataCentres));
+    this.members = this.#selves.map((self, index) => this.#createMember(self, seed + index));
+    if (seeds === 0) {
+      this.members.forEach(({ directory }) => this.#selves.forEach((peer) => directory.put(peer)));
+    }
   }
 
-  /** Starts them one after another within a second, as timers of real daemons do not tick together. */
-  async start(): Promise<void> {
-    const gapMs = 1_000 / this.members.length;
-    for (const { exchange } of this.members) {
+  /**
+   * Starts them one after another within a third of a second: timers of real daemons do not tick
+   * together.
+   */
+  async start(members: readonly FleetMember[] = this.members): Promise<void> {
+    const gapMs = 333 / members.length;
+    for (const { exchange, tables } of members) {
       await exchange.start();
-      this.#clock.tick(gapMs);
+      tables.forEach(({ watcher }) => {
+        void watcher.run();
+      });
+      await this.advance(gapMs);
     }
   }
 
   stop(): void {
-    this.members.forEach(({ exchange }) => exchange.stop());
+    this.members.forEach((member) => this.stopMember(member));
+  }
+
+  stopMember({ exchange, tables }: FleetMember): void {
+    exchange.stop();
+    tables.forEach(({ watcher }) => watcher.stop());
+  }
+
+  /** Lets time pass, with what promises wait for. */
+  async advance(durationMs: number): Promise<void> {
+    for (let leftMs = durationMs; leftMs > 0; leftMs -= STEP_MS) {
+      this.#clock.tick(Math.min(STEP_MS, leftMs));
+      await new Promise((resolve) => {
+        waitForTurn(resolve);
+      });
+    }
   }
 
   /** In the mean over daemons and seconds. */
@@ -85,16 +146,60 @@
     const loads = new PeerLoads();
     const board = new NewsBoard(self.vm, self.dataCentre);
     const own = new Map<string, UpstreamLoad>();
-    const exchange = new LoadExchange({
+    const clock = new StoreClock();
+    const tables: TableReading[] = [];
+    const exchange = new PeerExchange({
       directory,
       loads,
       board,
+      clock,
       port: this.network.createPort(self),
+      seeds: this.#selves.slice(0, this.#options.seeds ?? 0),
+      listSnapshots: () => tables.flatMap(({ watcher }) => watcher.snapshot ?? []),
       logger: createSilentLogger(),
       random,
       processId: seed,
       readOwnLoads: () => new Map(own),
     });
-    return { self, directory, loads, board, exchange, own };
+    const member = { self, directory, loads, board, exchange, own, tables };
+    const names = this.#options.tables ?? [];
+    tables.push(...names.map((table) => this.#createReading(table, member, clock, seed)));
+    return member;
+  }
+
+  #createReading(
+    table: string,
+    { self, board, exchange }: FleetMember,
+    clock: StoreClock,
+    seed: number,
+  ): TableReading {
+    const freshness = new Freshness(clock);
+    const known = new Set<string>();
+    const watcher = new TableWatcher({
+      table,
+      getWaitMs: () => TABLE_WAIT_MS,
+      gatherMs: 0,
+      store: this.store.createClient(self.vm),
+      listener: {
+        onAll: (rows) => {
+          known.clear();
+          rows.forEach(({ key }) => known.add(key));
+          reading.knownAtMs ??= performance.now();
+        },
+        onChange: ({ key, value }) => (value === undefined ? known.delete(key) : known.add(key)),
+        onBack: () => {
+          reading.backs += 1;
+        },
+      },
+      logger: createSilentLogger(),
+      random: createRandom(seed),
+      freshness,
+      board,
+      countDaemons: () => exchange.daemons,
+      getReaderRank: () => exchange.readerRank,
+      source: exchange,
+    });
+    const reading: TableReading = { watcher, freshness, known, knownAtMs: undefined, backs: 0 };
+    return reading;
   }
 }
--- a/packages/forwarding/src/rollouts/rolloutGuide.test.ts
+++ b/packages/forwarding/src/rollouts/rolloutGuide.test.ts
@@ -2,7 +2,8 @@
 import { createSilentLogger } from '@snipehaven/common';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { Freshness, readClocks } from '../configuration/freshness.js';
+import { Freshness } from '../configuration/freshness.js';
+import { readClocks } from '../configuration/storeClock.js';
 import { PeerLoads } from '../peers/index.js';
 import type { RequestOptions, RolloutOrder } from '../types.js';
 import { UpstreamEntry } from '../upstreams/index.js';
@@ -64,8 +65,9 @@
 const narrow = (guide: RolloutGuide, attemptId = 'a', session?: string): string[] =>
   guide.narrow('s', createOptions(attemptId, session), [OLD, NEW]).map(({ id }) => id);
 
-// Symptom: after a restart a service has no upstream. Sequence: a daemon reads the status table before the
-// operator's, and drops the status of an order that it does not know yet. Cause: each row is read once.
+// Symptom: after a restart a service has no upstream. Sequence: a daemon reads the status table before
+// the operator's, and drops the status of an order that it does not know yet. Cause: each row is read
+// once.
 test('a status that comes before its order counts', () => {
   const guide = createGuide();
   guide.takeStatus(createStatus('completed'), 9, 0);
--- /dev/null
+++ b/packages/forwarding/src/store/testSupport/memoryStore.ts
@@ -0,0 +1,98 @@
+/** A store in memory: tables of rows, feeds that wait, outages, and who asked how often. */
+import { sleep } from '@snipehaven/common';
+import { StoreUnavailableError } from '../../errors.js';
+import type { RowStore, StoreChange, StorePage, StoreRow, WriteResult } from '../types.js';
+
+const POLL_MS = 5;
+const ANSWER_MS = 4;
+const DEFAULT_TABLE = 'upstreams';
+
+export class MemoryStore {
+  #version = 100;
+
+  readonly #rows = new Map<string, Map<string, StoreRow>>();
+
+  readonly #history: (StoreChange & { readonly table: string })[] = [];
+
+  /** By VM. */
+  readonly calls = new Map<string, number>();
+
+  /** VMs that are turned away. */
+  readonly turnedAway = new Set<string>();
+
+  isDown = false;
+
+  put(key: string, table = DEFAULT_TABLE): void {
+    this.#version += 1;
+    const row = { key, value: key, version: this.#version };
+    this.#getRows(table).set(key, row);
+    this.#history.push({ ...row, table });
+  }
+
+  remove(key: string, table = DEFAULT_TABLE): void {
+    this.#version += 1;
+    this.#getRows(table).delete(key);
+    this.#history.push({ key, version: this.#version, table });
+  }
+
+  /** As a heartbeat or another table's row does. */
+  raiseVersion(): void {
+    this.#version += 1;
+  }
+
+  getCalls(vm: string): number {
+    return this.calls.get(vm) ?? 0;
+  }
+
+  get allCalls(): number {
+    return [...this.calls.values()].reduce((sum, calls) => sum + calls, 0);
+  }
+
+  createClient(vm: string): RowStore {
+    const call = async (): Promise<void> => {
+      this.calls.set(vm, this.getCalls(vm) + 1);
+      await sleep(ANSWER_MS);
+      this.#check(vm);
+    };
+    return {
+      readRows: async (table) => {
+        await call();
+        return this.#page([...this.#getRows(table).values()]);
+      },
+      readChanges: async (table, after, waitMs) => {
+        await call();
+        const endAtMs = performance.now() + waitMs;
+        let items = this.#listChanges(table, after);
+        while (items.length === 0 && performance.now() < endAtMs) {
+          await sleep(POLL_MS);
+          this.#check(vm);
+          items = this.#listChanges(table, after);
+        }
+        return this.#page(items);
+      },
+      write: (): Promise<WriteResult> => Promise.resolve({ isWritten: false }),
+      close: () => {},
+    };
+  }
+
+  #check(vm: string): void {
+    if (this.isDown || this.turnedAway.has(vm)) {
+      throw new StoreUnavailableError('turned away');
+    }
+  }
+
+  #getRows(table: string): Map<string, StoreRow> {
+    const rows = this.#rows.get(table) ?? new Map<string, StoreRow>();
+    this.#rows.set(table, rows);
+    return rows;
+  }
+
+  #listChanges(table: string, after: number): StoreChange[] {
+    const changes = this.#history.filter((one) => one.table === table && one.version > after);
+    return changes.map(({ table: _table, ...change }) => change);
+  }
+
+  #page<Item>(items: readonly Item[]): StorePage<Item> {
+    return { items, version: this.#version, serverTimeMs: performance.now() };
+  }
+}
--- a/packages/forwarding/src/store/types.ts
+++ b/packages/forwarding/src/store/types.ts
@@ -45,3 +45,15 @@
   write(write: ConditionalWrite): Promise<WriteResult>;
   close(): void;
 }
+
+/** A whole table as of one version of the store, as one daemon gives it to another that starts. */
+export interface TableSnapshot {
+  readonly table: string;
+  /** The store's version up to which changes are in the rows. */
+  readonly version: number;
+  /** The store's version of the last change of this table. */
+  readonly lastChange: number;
+  /** The store's steady clock when it last said so. */
+  readonly serverTimeMs: number;
+  readonly rows: readonly StoreRow[];
+}
