A data centre's sum by one that was told of fewer daemons is not taken

Symptom: after a cut 38 of 59 daemons knew all work, where all should. Cause: an aggregator that was cut off tells the other data centres a sum of its own work, and they took it in place of the one by its successor. Found by the test of the cut daemon once lists of daemons changed which datagrams were drawn; it holds again.

--- a/packages/forwarding/src/peers/sumScheme.ts
+++ b/packages/forwarding/src/peers/sumScheme.ts
@@ -27,6 +27,8 @@
 
 interface RemoteAggregator {
   readonly vm: string;
+  /** Daemons that its last sum counted. */
+  readonly members: number;
   readonly heardAtMs: number;
 }
 
@@ -129,11 +131,25 @@
       this.#handOn(datagram, nowMs);
       return;
     }
-    this.#remote.set(message.dataCentre, { vm: message.vm, heardAtMs: nowMs });
+    if (!this.#isBestRemote(message, nowMs)) {
+      return;
+    }
+    const { vm, members, dataCentre } = message;
+    this.#remote.set(dataCentre, { vm, members, heardAtMs: nowMs });
     loads.take(message, nowMs);
     board.takeReaders(message.readers, nowMs, message.dataCentre);
   }
 
+  /**
+   * Of two that sum up a data centre the one that was told of more daemons: one that comes back after a cut
+   * tells of its own work only, until it hears the other.
+   */
+  #isBestRemote({ vm, dataCentre, members }: LoadMessage, nowMs: number): boolean {
+    const known = this.#remote.get(dataCentre);
+    const isHeard = known !== undefined && nowMs - known.heardAtMs < REMOTE_SILENCE_MS;
+    return !isHeard || known.vm === vm || members >= known.members;
+  }
+
   /**
    * To whoever sums up here. Only what comes from another data centre: two daemons that each take the
    * other for the aggregator would send a datagram to and fro without end.
