Count calls to the store and datagrams by what they are for

Cause: calls are the largest price of a large fleet, and nothing told which mechanism made them. Counters snipehaven_store_calls_total (purpose, outcome) and snipehaven_datagrams_total (kind, direction), and a debug line for each call.

--- a/packages/forwarding/src/daemon/forwardDaemon.ts
+++ b/packages/forwarding/src/daemon/forwardDaemon.ts
@@ -19,6 +19,7 @@
   type UpstreamLoad,
 } from '../peers/index.js';
 import { announcePeer } from './announcePeer.js';
+import { MeteredStore } from './meteredStore.js';
 import { PerService } from './perService.js';
 import { StoreRolloutWriter } from './storeRolloutWriter.js';
 import { OperatorListener, StatusListener, UpstreamListener } from './tableListeners.js';
@@ -175,7 +176,7 @@
     });
     void announcePeer({
       adapter: this.#adapter,
-      store: this.#createStore(),
+      store: this.#createStore('address'),
       self: this.#getSelf(),
       logger: this.#logger,
       signal: this.#stopping.signal,
@@ -235,8 +236,9 @@
     this.#exchange.stop();
   }
 
-  #createStore(): RowStore {
-    const store = this.#adapter.createStore();
+  #createStore(purpose: string): RowStore {
+    const client = this.#adapter.createStore();
+    const store = new MeteredStore(client, this.#metrics, this.#logger, purpose);
     this.#stores.push(store);
     return store;
   }
@@ -257,9 +259,10 @@
    * What all watchers have in common; each has a client of its own, so that a held call delays no
    * other.
    */
-  #getWatchSetting() {
+  #getWatchSetting(table: string) {
     return {
-      store: this.#createStore(),
+      table,
+      store: this.#createStore(table),
       logger: this.#logger,
       random: this.#random,
       board: this.#board,
@@ -271,7 +274,6 @@
 
   #watchOperator(): TableWatcher {
     return new TableWatcher({
-      table: this.#adapter.tables.operator,
       getWaitMs: () => OPERATOR_WAIT_MS,
       gatherMs: OPERATOR_GATHER_MS,
       listener: new OperatorListener(
@@ -281,29 +283,27 @@
         this.#logger,
       ),
       freshness: this.#configuration.freshness,
-      ...this.#getWatchSetting(),
+      ...this.#getWatchSetting(this.#adapter.tables.operator),
     });
   }
 
   #watchUpstreams(): TableWatcher {
     return new TableWatcher({
-      table: this.#adapter.tables.upstreams,
       getWaitMs: () => UPSTREAM_WAIT_MS,
       gatherMs: UPSTREAM_GATHER_MS,
       listener: new UpstreamListener(this.#adapter, this.#directory, this.#logger),
       freshness: new Freshness(this.#storeClock),
-      ...this.#getWatchSetting(),
+      ...this.#getWatchSetting(this.#adapter.tables.upstreams),
     });
   }
 
   #watchStatus(): TableWatcher {
     return new TableWatcher({
-      table: this.#adapter.tables.status,
       getWaitMs: () => (this.#rollouts.isAnyRunning ? ROLLOUT_WAIT_MS : STATUS_WAIT_MS),
       gatherMs: STATUS_GATHER_MS,
       listener: this.#statusListener,
       freshness: this.#statusFreshness,
-      ...this.#getWatchSetting(),
+      ...this.#getWatchSetting(this.#adapter.tables.status),
     });
   }
 
@@ -327,6 +327,7 @@
       processId: getEntropySeed(),
       readOwnLoads: () => this.#readOwnLoads(),
       readOwnLearned: () => this.#readOwnLearned(),
+      meter: this.#metrics,
     });
   }
 
@@ -351,7 +352,7 @@
   #createKeeper(): RolloutKeeper {
     return new RolloutKeeper({
       guide: this.#rollouts,
-      writer: new StoreRolloutWriter(this.#adapter, this.#createStore()),
+      writer: new StoreRolloutWriter(this.#adapter, this.#createStore('rollouts')),
       vm: this.#settings.vmName,
       freshness: this.#statusFreshness,
       logger: this.#logger,
--- a/packages/forwarding/src/edge/forwardMetrics.ts
+++ b/packages/forwarding/src/edge/forwardMetrics.ts
@@ -12,6 +12,10 @@
 
   readonly #requests: Counter;
 
+  readonly #storeCalls: Counter;
+
+  readonly #datagrams: Counter;
+
   readonly #latency: Gauge;
 
   readonly #histograms = new Map<RouteKind, Histogram>();
@@ -24,6 +28,18 @@
       labelNames: ['kind', 'outcome'],
       registers,
     });
+    this.#storeCalls = new Counter({
+      name: 'snipehaven_store_calls_total',
+      help: 'Calls to the platform’s store by what they are for and how they ended.',
+      labelNames: ['purpose', 'outcome'],
+      registers,
+    });
+    this.#datagrams = new Counter({
+      name: 'snipehaven_datagrams_total',
+      help: 'Datagrams between daemons by kind and direction.',
+      labelNames: ['kind', 'direction'],
+      registers,
+    });
     this.#latency = new Gauge({
       name: 'snipehaven_forward_ms',
       help: 'Time to the end of whole answers, in milliseconds.',
@@ -53,6 +69,14 @@
     this.#requests.inc({ kind: 'none', outcome: reason });
   }
 
+  countStoreCall(purpose: string, outcome: string): void {
+    this.#storeCalls.inc({ purpose, outcome });
+  }
+
+  countDatagram(kind: string, direction: 'sent' | 'received'): void {
+    this.#datagrams.inc({ kind, direction });
+  }
+
   async render(): Promise<string> {
     this.#histograms.forEach((histogram, kind) => {
       LATENCY_QUANTILES.forEach((quantile) => {
--- a/packages/forwarding/src/peers/peerExchange.ts
+++ b/packages/forwarding/src/peers/peerExchange.ts
@@ -16,7 +16,7 @@
 import { SMALL_FLEET, type NewsBoard } from './newsBoard.js';
 import type { Peer, PeerDirectory } from './peerDirectory.js';
 import type { PeerLoads } from './peerLoads.js';
-import { PeerMessenger } from './peerMessenger.js';
+import { PeerMessenger, type DatagramMeter } from './peerMessenger.js';
 import { READER_ORDER, WRITER_ORDER } from './peerOrder.js';
 import { Roster } from './roster.js';
 import { SumScheme } from './sumScheme.js';
@@ -30,6 +30,7 @@
   readonly clock: StoreClock;
   readonly logger: Logger;
   readonly random: Random;
+  readonly meter: DatagramMeter;
   /** Tells this process from an earlier one of the same VM. */
   readonly processId: number;
   /** Daemons that the settings name; they may be gone. */
@@ -76,7 +77,7 @@
   constructor(options: PeerExchangeOptions) {
     this.#options = options;
     const { directory, processId, port, board } = options;
-    const messenger = new PeerMessenger(directory.self, processId, port);
+    const messenger = new PeerMessenger(directory.self, processId, port, options.meter);
     this.#messenger = messenger;
     this.#roster = new Roster(directory);
     this.#joining = new Joining({ ...options, messenger, roster: this.#roster });
@@ -155,21 +156,28 @@
   }
 
   #take(bytes: Buffer, host: string): void {
-    const message = parseDatagram(bytes);
+    const kind = this.#takeMessage(parseDatagram(bytes), bytes, host);
+    this.#options.meter.countDatagram(kind, 'received');
+  }
+
+  /** What kind of message it was. */
+  #takeMessage(message: unknown, bytes: Buffer, host: string): string {
     const load = restoreLoadMessage(message);
     if (load !== undefined) {
       this.#takeLoad({ message: load, bytes, host });
-      return;
+      return load.scope;
     }
     const changes = restoreChanges(message);
     if (changes !== undefined) {
       this.#relay.take(changes, bytes, host);
-      return;
+      return 'changes';
     }
     const joining = restoreJoinMessage(message);
     if (joining !== undefined) {
       this.#joining.take(joining, performance.now());
+      return joining.kind;
     }
+    return 'stray';
   }
 
   #takeLoad(datagram: LoadDatagram): void {
--- a/packages/forwarding/src/peers/peerMessenger.ts
+++ b/packages/forwarding/src/peers/peerMessenger.ts
@@ -6,6 +6,11 @@
 
 export type MessageContent = Omit<LoadMessage, 'vm' | 'dataCentre' | 'process' | 'sequence'>;
 
+/** Counts datagrams: sent ones together, received ones by the scope of loads, or as what they are. */
+export interface DatagramMeter {
+  countDatagram(kind: string, direction: 'sent' | 'received'): void;
+}
+
 export class PeerMessenger {
   readonly #self: Peer;
 
@@ -13,12 +18,16 @@
 
   readonly #port: DatagramPort;
 
+  readonly #meter: DatagramMeter;
+
   #sequence = 0;
 
-  constructor(self: Peer, processId: number, port: DatagramPort) {
+  /** `processId`: tells this process from an earlier one of the same VM. */
+  constructor(self: Peer, processId: number, port: DatagramPort, meter: DatagramMeter) {
     this.#self = self;
     this.#processId = processId;
     this.#port = port;
+    this.#meter = meter;
   }
 
   tell(peers: readonly Peer[], content: MessageContent): void {
@@ -29,7 +38,10 @@
   }
 
   sendTo(addresses: readonly SocketAddress[], bytes: Buffer): void {
-    addresses.forEach((address) => this.#port.send(bytes, address));
+    addresses.forEach((address) => {
+      this.#port.send(bytes, address);
+      this.#meter.countDatagram('any', 'sent');
+    });
   }
 
   /** Undefined bytes: the message was too large, nothing is sent. */
--- a/packages/forwarding/src/peers/testSupport/daemonFleet.ts
+++ b/packages/forwarding/src/peers/testSupport/daemonFleet.ts
@@ -162,6 +162,7 @@
       seeds: this.#selves.slice(0, this.#options.seeds ?? 0),
       listSnapshots: () => tables.flatMap(({ watcher }) => watcher.snapshot ?? []),
       logger: createSilentLogger(),
+      meter: { countDatagram: () => {} },
       random,
       processId: seed,
       readOwnLoads: () => new Map(own),
