--- a/packages/forwarding/src/peers/joining.test.ts
+++ b/packages/forwarding/src/peers/joining.test.ts
@@ -2,31 +2,15 @@
  * Many daemons and one store: what a start, a loss of readers and an outage cost it, and what daemons
  * know.
  */
-import FakeTimers, { type Clock } from '@sinonjs/fake-timers';
-import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { StoreClock } from '../configuration/storeClock.js';
 import { parseDatagram } from './datagram.js';
 import { encodeJoinMessage, restoreJoinMessage, type JoinMessage } from './joinMessages.js';
 import { READER_ORDER } from './peerOrder.js';
-import { DaemonFleet, type FleetMember, type FleetOptions } from './testSupport/daemonFleet.js';
+import type { DaemonFleet, FleetMember, FleetOptions } from './testSupport/daemonFleet.js';
+import { createFleet, createFleetSuite, type FleetContext } from './testSupport/fleetSuite.js';
 
-interface Context {
-  clock: Clock;
-  fleet: DaemonFleet | undefined;
-}
-
-const test = suite<Context>('joining', {} as Context);
-
-test.before.each((context) => {
-  context.clock = FakeTimers.install({ now: 1_700_000_000_000 });
-  context.fleet = undefined;
-});
-
-test.after.each(({ clock, fleet }) => {
-  fleet?.stop();
-  clock.uninstall();
-});
+const test = createFleetSuite('joining');
 
 const TABLES = ['operator', 'upstreams', 'status'];
 const LARGE: FleetOptions = { daemons: 195, dataCentres: 5, seeds: 3, tables: TABLES };
@@ -36,15 +20,14 @@
  */
 const MAX_AGE_MS = 4_800;
 
-const createFleet = (context: Context, options: FleetOptions): DaemonFleet => {
-  const fleet = new DaemonFleet(context.clock, options);
+const createFilledFleet = (context: FleetContext, options: FleetOptions): DaemonFleet => {
+  const fleet = createFleet(context, options);
   TABLES.forEach((table) => fleet.store.put('first', table));
-  context.fleet = fleet;
   return fleet;
 };
 
-const startFleet = async (context: Context, options: FleetOptions): Promise<DaemonFleet> => {
-  const fleet = createFleet(context, options);
+const startFleet = async (context: FleetContext, options: FleetOptions): Promise<DaemonFleet> => {
+  const fleet = createFilledFleet(context, options);
   await fleet.start();
   await fleet.advance(4_000);
   return fleet;
@@ -63,7 +46,7 @@
 // comes. Sequence: each reads three tables and writes a row of its own, and each row wakes all that
 // read. Cause: a daemon that starts asks nobody else. Before: 14 calls a daemon.
 test('daemons that start together read the store a few times, and all know it soon', async (context) => {
-  const fleet = createFleet(context, LARGE);
+  const fleet = createFilledFleet(context, LARGE);
   await fleet.start();
   await fleet.advance(1_000);
   const { members, store } = fleet;
@@ -80,7 +63,7 @@
 // they get first name ten or twenty. Cause: each takes itself for one of a small fleet, whose daemons
 // read. Before: 723 calls in a second.
 test('slow daemons that start together leave the reading to those that read', async (context) => {
-  const fleet = createFleet(context, { ...LARGE, delayMs: 100 });
+  const fleet = createFilledFleet(context, { ...LARGE, delayMs: 100 });
   await fleet.start();
   await fleet.advance(4_000);
   const { members, store } = fleet;
@@ -90,7 +73,7 @@
 });
 
 test('a daemon is known to its data centre soon after it starts, and knows all others', async (context) => {
-  const fleet = createFleet(context, LARGE);
+  const fleet = createFilledFleet(context, LARGE);
   const [late] = fleet.members.slice(-1);
   assert.ok(late);
   await fleet.start(fleet.members.slice(0, -1));
@@ -106,7 +89,7 @@
 // Symptom: no daemon gets ready. Sequence: all lose power; those that the settings name do not come
 // back. Cause: the others wait for them.
 test('daemons whose seeds are gone read the store themselves within two seconds', async (context) => {
-  const fleet = createFleet(context, { ...LARGE, daemons: 60 });
+  const fleet = createFilledFleet(context, { ...LARGE, daemons: 60 });
   const living = fleet.members.slice(3);
   await fleet.start(living);
   await fleet.advance(2_000);
--- a/packages/forwarding/src/peers/largeFleet.test.ts
+++ b/packages/forwarding/src/peers/largeFleet.test.ts
@@ -1,30 +1,14 @@
 /**
  * Many daemons that tell each other of their work: what it costs each, how old news are, and failures.
  */
-import FakeTimers, { type Clock } from '@sinonjs/fake-timers';
 import { createRandom } from '@snipehaven/common';
-import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { AggregatorElection, AGGREGATOR_SILENCE_MS } from './aggregatorElection.js';
 import { AGGREGATOR_ORDER } from './peerOrder.js';
-import { DaemonFleet, type FleetMember, type FleetOptions } from './testSupport/daemonFleet.js';
+import type { DaemonFleet, FleetMember, FleetOptions } from './testSupport/daemonFleet.js';
+import { createFleet, createFleetSuite, type FleetContext } from './testSupport/fleetSuite.js';
 
-interface Context {
-  clock: Clock;
-  fleet: DaemonFleet | undefined;
-}
-
-const test = suite<Context>('large fleets', {} as Context);
-
-test.before.each((context) => {
-  context.clock = FakeTimers.install({ now: 1_700_000_000_000 });
-  context.fleet = undefined;
-});
-
-test.after.each(({ clock, fleet }) => {
-  fleet?.stop();
-  clock.uninstall();
-});
+const test = createFleetSuite('large fleets');
 
 const UPSTREAM = 'u-1';
 const SETTLE_MS = 3_000;
@@ -35,9 +19,8 @@
  */
 const NEWS_MS = 1_000;
 
-const startFleet = async (context: Context, options: FleetOptions): Promise<DaemonFleet> => {
-  const fleet = new DaemonFleet(context.clock, options);
-  context.fleet = fleet;
+const startFleet = async (context: FleetContext, options: FleetOptions): Promise<DaemonFleet> => {
+  const fleet = createFleet(context, options);
   await fleet.start();
   context.clock.tick(SETTLE_MS);
   return fleet;
--- a/packages/forwarding/src/store/tableWatcher.ts
+++ b/packages/forwarding/src/store/tableWatcher.ts
@@ -9,7 +9,9 @@
 import type { Freshness } from '../configuration/freshness.js';
 import { readClocks, type ClockReading } from '../configuration/storeClock.js';
 import { HistoryGoneError } from '../errors.js';
-import { SMALL_FLEET, type NewsBoard, type NewsQuery } from '../peers/index.js';
+import { SMALL_FLEET } from '../peers/index.js';
+import { ReaderCover, type CoverOptions } from './readerCover.js';
+import { TableCopy, findNewest } from './tableCopy.js';
 import type { RowStore, StoreChange, StorePage, StoreRow, TableSnapshot } from './types.js';
 
 export interface TableListener {
@@ -26,10 +28,7 @@
   waitForSnapshot(table: string): Promise<TableSnapshot | undefined>;
 }
 
-export interface WatchOptions {
-  readonly table: string;
-  /** How long the store may hold a question; asked anew for each. */
-  readonly getWaitMs: () => number;
+export interface WatchOptions extends CoverOptions {
   /** After a change, further ones are left to gather this long: each answer is a call that counts. */
   readonly gatherMs: number;
   readonly store: RowStore;
@@ -38,20 +37,10 @@
   readonly random: Random;
   /** Confirmed by each answer, and by readers' news. */
   readonly freshness: Freshness;
-  /** What other daemons read of the table. */
-  readonly board: NewsBoard;
-  countDaemons(): number;
   /** Asked once, before the table is first read. */
   readonly source?: SnapshotSource;
-  /**
-   * How many daemons come before this one to read, as far as known; 0: none; undefined: it must not.
-   */
-  getReaderRank(): number | undefined;
 }
 
-/** Beyond a reader's wait: the time-out of its question, and of datagrams between data centres. */
-const NEWS_AGE_MARGIN_MS = 900;
-
 /**
  * What a reader passes on comes with its news or right after; in a large fleet by way of another
  * daemon, which may be busy starting. It is missed for at most a tenth of the time in which changes
@@ -63,13 +52,6 @@
 /** Readers tell what they know at least this often. */
 const NEWS_WAIT_MS = 700;
 
-/**
- * While too few read, each daemon waits this long for each that comes before it: news of a new reader
- * are known in the region after two ticks in each of two data centres. With all taking over at once,
- * 195 daemons ask.
- */
-const TURN_MS = 400;
-
 /** A daemon late in the order looks again at least this often. */
 const MAX_TURN_WAIT_MS = 200;
 
@@ -84,43 +66,15 @@
  */
 const MAX_RANKED_BACKOFF_MS = 20_000;
 
-/** A reader that lost the store asks it again after this, while others read. */
-const LEAN_MS = 2_000;
-
-/** The newest version among the items, or the one given where none is newer. */
-const findNewest = (version: number, items: readonly StoreChange[]): number =>
-  Math.max(version, ...items.map((item) => item.version));
-
 export class TableWatcher {
   readonly #options: WatchOptions;
 
-  /** Undefined: the table must be read whole. */
-  #version: number | undefined;
-
-  /**
-   * The last change of the table that is known, and the store's clock at its last answer. Versions are
-   * the store's own, of all tables: what changes elsewhere raises `#version`, not this.
-   */
-  #lastChange = 0;
-
-  /** When the table was last read whole: a row may have been removed just before. */
-  #readWholeAt = 0;
+  readonly #copy: TableCopy;
 
-  #serverTimeMs = 0;
+  readonly #cover: ReaderCover;
 
   #failures = 0;
 
-  /** Until then a daemon that lost the store leaves the reading to others, if there are any. */
-  #leansUntilMs = 0;
-
-  /** Since when too few others read; undefined while enough do, or this daemon reads. */
-  #uncoveredSinceMs: number | undefined;
-
-  /** The wait that readers' questions may have had until now, and when the last such one ends. */
-  #longWaitMs = 0;
-
-  #longWaitEndsAtMs = 0;
-
   /** No reader is heard that has the store's word, after some were. */
   #isBlind = false;
 
@@ -130,12 +84,12 @@
   /** Others' news were enough, since this daemon last read itself or lost them. */
   #hasFollowed = false;
 
-  readonly #rows = new Map<string, StoreRow>();
-
   #isStopped = false;
 
   constructor(options: WatchOptions) {
     this.#options = options;
+    this.#copy = new TableCopy(options.table);
+    this.#cover = new ReaderCover(options);
   }
 
   async run(): Promise<void> {
@@ -150,16 +104,7 @@
 
   /** The table as it is known here; undefined before it was first known. */
   get snapshot(): TableSnapshot | undefined {
-    if (this.#version === undefined) {
-      return undefined;
-    }
-    return {
-      table: this.#options.table,
-      version: this.#version,
-      lastChange: this.#lastChange,
-      serverTimeMs: this.#serverTimeMs,
-      rows: [...this.#rows.values()],
-    };
+    return this.#copy.snapshot;
   }
 
   async #step(): Promise<void> {
@@ -171,24 +116,22 @@
   }
 
   async #ask(asked: ClockReading): Promise<void> {
-    const version = this.#version;
-    if (version === undefined) {
+    if (this.#copy.version === undefined) {
       await this.#begin(asked);
       return;
     }
-    if (this.#isCovered()) {
-      this.#uncoveredSinceMs = undefined;
-      await this.#follow(asked, version);
+    if (this.#cover.checkCovered()) {
+      await this.#follow(asked);
       return;
     }
     this.#noteReadersLost();
-    if (!this.#isOwnTurn()) {
-      await this.#awaitTurn(asked, version);
+    if (!this.#cover.isOwnTurn()) {
+      await this.#awaitTurn(asked);
       return;
     }
     // Taking over, a held question would leave all that follow without a word for as long again.
-    const waitMs = this.#isReading ? this.#options.getWaitMs() : 0;
-    this.#note(asked, await this.#readChanges(version, waitMs));
+    const waitMs = this.#cover.isReading ? this.#options.getWaitMs() : 0;
+    this.#note(asked, await this.#readChanges(waitMs));
     this.#publish();
   }
 
@@ -206,15 +149,11 @@
     }
   }
 
-  #takeSnapshot({ rows, version, lastChange, serverTimeMs, table }: TableSnapshot): void {
+  #takeSnapshot(snapshot: TableSnapshot): void {
     const { listener, freshness, logger } = this.#options;
-    this.#rows.clear();
-    rows.forEach((row) => this.#rows.set(row.key, row));
+    const { rows, version, serverTimeMs, table } = snapshot;
+    this.#copy.replace(snapshot);
     listener.onAll(rows, serverTimeMs);
-    this.#version = version;
-    this.#readWholeAt = version;
-    this.#lastChange = lastChange;
-    this.#serverTimeMs = serverTimeMs;
     const isConfirmed = freshness.confirmByPeer(serverTimeMs);
     logger.info(
       { event: 'tableTaken', table, version, rows: rows.length, serverTimeMs, isConfirmed },
@@ -222,24 +161,12 @@
     );
   }
 
-  /** Whether those that come before had their time to take the reading over. */
-  #isOwnTurn(): boolean {
-    const nowMs = performance.now();
-    const rank = this.#options.getReaderRank();
-    if (rank === undefined) {
-      this.#uncoveredSinceMs = nowMs;
-      return false;
-    }
-    this.#uncoveredSinceMs ??= nowMs;
-    return nowMs - this.#uncoveredSinceMs >= TURN_MS * rank;
-  }
-
   /** Follows whoever reads meanwhile. */
-  async #awaitTurn(asked: ClockReading, version: number): Promise<void> {
-    if (this.#isAnyReaderHeard()) {
-      await this.#follow(asked, version);
-    } else {
+  async #awaitTurn(asked: ClockReading): Promise<void> {
+    if (this.#cover.best === undefined) {
       await this.#options.board.waitForNews(MAX_TURN_WAIT_MS);
+    } else {
+      await this.#follow(asked);
     }
   }
 
@@ -249,73 +176,36 @@
    */
   #noteReadersLost(): void {
     const { table, logger } = this.#options;
-    if (this.#hasFollowed && !this.#isAnyReaderHeard()) {
+    if (this.#hasFollowed && this.#cover.best === undefined) {
       this.#hasFollowed = false;
       this.#isBlind = true;
       logger.warn({ event: 'readersLost', table }, 'no reader has the store’s word');
     }
   }
 
-  #isAnyReaderHeard(): boolean {
-    const { board, table } = this.#options;
-    return board.getBest(table, this.#getNewsQuery()) !== undefined;
-  }
-
-  /** Whether this daemon told others of the table last time. */
-  get #isReading(): boolean {
-    const { board, table } = this.#options;
-    return board.own.some((news) => news.table === table);
-  }
-
-  #isCovered(): boolean {
-    const { board, table, countDaemons } = this.#options;
-    const query = this.#getNewsQuery();
-    const isCovered =
-      performance.now() < this.#leansUntilMs
-        ? board.canLean(table, countDaemons(), query)
-        : board.isCovered(table, countDaemons(), query);
-    if (isCovered) {
-      board.withdraw(table);
-    }
-    return isCovered;
-  }
-
-  /**
-   * A reader whose feed went silent says nothing new; its question is given up a little after its wait.
-   * Where the wait has just become shorter, readers may still be at the longer one.
-   */
-  #getNewsQuery(): NewsQuery {
-    const nowMs = performance.now();
-    const waitMs = this.#options.getWaitMs();
-    if (waitMs >= this.#longWaitMs || nowMs > this.#longWaitEndsAtMs) {
-      this.#longWaitMs = waitMs;
-      this.#longWaitEndsAtMs = nowMs + waitMs;
-    }
-    return { nowMs, maxAgeMs: this.#longWaitMs + NEWS_AGE_MARGIN_MS };
-  }
-
   /** Takes readers' news: asks the store only for what they did not pass on. */
-  async #follow(asked: ClockReading, version: number): Promise<void> {
+  async #follow(asked: ClockReading): Promise<void> {
     this.#hasFollowed = true;
     this.#noteBack('readers');
     this.#takePassedOn();
-    if (this.#useNews(this.#version ?? version)) {
+    if (this.#useNews()) {
       await this.#options.board.waitForNews(NEWS_WAIT_MS);
       return;
     }
-    await this.#awaitPassedOn(this.#version ?? version);
-    if (!this.#useNews(this.#version ?? version)) {
-      this.#note(asked, await this.#readChanges(this.#version ?? version, 0));
+    await this.#awaitPassedOn();
+    if (!this.#useNews()) {
+      this.#note(asked, await this.#readChanges(0));
     }
   }
 
   /** Waits until what readers know of was passed on, for a while. */
-  async #awaitPassedOn(version: number): Promise<void> {
-    const { board, countDaemons } = this.#options;
-    const waitMs = countDaemons() <= SMALL_FLEET ? PASS_ON_MS : PASS_ON_LARGE_MS;
+  async #awaitPassedOn(): Promise<void> {
+    const { board } = this.#options;
+    const isSmallFleet = this.#options.countDaemons() <= SMALL_FLEET;
+    const waitMs = isSmallFleet ? PASS_ON_MS : PASS_ON_LARGE_MS;
     const endAtMs = performance.now() + waitMs;
     let leftMs = waitMs;
-    while (leftMs > 0 && !this.#useNews(this.#version ?? version)) {
+    while (leftMs > 0 && !this.#useNews()) {
       await board.waitForNews(leftMs);
       this.#takePassedOn();
       leftMs = endAtMs - performance.now();
@@ -323,32 +213,30 @@
   }
 
   #takePassedOn(): void {
-    const { board, table } = this.#options;
+    const { board, table, listener } = this.#options;
     for (;;) {
-      const version = this.#version ?? 0;
+      const version = this.#copy.version ?? 0;
       const changes = board.findChanges(table, version);
       if (changes === undefined) {
         return;
       }
       const news = changes.items.filter((item) => item.version > version);
-      news.forEach((item) => this.#takeChange(item, changes.serverTimeMs));
-      this.#version = changes.upTo;
-      this.#lastChange = findNewest(this.#lastChange, news);
+      this.#copy.take(news, changes.upTo);
+      news.forEach((item) => listener.onChange(item, changes.serverTimeMs));
     }
   }
 
   /** False when readers know of a change that is not taken here, or their news confirm nothing here. */
-  #useNews(version: number): boolean {
-    const { board, table, freshness } = this.#options;
-    const best = board.getBest(table, this.#getNewsQuery());
-    if (best !== undefined && best.lastChange > version) {
-      return false;
-    }
+  #useNews(): boolean {
+    const { best } = this.#cover;
     if (best === undefined) {
       return true;
     }
-    this.#serverTimeMs = Math.max(this.#serverTimeMs, best.serverTimeMs);
-    return freshness.confirmByPeer(best.serverTimeMs);
+    if (best.lastChange > (this.#copy.version ?? 0)) {
+      return false;
+    }
+    this.#copy.confirm(best.serverTimeMs);
+    return this.#options.freshness.confirmByPeer(best.serverTimeMs);
   }
 
   #note(asked: ClockReading, serverTimeMs: number): void {
@@ -357,7 +245,8 @@
 
   #publish(): void {
     const { board, table } = this.#options;
-    board.publish({ table, lastChange: this.#lastChange, serverTimeMs: this.#serverTimeMs });
+    const { lastChange, serverTimeMs } = this.#copy;
+    board.publish({ table, lastChange, serverTimeMs });
   }
 
   /** Resolves with the store's clock as it answered. */
@@ -365,14 +254,10 @@
     const { store, table, listener } = this.#options;
     const page = await store.readRows(table);
     this.#noteAnswer();
-    this.#rows.clear();
-    page.items.forEach((row) => this.#rows.set(row.key, row));
-    listener.onAll(page.items, page.serverTimeMs);
-    this.#version = page.version;
-    this.#readWholeAt = page.version;
-    this.#lastChange = this.#findLastChange(page);
-    this.#serverTimeMs = page.serverTimeMs;
-    return page.serverTimeMs;
+    const { items: rows, version, serverTimeMs } = page;
+    this.#copy.replace({ rows, version, serverTimeMs, lastChange: this.#findLastChange(page) });
+    listener.onAll(rows, serverTimeMs);
+    return serverTimeMs;
   }
 
   /**
@@ -381,43 +266,30 @@
    * nothing.
    */
   #findLastChange({ items, version }: StorePage<StoreRow>): number {
-    const { board, table } = this.#options;
-    const best = board.getBest(table, this.#getNewsQuery());
+    const { best } = this.#cover;
     return best === undefined ? version : findNewest(best.lastChange, items);
   }
 
-  async #readChanges(after: number, waitMs: number): Promise<number> {
-    const { store, table, gatherMs, board } = this.#options;
-    const page = await store.readChanges(table, after, waitMs);
+  async #readChanges(waitMs: number): Promise<number> {
+    const { store, table, gatherMs, listener, board } = this.#options;
+    const page = await store.readChanges(table, this.#copy.version ?? 0, waitMs);
     this.#noteAnswer();
-    page.items.forEach((change) => this.#takeChange(change, page.serverTimeMs));
-    this.#version = page.version;
-    const lastBefore = this.#lastChange;
-    this.#lastChange = findNewest(lastBefore, page.items);
-    this.#serverTimeMs = page.serverTimeMs;
-    if (page.items.length > 0) {
+    const { items, version: upTo, serverTimeMs } = page;
+    // From the change before on, not from the question: a follower's version stands at that change.
+    const after = this.#copy.knownFrom;
+    this.#copy.take(items, upTo);
+    this.#copy.confirm(serverTimeMs);
+    items.forEach((change) => listener.onChange(change, serverTimeMs));
+    if (items.length > 0) {
       this.#publish();
-      const { items, version: upTo, serverTimeMs } = page;
-      // From the change before on, not from the question: a follower's version stands at that change.
-      const from = Math.max(lastBefore, this.#readWholeAt);
-      board.publishChanges({ table, after: from, upTo, serverTimeMs, items });
+      board.publishChanges({ table, after, upTo, serverTimeMs, items });
       await sleep(gatherMs);
     }
-    return page.serverTimeMs;
-  }
-
-  #takeChange(change: StoreChange, serverTimeMs: number): void {
-    const { key, value, version } = change;
-    if (value === undefined) {
-      this.#rows.delete(key);
-    } else {
-      this.#rows.set(key, { key, value, version });
-    }
-    this.#options.listener.onChange(change, serverTimeMs);
+    return serverTimeMs;
   }
 
   #noteAnswer(): void {
-    this.#leansUntilMs = 0;
+    this.#cover.noteAnswer();
     this.#hasFollowed = false;
     this.#noteBack('store');
   }
@@ -441,7 +313,7 @@
     board.withdraw(table);
     if (error instanceof HistoryGoneError) {
       logger.info({ event: 'historyGone', table }, 'feed history gone; reading the table again');
-      this.#version = undefined;
+      this.#copy.forget();
       this.#failures += 1;
       return;
     }
@@ -449,18 +321,18 @@
       logger.warn({ event: 'storeLost', table, cause: getErrorMessage(error) }, 'store lost');
     }
     this.#failures += 1;
-    this.#leansUntilMs = performance.now() + LEAN_MS;
+    this.#cover.noteLost();
     await this.#backOff();
-    if (this.#version !== undefined) {
-      this.#useNews(this.#version);
+    if (this.#copy.version !== undefined) {
+      this.#useNews();
     }
   }
 
   /** Waits before the store is asked again, or until others have its word. */
   async #backOff(): Promise<void> {
-    const { random, board, table, countDaemons } = this.#options;
+    const { random, board } = this.#options;
     const ownMs = Math.min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** Math.min(6, this.#failures - 1));
-    const rank = this.#version === undefined ? 0 : (this.#options.getReaderRank() ?? 0);
+    const rank = this.#copy.version === undefined ? 0 : (this.#options.getReaderRank() ?? 0);
     const rankedMs = Math.min(MAX_RANKED_BACKOFF_MS, ownMs * (1 + rank) ** 2);
     const waitMs = rankedMs * (0.5 + random.next());
     if (rank === 0) {
@@ -468,8 +340,7 @@
       return;
     }
     const endAtMs = performance.now() + waitMs;
-    const isOver = (): boolean =>
-      performance.now() >= endAtMs || board.canLean(table, countDaemons(), this.#getNewsQuery());
+    const isOver = (): boolean => performance.now() >= endAtMs || this.#cover.canLean;
     while (!isOver()) {
       await board.waitForNews(endAtMs - performance.now());
     }
