Lines tell which requests an upstream ended with, and which of them ask the same

Lines name attempts, not what was asked, and no line said that an upstream ended.

After a loss one connection is made to the upstream: refused, its process has ended, and 'upstreamEnded' lists what this daemon had there. 'attemptFailed' has the digest. A counter by service. Nothing is decided by it yet.

--- a/packages/common/src/ids.ts
+++ b/packages/common/src/ids.ts
@@ -18,6 +18,8 @@
 /** What a caller's retries share: the idempotency key or, without one, the request id. */
 export type RequestKey = Branded<'requestKey'>;
 export type SessionId = Branded<'session'>;
+/** What is asked and by whom, whatever attempt brings it: the same for a request that comes again. */
+export type RequestDigest = Branded<'requestDigest'>;
 /** One life of one daemon process: `vm#bootMs-random`. */
 export type IncarnationId = Branded<'incarnation'>;
 /** One run of a request at one engine; the engine's name for its stream. */
--- /dev/null
+++ b/packages/forwarding/src/crashes/index.ts
@@ -0,0 +1,1 @@
+export { digestRequest, type DigestedRequest } from './requestDigest.js';
--- a/packages/forwarding/src/daemon/forwardDaemon.ts
+++ b/packages/forwarding/src/daemon/forwardDaemon.ts
@@ -128,6 +128,7 @@
     this.#settings = adapter.settings;
     this.#configuration = new ConfigurationHolder(logger, this.#storeClock);
     this.#directory = new UpstreamDirectory(logger, this.#peerLoads);
+    this.#directory.onEnd(({ upstream }) => this.#metrics.countUpstreamEnd(upstream.service));
     const { vmName, sessionTtlMs, allowedExposure } = adapter.settings;
     this.#board = new NewsBoard(vmName, adapter.settings.dataCentre);
     this.#rollouts = new RolloutGuide({
--- a/packages/forwarding/src/edge/forwardMetrics.ts
+++ b/packages/forwarding/src/edge/forwardMetrics.ts
@@ -16,6 +16,8 @@
 
   readonly #datagrams: Counter;
 
+  readonly #upstreamEnds: Counter;
+
   readonly #latency: Gauge;
 
   readonly #histograms = new Map<RouteKind, Histogram>();
@@ -40,6 +42,12 @@
       labelNames: ['kind', 'direction'],
       registers,
     });
+    this.#upstreamEnds = new Counter({
+      name: 'snipehaven_upstream_ends_total',
+      help: 'Upstreams whose process ended with requests of this daemon.',
+      labelNames: ['service'],
+      registers,
+    });
     this.#latency = new Gauge({
       name: 'snipehaven_forward_ms',
       help: 'Time to the end of whole answers, in milliseconds.',
@@ -77,6 +85,10 @@
     this.#datagrams.inc({ kind, direction });
   }
 
+  countUpstreamEnd(service: string): void {
+    this.#upstreamEnds.inc({ service });
+  }
+
   async render(): Promise<string> {
     this.#histograms.forEach((histogram, kind) => {
       LATENCY_QUANTILES.forEach((quantile) => {
--- a/packages/forwarding/src/exchange/connectionPool.ts
+++ b/packages/forwarding/src/exchange/connectionPool.ts
@@ -1,7 +1,14 @@
 /** Connections to one upstream: each carries one request at a time, the youngest idle one first. */
-import { MAX_CONNECTION_IDLE_MS, MAX_IDLE_CONNECTIONS } from '../constants.js';
+import { CONNECT_TIMEOUT_MS, MAX_CONNECTION_IDLE_MS, MAX_IDLE_CONNECTIONS } from '../constants.js';
+import { openSocket } from './openSocket.js';
+import type { ProbeOutcome } from './types.js';
 import { UpstreamConnection } from './upstreamConnection.js';
 
+/** What the kernel of a machine says whose process does not listen any more. */
+const REFUSED_CODE = 'ECONNREFUSED';
+
+const isRefusal = (error: Error): boolean => 'code' in error && error.code === REFUSED_CODE;
+
 export class ConnectionPool {
   readonly #host: string;
 
@@ -30,6 +37,20 @@
     );
   }
 
+  /** Asks whether the upstream's process still listens, on a connection that carries nothing. */
+  probe(): Promise<ProbeOutcome> {
+    return new Promise((resolve) => {
+      openSocket(this.#host, this.#port, CONNECT_TIMEOUT_MS, (error, socket) => {
+        socket?.destroy();
+        if (error === null) {
+          resolve('listening');
+          return;
+        }
+        resolve(isRefusal(error) ? 'refused' : 'silent');
+      });
+    });
+  }
+
   /** The round trip to the upstream, as the quickest of its connections shows it; absent before the first. */
   get roundTripMs(): number | undefined {
     return this.#shortestConnectMs;
--- a/packages/forwarding/src/exchange/types.ts
+++ b/packages/forwarding/src/exchange/types.ts
@@ -32,6 +32,9 @@
   onFailure(failure: ExchangeFailure): void;
 }
 
+/** What came of a connection made to learn whether a process listens; `silent`: nobody said. */
+export type ProbeOutcome = 'listening' | 'refused' | 'silent';
+
 export interface UpstreamRequest {
   readonly method: string;
   /** Path and query as they came. */
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -6,6 +6,7 @@
 export * from './daemon/index.js';
 export * from './edge/index.js';
 export * from './errors.js';
+export * from './crashes/index.js';
 export { openSocket, type ConnectCallback } from './exchange/index.js';
 export * from './peers/index.js';
 export * from './rollouts/index.js';
--- a/packages/forwarding/src/runs/attempt.ts
+++ b/packages/forwarding/src/runs/attempt.ts
@@ -1,4 +1,5 @@
 /** One sending of a request to one upstream: load accounting, silence, outcome. */
+import type { RequestDigest } from '@snipehaven/common';
 import {
   MIN_SILENCE_MS,
   SILENCE_TARGETS,
@@ -12,7 +13,7 @@
   type ExchangeListener,
 } from '../exchange/index.js';
 import type { ForwardRoute, UpstreamHeaderValues } from '../types.js';
-import type { UpstreamEntry, UpstreamOutcome } from '../upstreams/index.js';
+import type { SentRequest, UpstreamEntry, UpstreamOutcome } from '../upstreams/index.js';
 import type { ForwardDependencies } from './dependencies.js';
 import type { CallerRequest } from './forwardRun.js';
 
@@ -35,6 +36,8 @@
 export interface AttemptListener extends ExchangeListener {
   /** True when the attempt was given up for it. */
   onSilence(silentMs: number): boolean;
+  /** Of what is asked; worked out only when it is asked for. */
+  readonly digest: RequestDigest;
 }
 
 /** An upstream that sent bytes on any connection this recently is alive; the request may just wait there. */
@@ -46,7 +49,7 @@
     ? targetLatencyMs * STREAM_START_TARGETS
     : Math.max(MIN_SILENCE_MS, targetLatencyMs * SILENCE_TARGETS);
 
-export class Attempt {
+export class Attempt implements SentRequest {
   readonly #dependencies: ForwardDependencies;
 
   readonly #listener: AttemptListener;
@@ -61,6 +64,10 @@
 
   #startedAtMs = performance.now();
 
+  readonly attemptId: string;
+
+  #beganAtMs: number | undefined;
+
   #headMs: number | undefined;
 
   #silenceMs: number;
@@ -81,6 +88,7 @@
     this.#dependencies = dependencies;
     this.#listener = listener;
     this.#plan = plan;
+    this.attemptId = request.options.attemptId;
     this.#silenceMs = getStartSilenceMs(plan.route);
     this.#exchange = new Exchange(
       plan.entry.pool,
@@ -109,6 +117,18 @@
     return this.#plan.service;
   }
 
+  get digest(): RequestDigest {
+    return this.#listener.digest;
+  }
+
+  get sentAtMs(): number {
+    return this.#startedAtMs;
+  }
+
+  get beganAtMs(): number | undefined {
+    return this.#beganAtMs;
+  }
+
   /** Until the upstream's answer began; absent before. */
   get headMs(): number | undefined {
     return this.#headMs;
@@ -119,6 +139,7 @@
     this.#startedAtMs = performance.now();
     this.#work = this.#plan.startWork + this.#plan.runWork;
     this.#plan.entry.begin(this.#work);
+    this.#plan.entry.endWatch.enter(this);
     this.#dependencies.notePlaced(this.#work);
     this.#armSilence();
     this.#exchange.start();
@@ -187,6 +208,7 @@
 
   #onHead(head: AnswerHead): void {
     this.#hear();
+    this.#beganAtMs = performance.now();
     const { service, workAhead, isResumed } = this.#plan;
     const tookMs = performance.now() - this.#startedAtMs;
     this.#headMs = tookMs;
@@ -227,6 +249,9 @@
     clearTimeout(this.#silenceTimer);
     if (this.#isListening) {
       this.#isListening = false;
+      if (failure.verdict !== 'notSent') {
+        void this.#plan.entry.endWatch.noteLoss(this);
+      }
       this.settle(failure.verdict === 'notSent' ? 'unreachable' : 'failed');
       this.#listener.onFailure(failure);
     }
@@ -268,6 +293,7 @@
     if (this.#isLoadCounted) {
       this.#isLoadCounted = false;
       this.#plan.entry.finish(this.#work);
+      this.#plan.entry.endWatch.leave(this);
     }
   }
 }
--- a/packages/forwarding/src/runs/forwardRun.ts
+++ b/packages/forwarding/src/runs/forwardRun.ts
@@ -1,4 +1,5 @@
 /** One caller attempt, from its whole request to its final answer. */
+import type { RequestDigest } from '@snipehaven/common';
 import {
   chooseNextModel,
   mayTryAgain,
@@ -7,6 +8,7 @@
   type RepeatPurpose,
 } from '@snipehaven/policy';
 import { MIN_ATTEMPT_MS } from '../constants.js';
+import { digestRequest } from '../crashes/index.js';
 import type { AnswerHead, ExchangeFailure } from '../exchange/index.js';
 import type { ForwardRoute, HeaderMap, RequestOptions } from '../types.js';
 import { Attempt, type AttemptListener } from './attempt.js';
@@ -76,6 +78,8 @@
 
   #isOver = false;
 
+  #digest: RequestDigest | undefined;
+
   constructor(
     dependencies: ForwardDependencies,
     request: CallerRequest,
@@ -97,6 +101,11 @@
     port.onDrain(() => this.#attempt?.resume());
   }
 
+  get digest(): RequestDigest {
+    this.#digest ??= digestRequest({ ...this.#request, team: this.#resolved.team?.name });
+    return this.#digest;
+  }
+
   start(): void {
     const service = this.#pickService();
     this.#dependencies.getRepeatBudget(service).countFirst(performance.now());
@@ -251,7 +260,8 @@
     this.#mayHaveRun ||= outcome === 'unknown';
     const canRepeat =
       this.#canTryAgain(outcome) && (outcome === 'notSent' || this.#takeRepeat('failure'));
-    this.#log('attemptFailed', { outcome, cause, repeated: canRepeat });
+    const asked = outcome === 'unknown' ? { digest: this.digest } : {};
+    this.#log('attemptFailed', { outcome, cause, repeated: canRepeat, ...asked });
     this.#attempt?.detach();
     if (canRepeat) {
       this.#sendAgain();
--- a/packages/forwarding/src/upstreams/index.ts
+++ b/packages/forwarding/src/upstreams/index.ts
@@ -1,2 +1,3 @@
+export type { EndVerdict, SentRequest } from './endWatch.js';
 export { UpstreamDirectory } from './upstreamDirectory.js';
-export { UpstreamEntry, type UpstreamOutcome } from './upstreamEntry.js';
+export { UpstreamEntry, type UpstreamEnd, type UpstreamOutcome } from './upstreamEntry.js';
--- a/packages/forwarding/src/upstreams/upstreamDirectory.ts
+++ b/packages/forwarding/src/upstreams/upstreamDirectory.ts
@@ -3,7 +3,8 @@
 import type { PeerLoads } from '../peers/index.js';
 import type { Upstream } from '../types.js';
 import { DataCentreWatch } from './dataCentreWatch.js';
-import { UpstreamEntry } from './upstreamEntry.js';
+import type { SentRequest } from './endWatch.js';
+import { UpstreamEntry, type UpstreamEnd } from './upstreamEntry.js';
 
 /**
  * Entries may lapse while the store is away though their upstreams live, and come back within about two
@@ -16,6 +17,16 @@
 /** Ids whose newest life is remembered, present or not; far more than a day's upstreams. */
 const MAX_REMEMBERED_LIVES = 4_096;
 
+/** Requests named in the line of an upstream's end; a line is bounded, however many were lost. */
+const MAX_LOGGED_REQUESTS = 40;
+
+const describeSent = ({ attemptId, digest, sentAtMs, beganAtMs }: SentRequest, nowMs: number) => ({
+  request: attemptId,
+  digest,
+  sentForMs: Math.round(nowMs - sentAtMs),
+  ...(beganAtMs === undefined ? {} : { answeredForMs: Math.round(nowMs - beganAtMs) }),
+});
+
 export class UpstreamDirectory {
   readonly #logger: Logger;
 
@@ -32,11 +43,18 @@
 
   readonly #peerLoads: PeerLoads;
 
+  #onEnd: (end: UpstreamEnd) => void = () => {};
+
   constructor(logger: Logger, peerLoads: PeerLoads) {
     this.#logger = logger;
     this.#peerLoads = peerLoads;
   }
 
+  /** Calls back when an upstream's process ended. */
+  onEnd(listener: (end: UpstreamEnd) => void): void {
+    this.#onEnd = listener;
+  }
+
   /** Upstreams of the service that may get new requests. */
   listReady(service: string): UpstreamEntry[] {
     return [...this.#entries.values()].filter(
@@ -75,7 +93,7 @@
     this.#endEarlierLife(upstream);
     const entry = this.#entries.get(upstream.id);
     if (entry === undefined) {
-      this.#entries.set(upstream.id, new UpstreamEntry(upstream, this.#peerLoads, this.#watch));
+      this.#entries.set(upstream.id, this.#createEntry(upstream));
       this.#logger.info({ event: 'upstreamListed', upstream }, 'upstream listed');
       return;
     }
@@ -117,6 +135,29 @@
     this.#isListed = true;
   }
 
+  #createEntry(upstream: Upstream): UpstreamEntry {
+    return new UpstreamEntry(upstream, this.#peerLoads, this.#watch, (end) => this.#noteEnd(end));
+  }
+
+  #noteEnd(end: UpstreamEnd): void {
+    const nowMs = performance.now();
+    const { upstream, lifeId, isExpected, lost } = end;
+    this.#logger.info(
+      {
+        event: 'upstreamEnded',
+        upstream: upstream.id,
+        life: lifeId,
+        service: upstream.service,
+        version: upstream.softwareVersion,
+        isExpected,
+        requests: lost.length,
+        lost: lost.slice(0, MAX_LOGGED_REQUESTS).map((one) => describeSent(one, nowMs)),
+      },
+      'an upstream ended with requests of ours',
+    );
+    this.#onEnd(end);
+  }
+
   /** A late row must not bring back an upstream that has ended, or started anew since. */
   #isOfEarlierLife({ id, bornAtMs }: Upstream): boolean {
     const newest = this.#newestBirths.get(id);
@@ -166,6 +207,7 @@
 
   #drop(entry: UpstreamEntry): void {
     this.#entries.delete(entry.id);
+    entry.unlist();
     entry.pool.close();
     this.#logger.info({ event: 'upstreamGone', upstream: entry.id }, 'upstream gone');
   }
--- a/packages/forwarding/src/upstreams/upstreamEntry.ts
+++ b/packages/forwarding/src/upstreams/upstreamEntry.ts
@@ -3,6 +3,7 @@
 import type { PeerLoads, UpstreamLoad } from '../peers/index.js';
 import type { Upstream } from '../types.js';
 import { DataCentreWatch } from './dataCentreWatch.js';
+import { EndWatch, type SentRequest } from './endWatch.js';
 
 /** Weight of the newest outcome in the share of failures; ten outcomes say most. */
 const FAILURE_SMOOTHING = 0.12;
@@ -13,9 +14,20 @@
 
 export type UpstreamOutcome = 'answered' | 'failed' | 'refused' | 'unreachable';
 
+/** An upstream's process ended, with what this daemon had there. */
+export interface UpstreamEnd {
+  readonly upstream: Upstream;
+  readonly lifeId: string;
+  /** The list had told that it leaves, or did not name it any more. */
+  readonly isExpected: boolean;
+  readonly lost: readonly SentRequest[];
+}
+
 export class UpstreamEntry {
   readonly pool: ConnectionPool;
 
+  readonly endWatch: EndWatch;
+
   #upstream: Upstream;
 
   #requests = 0;
@@ -32,6 +44,8 @@
 
   #isDoubtful = false;
 
+  #isListed = true;
+
   readonly #peerLoads: PeerLoads;
 
   readonly #watch: DataCentreWatch;
@@ -40,11 +54,16 @@
     upstream: Upstream,
     peerLoads: PeerLoads,
     watch: DataCentreWatch = new DataCentreWatch(),
+    onEnd: (end: UpstreamEnd) => void = () => {},
   ) {
     this.#upstream = upstream;
     this.#peerLoads = peerLoads;
     this.#watch = watch;
     this.pool = new ConnectionPool(upstream.host, upstream.port);
+    this.endWatch = new EndWatch({
+      probe: () => this.pool.probe(),
+      onEnd: (lost) => onEnd(this.#describeEnd(lost)),
+    });
   }
 
   get upstream(): Upstream {
@@ -101,6 +120,11 @@
     this.#isDoubtful = true;
   }
 
+  /** The list does not name it any more; requests may still run there. */
+  unlist(): void {
+    this.#isListed = false;
+  }
+
   /** Takes what the list says of it now. */
   update(upstream: Upstream): void {
     this.#isDoubtful = false;
@@ -143,4 +167,9 @@
       this.#suspectUntilMs = Math.max(this.#suspectUntilMs, nowMs + FIRST_SUSPICION_MS / 8);
     }
   }
+
+  #describeEnd(lost: readonly SentRequest[]): UpstreamEnd {
+    const isExpected = !this.#isListed || this.#isDoubtful || this.#upstream.state !== 'ready';
+    return { upstream: this.#upstream, lifeId: this.lifeId, isExpected, lost };
+  }
 }
