A request under which three upstreams ended is held back by all daemons

Cause: a request that ends whoever runs it is a new one with each attempt. What speaks against it was known to one attempt of one daemon, up to maxAttempts engines each; nothing counted ends by what was asked. The field calls it a query of death.

Change: ends are sets by request digest and life of the upstream, told to all daemons by datagram, twice. Three hold the request back for ten minutes: refused at once (503, or 502 where this attempt ran), with when to come back. A whole answer clears it, an upstream that turns out to live takes its end back. A lost request waits for its upstream's fate (a round trip, 100 ms at most) before it goes to the next. Requests that had been answered for a second, or whose upstream was leaving, are blamed half.

Ruled out: allowing one attempt less (the callers' own attempts alone are over the bound), counting closed connections (resets of live upstreams), a row for each end in the store.

--- a/packages/forwarding/src/daemon/forwardDaemon.ts
+++ b/packages/forwarding/src/daemon/forwardDaemon.ts
@@ -7,7 +7,8 @@
 import { ForwardMetrics, FrontServer, StatusServer } from '../edge/index.js';
 import { RolloutGuide, RolloutKeeper } from '../rollouts/index.js';
 import { TableWatcher, type RowStore } from '../store/index.js';
-import { UpstreamDirectory } from '../upstreams/index.js';
+import { UpstreamDirectory, type UpstreamEnd } from '../upstreams/index.js';
+import { CrashBook } from '../crashes/index.js';
 import {
   NewsBoard,
   PeerDirectory,
@@ -77,6 +78,8 @@
 
   readonly #rollouts: RolloutGuide;
 
+  readonly #crashes: CrashBook;
+
   readonly #storeClock = new StoreClock();
 
   readonly #statusFreshness = new Freshness(this.#storeClock);
@@ -128,7 +131,12 @@
     this.#settings = adapter.settings;
     this.#configuration = new ConfigurationHolder(logger, this.#storeClock);
     this.#directory = new UpstreamDirectory(logger, this.#peerLoads);
-    this.#directory.onEnd(({ upstream }) => this.#metrics.countUpstreamEnd(upstream.service));
+    this.#crashes = new CrashBook({ logger, tell: (news) => this.#exchange.tellCrashes(news) });
+    this.#crashes.onHeld((digest) => this.#directory.holdBack(digest));
+    this.#directory.watchEnds({
+      onEnd: (end) => this.#noteEnd(end),
+      onAlive: (lifeId) => this.#crashes.noteAlive(lifeId),
+    });
     const { vmName, sessionTtlMs, allowedExposure } = adapter.settings;
     this.#board = new NewsBoard(vmName, adapter.settings.dataCentre);
     this.#rollouts = new RolloutGuide({
@@ -151,6 +159,7 @@
       directory: this.#directory,
       dialect: adapter.dialect,
       rollouts: this.#rollouts,
+      crashes: this.#crashes,
       metrics: this.#metrics,
       logger,
       random: this.#random,
@@ -328,10 +337,16 @@
       processId: getEntropySeed(),
       readOwnLoads: () => this.#readOwnLoads(),
       readOwnLearned: () => this.#readOwnLearned(),
+      takeCrashNews: (news) => this.#crashes.takeNews(news),
       meter: this.#metrics,
     });
   }
 
+  #noteEnd(end: UpstreamEnd): void {
+    this.#metrics.countUpstreamEnd(end.upstream.service);
+    this.#crashes.noteEnd(end);
+  }
+
   #readOwnLoads(): ReadonlyMap<string, UpstreamLoad> {
     const loads = new Map<string, UpstreamLoad>();
     for (const entry of this.#directory.entries) {
@@ -364,6 +379,16 @@
   }
 
   #addGauges(): void {
+    this.#metrics.addGauge(
+      'snipehaven_requests_held',
+      'Requests that are held back because upstreams ended under them.',
+      () => this.#crashes.heldCount,
+    );
+    this.#metrics.addGauge(
+      'snipehaven_daemons_known',
+      'Daemons that this one knows, itself among them.',
+      () => this.#exchange.daemons,
+    );
     this.#metrics.addGauge(
       'snipehaven_in_flight',
       'Requests in flight.',
--- /dev/null
+++ b/packages/forwarding/src/peers/crashMessage.ts
@@ -0,0 +1,80 @@
+/** What daemons tell each other of upstreams that ended and of requests cleared: datagrams of packed JSON. */
+import { asId, type RequestDigest } from '@snipehaven/common';
+import type { EndReport, Suspect, Suspicion } from '@snipehaven/policy';
+import { packDatagram } from './datagram.js';
+
+export interface CrashNews {
+  readonly ends: readonly EndReport[];
+  /** Answered in whole since an upstream ended under them. */
+  readonly cleared: readonly RequestDigest[];
+  /** Lives of upstreams that were taken for ended and are not. */
+  readonly alive: readonly string[];
+}
+
+export const NO_CRASH_NEWS: CrashNews = { ends: [], cleared: [], alive: [] };
+
+/** Requests named of one end, the most suspect first; more than an engine takes from one daemon. */
+const MAX_SUSPECTS = 400;
+
+const marks: Readonly<Record<Suspicion, 0 | 1>> = { strong: 1, weak: 0 };
+
+type WireSuspect = readonly [digest: string, mark: 0 | 1];
+type WireEnd = readonly [lifeId: string, suspects: readonly WireSuspect[]];
+
+interface WireMessage {
+  readonly crashes: readonly [
+    ends: readonly WireEnd[],
+    cleared: readonly string[],
+    alive: readonly string[],
+  ];
+}
+
+const toWireEnd = ({ lifeId, suspects }: EndReport): WireEnd => {
+  const worstFirst = [...suspects].sort((a, b) => marks[b.suspicion] - marks[a.suspicion]);
+  const named = worstFirst.slice(0, MAX_SUSPECTS);
+  return [lifeId, named.map(({ digest, suspicion }): WireSuspect => [digest, marks[suspicion]])];
+};
+
+export const encodeCrashNews = ({ ends, cleared, alive }: CrashNews): Buffer => {
+  const message: WireMessage = { crashes: [ends.map(toWireEnd), cleared, alive] };
+  return packDatagram(JSON.stringify(message));
+};
+
+const isText = (value: unknown): value is string => typeof value === 'string' && value !== '';
+
+const isTexts = (value: unknown): value is readonly string[] =>
+  Array.isArray(value) && value.every(isText);
+
+const isWireSuspect = (value: unknown): value is WireSuspect =>
+  Array.isArray(value) && isText(value[0]) && (value[1] === 0 || value[1] === 1);
+
+const isWireEnd = (value: unknown): value is WireEnd =>
+  Array.isArray(value) &&
+  isText(value[0]) &&
+  Array.isArray(value[1]) &&
+  value[1].every(isWireSuspect);
+
+const toSuspect = ([digest, mark]: WireSuspect): Suspect => ({
+  digest: asId<RequestDigest>(digest),
+  suspicion: mark === marks.strong ? 'strong' : 'weak',
+});
+
+/** Undefined when the decoded datagram holds no such news. */
+export const restoreCrashNews = (message: unknown): CrashNews | undefined => {
+  const crashes: unknown =
+    typeof message === 'object' && message !== null && 'crashes' in message
+      ? message.crashes
+      : undefined;
+  if (!Array.isArray(crashes)) {
+    return undefined;
+  }
+  const [ends, cleared, alive] = crashes as unknown[];
+  const isOurs = Array.isArray(ends) && ends.every(isWireEnd) && isTexts(cleared) && isTexts(alive);
+  return isOurs
+    ? {
+        ends: ends.map(([lifeId, suspects]) => ({ lifeId, suspects: suspects.map(toSuspect) })),
+        cleared: cleared.map((digest) => asId<RequestDigest>(digest)),
+        alive,
+      }
+    : undefined;
+};
--- a/packages/forwarding/src/peers/index.ts
+++ b/packages/forwarding/src/peers/index.ts
@@ -1,3 +1,4 @@
+export { NO_CRASH_NEWS, type CrashNews } from './crashMessage.js';
 export { createUdpPort, type DatagramPort } from './datagramPort.js';
 export { PeerExchange } from './peerExchange.js';
 export { PeerDirectory, type Peer } from './peerDirectory.js';
--- a/packages/forwarding/src/peers/peerExchange.ts
+++ b/packages/forwarding/src/peers/peerExchange.ts
@@ -5,6 +5,7 @@
 import type { TableSnapshot } from '../store/types.js';
 import type { SocketAddress } from '../types.js';
 import { restoreChanges } from './changesMessage.js';
+import { encodeCrashNews, restoreCrashNews, type CrashNews } from './crashMessage.js';
 import { ChangesRelay } from './changesRelay.js';
 import { parseDatagram } from './datagram.js';
 import type { DatagramPort } from './datagramPort.js';
@@ -39,6 +40,8 @@
   readOwnLearned(): Learned;
   /** What this daemon knows of the store's tables. */
   listSnapshots(): readonly TableSnapshot[];
+  /** Another daemon told of upstreams that ended. */
+  takeCrashNews(news: CrashNews): void;
 }
 
 /**
@@ -50,6 +53,12 @@
 /** A tick that comes later than this after it was due: the VM stood still. */
 const PAUSE_MS = 3 * TICK_MS;
 
+/**
+ * News of upstreams that ended are told twice: nobody asks for one that was lost. The second comes when a
+ * squeezed link has had time to empty.
+ */
+const TELL_AGAIN_MS = 200;
+
 /** Between lists of daemons; one of 400 packs to some 5 KB. */
 const ROSTER_MS = 3_000;
 
@@ -143,6 +152,17 @@
     return this.#joining.waitForSnapshot(table);
   }
 
+  /**
+   * Told to all daemons, however many: it is rare, and any of them may meet the request next. What comes by
+   * way of others would be lost with them.
+   */
+  tellCrashes(news: CrashNews): void {
+    const bytes = encodeCrashNews(news);
+    const tell = (): void => this.#messenger.sendTo(this.#options.directory.all, bytes);
+    tell();
+    setTimeout(tell, TELL_AGAIN_MS).unref();
+  }
+
   /** This daemon has placed work. */
   noteWork(work: number): void {
     if (work >= LARGE_WORK) {
@@ -180,6 +200,11 @@
       this.#relay.take(changes, bytes, host);
       return 'changes';
     }
+    const crashes = restoreCrashNews(message);
+    if (crashes !== undefined) {
+      this.#options.takeCrashNews(crashes);
+      return 'crashes';
+    }
     const joining = restoreJoinMessage(message);
     if (joining !== undefined) {
       this.#joining.take(joining, performance.now());
--- a/packages/forwarding/src/peers/testSupport/daemonFleet.ts
+++ b/packages/forwarding/src/peers/testSupport/daemonFleet.ts
@@ -176,6 +176,7 @@
       processId: seed,
       readOwnLoads: () => new Map(own),
       readOwnLearned: () => learned,
+      takeCrashNews: () => {},
     });
     const member = { self, directory, loads, board, exchange, own, tables };
     const names = this.#options.tables ?? [];
--- a/packages/forwarding/src/runs/attempt.ts
+++ b/packages/forwarding/src/runs/attempt.ts
@@ -13,7 +13,12 @@
   type ExchangeListener,
 } from '../exchange/index.js';
 import type { ForwardRoute, UpstreamHeaderValues } from '../types.js';
-import type { SentRequest, UpstreamEntry, UpstreamOutcome } from '../upstreams/index.js';
+import type {
+  EndVerdict,
+  SentRequest,
+  UpstreamEntry,
+  UpstreamOutcome,
+} from '../upstreams/index.js';
 import type { ForwardDependencies } from './dependencies.js';
 import type { CallerRequest } from './forwardRun.js';
 
@@ -38,6 +43,8 @@
   onSilence(silentMs: number): boolean;
   /** Of what is asked; worked out only when it is asked for. */
   readonly digest: RequestDigest;
+  /** The request is held back; this attempt has not begun to be answered. */
+  onHeld(): void;
 }
 
 /** An upstream that sent bytes on any connection this recently is alive; the request may just wait there. */
@@ -68,6 +75,8 @@
 
   #beganAtMs: number | undefined;
 
+  #fate: Promise<EndVerdict> = Promise.resolve('unknown');
+
   #headMs: number | undefined;
 
   #silenceMs: number;
@@ -157,6 +166,17 @@
     this.#exchange.resume();
   }
 
+  /** What the upstream did to a request that was lost there. */
+  get fate(): Promise<EndVerdict> {
+    return this.#fate;
+  }
+
+  onHeld(): void {
+    if (this.#isListening && this.#beganAtMs === undefined) {
+      this.#listener.onHeld();
+    }
+  }
+
   /** Notes how the upstream did. */
   settle(outcome: UpstreamOutcome): void {
     this.#plan.entry.noteOutcome(outcome, performance.now());
@@ -209,6 +229,9 @@
   #onHead(head: AnswerHead): void {
     this.#hear();
     this.#beganAtMs = performance.now();
+    if (!head.facts.isNotRun) {
+      this.#plan.entry.endWatch.noteServed(this);
+    }
     const { service, workAhead, isResumed } = this.#plan;
     const tookMs = performance.now() - this.#startedAtMs;
     this.#headMs = tookMs;
@@ -250,7 +273,7 @@
     if (this.#isListening) {
       this.#isListening = false;
       if (failure.verdict !== 'notSent') {
-        void this.#plan.entry.endWatch.noteLoss(this);
+        this.#fate = this.#plan.entry.endWatch.noteLoss(this);
       }
       this.settle(failure.verdict === 'notSent' ? 'unreachable' : 'failed');
       this.#listener.onFailure(failure);
--- a/packages/forwarding/src/runs/buildRefusal.ts
+++ b/packages/forwarding/src/runs/buildRefusal.ts
@@ -1,7 +1,8 @@
-/** When a refused caller may come back; said only where its request has not run. */
+/** When a refused caller may come back. */
 import { BUSY_RETRY_AFTER_S, NOT_READY_RETRY_AFTER_S } from '../constants.js';
 import type { Refusal, RefusalReason } from './types.js';
 
+/** Usual times, said only where the request has not run. */
 const retryAfterS: Readonly<Partial<Record<RefusalReason, number>>> = {
   notReady: NOT_READY_RETRY_AFTER_S,
   noUpstream: NOT_READY_RETRY_AFTER_S,
@@ -9,7 +10,8 @@
   deadlineNotRun: BUSY_RETRY_AFTER_S,
 };
 
-export const buildRefusal = (reason: RefusalReason): Refusal => {
-  const after = retryAfterS[reason];
+/** `knownAfterS`: a time that is known better than the usual one. */
+export const buildRefusal = (reason: RefusalReason, knownAfterS?: number): Refusal => {
+  const after = knownAfterS ?? retryAfterS[reason];
   return after === undefined ? { reason } : { reason, retryAfterS: after };
 };
--- a/packages/forwarding/src/runs/dependencies.ts
+++ b/packages/forwarding/src/runs/dependencies.ts
@@ -2,6 +2,7 @@
 import type { Logger, Random } from '@snipehaven/common';
 import type { ModelDemand, RepeatBudget, WorkPace } from '@snipehaven/policy';
 import type { ConfigurationHolder } from '../configuration/configurationHolder.js';
+import type { CrashBook } from '../crashes/index.js';
 import type { ForwardMetrics } from '../edge/forwardMetrics.js';
 import type { RolloutGuide } from '../rollouts/rolloutGuide.js';
 import type { HeaderDialect } from '../types.js';
@@ -12,6 +13,8 @@
   readonly directory: UpstreamDirectory;
   readonly dialect: HeaderDialect;
   readonly rollouts: RolloutGuide;
+  /** Upstreams that ended, and requests that are held back for it. */
+  readonly crashes: CrashBook;
   readonly metrics: ForwardMetrics;
   readonly logger: Logger;
   readonly random: Random;
--- a/packages/forwarding/src/runs/forwardRun.ts
+++ b/packages/forwarding/src/runs/forwardRun.ts
@@ -1,5 +1,5 @@
 /** One caller attempt, from its whole request to its final answer. */
-import type { RequestDigest } from '@snipehaven/common';
+import { sleep, type RequestDigest } from '@snipehaven/common';
 import {
   chooseNextModel,
   mayTryAgain,
@@ -8,7 +8,7 @@
   type RepeatPurpose,
 } from '@snipehaven/policy';
 import { MIN_ATTEMPT_MS } from '../constants.js';
-import { digestRequest } from '../crashes/index.js';
+import { digestRequest, type Hold } from '../crashes/index.js';
 import type { AnswerHead, ExchangeFailure } from '../exchange/index.js';
 import type { ForwardRoute, HeaderMap, RequestOptions } from '../types.js';
 import { Attempt, type AttemptListener } from './attempt.js';
@@ -39,6 +39,20 @@
   readonly model: string;
 }
 
+/** The upstream's machine answers within a round trip; longer means that nobody will say. */
+const FATE_WAIT_MS = 100;
+
+const MS_PER_S = 1_000;
+
+/** What a caller is told whose request may have run; of all other reasons, that the upstream failed. */
+const reasonsAfterRun: Readonly<Partial<Record<RefusalReason, RefusalReason>>> = {
+  deadline: 'deadline',
+  held: 'heldAfterRun',
+};
+
+const getSecondsLeft = ({ untilMs }: Hold): number =>
+  Math.max(1, Math.ceil((untilMs - performance.now()) / MS_PER_S));
+
 const isSuccess = (status: number): boolean => status >= 200 && status < 300;
 
 const isRepeatable = (route: ForwardRoute): boolean =>
@@ -107,6 +121,10 @@
   }
 
   start(): void {
+    if (this.#hold !== undefined) {
+      this.#concludeFailure('held');
+      return;
+    }
     const service = this.#pickService();
     this.#dependencies.getRepeatBudget(service).countFirst(performance.now());
     this.#send(service);
@@ -143,6 +161,7 @@
 
   onEnd(): void {
     this.#relay.finish();
+    this.#noteAnswered();
     this.#log('answered', {
       status: this.#status,
       attempts: this.#sent,
@@ -153,9 +172,21 @@
     this.#finish('answered');
   }
 
-  onFailure(failure: ExchangeFailure): void {
-    const outcome: AttemptOutcome = failure.verdict === 'notSent' ? 'notSent' : 'unknown';
-    this.#continueAfter(outcome, failure.cause);
+  onFailure({ verdict, cause }: ExchangeFailure): void {
+    if (verdict === 'notSent') {
+      this.#continueAfter('notSent', cause);
+      return;
+    }
+    this.#mayHaveRun = true;
+    this.#relay.interrupt();
+    void this.#continueAfterLoss(cause);
+  }
+
+  /** Other daemons saw upstreams end under the same request. */
+  onHeld(): void {
+    this.#attempt?.abort();
+    this.#mayHaveRun = true;
+    this.#concludeFailure('held');
   }
 
   /** The upstream has been silent for long; a run that may be repeated moves on. */
@@ -251,6 +282,19 @@
         };
   }
 
+  /**
+   * A request that ended its upstream must not be at the next one before that is known. An answer of the
+   * machine takes a round trip; a caller whose request can't be repeated is not kept waiting for it.
+   */
+  async #continueAfterLoss(cause: string): Promise<void> {
+    if (this.#canTryAgain('unknown')) {
+      await Promise.race([this.#attempt?.fate, sleep(FATE_WAIT_MS)]);
+    }
+    if (!this.#isOver) {
+      this.#continueAfter('unknown', cause);
+    }
+  }
+
   #continueAfter(outcome: AttemptOutcome, cause: string): void {
     this.#relay.interrupt();
     if (outcome === 'notSent') {
@@ -258,8 +302,11 @@
       this.#unsent += 1;
     }
     this.#mayHaveRun ||= outcome === 'unknown';
+    const isHeld = this.#hold !== undefined;
     const canRepeat =
-      this.#canTryAgain(outcome) && (outcome === 'notSent' || this.#takeRepeat('failure'));
+      !isHeld &&
+      this.#canTryAgain(outcome) &&
+      (outcome === 'notSent' || this.#takeRepeat('failure'));
     const asked = outcome === 'unknown' ? { digest: this.digest } : {};
     this.#log('attemptFailed', { outcome, cause, repeated: canRepeat, ...asked });
     this.#attempt?.detach();
@@ -267,9 +314,9 @@
       this.#sendAgain();
       return;
     }
-    this.#concludeFailure(
-      outcome === 'refused' || outcome === 'notSent' ? 'upstreamsBusy' : 'upstreamFailed',
-    );
+    const isNotRun = outcome === 'refused' || outcome === 'notSent';
+    const reason = isNotRun ? 'upstreamsBusy' : 'upstreamFailed';
+    this.#concludeFailure(isHeld ? 'held' : reason);
   }
 
   #canTryAgain(outcome: AttemptOutcome): boolean {
@@ -308,8 +355,22 @@
     return pickTarget(this.#resolved.route.targets, this.#dependencies.random.next());
   }
 
+  /** Undefined while the request may be sent. */
+  get #hold(): Hold | undefined {
+    const { crashes } = this.#dependencies;
+    return crashes.isEmpty ? undefined : crashes.findHold(this.digest);
+  }
+
+  /** The upstream ran it and lives, whatever it answered. */
+  #noteAnswered(): void {
+    const { crashes } = this.#dependencies;
+    if (!crashes.isEmpty) {
+      crashes.noteAnswered(this.digest);
+    }
+  }
+
   #sendAgain(): void {
-    const refused = this.#refreshRoute();
+    const refused = this.#hold === undefined ? this.#refreshRoute() : 'held';
     if (refused === undefined) {
       this.#send(this.#pickService());
     } else {
@@ -382,12 +443,18 @@
     if (this.#isOver) {
       return;
     }
-    const told = this.#mayHaveRun && reason !== 'deadline' ? 'upstreamFailed' : reason;
-    this.#log('refused', { reason: told, attempts: this.#sent, begun: this.#relay.hasBegun });
+    const told = this.#mayHaveRun ? (reasonsAfterRun[reason] ?? 'upstreamFailed') : reason;
+    const hold = reason === 'held' ? this.#hold : undefined;
+    this.#log('refused', {
+      reason: told,
+      attempts: this.#sent,
+      begun: this.#relay.hasBegun,
+      ...(hold === undefined ? {} : { digest: hold.digest, ended: hold.lives }),
+    });
     if (this.#relay.hasBegun) {
       this.#port.breakOff();
     } else {
-      this.#port.refuse(buildRefusal(told));
+      this.#port.refuse(buildRefusal(told, hold && getSecondsLeft(hold)));
     }
     this.#finish(told);
   }
--- a/packages/forwarding/src/runs/refusals.ts
+++ b/packages/forwarding/src/runs/refusals.ts
@@ -20,5 +20,7 @@
   upstreamsBusy: { status: 503, message: 'upstreams are full' },
   deadlineNotRun: { status: 503, message: 'no upstream took it in time' },
   deadline: { status: 504, message: 'no answer in time' },
+  held: { status: 503, message: 'held back: upstreams ended each time they ran it' },
+  heldAfterRun: { status: 502, message: 'upstreams ended each time they ran it; held back' },
   upstreamFailed: { status: 502, message: 'the upstream failed; the request may have run' },
 };
--- a/packages/forwarding/src/runs/types.ts
+++ b/packages/forwarding/src/runs/types.ts
@@ -16,7 +16,9 @@
   | 'upstreamsBusy'
   | 'deadlineNotRun'
   | 'deadline'
-  | 'upstreamFailed';
+  | 'upstreamFailed'
+  | 'held'
+  | 'heldAfterRun';
 
 export interface Refusal {
   readonly reason: RefusalReason;
--- a/packages/forwarding/src/upstreams/endWatch.test.ts
+++ b/packages/forwarding/src/upstreams/endWatch.test.ts
@@ -12,19 +12,24 @@
   digest: asId<RequestDigest>(`digest-of-${attemptId}`),
   sentAtMs: 0,
   beganAtMs: undefined,
+  onHeld: () => {},
 });
 
 const watchWith = (outcome: ProbeOutcome) => {
   const ends: string[][] = [];
   let probes = 0;
+  let revivals = 0;
   const watch = new EndWatch({
     probe: () => {
       probes += 1;
       return Promise.resolve(outcome);
     },
     onEnd: (lost) => ends.push(lost.map(({ attemptId }) => attemptId).sort()),
+    onAlive: () => {
+      revivals += 1;
+    },
   });
-  return { watch, ends, countProbes: () => probes };
+  return { watch, ends, countProbes: () => probes, countRevivals: () => revivals };
 };
 
 test('is found by one connection, whatever was lost, and told once with all that was there', async () => {
@@ -61,10 +66,24 @@
   const watch = new EndWatch({
     probe: () => Promise.resolve(outcomes.shift() ?? 'silent'),
     onEnd: (lost) => ends.push(lost.length),
+    onAlive: () => {},
   });
   assert.is(await watch.noteLoss(send('a')), 'listening');
   assert.is(await watch.noteLoss(send('b')), 'ended');
   assert.equal(ends, [1]);
 });
 
+// Symptom: a request is held back though no upstream ended. Sequence: a cut refuses connections to three
+// upstreams, one after the other, and heals. Cause: behind a cut an upstream looks as if it had ended.
+test('turns out not to have ended when it answers what was sent since', async () => {
+  const { watch, countRevivals } = watchWith('refused');
+  const lost = send('a');
+  await watch.noteLoss(lost);
+  watch.noteServed(lost);
+  assert.is(countRevivals(), 0, 'bytes on the way when it ended');
+  watch.noteServed({ ...send('b'), sentAtMs: performance.now() + 1 });
+  assert.is(countRevivals(), 1);
+  assert.is(watch.endedAtMs, undefined);
+});
+
 test.run();
--- a/packages/forwarding/src/upstreams/endWatch.ts
+++ b/packages/forwarding/src/upstreams/endWatch.ts
@@ -13,6 +13,8 @@
   readonly sentAtMs: number;
   /** When its answer began; absent before. */
   readonly beganAtMs: number | undefined;
+  /** From now on it is held back. */
+  onHeld(): void;
 }
 
 /** `unknown`: nobody answered, as behind a cut. */
@@ -28,6 +30,8 @@
   probe(): Promise<ProbeOutcome>;
   /** Called once, with all that was at the upstream. */
   onEnd(lost: readonly SentRequest[]): void;
+  /** Called when the upstream turns out to live after all. */
+  onAlive(): void;
 }
 
 export class EndWatch {
@@ -50,6 +54,19 @@
     return this.#endedAtMs;
   }
 
+  /** Requests that are there now. */
+  get running(): Iterable<SentRequest> {
+    return this.#running;
+  }
+
+  /** The upstream itself has begun to answer the request. */
+  noteServed({ sentAtMs }: SentRequest): void {
+    if (this.#endedAtMs !== undefined && sentAtMs > this.#endedAtMs) {
+      this.#endedAtMs = undefined;
+      this.#options.onAlive();
+    }
+  }
+
   enter(request: SentRequest): void {
     this.#running.add(request);
   }
--- a/packages/forwarding/src/upstreams/index.ts
+++ b/packages/forwarding/src/upstreams/index.ts
@@ -1,3 +1,8 @@
 export type { EndVerdict, SentRequest } from './endWatch.js';
 export { UpstreamDirectory } from './upstreamDirectory.js';
-export { UpstreamEntry, type UpstreamEnd, type UpstreamOutcome } from './upstreamEntry.js';
+export {
+  UpstreamEntry,
+  type EndListener,
+  type UpstreamEnd,
+  type UpstreamOutcome,
+} from './upstreamEntry.js';
--- a/packages/forwarding/src/upstreams/upstreamDirectory.ts
+++ b/packages/forwarding/src/upstreams/upstreamDirectory.ts
@@ -1,10 +1,10 @@
 /** The upstreams that the platform lists, by service. */
-import type { Logger } from '@snipehaven/common';
+import type { Logger, RequestDigest } from '@snipehaven/common';
 import type { PeerLoads } from '../peers/index.js';
 import type { Upstream } from '../types.js';
 import { DataCentreWatch } from './dataCentreWatch.js';
 import type { SentRequest } from './endWatch.js';
-import { UpstreamEntry, type UpstreamEnd } from './upstreamEntry.js';
+import { UpstreamEntry, type EndListener, type UpstreamEnd } from './upstreamEntry.js';
 
 /**
  * Entries may lapse while the store is away though their upstreams live, and come back within about two
@@ -43,16 +43,22 @@
 
   readonly #peerLoads: PeerLoads;
 
-  #onEnd: (end: UpstreamEnd) => void = () => {};
+  #endListener: EndListener = { onEnd: () => {}, onAlive: () => {} };
 
   constructor(logger: Logger, peerLoads: PeerLoads) {
     this.#logger = logger;
     this.#peerLoads = peerLoads;
   }
 
-  /** Calls back when an upstream's process ended. */
-  onEnd(listener: (end: UpstreamEnd) => void): void {
-    this.#onEnd = listener;
+  /** Calls back when an upstream's process ended, or turns out not to have. */
+  watchEnds(listener: EndListener): void {
+    this.#endListener = listener;
+  }
+
+  /** Tells requests of this digest that have begun nowhere that they are held back. */
+  holdBack(digest: RequestDigest): void {
+    const sent = [...this.#entries.values()].flatMap(({ endWatch }) => [...endWatch.running]);
+    sent.filter((one) => one.digest === digest).forEach((one) => one.onHeld());
   }
 
   /** Upstreams of the service that may get new requests. */
@@ -136,7 +142,10 @@
   }
 
   #createEntry(upstream: Upstream): UpstreamEntry {
-    return new UpstreamEntry(upstream, this.#peerLoads, this.#watch, (end) => this.#noteEnd(end));
+    return new UpstreamEntry(upstream, this.#peerLoads, this.#watch, {
+      onEnd: (end) => this.#noteEnd(end),
+      onAlive: (lifeId) => this.#endListener.onAlive(lifeId),
+    });
   }
 
   #noteEnd(end: UpstreamEnd): void {
@@ -155,7 +164,7 @@
       },
       'an upstream ended with requests of ours',
     );
-    this.#onEnd(end);
+    this.#endListener.onEnd(end);
   }
 
   /** A late row must not bring back an upstream that has ended, or started anew since. */
--- a/packages/forwarding/src/upstreams/upstreamEntry.ts
+++ b/packages/forwarding/src/upstreams/upstreamEntry.ts
@@ -23,6 +23,12 @@
   readonly lost: readonly SentRequest[];
 }
 
+export interface EndListener {
+  onEnd(end: UpstreamEnd): void;
+  /** A life that was taken for ended serves. */
+  onAlive(lifeId: string): void;
+}
+
 export class UpstreamEntry {
   readonly pool: ConnectionPool;
 
@@ -54,7 +60,7 @@
     upstream: Upstream,
     peerLoads: PeerLoads,
     watch: DataCentreWatch = new DataCentreWatch(),
-    onEnd: (end: UpstreamEnd) => void = () => {},
+    listener: EndListener = { onEnd: () => {}, onAlive: () => {} },
   ) {
     this.#upstream = upstream;
     this.#peerLoads = peerLoads;
@@ -62,7 +68,8 @@
     this.pool = new ConnectionPool(upstream.host, upstream.port);
     this.endWatch = new EndWatch({
       probe: () => this.pool.probe(),
-      onEnd: (lost) => onEnd(this.#describeEnd(lost)),
+      onEnd: (lost) => listener.onEnd(this.#describeEnd(lost)),
+      onAlive: () => listener.onAlive(this.lifeId),
     });
   }
 
--- /dev/null
+++ b/packages/policy/src/crashes/crashLedger.ts
@@ -0,0 +1,121 @@
+/**
+ * How many upstreams ended under each request, whatever attempt and daemon brought it there. A request
+ * that ends whoever runs it would otherwise be a new one each time it comes: each attempt ended up to three
+ * engines, and its caller ended two dozen in ten seconds.
+ *
+ * Ends are sets, not sums: the same end told twice, or by two daemons, counts once, in any order.
+ */
+import type { RequestDigest } from '@snipehaven/common';
+import type { EndReport, Suspicion } from './types.js';
+
+/**
+ * Three ends: one may be chance, and an upstream that takes a second one with it may be bad luck with what
+ * else ran there. With two, each crash of a rack under a busy service would hold requests back.
+ */
+export const HOLD_WEIGHT = 3;
+
+const weights: Readonly<Record<Suspicion, number>> = { strong: 1, weak: 0.5 };
+
+/** An end says nothing any more when this old; callers come back within minutes. */
+export const FORGET_AFTER_MS = 600_000;
+
+/**
+ * Requests remembered. An engine ends with some hundred at the most, and nearly all of them are cleared by
+ * their next answer; at 22 bytes and a few lives each it stays below 1 MB.
+ */
+const MAX_SUSPECTS = 2_048;
+
+interface NotedEnd {
+  readonly weight: number;
+  readonly atMs: number;
+}
+
+type Ends = Map<string, NotedEnd>;
+
+const sumWeights = (ends: Ends): number =>
+  [...ends.values()].reduce((sum, { weight }) => sum + weight, 0);
+
+export class CrashLedger {
+  /** By request, then by the life that ended; those noted last come last. */
+  readonly #ends = new Map<RequestDigest, Ends>();
+
+  /** Requests remembered. */
+  get size(): number {
+    return this.#ends.size;
+  }
+
+  /** Those of the report whose weight now reaches the bound. */
+  note({ lifeId, suspects }: EndReport, nowMs: number): readonly RequestDigest[] {
+    this.#forgetOld(nowMs);
+    for (const { digest, suspicion } of suspects) {
+      this.#noteOne(digest, lifeId, { weight: weights[suspicion], atMs: nowMs });
+    }
+    this.#dropLeastSuspect();
+    return suspects
+      .map(({ digest }) => digest)
+      .filter((digest) => this.getWeight(digest) >= HOLD_WEIGHT);
+  }
+
+  /** 0 for a request under which nothing ended. */
+  getWeight(digest: RequestDigest): number {
+    const ends = this.#ends.get(digest);
+    return ends === undefined ? 0 : sumWeights(ends);
+  }
+
+  /** The lives that ended under it. */
+  listLives(digest: RequestDigest): readonly string[] {
+    return [...(this.#ends.get(digest)?.keys() ?? [])];
+  }
+
+  /** The request was answered in whole: an upstream ran it and lives. False when nothing was known of it. */
+  clear(digest: RequestDigest): boolean {
+    return this.#ends.delete(digest);
+  }
+
+  /** The upstream lives after all, as behind a cut that has healed. */
+  withdraw(lifeId: string): void {
+    for (const [digest, ends] of this.#ends) {
+      ends.delete(lifeId);
+      if (ends.size === 0) {
+        this.#ends.delete(digest);
+      }
+    }
+  }
+
+  #noteOne(digest: RequestDigest, lifeId: string, end: NotedEnd): void {
+    const ends = this.#ends.get(digest) ?? new Map<string, NotedEnd>();
+    const known = ends.get(lifeId);
+    if (known === undefined || known.weight < end.weight) {
+      ends.set(lifeId, end);
+    }
+    this.#ends.delete(digest);
+    this.#ends.set(digest, ends);
+  }
+
+  #forgetOld(nowMs: number): void {
+    for (const [digest, ends] of this.#ends) {
+      for (const [lifeId, { atMs }] of ends) {
+        if (nowMs - atMs > FORGET_AFTER_MS) {
+          ends.delete(lifeId);
+        }
+      }
+      if (ends.size === 0) {
+        this.#ends.delete(digest);
+      }
+    }
+  }
+
+  /** A flood of requests that each saw one end must not push out one that saw more. */
+  #dropLeastSuspect(): void {
+    const surplus = this.#ends.size - MAX_SUSPECTS;
+    if (surplus <= 0) {
+      return;
+    }
+    const oldestFirst = [...this.#ends].map(([digest, ends]) => ({
+      digest,
+      weight: sumWeights(ends),
+    }));
+    oldestFirst.sort((a, b) => a.weight - b.weight);
+    oldestFirst.slice(0, surplus).forEach(({ digest }) => this.#ends.delete(digest));
+  }
+}
--- /dev/null
+++ b/packages/policy/src/crashes/index.ts
@@ -0,0 +1,3 @@
+export * from './crashLedger.js';
+export * from './judgeSuspicion.js';
+export type * from './types.js';
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,4 +1,5 @@
 /** Pure decisions of the router: plain readonly data in and out, no I/O, no timers. */
+export * from './crashes/index.js';
 export * from './evidence/index.js';
 export * from './forward/index.js';
 export * from './limits/index.js';
