Requests under which an upstream ended go apart from each other

Cause: all that an upstream's end threw off went on to the upstream with least to do, a deadly request among them, so that ordinary requests saw as many ends as it did and were held back with it.

Change: such a request goes to the upstream that a hash of what it asks and the upstream's life gives, at every daemon; 'sent' has its digest and blame. A play in virtual time (bench/crashes): 9, 88 and 195 daemons, deadly requests from one to three, ends by chance alone and by racks.

--- /dev/null
+++ b/packages/bench/src/crashes/index.ts
@@ -0,0 +1,2 @@
+export { playCrashes } from './playCrashes.js';
+export type * from './types.js';
--- a/packages/forwarding/src/runs/findPlace.ts
+++ b/packages/forwarding/src/runs/findPlace.ts
@@ -1,5 +1,6 @@
 /** Turns the directory's entries into candidates and lets the policy choose among them. */
-import { choosePlace, type PlaceCandidate } from '@snipehaven/policy';
+import type { RequestDigest } from '@snipehaven/common';
+import { choosePlace, chooseSuspectPlace, type PlaceCandidate } from '@snipehaven/policy';
 import type { ForwardRoute, RequestOptions } from '../types.js';
 import type { UpstreamEntry } from '../upstreams/index.js';
 import type { ForwardDependencies } from './dependencies.js';
@@ -13,6 +14,8 @@
   readonly model: string | undefined;
   /** Lives of upstreams, as `UpstreamEntry.lifeId`. */
   readonly usedUpstreams: ReadonlySet<string>;
+  /** Of a request under which an upstream ended; absent for all others. */
+  readonly suspectDigest?: RequestDigest | undefined;
 }
 
 export interface Place {
@@ -45,6 +48,20 @@
   return shared === undefined ? undefined : `${model ?? ''}|${shared.id}`;
 };
 
+/** Undefined where all upstreams are thought dead: then any may be tried, as for other requests. */
+const findSuspectEntry = (
+  digest: RequestDigest,
+  entries: readonly UpstreamEntry[],
+  nowMs: number,
+): UpstreamEntry | undefined => {
+  const sound = entries.filter((entry) => !entry.isSuspect(nowMs));
+  const chosen = chooseSuspectPlace(
+    digest,
+    sound.map(({ lifeId }) => lifeId),
+  );
+  return sound.find(({ lifeId }) => lifeId === chosen);
+};
+
 export const findPlace = (
   dependencies: ForwardDependencies,
   question: PlaceQuestion,
@@ -70,10 +87,15 @@
     ...surroundings,
     ...(affinityKey === undefined ? {} : { affinityKey }),
   });
-  const entry = placed && directory.find(placed.id);
+  const own =
+    question.suspectDigest === undefined
+      ? undefined
+      : findSuspectEntry(question.suspectDigest, entries, nowMs);
+  const entry = own ?? (placed && directory.find(placed.id));
   if (placed === undefined || entry === undefined) {
     return undefined;
   }
-  const startWork = work.own + (placed.isOwner ? 0 : work.shared);
+  const isOwner = placed.isOwner && entry.id === placed.id;
+  const startWork = work.own + (isOwner ? 0 : work.shared);
   return { entry, startWork, runWork: work.running, workAhead: entry.backlog + startWork };
 };
--- a/packages/forwarding/src/runs/forwardRun.ts
+++ b/packages/forwarding/src/runs/forwardRun.ts
@@ -381,12 +381,15 @@
   #send(service: string): void {
     const { route, team } = this.#resolved;
     const { options } = this.#request;
+    const { crashes } = this.#dependencies;
+    const blame = crashes.isEmpty ? 0 : crashes.getWeight(this.digest);
     const place = findPlace(this.#dependencies, {
       service,
       route,
       options,
       model: this.#model,
       usedUpstreams: this.#usedUpstreams,
+      suspectDigest: blame === 0 ? undefined : this.digest,
     });
     if (place === undefined) {
       this.#concludeFailure('noUpstream');
@@ -420,6 +423,7 @@
       maxOutputTokens: options.maxOutputTokens,
       configuration: this.#dependencies.configuration.table?.configuration.version,
       configurationAgeMs: Math.round(this.#dependencies.configuration.freshness.ageMs),
+      ...(blame === 0 ? {} : { blame, digest: this.digest }),
     });
     this.#attempt.start();
   }
--- a/packages/policy/src/crashes/index.ts
+++ b/packages/policy/src/crashes/index.ts
@@ -1,3 +1,4 @@
+export * from './chooseSuspectPlace.js';
 export * from './crashLedger.js';
 export * from './judgeSuspicion.js';
 export type * from './types.js';
