Requests that are held back are kept in the store; operators list them and let them go

Cause: what daemons tell each other by datagram is gone with them: after a loss of all power, or at a daemon that did not hear of it, the request would end three more upstreams.

Change: a row for each held request ('held/DIGEST' in the status table, written once, under a condition, by whoever saw the deciding end; by the others in their turn if it does not come; again while the store is away). Removed when the request is answered, has lapsed, or an operator says so. News of ends are not told any more once a daemon stops (a timer sent on a closed port).

Ruled out: a row for each end (a write and a wake-up of all readers for what is soon forgotten).

--- a/packages/forwarding/src/crashes/crashBook.ts
+++ b/packages/forwarding/src/crashes/crashBook.ts
@@ -21,8 +21,17 @@
   tell(news: CrashNews): void;
 }
 
-/** Who saw an upstream end, or a request answered. */
-type Source = 'own' | 'peer';
+/** Who says so: this daemon saw it, another one told it, or the store has a row of it. */
+export type CrashSource = 'own' | 'peer' | 'store';
+
+export interface HoldListener {
+  /** The request is held back from now on. */
+  onHeld(hold: Hold, source: CrashSource): void;
+  /** It may be sent again. */
+  onReleased(digest: RequestDigest, source: CrashSource): void;
+}
+
+type ReleaseCause = 'answered' | 'lapsed' | 'removed' | 'tooMany' | 'upstreamsLive';
 
 export class CrashBook {
   readonly #options: CrashBookOptions;
@@ -33,7 +42,7 @@
 
   readonly #cleared = new Set<RequestDigest>();
 
-  #onHeld: (digest: RequestDigest) => void = () => {};
+  readonly #listeners: HoldListener[] = [];
 
   constructor(options: CrashBookOptions) {
     this.#options = options;
@@ -46,19 +55,19 @@
 
   /** Requests held back. */
   get heldCount(): number {
-    return this.#holds.size;
+    const nowMs = performance.now();
+    return [...this.#holds.values()].filter(({ untilMs }) => untilMs > nowMs).length;
   }
 
-  /** Calls back when a request is held back from now on. */
-  onHeld(listener: (digest: RequestDigest) => void): void {
-    this.#onHeld = listener;
+  watch(listener: HoldListener): void {
+    this.#listeners.push(listener);
   }
 
   /** Undefined when the request may be sent. */
   findHold(digest: RequestDigest): Hold | undefined {
     const hold = this.#holds.get(digest);
     if (hold !== undefined && hold.untilMs <= performance.now()) {
-      this.#release(digest, 'lapsed');
+      this.#release(digest, 'lapsed', 'peer');
       return undefined;
     }
     return hold;
@@ -80,13 +89,13 @@
 
   takeNews({ ends, cleared, alive }: CrashNews): void {
     ends.forEach((report) => this.#takeEnd(report, 'peer'));
-    cleared.forEach((digest) => this.#clear(digest));
-    alive.forEach((lifeId) => this.#withdraw(lifeId));
+    cleared.forEach((digest) => this.#clear(digest, 'peer'));
+    alive.forEach((lifeId) => this.#withdraw(lifeId, 'peer'));
   }
 
   /** An upstream answered the request in whole and lives. */
   noteAnswered(digest: RequestDigest): void {
-    if (!this.#clear(digest)) {
+    if (!this.#clear(digest, 'own')) {
       return;
     }
     if (this.#cleared.size === 0) {
@@ -98,10 +107,25 @@
   /** An upstream that was taken for ended has run a request since. */
   noteAlive(lifeId: string): void {
     this.#options.logger.info({ event: 'upstreamNotEnded', life: lifeId }, 'an upstream lives');
-    this.#withdraw(lifeId);
+    this.#withdraw(lifeId, 'own');
     this.#options.tell({ ...NO_CRASH_NEWS, alive: [lifeId] });
   }
 
+  /** The store says that the request is held back. */
+  takeHold(hold: Hold): void {
+    if (!this.#holds.has(hold.digest)) {
+      this.#putHold(hold, 'store');
+    }
+  }
+
+  /** The store's row was removed. */
+  takeRelease(digest: RequestDigest): void {
+    this.#ledger.clear(digest);
+    if (this.#holds.has(digest)) {
+      this.#release(digest, 'removed', 'store');
+    }
+  }
+
   #suspect(
     { digest, beganAtMs }: SentRequest,
     { isExpected }: UpstreamEnd,
@@ -112,55 +136,62 @@
     return { digest, suspicion };
   }
 
-  #takeEnd(report: EndReport, source: Source): void {
+  #takeEnd(report: EndReport, source: CrashSource): void {
     const nowMs = performance.now();
     const reached = this.#ledger.note(report, nowMs);
     reached.forEach((digest) => this.#hold(digest, source, nowMs));
   }
 
   /** Requests that were held back because of its end, too, are let go. */
-  #withdraw(lifeId: string): void {
+  #withdraw(lifeId: string, source: CrashSource): void {
     this.#ledger.withdraw(lifeId);
     for (const { digest, lives } of this.#holds.values()) {
       if (lives.includes(lifeId) && this.#ledger.getWeight(digest) < HOLD_WEIGHT) {
-        this.#release(digest, 'upstreamsLive');
+        this.#release(digest, 'upstreamsLive', source);
       }
     }
   }
 
-  #hold(digest: RequestDigest, source: Source, nowMs: number): void {
-    if (this.#holds.has(digest)) {
-      return;
+  #hold(digest: RequestDigest, source: CrashSource, nowMs: number): void {
+    if (this.findHold(digest) === undefined) {
+      const lives = this.#ledger.listLives(digest);
+      this.#putHold({ digest, lives, sinceMs: nowMs, untilMs: nowMs + HOLD_MS }, source);
     }
-    const lives = this.#ledger.listLives(digest);
-    this.#holds.set(digest, { digest, lives, sinceMs: nowMs, untilMs: nowMs + HOLD_MS });
+  }
+
+  #putHold(hold: Hold, source: CrashSource): void {
+    const { digest, lives, untilMs } = hold;
+    this.#holds.set(digest, hold);
+    const forMs = Math.round(untilMs - performance.now());
     this.#options.logger.warn(
-      { event: 'requestHeld', digest, lives, source, forMs: HOLD_MS },
+      { event: 'requestHeld', digest, lives, source, forMs },
       'upstreams ended under a request; it is held back',
     );
     if (this.#holds.size > MAX_HELD) {
       const [oldest = digest] = this.#holds.keys();
-      this.#release(oldest, 'tooMany');
+      this.#release(oldest, 'tooMany', 'peer');
     }
-    this.#onHeld(digest);
+    this.#listeners.forEach((listener) => listener.onHeld(hold, source));
   }
 
   /** False when nothing was known of the request. */
-  #clear(digest: RequestDigest): boolean {
+  #clear(digest: RequestDigest, source: CrashSource): boolean {
     const isKnown = this.#ledger.clear(digest);
-    if (this.#holds.has(digest)) {
-      this.#release(digest, 'answered');
+    const isHeld = this.#holds.has(digest);
+    if (isHeld) {
+      this.#release(digest, 'answered', source);
     }
-    return isKnown;
+    return isKnown || isHeld;
   }
 
-  #release(digest: RequestDigest, cause: string): void {
+  #release(digest: RequestDigest, cause: ReleaseCause, source: CrashSource): void {
     this.#holds.delete(digest);
     this.#ledger.clear(digest);
     this.#options.logger.info(
-      { event: 'requestReleased', digest, cause },
+      { event: 'requestReleased', digest, cause, source },
       'a request is held back no more',
     );
+    this.#listeners.forEach((listener) => listener.onReleased(digest, source));
   }
 
   #tellCleared(): void {
--- a/packages/forwarding/src/crashes/index.ts
+++ b/packages/forwarding/src/crashes/index.ts
@@ -1,3 +1,4 @@
-export { CrashBook } from './crashBook.js';
+export { CrashBook, type CrashSource, type HoldListener } from './crashBook.js';
+export { HoldKeeper } from './holdKeeper.js';
 export { digestRequest, type DigestedRequest } from './requestDigest.js';
 export type * from './types.js';
--- a/packages/forwarding/src/daemon/forwardDaemon.ts
+++ b/packages/forwarding/src/daemon/forwardDaemon.ts
@@ -8,7 +8,7 @@
 import { RolloutGuide, RolloutKeeper } from '../rollouts/index.js';
 import { TableWatcher, type RowStore } from '../store/index.js';
 import { UpstreamDirectory, type UpstreamEnd } from '../upstreams/index.js';
-import { CrashBook } from '../crashes/index.js';
+import { CrashBook, HoldKeeper } from '../crashes/index.js';
 import {
   NewsBoard,
   PeerDirectory,
@@ -22,6 +22,7 @@
 import { announcePeer } from './announcePeer.js';
 import { MeteredStore } from './meteredStore.js';
 import { PerService } from './perService.js';
+import { StoreHoldWriter } from './storeHoldWriter.js';
 import { StoreRolloutWriter } from './storeRolloutWriter.js';
 import { OperatorListener, StatusListener, UpstreamListener } from './tableListeners.js';
 import type { ForwardSettings, PlatformAdapter } from './types.js';
@@ -80,6 +81,8 @@
 
   readonly #crashes: CrashBook;
 
+  readonly #holds: HoldKeeper;
+
   readonly #storeClock = new StoreClock();
 
   readonly #statusFreshness = new Freshness(this.#storeClock);
@@ -132,7 +135,10 @@
     this.#configuration = new ConfigurationHolder(logger, this.#storeClock);
     this.#directory = new UpstreamDirectory(logger, this.#peerLoads);
     this.#crashes = new CrashBook({ logger, tell: (news) => this.#exchange.tellCrashes(news) });
-    this.#crashes.onHeld((digest) => this.#directory.holdBack(digest));
+    this.#crashes.watch({
+      onHeld: ({ digest }) => this.#directory.holdBack(digest),
+      onReleased: () => {},
+    });
     this.#directory.watchEnds({
       onEnd: (end) => this.#noteEnd(end),
       onAlive: (lifeId) => this.#crashes.noteAlive(lifeId),
@@ -146,13 +152,15 @@
       sessionTtlMs,
       allowedExposure,
     });
-    this.#statusListener = new StatusListener(
+    this.#holds = this.#createHoldKeeper();
+    this.#statusListener = new StatusListener({
       adapter,
-      this.#rollouts,
+      rollouts: this.#rollouts,
+      holds: this.#holds,
       logger,
-      this.#storeClock,
-      (peer) => this.#exchange.putPeer(peer),
-    );
+      clock: this.#storeClock,
+      onPeer: (peer) => this.#exchange.putPeer(peer),
+    });
     this.#exchange = this.#createExchange();
     this.#front = new FrontServer({
       configuration: this.#configuration,
@@ -239,6 +247,7 @@
   stop(): void {
     this.#stopping.abort();
     this.#watchers.forEach((watcher) => watcher.stop());
+    this.#holds.stop();
     this.#stores.forEach((store) => store.close());
     this.#front.destroy();
     this.#readiness.close();
@@ -365,6 +374,18 @@
     return { paces, demands };
   }
 
+  #createHoldKeeper(): HoldKeeper {
+    return new HoldKeeper({
+      book: this.#crashes,
+      writer: new StoreHoldWriter(this.#adapter, this.#createStore('holds')),
+      vm: this.#settings.vmName,
+      logger: this.#logger,
+      random: this.#random,
+      getStoreOffsetMs: () => this.#statusListener.storeOffsetMs,
+      getWriterRank: () => this.#exchange.writerRank,
+    });
+  }
+
   #createKeeper(): RolloutKeeper {
     return new RolloutKeeper({
       guide: this.#rollouts,
--- a/packages/forwarding/src/daemon/meteredStore.ts
+++ b/packages/forwarding/src/daemon/meteredStore.ts
@@ -62,6 +62,13 @@
     );
   }
 
+  remove(table: string, key: string): Promise<void> {
+    return this.#call(
+      () => this.#store.remove(table, key),
+      () => 'write',
+    );
+  }
+
   close(): void {
     this.#store.close();
   }
--- a/packages/forwarding/src/daemon/tableListeners.ts
+++ b/packages/forwarding/src/daemon/tableListeners.ts
@@ -5,6 +5,7 @@
 import type { Logger } from '@snipehaven/common';
 import type { ConfigurationHolder } from '../configuration/configurationHolder.js';
 import type { StoreClock } from '../configuration/storeClock.js';
+import type { HoldKeeper } from '../crashes/index.js';
 import type { Peer } from '../peers/index.js';
 import type { RolloutGuide } from '../rollouts/rolloutGuide.js';
 import type { StoreChange, StoreRow, TableListener } from '../store/index.js';
@@ -116,7 +117,16 @@
   }
 }
 
-/** What daemons write: roll-outs, and where they are. */
+export interface StatusListenerOptions {
+  readonly adapter: PlatformAdapter;
+  readonly rollouts: RolloutGuide;
+  readonly holds: HoldKeeper;
+  readonly logger: Logger;
+  readonly clock: StoreClock;
+  onPeer(peer: Peer): void;
+}
+
+/** What daemons write: roll-outs, requests held back, and where they are. */
 export class StatusListener implements TableListener {
   readonly #adapter: PlatformAdapter;
 
@@ -129,20 +139,17 @@
   /** Until the clock knows better: by the first answer. */
   #firstOffsetMs: number | undefined;
 
+  readonly #holds: HoldKeeper;
+
   readonly #onPeer: (peer: Peer) => void;
 
-  constructor(
-    adapter: PlatformAdapter,
-    rollouts: RolloutGuide,
-    logger: Logger,
-    clock: StoreClock,
-    onPeer: (peer: Peer) => void,
-  ) {
-    this.#adapter = adapter;
-    this.#rollouts = rollouts;
-    this.#decoder = new RowDecoder(logger);
-    this.#clock = clock;
-    this.#onPeer = onPeer;
+  constructor(options: StatusListenerOptions) {
+    this.#adapter = options.adapter;
+    this.#rollouts = options.rollouts;
+    this.#holds = options.holds;
+    this.#decoder = new RowDecoder(options.logger);
+    this.#clock = options.clock;
+    this.#onPeer = options.onPeer;
   }
 
   /** The store's steady clock less ours. */
@@ -158,12 +165,18 @@
     const isState = ({ document }: (typeof documents)[number]) => document?.kind === 'rollout';
     const ordered = [...documents.filter(isState), ...documents.filter((one) => !isState(one))];
     ordered.forEach(({ row, document }) => this.#take(row, document));
+    this.#holds.keepOnly(rows.flatMap(({ key }) => this.#adapter.getHeldDigest(key) ?? []));
   }
 
   onChange({ key, value, version }: StoreChange): void {
     if (value !== undefined) {
       const row = { key, value, version };
       this.#take(row, this.#decode(row));
+      return;
+    }
+    const digest = this.#adapter.getHeldDigest(key);
+    if (digest !== undefined) {
+      this.#holds.takeRemoval(digest);
     }
   }
 
@@ -179,6 +192,9 @@
     if (document?.kind === 'evidence') {
       this.#rollouts.takeEvidence(document.evidence);
     }
+    if (document?.kind === 'hold') {
+      this.#holds.takeRecord(document.hold, row.version, this.storeOffsetMs ?? 0);
+    }
     if (document?.kind === 'peer') {
       this.#onPeer(document.peer);
     }
--- a/packages/forwarding/src/daemon/types.ts
+++ b/packages/forwarding/src/daemon/types.ts
@@ -1,7 +1,9 @@
 /** What a platform's adapter gives the forward daemon: settings, rows decoded, the store. */
+import type { RequestDigest } from '@snipehaven/common';
 import type { RepeatBudgetSettings } from '@snipehaven/policy';
 import type { StatusDocument } from './statusDocument.js';
 import type { RowStore, StoreRow } from '../store/index.js';
+import type { HoldRecord } from '../crashes/index.js';
 import type { Peer } from '../peers/index.js';
 import type { RolloutEvidence, RolloutStatus } from '../rollouts/index.js';
 import type {
@@ -62,6 +64,10 @@
   renderRolloutStatus(status: RolloutStatus): RenderedRow;
   renderRolloutEvidence(evidence: RolloutEvidence): RenderedRow;
   renderPeer(peer: Peer): RenderedRow;
+  renderHold(hold: HoldRecord): RenderedRow;
+  getHoldKey(digest: RequestDigest): string;
+  /** The request that a row of this key holds back. */
+  getHeldDigest(key: string): RequestDigest | undefined;
   /** Undefined for rows that are of no concern here. */
   restoreStatusRow(row: Pick<StoreRow, 'key' | 'value'>): StatusDocument | undefined;
   /** Reads the settings again; throws when they are wrong. */
--- a/packages/forwarding/src/peers/peerExchange.ts
+++ b/packages/forwarding/src/peers/peerExchange.ts
@@ -86,6 +86,9 @@
 
   #toldRosterAtMs = 0;
 
+  /** Requests that still run may tell of their upstreams after the port is closed. */
+  #isStopped = false;
+
   constructor(options: PeerExchangeOptions) {
     this.#options = options;
     const { directory, processId, port, board } = options;
@@ -115,6 +118,7 @@
   }
 
   stop(): void {
+    this.#isStopped = true;
     clearTimeout(this.#timer);
     this.#joining.stop();
     this.#options.port.close();
@@ -158,7 +162,11 @@
    */
   tellCrashes(news: CrashNews): void {
     const bytes = encodeCrashNews(news);
-    const tell = (): void => this.#messenger.sendTo(this.#options.directory.all, bytes);
+    const tell = (): void => {
+      if (!this.#isStopped) {
+        this.#messenger.sendTo(this.#options.directory.all, bytes);
+      }
+    };
     tell();
     setTimeout(tell, TELL_AGAIN_MS).unref();
   }
--- a/packages/forwarding/src/store/testSupport/memoryStore.ts
+++ b/packages/forwarding/src/store/testSupport/memoryStore.ts
@@ -71,6 +71,7 @@
         return this.#page(items);
       },
       write: (): Promise<WriteResult> => Promise.resolve({ isWritten: false }),
+      remove: (): Promise<void> => Promise.resolve(),
       close: () => {},
     };
   }
--- a/packages/forwarding/src/store/types.ts
+++ b/packages/forwarding/src/store/types.ts
@@ -43,6 +43,8 @@
   /** Waits until something after the version changed, or the wait is over. */
   readChanges(table: string, after: number, waitMs: number): Promise<StorePage<StoreChange>>;
   write(write: ConditionalWrite): Promise<WriteResult>;
+  /** Removes the row, if there is one. */
+  remove(table: string, key: string): Promise<void>;
   close(): void;
 }
 
--- a/packages/standins/src/published/standinStore.ts
+++ b/packages/standins/src/published/standinStore.ts
@@ -109,6 +109,10 @@
     return row && (JSON.parse(Buffer.from(row.value, 'base64').toString('utf8')) as unknown);
   }
 
+  listKeys(table: string): readonly string[] {
+    return [...this.#rows.values()].filter((row) => row.table === table).map(({ key }) => key);
+  }
+
   /** Feeds that ask for older changes get 410. */
   dropHistory(): void {
     this.#history = [];
