An upstream's end counts once against its version, not with each request lost there

Change: losses at an upstream that ended say nothing of its version; the end itself counts as one failed answer, at the first daemon in the order of writers, told by the news of ends.

Ruled out: one failed answer at each daemon that lost something (nine for one end), and leaving ends out (a version that ends by itself must be rolled back).

--- a/packages/forwarding/src/crashes/constants.ts
+++ b/packages/forwarding/src/crashes/constants.ts
@@ -10,5 +10,8 @@
 /** Requests held back at a time; beyond it the oldest is let go. With this many something else is wrong. */
 export const MAX_HELD = 256;
 
+/** Ended lives remembered, so that each counts once; two daemons tell of an end within a second. */
+export const MAX_ENDED_LIVES = 1_024;
+
 /** Requests answered within this are told to be cleared in one datagram. */
 export const CLEARED_DELAY_MS = 150;
--- a/packages/forwarding/src/crashes/crashBook.ts
+++ b/packages/forwarding/src/crashes/crashBook.ts
@@ -12,7 +12,7 @@
 } from '@snipehaven/policy';
 import { NO_CRASH_NEWS, type CrashNews } from '../peers/index.js';
 import type { SentRequest, UpstreamEnd } from '../upstreams/index.js';
-import { CLEARED_DELAY_MS, HOLD_MS, MAX_HELD } from './constants.js';
+import { CLEARED_DELAY_MS, HOLD_MS, MAX_ENDED_LIVES, MAX_HELD } from './constants.js';
 import type { Hold } from './types.js';
 
 export interface CrashBookOptions {
@@ -24,7 +24,9 @@
 /** Who says so: this daemon saw it, another one told it, or the store has a row of it. */
 export type CrashSource = 'own' | 'peer' | 'store';
 
-export interface HoldListener {
+export interface CrashListener {
+  /** A life of an upstream ended, as this daemon saw or hears for the first time. */
+  onEnded(lifeId: string): void;
   /** The request is held back from now on. */
   onHeld(hold: Hold, source: CrashSource): void;
   /** It may be sent again. */
@@ -42,7 +44,10 @@
 
   readonly #cleared = new Set<RequestDigest>();
 
-  readonly #listeners: HoldListener[] = [];
+  readonly #listeners: CrashListener[] = [];
+
+  /** Lives that ended, the newest last. */
+  readonly #endedLives = new Set<string>();
 
   constructor(options: CrashBookOptions) {
     this.#options = options;
@@ -59,7 +64,7 @@
     return [...this.#holds.values()].filter(({ untilMs }) => untilMs > nowMs).length;
   }
 
-  watch(listener: HoldListener): void {
+  watch(listener: CrashListener): void {
     this.#listeners.push(listener);
   }
 
@@ -138,10 +143,23 @@
 
   #takeEnd(report: EndReport, source: CrashSource): void {
     const nowMs = performance.now();
+    this.#noteLife(report.lifeId);
     const reached = this.#ledger.note(report, nowMs);
     reached.forEach((digest) => this.#hold(digest, source, nowMs));
   }
 
+  #noteLife(lifeId: string): void {
+    if (this.#endedLives.has(lifeId)) {
+      return;
+    }
+    this.#endedLives.add(lifeId);
+    if (this.#endedLives.size > MAX_ENDED_LIVES) {
+      const [oldest = lifeId] = this.#endedLives;
+      this.#endedLives.delete(oldest);
+    }
+    this.#listeners.forEach((listener) => listener.onEnded(lifeId));
+  }
+
   /** Requests that were held back because of its end, too, are let go. */
   #withdraw(lifeId: string, source: CrashSource): void {
     this.#ledger.withdraw(lifeId);
--- a/packages/forwarding/src/daemon/forwardDaemon.ts
+++ b/packages/forwarding/src/daemon/forwardDaemon.ts
@@ -7,7 +7,7 @@
 import { ForwardMetrics, FrontServer, StatusServer } from '../edge/index.js';
 import { RolloutGuide, RolloutKeeper } from '../rollouts/index.js';
 import { TableWatcher, type RowStore } from '../store/index.js';
-import { UpstreamDirectory, type UpstreamEnd } from '../upstreams/index.js';
+import { UpstreamDirectory } from '../upstreams/index.js';
 import { CrashBook, HoldKeeper } from '../crashes/index.js';
 import {
   NewsBoard,
@@ -136,11 +136,15 @@
     this.#directory = new UpstreamDirectory(logger, this.#peerLoads);
     this.#crashes = new CrashBook({ logger, tell: (news) => this.#exchange.tellCrashes(news) });
     this.#crashes.watch({
+      onEnded: (lifeId) => this.#judgeEnd(lifeId),
       onHeld: ({ digest }) => this.#directory.holdBack(digest),
       onReleased: () => {},
     });
     this.#directory.watchEnds({
-      onEnd: (end) => this.#noteEnd(end),
+      onEnd: (end) => {
+        this.#metrics.countUpstreamEnd(end.upstream.service);
+        this.#crashes.noteEnd(end);
+      },
       onAlive: (lifeId) => this.#crashes.noteAlive(lifeId),
     });
     const { vmName, sessionTtlMs, allowedExposure } = adapter.settings;
@@ -351,9 +355,16 @@
     });
   }
 
-  #noteEnd(end: UpstreamEnd): void {
-    this.#metrics.countUpstreamEnd(end.upstream.service);
-    this.#crashes.noteEnd(end);
+  /**
+   * A version whose upstreams end by themselves is bad. Each end counts as one failed answer, at one daemon:
+   * thirty requests lost with one upstream would roll a good version back for one deadly request.
+   */
+  #judgeEnd(lifeId: string): void {
+    const entry = this.#directory.findLife(lifeId);
+    if (entry?.upstream.state === 'ready' && this.#exchange.isFirstWriter) {
+      const { service, softwareVersion } = entry.upstream;
+      this.#rollouts.noteAnswer({ service, softwareVersion, isFailed: true, workKind: 'end' });
+    }
   }
 
   #readOwnLoads(): ReadonlyMap<string, UpstreamLoad> {
--- a/packages/forwarding/src/peers/peerExchange.ts
+++ b/packages/forwarding/src/peers/peerExchange.ts
@@ -145,6 +145,12 @@
     return this.#isSmallFleet ? 0 : Math.min(rank, 2 * localRank);
   }
 
+  /** Whether this daemon is the one that counts what must be counted once. */
+  get isFirstWriter(): boolean {
+    const { directory } = this.#options;
+    return directory.rank(WRITER_ORDER)[0] === directory.self.vm;
+  }
+
   /** How many daemons come before this one to write of roll-outs; undefined in a small fleet. */
   get writerRank(): number | undefined {
     const { directory } = this.#options;
--- a/packages/forwarding/src/runs/attempt.ts
+++ b/packages/forwarding/src/runs/attempt.ts
@@ -272,14 +272,24 @@
     clearTimeout(this.#silenceTimer);
     if (this.#isListening) {
       this.#isListening = false;
-      if (failure.verdict !== 'notSent') {
+      if (failure.verdict === 'notSent') {
+        this.settle('unreachable');
+      } else {
         this.#fate = this.#plan.entry.endWatch.noteLoss(this);
+        void this.#settleLoss();
       }
-      this.settle(failure.verdict === 'notSent' ? 'unreachable' : 'failed');
       this.#listener.onFailure(failure);
     }
   }
 
+  /** An upstream that ended says nothing of its version with each request that it took with it. */
+  async #settleLoss(): Promise<void> {
+    this.#plan.entry.noteOutcome('failed', performance.now());
+    if ((await this.#fate) !== 'ended') {
+      this.#tellRollouts('failed');
+    }
+  }
+
   #hear(): void {
     const nowMs = performance.now();
     this.#heardAtMs = nowMs;
--- a/packages/forwarding/src/upstreams/upstreamDirectory.ts
+++ b/packages/forwarding/src/upstreams/upstreamDirectory.ts
@@ -72,6 +72,10 @@
     return this.#entries.get(id);
   }
 
+  findLife(lifeId: string): UpstreamEntry | undefined {
+    return [...this.#entries.values()].find((entry) => entry.lifeId === lifeId);
+  }
+
   /** All entries, for what is counted over them. */
   get entries(): Iterable<UpstreamEntry> {
     return this.#entries.values();
--- a/packages/forwarding/src/upstreams/upstreamEntry.ts
+++ b/packages/forwarding/src/upstreams/upstreamEntry.ts
@@ -68,7 +68,10 @@
     this.pool = new ConnectionPool(upstream.host, upstream.port);
     this.endWatch = new EndWatch({
       probe: () => this.pool.probe(),
-      onEnd: (lost) => listener.onEnd(this.#describeEnd(lost)),
+      onEnd: (lost) => {
+        this.#suspectUntilMs = performance.now() + MAX_SUSPICION_MS;
+        listener.onEnd(this.#describeEnd(lost));
+      },
       onAlive: () => listener.onAlive(this.lifeId),
     });
   }
