An address that is another upstream's now costs a request no attempt

Cause: after an upstream ended, the next process at its address answers 421 until the list drops the old entry.

--- a/packages/forwarding/src/runs/forwardRun.ts
+++ b/packages/forwarding/src/runs/forwardRun.ts
@@ -2,6 +2,7 @@
 import { sleep, type RequestDigest } from '@snipehaven/common';
 import {
   chooseNextModel,
+  isUnspent,
   mayTryAgain,
   pickTarget,
   type AttemptOutcome,
@@ -139,9 +140,10 @@
   }
 
   onHead(head: AnswerHead): void {
-    if (head.facts.isNotRun) {
-      this.#attempt?.settle('refused');
-      this.#continueAfter('refused', `status ${head.status}`);
+    const { isNotRun, isMisdirected } = head.facts;
+    if (isNotRun) {
+      this.#attempt?.settle(isMisdirected ? 'unreachable' : 'refused');
+      this.#continueAfter(isMisdirected ? 'misdirected' : 'refused', `status ${head.status}`);
       return;
     }
     this.#mayHaveRun = true;
@@ -297,7 +299,7 @@
 
   #continueAfter(outcome: AttemptOutcome, cause: string): void {
     this.#relay.interrupt();
-    if (outcome === 'notSent') {
+    if (isUnspent(outcome)) {
       this.#sent -= 1;
       this.#unsent += 1;
     }
@@ -314,7 +316,7 @@
       this.#sendAgain();
       return;
     }
-    const isNotRun = outcome === 'refused' || outcome === 'notSent';
+    const isNotRun = outcome === 'refused' || isUnspent(outcome);
     const reason = isNotRun ? 'upstreamsBusy' : 'upstreamFailed';
     this.#concludeFailure(isHeld ? 'held' : reason);
   }
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -126,6 +126,8 @@
   readonly attemptId?: string;
   /** The upstream states that it did not run the request. */
   readonly isNotRun: boolean;
+  /** Another upstream answered than the one that the request was meant for. */
+  readonly isMisdirected: boolean;
   /** The model's opinion of its answer, 0 to 100. */
   readonly confidence?: number;
 }
--- a/packages/policy/src/forward/decideAttempt.ts
+++ b/packages/policy/src/forward/decideAttempt.ts
@@ -1,10 +1,15 @@
 /** What follows an attempt that gave no answer for the caller. */
 
 /**
- * `notSent`: no byte was written. `refused`: the upstream says that it did not run it. `failed`: it
- * ran and the upstream answered with a failure. `unknown`: sent, and it may have run.
+ * `notSent`: no byte was written. `misdirected`: another upstream has the address now, and did not run it.
+ * `refused`: the upstream says that it did not run it. `failed`: it ran and the upstream answered with a
+ * failure. `unknown`: sent, and it may have run.
  */
-export type AttemptOutcome = 'notSent' | 'refused' | 'failed' | 'unknown';
+export type AttemptOutcome = 'notSent' | 'misdirected' | 'refused' | 'failed' | 'unknown';
+
+/** Whether the attempt reached none of the upstreams that the route allows to be asked. */
+export const isUnspent = (outcome: AttemptOutcome): boolean =>
+  outcome === 'notSent' || outcome === 'misdirected';
 
 export interface AfterAttempt {
   readonly outcome: AttemptOutcome;
@@ -12,7 +17,7 @@
   /** Upstreams that the request was sent to. */
   readonly sent: number;
   readonly maxAttempts: number;
-  /** Attempts that could not be sent. */
+  /** Attempts that reached no upstream that they were meant for. */
   readonly unsent: number;
   readonly remainingMs: number;
   readonly minAttemptMs: number;
@@ -26,6 +31,7 @@
 
 const mayRunAgain: Readonly<Record<AttemptOutcome, (isRepeatable: boolean) => boolean>> = {
   notSent: () => true,
+  misdirected: () => true,
   refused: () => true,
   failed: (isRepeatable) => isRepeatable,
   unknown: (isRepeatable) => isRepeatable,
