What was answered shortly before an upstream's end is not blamed for it

Cause: a question that many callers ask alike is on each upstream that a deadly request ends.

Change: a daemon remembers requests that were answered in whole within a minute (4,096 of them) and does not blame them; one that is held back on others' word is spoken for by a daemon that knows better, after a drawn wait, unless another one has. Only successes speak for a request: an upstream may answer with a failure before it has begun. Each whole answer costs a digest now.

--- /dev/null
+++ b/packages/forwarding/src/crashes/answeredRequests.ts
@@ -0,0 +1,24 @@
+/**
+ * Requests that upstreams answered in whole a short while ago, the newest last. A question that many callers
+ * ask alike is on nearly every upstream that ends, and its answers in between may be seconds apart.
+ */
+import type { RequestDigest } from '@snipehaven/common';
+import { ANSWERED_FOR_MS, MAX_ANSWERED } from './constants.js';
+
+export class AnsweredRequests {
+  /** By request, when its last whole answer ended. */
+  readonly #answeredAtMs = new Map<RequestDigest, number>();
+
+  note(digest: RequestDigest, nowMs: number): void {
+    this.#answeredAtMs.delete(digest);
+    this.#answeredAtMs.set(digest, nowMs);
+    if (this.#answeredAtMs.size > MAX_ANSWERED) {
+      const [oldest = digest] = this.#answeredAtMs.keys();
+      this.#answeredAtMs.delete(oldest);
+    }
+  }
+
+  has(digest: RequestDigest, nowMs: number): boolean {
+    return nowMs - (this.#answeredAtMs.get(digest) ?? -Infinity) < ANSWERED_FOR_MS;
+  }
+}
--- a/packages/forwarding/src/crashes/crashBook.test.ts
+++ b/packages/forwarding/src/crashes/crashBook.test.ts
@@ -1,13 +1,13 @@
 /** What is held back for upstreams that ended, by what daemons tell each other. */
 import FakeTimers, { type Clock } from '@sinonjs/fake-timers';
-import { asId, createSilentLogger, type RequestDigest } from '@snipehaven/common';
+import { asId, createRandom, createSilentLogger, type RequestDigest } from '@snipehaven/common';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { NO_CRASH_NEWS, type CrashNews } from '../peers/index.js';
 import type { Upstream } from '../types.js';
 import type { SentRequest, UpstreamEnd } from '../upstreams/index.js';
 import { CrashBook } from './crashBook.js';
-import { HOLD_MS, MAX_HELD } from './constants.js';
+import { ANSWERED_FOR_MS, HOLD_MS, MAX_HELD } from './constants.js';
 
 interface Context {
   clock: Clock;
@@ -21,7 +21,7 @@
   context.clock = FakeTimers.install();
   context.told = [];
   const tell = (news: CrashNews) => context.told.push(news);
-  context.book = new CrashBook({ logger: createSilentLogger(), tell });
+  context.book = new CrashBook({ logger: createSilentLogger(), random: createRandom(1), tell });
 });
 
 test.after.each(({ clock }) => clock.uninstall());
@@ -76,20 +76,58 @@
   assert.is(book.findHold(A), undefined);
 });
 
-// Symptom: lookups that everybody makes are refused while one upstream flaps. Sequence: the same lookup is
-// lost three times in some minutes, at three lives of the upstream, and answered hundreds of times between.
-// Cause: only what speaks against a request was counted.
+// Symptom: a lookup that is made now and then is refused. Sequence: it is lost four times in some minutes,
+// at four lives of an upstream that flaps, and answered each time after. Cause: only what speaks against a
+// request was counted.
 test('what was answered in between speaks for a request, and is told', ({ book, told, clock }) => {
   ['u-1', 'u-2', 'u-3', 'u-4'].forEach((life) => {
     book.noteEnd(endOf(life, [send(A)]));
     book.noteAnswered(A);
-    clock.tick(1_000);
+    clock.tick(ANSWERED_FOR_MS);
   });
   assert.is(book.findHold(A), undefined);
   assert.is(told.filter(({ cleared }) => cleared.includes(A)).length, 4);
   assert.ok(book.isEmpty);
 });
 
+// Symptom: a question that everybody asks is refused for minutes. Sequence: two deadly requests end six
+// upstreams in two seconds, the question on each of them; it was answered a hundred times in the minute
+// before. Cause: nothing spoke for it between the ends.
+test('what was answered shortly before is not blamed, and spoken for where it is held', ({
+  book,
+  told,
+  clock,
+}) => {
+  clock.tick(1_000);
+  book.noteAnswered(A);
+  ['u-1', 'u-2', 'u-3'].forEach((life) => book.noteEnd(endOf(life, [send(A), send(B)])));
+  assert.is(book.findHold(A), undefined);
+  assert.ok(book.findHold(B));
+  book.takeNews(reportEnds(A, 'u-1', 'u-2', 'u-3'));
+  assert.ok(book.findHold(A), 'others hold it back');
+  clock.tick(1_000);
+  assert.is(book.findHold(A), undefined);
+  assert.is(told.filter(({ cleared }) => cleared.includes(A)).length, 1);
+  assert.ok(book.findHold(B));
+});
+
+test('an answer speaks for a request for a while', ({ book, clock }) => {
+  book.noteAnswered(A);
+  clock.tick(ANSWERED_FOR_MS);
+  ['u-1', 'u-2', 'u-3'].forEach((life) => book.noteEnd(endOf(life, [send(A)])));
+  assert.ok(book.findHold(A));
+});
+
+// Symptom: a request is held back though daemons know better. Sequence: all of them object at once and flood
+// each other. Cause: each speaks without listening.
+test('who hears that a request is cleared does not say it again', ({ book, told, clock }) => {
+  book.noteAnswered(A);
+  book.takeNews(reportEnds(A, 'u-1', 'u-2', 'u-3'));
+  book.takeNews({ ...NO_CRASH_NEWS, cleared: [A] });
+  clock.tick(1_000);
+  assert.equal(told, []);
+});
+
 test('an answer of which nothing is known is not told', ({ book, told, clock }) => {
   book.noteAnswered(A);
   clock.tick(1_000);
--- a/packages/forwarding/src/crashes/crashBook.ts
+++ b/packages/forwarding/src/crashes/crashBook.ts
@@ -2,7 +2,7 @@
  * What this daemon knows of upstreams that ended and of the requests on them, its own knowledge and the
  * others': which requests are held back, and what is told of it.
  */
-import type { Logger, RequestDigest } from '@snipehaven/common';
+import type { Logger, Random, RequestDigest } from '@snipehaven/common';
 import {
   CrashLedger,
   HOLD_WEIGHT,
@@ -12,11 +12,19 @@
 } from '@snipehaven/policy';
 import { NO_CRASH_NEWS, type CrashNews } from '../peers/index.js';
 import type { SentRequest, UpstreamEnd } from '../upstreams/index.js';
-import { CLEARED_DELAY_MS, HOLD_MS, MAX_ENDED_LIVES, MAX_HELD } from './constants.js';
+import { AnsweredRequests } from './answeredRequests.js';
+import {
+  CLEARED_DELAY_MS,
+  HOLD_MS,
+  MAX_ENDED_LIVES,
+  MAX_HELD,
+  MAX_OBJECTION_MS,
+} from './constants.js';
 import type { Hold } from './types.js';
 
 export interface CrashBookOptions {
   readonly logger: Logger;
+  readonly random: Random;
   /** Tells all other daemons. */
   tell(news: CrashNews): void;
 }
@@ -42,6 +50,8 @@
 
   readonly #holds = new Map<RequestDigest, Hold>();
 
+  readonly #answered = new AnsweredRequests();
+
   readonly #cleared = new Set<RequestDigest>();
 
   readonly #listeners: CrashListener[] = [];
@@ -86,7 +96,9 @@
   /** An upstream ended with requests of this daemon. */
   noteEnd(end: UpstreamEnd): void {
     const nowMs = performance.now();
-    const suspects = end.lost.map((one) => this.#suspect(one, end, nowMs));
+    const suspects = end.lost
+      .filter(({ digest }) => !this.#answered.has(digest, nowMs))
+      .map((one) => this.#suspect(one, end, nowMs));
     const report = { lifeId: end.lifeId, suspects };
     this.#options.tell({ ...NO_CRASH_NEWS, ends: [report] });
     this.#takeEnd(report, 'own');
@@ -98,15 +110,12 @@
     alive.forEach((lifeId) => this.#withdraw(lifeId, 'peer'));
   }
 
-  /** An upstream answered the request in whole and lives. */
+  /** An upstream ran the request to a good end. */
   noteAnswered(digest: RequestDigest): void {
-    if (!this.#clear(digest, 'own')) {
-      return;
+    this.#answered.note(digest, performance.now());
+    if (this.#clear(digest, 'own')) {
+      this.#tellLater(digest);
     }
-    if (this.#cleared.size === 0) {
-      setTimeout(() => this.#tellCleared(), CLEARED_DELAY_MS).unref();
-    }
-    this.#cleared.add(digest);
   }
 
   /** An upstream that was taken for ended has run a request since. */
@@ -190,6 +199,18 @@
       this.#release(oldest, 'tooMany', 'peer');
     }
     this.#listeners.forEach((listener) => listener.onHeld(hold, source));
+    if (this.#answered.has(digest, performance.now())) {
+      const waitMs = this.#options.random.next() * MAX_OBJECTION_MS;
+      setTimeout(() => this.#object(hold), waitMs).unref();
+    }
+  }
+
+  /** This daemon saw the request answered, and nobody has said so since it was held back. */
+  #object(hold: Hold): void {
+    const { digest } = hold;
+    if (this.#holds.get(digest) === hold && this.#clear(digest, 'own')) {
+      this.#tellLater(digest);
+    }
   }
 
   /** False when nothing was known of the request. */
@@ -212,6 +233,13 @@
     this.#listeners.forEach((listener) => listener.onReleased(digest, source));
   }
 
+  #tellLater(digest: RequestDigest): void {
+    if (this.#cleared.size === 0) {
+      setTimeout(() => this.#tellCleared(), CLEARED_DELAY_MS).unref();
+    }
+    this.#cleared.add(digest);
+  }
+
   #tellCleared(): void {
     const cleared = [...this.#cleared];
     this.#cleared.clear();
--- a/packages/forwarding/src/crashes/holdKeeper.test.ts
+++ b/packages/forwarding/src/crashes/holdKeeper.test.ts
@@ -35,7 +35,7 @@
   const logger = createSilentLogger();
   const fresh = { written: [], removed: [], isStoreDown: false, rank: undefined };
   Object.assign(context, fresh, { clock: FakeTimers.install() });
-  context.book = new CrashBook({ logger, tell: () => {} });
+  context.book = new CrashBook({ logger, random: createRandom(1), tell: () => {} });
   const answer = <Value>(value: Value): Promise<Value> =>
     context.isStoreDown
       ? Promise.reject(new StoreUnavailableError('down'))
--- a/packages/forwarding/src/daemon/forwardDaemon.ts
+++ b/packages/forwarding/src/daemon/forwardDaemon.ts
@@ -134,7 +134,11 @@
     this.#settings = adapter.settings;
     this.#configuration = new ConfigurationHolder(logger, this.#storeClock);
     this.#directory = new UpstreamDirectory(logger, this.#peerLoads);
-    this.#crashes = new CrashBook({ logger, tell: (news) => this.#exchange.tellCrashes(news) });
+    this.#crashes = new CrashBook({
+      logger,
+      random: this.#random,
+      tell: (news) => this.#exchange.tellCrashes(news),
+    });
     this.#crashes.watch({
       onEnded: (lifeId) => this.#judgeEnd(lifeId),
       onHeld: ({ digest }) => this.#directory.holdBack(digest),
--- a/packages/forwarding/src/runs/forwardRun.ts
+++ b/packages/forwarding/src/runs/forwardRun.ts
@@ -363,11 +363,10 @@
     return crashes.isEmpty ? undefined : crashes.findHold(this.digest);
   }
 
-  /** The upstream ran it and lives, whatever it answered. */
+  /** A failure proves nothing: an upstream may answer with one before it has begun. */
   #noteAnswered(): void {
-    const { crashes } = this.#dependencies;
-    if (!crashes.isEmpty) {
-      crashes.noteAnswered(this.digest);
+    if (isSuccess(this.#status ?? 0)) {
+      this.#dependencies.crashes.noteAnswered(this.digest);
     }
   }
 
