Platform soak: questions that end whoever runs them, at any VM, several at once

Two promises more: no more than three sendings by calm VMs later than the contact time after the third end, and at most one in a hundred ordinary requests held back.

--- a/packages/proofs/src/platformSoak/callers/callers.ts
+++ b/packages/proofs/src/platformSoak/callers/callers.ts
@@ -11,6 +11,8 @@
   readonly count: number;
   readonly operator: Operator;
   readonly balancer: Balancer;
+  /** Takes what is sent. */
+  readonly records: AttemptRecord[];
 }
 
 const PAUSE_MS = 60;
@@ -23,8 +25,6 @@
 const kinds: readonly RequestKind[] = ['read', 'write', 'chat', 'chat'];
 
 export class Callers {
-  readonly records: AttemptRecord[] = [];
-
   readonly #options: CallersOptions;
 
   #isOver = false;
@@ -65,12 +65,12 @@
   }
 
   #send(vm: VmState, agent: Agent, caller: string, random: Random): Promise<AttemptRecord> {
-    const { operator } = this.#options;
+    const { operator, records } = this.#options;
     const kind = pickRandom(kinds, random) as RequestKind;
     const extraPath = kind === 'read' ? pickRandom(operator.extraPaths, random) : undefined;
     const isLeaving = random.next() < LEAVING_SHARE;
     const plan = {
-      id: `s-${caller}-${this.records.length}`,
+      id: `s-${caller}-${records.length}`,
       kind,
       team: pickRandom(operator.teams, random) as Team,
       vm,
@@ -79,6 +79,6 @@
       ...(random.next() < SESSION_SHARE ? { session: caller } : {}),
       ...(isLeaving ? { leavesAfterMs: random.nextInt(LEAVES_WITHIN_MS) } : {}),
     };
-    return sendAttempt(plan, this.records);
+    return sendAttempt(plan, records);
   }
 }
--- a/packages/proofs/src/platformSoak/callers/sendAttempt.ts
+++ b/packages/proofs/src/platformSoak/callers/sendAttempt.ts
@@ -15,6 +15,8 @@
   readonly vm: VmState;
   readonly agent: Agent;
   readonly session?: string;
+  /** In place of the usual one; sent with a body. */
+  readonly question?: string;
   /** The caller leaves after this. */
   readonly leavesAfterMs?: number;
 }
@@ -22,6 +24,8 @@
 /** Beyond the caller's deadline: an answer that comes later still is not waited for. */
 const PATIENCE_MS = 2_500;
 
+const USUAL_QUESTION = 'the question';
+
 const methods: Readonly<Record<RequestKind, string>> = { read: 'GET', write: 'POST', chat: 'POST' };
 
 const buildHeaders = (plan: AttemptPlan): Record<string, string> => ({
@@ -73,6 +77,7 @@
       key: plan.team.key,
       team: plan.team.name,
       vm: plan.vm.name,
+      ...(plan.question === undefined ? {} : { question: plan.question }),
       sentAtMs: performance.now(),
       endedAtMs: undefined,
       status: undefined,
@@ -102,5 +107,5 @@
       });
     });
     request.on('error', end);
-    request.end(plan.kind === 'read' ? undefined : 'the question');
+    request.end(plan.question ?? (plan.kind === 'read' ? undefined : USUAL_QUESTION));
   });
--- a/packages/proofs/src/platformSoak/faults/index.ts
+++ b/packages/proofs/src/platformSoak/faults/index.ts
@@ -1,5 +1,6 @@
 /** All faults by name, and the lanes that strike with them. */
 import type { Fault } from '../world.js';
+import { deadlyQuestion, endUnderQuestion } from './deadlyQuestions.js';
 import * as network from './networkFaults.js';
 import * as operators from './operatorFaults.js';
 import * as processes from './processFaults.js';
@@ -17,4 +18,7 @@
     operators.crashUpstream,
   ],
   [operators.goodRollout, operators.badRollout],
+  [deadlyQuestion],
 ];
+
+export { endUnderQuestion };
--- a/packages/proofs/src/platformSoak/judge/promises.test.ts
+++ b/packages/proofs/src/platformSoak/judge/promises.test.ts
@@ -45,7 +45,7 @@
   const fleet = new Fleet('', '127.9', 1);
   const operator = new Operator(store, backEnds);
   return {
-    world: { store, backEnds, fleet, operator, faultLog: new FaultLog() },
+    world: { store, backEnds, fleet, operator, faultLog: new FaultLog(), attempts: [...attempts] },
     attempts,
     runsByAttempt: new Map([['s-1', runs]]),
     healedAtMs: 50_000,
--- a/packages/proofs/src/platformSoak/judge/promises.ts
+++ b/packages/proofs/src/platformSoak/judge/promises.ts
@@ -162,6 +162,44 @@
       : [];
   });
 
+/** Sendings of one question that reach upstreams after all who are in touch must know of three ends. */
+const MAX_LATE_SENDINGS = 3;
+
+const deadlyWentOn: PromiseCheck = (evidence) => {
+  const { world, attempts } = evidence;
+  const { arrivals, deadlyEnds } = world.backEnds;
+  const byId = new Map(attempts.map((attempt) => [attempt.id, attempt]));
+  const questions = new Set(deadlyEnds.map(({ question }) => question));
+  return [...questions].flatMap((question) => {
+    const ends = deadlyEnds.filter((end) => end.question === question);
+    const fromMs = (ends[2]?.atMs ?? Infinity) + CONTACT_MS;
+    const late = arrivals.filter(({ attemptId, atMs }) => {
+      const attempt = byId.get(attemptId);
+      return (
+        attempt?.question === question &&
+        atMs > fromMs &&
+        [attempt.vm, 'store'].every((target) =>
+          world.faultLog.isCalm(target, attempt.sentAtMs, atMs),
+        )
+      );
+    });
+    return late.length > MAX_LATE_SENDINGS
+      ? [`${question}: ${late.length} late sendings, ${ends.length} upstreams ended`]
+      : [];
+  });
+};
+
+/** Of ordinary requests, the most that may be held back beside deadly ones. */
+const MAX_HELD_SHARE = 0.01;
+
+const heldWrongly: PromiseCheck = ({ attempts }) => {
+  const ordinary = attempts.filter(({ question }) => question === undefined);
+  const held = ordinary.filter(({ body }) => body.includes('"reason":"held'));
+  return held.length > ordinary.length * MAX_HELD_SHARE
+    ? [`${held.length} of ${ordinary.length} ordinary requests were held back`]
+    : [];
+};
+
 export const promises: Readonly<Record<string, PromiseCheck>> = {
   ranTwice,
   falselyNotRun,
@@ -178,4 +216,6 @@
   unexpectedExit,
   denied,
   notHealed,
+  deadlyWentOn,
+  heldWrongly,
 };
--- a/packages/proofs/src/platformSoak/outside/backEnds.ts
+++ b/packages/proofs/src/platformSoak/outside/backEnds.ts
@@ -11,7 +11,7 @@
   startSilentForwarder,
   type SeenRequest,
 } from '@snipehaven/standins';
-import type { ArrivalRecord, RunRecord } from '../types.js';
+import type { ArrivalRecord, DeadlyEnd, RunRecord } from '../types.js';
 
 export type ServiceName = 'plain' | 'models';
 
@@ -36,6 +36,10 @@
 const MIN_EVENTS = 3;
 const EVENT_SPREAD = 14;
 
+/** Questions that begin so end whoever runs them, after this. */
+export const DEADLY_PREFIX = 'deadly';
+const DEADLY_MS = 30;
+
 /** A little always fails, as in life. */
 export const USUAL_FAILURE_SHARE = 0.02;
 
@@ -55,6 +59,10 @@
 
   readonly all: BackEnd[] = [];
 
+  readonly deadlyEnds: DeadlyEnd[] = [];
+
+  #onDeadly: (backEnd: BackEnd) => void = () => {};
+
   readonly #random: Random;
 
   #started = 0;
@@ -78,6 +86,11 @@
     return backEnd;
   }
 
+  /** Calls back when a deadly question begins to run. */
+  onDeadly(listener: (backEnd: BackEnd) => void): void {
+    this.#onDeadly = listener;
+  }
+
   listOpen(service: ServiceName): readonly BackEnd[] {
     return this.all.filter((one) => one.isOpen && one.service === service);
   }
@@ -99,11 +112,34 @@
       socket.write(renderHead(request, 421, { 'Content-Length': '0' }));
     } else if (way === 'refuse') {
       socket.write(renderHead(request, 503, { 'X-Not-Executed': '1', 'Content-Length': '0' }));
+    } else if (request.body.startsWith(DEADLY_PREFIX)) {
+      this.#die(backEnd, request, attemptId);
     } else {
       void this.#run(backEnd, request, socket, way);
     }
   }
 
+  /** Whoever begins to run the question ends, with all that it has. */
+  #die(backEnd: BackEnd, { headers, body }: SeenRequest, attemptId: string): void {
+    const nowMs = performance.now();
+    this.runs.push({
+      attemptId,
+      upstream: backEnd.id,
+      startedAtMs: nowMs,
+      team: headers.get('x-tenant'),
+      hasKey: headers.has('authorization'),
+      status: 0,
+      endedAtMs: nowMs + DEADLY_MS,
+      isFaulty: true,
+    });
+    setTimeout(() => {
+      if (backEnd.isOpen) {
+        this.deadlyEnds.push({ question: body, upstream: backEnd.id, atMs: performance.now() });
+        this.#onDeadly(backEnd);
+      }
+    }, DEADLY_MS);
+  }
+
   async #run(
     backEnd: BackEnd,
     request: SeenRequest,
--- a/packages/proofs/src/platformSoak/regressionSeeds.ts
+++ b/packages/proofs/src/platformSoak/regressionSeeds.ts
@@ -17,4 +17,10 @@
     seconds: 10,
     cause: 'unexpectedExit: SIGHUP came while the daemon loaded, before it had a handler',
   },
+  {
+    seed: 201,
+    seconds: 15,
+    cause:
+      'heldWrongly: a question that all callers ask was on each upstream that a deadly one ended',
+  },
 ];
--- a/packages/proofs/src/platformSoak/soakRun.ts
+++ b/packages/proofs/src/platformSoak/soakRun.ts
@@ -5,7 +5,7 @@
 import { Callers } from './callers/callers.js';
 import { CALM_MS, HEAL_MS } from './constants.js';
 import { FaultLog } from './faultLog.js';
-import { lanes } from './faults/index.js';
+import { endUnderQuestion, lanes } from './faults/index.js';
 import { Fleet } from './fleet.js';
 import { judge } from './judge/judge.js';
 import { BackEnds, type ServiceName } from './outside/backEnds.js';
@@ -57,12 +57,15 @@
     operator: new Operator(store, backEnds),
     fleet: new Fleet(options.folder, options.network, options.vmsPerDataCentre),
     faultLog: new FaultLog(),
+    attempts: [],
   };
 };
 
-const startWorld = async ({ store, operator, fleet }: SoakWorld): Promise<void> => {
+const startWorld = async (world: SoakWorld): Promise<void> => {
+  const { store, operator, fleet, backEnds } = world;
   await store.start();
   operator.apply();
+  backEnds.onDeadly((backEnd) => endUnderQuestion(world, backEnd));
   for (const [service, count] of Object.entries(FIRST_BACK_ENDS)) {
     for (let index = 0; index < count; index += 1) {
       await operator.addBackEnd(service as ServiceName);
@@ -92,7 +95,8 @@
     await startWorld(world);
     const balancer = new Balancer(world.fleet);
     const { seed, callers: count } = options;
-    const callers = new Callers({ seed, count, operator: world.operator, balancer });
+    const { operator, attempts: records } = world;
+    const callers = new Callers({ seed, count, operator, balancer, records });
     const calling = callers.run();
     await strike(world, options);
     await sleep(HEAL_MS);
@@ -101,7 +105,6 @@
     callers.stop();
     await calling;
     balancer.stop();
-    const { records } = callers;
     const violations = await judge(world, records, healedAtMs);
     const served = records.filter(({ status, isWhole }) => status === 200 && isWhole).length;
     return { violations, attempts: records.length, served, faults: world.faultLog.countByName() };
--- a/packages/proofs/src/platformSoak/types.ts
+++ b/packages/proofs/src/platformSoak/types.ts
@@ -12,6 +12,8 @@
   readonly key: string;
   readonly team: string;
   readonly vm: string;
+  /** What was asked; absent for the usual question. */
+  readonly question?: string;
   readonly sentAtMs: number;
   endedAtMs: number | undefined;
   /** Undefined when the connection ended without the head of an answer. */
@@ -44,6 +46,13 @@
   readonly atMs: number;
 }
 
+/** An upstream ended under a deadly question. */
+export interface DeadlyEnd {
+  readonly question: string;
+  readonly upstream: string;
+  readonly atMs: number;
+}
+
 export interface VmState {
   readonly name: string;
   readonly dataCentre: string;
--- a/packages/proofs/src/platformSoak/world.ts
+++ b/packages/proofs/src/platformSoak/world.ts
@@ -5,7 +5,7 @@
 import type { Fleet } from './fleet.js';
 import type { BackEnds } from './outside/backEnds.js';
 import type { Operator } from './outside/operator.js';
-import type { VmState } from './types.js';
+import type { AttemptRecord, VmState } from './types.js';
 
 export interface SoakWorld {
   readonly fleet: Fleet;
@@ -13,6 +13,8 @@
   readonly backEnds: BackEnds;
   readonly operator: Operator;
   readonly faultLog: FaultLog;
+  /** All that callers sent. */
+  readonly attempts: AttemptRecord[];
 }
 
 export const pickVm = ({ fleet }: SoakWorld, random: Random): VmState =>
