--- a/packages/forwarding/src/daemon/forwardDaemon.ts
+++ b/packages/forwarding/src/daemon/forwardDaemon.ts
@@ -8,7 +8,6 @@
 import { RolloutGuide, RolloutKeeper } from '../rollouts/index.js';
 import { TableWatcher, type RowStore } from '../store/index.js';
 import { UpstreamDirectory } from '../upstreams/index.js';
-import { CrashBook, HoldKeeper } from '../crashes/index.js';
 import {
   NewsBoard,
   PeerDirectory,
@@ -20,9 +19,9 @@
   type UpstreamLoad,
 } from '../peers/index.js';
 import { announcePeer } from './announcePeer.js';
+import { CrashWatch } from './crashWatch.js';
 import { MeteredStore } from './meteredStore.js';
 import { PerService } from './perService.js';
-import { StoreHoldWriter } from './storeHoldWriter.js';
 import { StoreRolloutWriter } from './storeRolloutWriter.js';
 import { OperatorListener, StatusListener, UpstreamListener } from './tableListeners.js';
 import type { ForwardSettings, PlatformAdapter } from './types.js';
@@ -79,9 +78,7 @@
 
   readonly #rollouts: RolloutGuide;
 
-  readonly #crashes: CrashBook;
-
-  readonly #holds: HoldKeeper;
+  readonly #crashes: CrashWatch;
 
   readonly #storeClock = new StoreClock();
 
@@ -134,23 +131,6 @@
     this.#settings = adapter.settings;
     this.#configuration = new ConfigurationHolder(logger, this.#storeClock);
     this.#directory = new UpstreamDirectory(logger, this.#peerLoads);
-    this.#crashes = new CrashBook({
-      logger,
-      random: this.#random,
-      tell: (news) => this.#exchange.tellCrashes(news),
-    });
-    this.#crashes.watch({
-      onEnded: (lifeId) => this.#judgeEnd(lifeId),
-      onHeld: ({ digest }) => this.#directory.holdBack(digest),
-      onReleased: () => {},
-    });
-    this.#directory.watchEnds({
-      onEnd: (end) => {
-        this.#metrics.countUpstreamEnd(end.upstream.service);
-        this.#crashes.noteEnd(end);
-      },
-      onAlive: (lifeId) => this.#crashes.noteAlive(lifeId),
-    });
     const { vmName, sessionTtlMs, allowedExposure } = adapter.settings;
     this.#board = new NewsBoard(vmName, adapter.settings.dataCentre);
     this.#rollouts = new RolloutGuide({
@@ -160,11 +140,11 @@
       sessionTtlMs,
       allowedExposure,
     });
-    this.#holds = this.#createHoldKeeper();
+    this.#crashes = this.#createCrashWatch();
     this.#statusListener = new StatusListener({
       adapter,
       rollouts: this.#rollouts,
-      holds: this.#holds,
+      holds: this.#crashes.keeper,
       logger,
       clock: this.#storeClock,
       onPeer: (peer) => this.#exchange.putPeer(peer),
@@ -175,7 +155,7 @@
       directory: this.#directory,
       dialect: adapter.dialect,
       rollouts: this.#rollouts,
-      crashes: this.#crashes,
+      crashes: this.#crashes.book,
       metrics: this.#metrics,
       logger,
       random: this.#random,
@@ -255,7 +235,7 @@
   stop(): void {
     this.#stopping.abort();
     this.#watchers.forEach((watcher) => watcher.stop());
-    this.#holds.stop();
+    this.#crashes.keeper.stop();
     this.#stores.forEach((store) => store.close());
     this.#front.destroy();
     this.#readiness.close();
@@ -354,23 +334,11 @@
       processId: getEntropySeed(),
       readOwnLoads: () => this.#readOwnLoads(),
       readOwnLearned: () => this.#readOwnLearned(),
-      takeCrashNews: (news) => this.#crashes.takeNews(news),
+      takeCrashNews: (news) => this.#crashes.book.takeNews(news),
       meter: this.#metrics,
     });
   }
 
-  /**
-   * A version whose upstreams end by themselves is bad. Each end counts as one failed answer, at one daemon:
-   * thirty requests lost with one upstream would roll a good version back for one deadly request.
-   */
-  #judgeEnd(lifeId: string): void {
-    const entry = this.#directory.findLife(lifeId);
-    if (entry?.upstream.state === 'ready' && this.#exchange.isFirstWriter) {
-      const { service, softwareVersion } = entry.upstream;
-      this.#rollouts.noteAnswer({ service, softwareVersion, isFailed: true, workKind: 'end' });
-    }
-  }
-
   #readOwnLoads(): ReadonlyMap<string, UpstreamLoad> {
     const loads = new Map<string, UpstreamLoad>();
     for (const entry of this.#directory.entries) {
@@ -389,15 +357,17 @@
     return { paces, demands };
   }
 
-  #createHoldKeeper(): HoldKeeper {
-    return new HoldKeeper({
-      book: this.#crashes,
-      writer: new StoreHoldWriter(this.#adapter, this.#createStore('holds')),
-      vm: this.#settings.vmName,
+  #createCrashWatch(): CrashWatch {
+    return new CrashWatch({
+      adapter: this.#adapter,
       logger: this.#logger,
       random: this.#random,
+      metrics: this.#metrics,
+      directory: this.#directory,
+      rollouts: this.#rollouts,
+      store: this.#createStore('holds'),
+      getExchange: () => this.#exchange,
       getStoreOffsetMs: () => this.#statusListener.storeOffsetMs,
-      getWriterRank: () => this.#exchange.writerRank,
     });
   }
 
@@ -415,11 +385,6 @@
   }
 
   #addGauges(): void {
-    this.#metrics.addGauge(
-      'snipehaven_requests_held',
-      'Requests that are held back because upstreams ended under them.',
-      () => this.#crashes.heldCount,
-    );
     this.#metrics.addGauge(
       'snipehaven_daemons_known',
       'Daemons that this one knows, itself among them.',
--- a/packages/forwarding/src/runs/attempt.ts
+++ b/packages/forwarding/src/runs/attempt.ts
@@ -20,7 +20,7 @@
   UpstreamOutcome,
 } from '../upstreams/index.js';
 import type { ForwardDependencies } from './dependencies.js';
-import type { CallerRequest } from './forwardRun.js';
+import type { CallerRequest } from './callerRequest.js';
 
 export interface AttemptPlan {
   readonly entry: UpstreamEntry;
--- a/packages/forwarding/src/runs/forwardRun.ts
+++ b/packages/forwarding/src/runs/forwardRun.ts
@@ -1,7 +1,6 @@
 /** One caller attempt, from its whole request to its final answer. */
 import { sleep, type RequestDigest } from '@snipehaven/common';
 import {
-  chooseNextModel,
   isUnspent,
   mayTryAgain,
   pickTarget,
@@ -11,46 +10,24 @@
 import { MIN_ATTEMPT_MS } from '../constants.js';
 import { digestRequest, type Hold } from '../crashes/index.js';
 import type { AnswerHead, ExchangeFailure } from '../exchange/index.js';
-import type { ForwardRoute, HeaderMap, RequestOptions } from '../types.js';
+import type { ForwardRoute } from '../types.js';
 import { Attempt, type AttemptListener } from './attempt.js';
 import type { ForwardDependencies } from './dependencies.js';
 import { buildRefusal } from './buildRefusal.js';
+import type { CallerRequest } from './callerRequest.js';
+import { findLargerModel, type LargerModel } from './findLargerModel.js';
 import { findPlace, type Place } from './findPlace.js';
+import { tellAfterRun } from './refusals.js';
 import { Punctuality, roundMs } from './punctuality.js';
 import { relayFactories, type AnswerRelay } from './relays.js';
 import { isRefused, resolveRequest, type ResolvedRequest } from './resolveRequest.js';
 import type { CallerPort, RefusalReason } from './types.js';
 
-export interface CallerRequest {
-  readonly method: string;
-  readonly host: string;
-  readonly target: string;
-  readonly headers: HeaderMap;
-  readonly options: RequestOptions;
-  readonly body: Buffer;
-  readonly arrivedAtMs: number;
-}
-
-interface StartEstimate {
-  readonly waitMs: number;
-  readonly expectedStartMs: number;
-}
-
-interface BetterModel extends StartEstimate {
-  readonly model: string;
-}
-
 /** The upstream's machine answers within a round trip; longer means that nobody will say. */
 const FATE_WAIT_MS = 100;
 
 const MS_PER_S = 1_000;
 
-/** What a caller is told whose request may have run; of all other reasons, that the upstream failed. */
-const reasonsAfterRun: Readonly<Partial<Record<RefusalReason, RefusalReason>>> = {
-  deadline: 'deadline',
-  held: 'heldAfterRun',
-};
-
 const getSecondsLeft = ({ untilMs }: Hold): number =>
   Math.max(1, Math.ceil((untilMs - performance.now()) / MS_PER_S));
 
@@ -230,15 +207,15 @@
 
   #takeSuccessHead(head: AnswerHead): void {
     this.#attempt?.settle('answered');
-    const better = this.#findBetterModel(head);
-    if (better !== undefined && this.#takeRepeat('quality')) {
+    const larger = this.#findLargerModel(head);
+    if (larger !== undefined && this.#takeRepeat('quality')) {
       this.#attempt?.abort();
       this.#log('askedLargerModel', {
         confidence: head.facts.confidence,
         upstreamMs: roundMs(this.#attempt?.headMs),
-        ...better,
+        ...larger,
       });
-      this.#model = better.model;
+      this.#model = larger.model;
       this.#sendAgain();
       return;
     }
@@ -246,42 +223,18 @@
     this.#relay.begin(head);
   }
 
-  #findBetterModel({ facts: { confidence } }: AnswerHead): BetterModel | undefined {
-    const { route, team } = this.#resolved;
-    const present = this.#model;
-    const isLargest = present === route.models.at(-1);
-    if (this.#relay.hasBegun || present === undefined || isLargest || confidence === undefined) {
-      return undefined;
-    }
-    const start = this.#estimateStart(route.models.at(-1));
-    const model = chooseNextModel(
-      {
-        models: route.models,
-        confidence,
-        onTimeLeftMs: this.#request.arrivedAtMs + route.targetLatencyMs - performance.now(),
-        ...start,
-        priority: team?.priority ?? route.priority,
-        canAttemptAgain: this.#canTryAgain('failed'),
-      },
-      present,
-    );
-    return model === undefined ? undefined : { ...start, model };
-  }
-
-  /** What waits at the best upstream for the model, and when an answer of it would begin there. */
-  #estimateStart(model: string | undefined): StartEstimate {
-    const service = this.#attempt?.service ?? '';
-    const { options } = this.#request;
-    const { route } = this.#resolved;
-    const question = { service, route, options, model, usedUpstreams: this.#usedUpstreams };
-    const place = findPlace(this.#dependencies, question);
-    const pace = this.#dependencies.getWorkPace(service);
-    return place === undefined
-      ? { waitMs: Infinity, expectedStartMs: Infinity }
-      : {
-          waitMs: pace.estimateMs(place.entry.backlog),
-          expectedStartMs: pace.estimateMs(place.workAhead),
-        };
+  #findLargerModel({ facts: { confidence } }: AnswerHead): LargerModel | undefined {
+    return this.#relay.hasBegun
+      ? undefined
+      : findLargerModel(this.#dependencies, {
+          request: this.#request,
+          resolved: this.#resolved,
+          service: this.#attempt?.service ?? '',
+          model: this.#model,
+          confidence,
+          usedUpstreams: this.#usedUpstreams,
+          canAttemptAgain: this.#canTryAgain('failed'),
+        });
   }
 
   /**
@@ -448,7 +401,7 @@
     if (this.#isOver) {
       return;
     }
-    const told = this.#mayHaveRun ? (reasonsAfterRun[reason] ?? 'upstreamFailed') : reason;
+    const told = this.#mayHaveRun ? tellAfterRun(reason) : reason;
     const hold = reason === 'held' ? this.#hold : undefined;
     this.#log('refused', {
       reason: told,
--- a/packages/forwarding/src/runs/index.ts
+++ b/packages/forwarding/src/runs/index.ts
@@ -1,5 +1,6 @@
 export type { ForwardDependencies } from './dependencies.js';
-export { ForwardRun, type CallerRequest } from './forwardRun.js';
+export type { CallerRequest } from './callerRequest.js';
+export { ForwardRun } from './forwardRun.js';
 export { refusalForms } from './refusals.js';
 export { isRefused, resolveRequest } from './resolveRequest.js';
 export type * from './types.js';
--- a/packages/forwarding/src/runs/refusals.ts
+++ b/packages/forwarding/src/runs/refusals.ts
@@ -24,3 +24,13 @@
   heldAfterRun: { status: 502, message: 'upstreams ended each time they ran it; held back' },
   upstreamFailed: { status: 502, message: 'the upstream failed; the request may have run' },
 };
+
+/** What a caller is told whose request may have run; of all other reasons, that the upstream failed. */
+const reasonsAfterRun: Readonly<Partial<Record<RefusalReason, RefusalReason>>> = {
+  deadline: 'deadline',
+  held: 'heldAfterRun',
+};
+
+/** A request that may have run is never called not run. */
+export const tellAfterRun = (reason: RefusalReason): RefusalReason =>
+  reasonsAfterRun[reason] ?? 'upstreamFailed';
