The chat path counts engines that ended under a chat, over all daemons

Change: a tally by what is asked, joined by gossip along with membership's exchanges, on the ledger that the forward path has; an end is shown by the engine's machine, which refuses the call that cancels the run. Three hold the chat back: 503 'held', with when to come back; a whole answer clears it. Nothing is told while no engine ends. The ledger remembers cleared ends, so that news told again after the answer blame nobody (both paths). One way to tell a refused connection.

Not covered: plain services of that path, where a lost call is not told from an end; nothing lasts beyond the daemons.

--- a/packages/common/src/connectionErrors.ts
+++ b/packages/common/src/connectionErrors.ts
@@ -22,3 +22,9 @@
   }
   return SYSTEM_CODES.has(String(code)) && syscall === 'connect';
 };
+
+/** Whether the other machine answered that nobody listens there. */
+export const isRefusedConnection = (error: unknown): boolean => {
+  const { code, syscall } = (error ?? {}) as SystemError;
+  return code === 'ECONNREFUSED' && syscall === 'connect';
+};
--- a/packages/daemon/src/daemonCore.ts
+++ b/packages/daemon/src/daemonCore.ts
@@ -27,6 +27,7 @@
 import { RolloutSystem } from '@snipehaven/rollouts';
 import {
   AdmissionGate,
+  CrashTally,
   LatencyBook,
   RequestRouter,
   TeamLimiter,
@@ -128,6 +129,8 @@
 
   readonly #claimCleaner: ClaimCleaner;
 
+  readonly #crashes = new CrashTally();
+
   readonly #stopWatchingViolations: () => void;
 
   #isStopping = false;
@@ -180,6 +183,7 @@
       actorSystem: this.#actors,
     });
     this.rollouts.topics.forEach((topic) => membership.registerTopic(topic));
+    membership.registerTopic(this.#crashes);
     this.registry = new UpstreamRegistry({
       localDataCentre: asId<DataCentreId>(dataCentre),
       random,
@@ -319,6 +323,7 @@
       pins: this.pins,
       evidence: this.rollouts.evidence,
       assigner: this.rollouts.assigner,
+      crashes: this.#crashes,
       engines,
       services,
       registry: this.registry,
--- a/packages/forwarding/src/crashes/constants.ts
+++ b/packages/forwarding/src/crashes/constants.ts
@@ -1,12 +1,5 @@
 /** Times and limits of requests that are held back. */
 
-/**
- * How long a request is held back. Callers that repeat one go on for minutes at the most, and each release
- * may cost as many upstreams as it took to hold it; a request that is held wrongly must not be so for ever.
- * An operator may release it sooner.
- */
-export const HOLD_MS = 600_000;
-
 /** Requests held back at a time; beyond it the oldest is let go. With this many something else is wrong. */
 export const MAX_HELD = 256;
 
--- a/packages/forwarding/src/crashes/crashBook.ts
+++ b/packages/forwarding/src/crashes/crashBook.ts
@@ -5,6 +5,7 @@
 import type { Logger, Random, RequestDigest } from '@snipehaven/common';
 import {
   CrashLedger,
+  HOLD_MS,
   HOLD_WEIGHT,
   judgeSuspicion,
   type EndReport,
@@ -13,13 +14,7 @@
 import { NO_CRASH_NEWS, type CrashNews } from '../peers/index.js';
 import type { SentRequest, UpstreamEnd } from '../upstreams/index.js';
 import { AnsweredRequests } from './answeredRequests.js';
-import {
-  CLEARED_DELAY_MS,
-  HOLD_MS,
-  MAX_ENDED_LIVES,
-  MAX_HELD,
-  MAX_OBJECTION_MS,
-} from './constants.js';
+import { CLEARED_DELAY_MS, MAX_ENDED_LIVES, MAX_HELD, MAX_OBJECTION_MS } from './constants.js';
 import type { Hold } from './types.js';
 
 export interface CrashBookOptions {
@@ -82,6 +77,7 @@
   findHold(digest: RequestDigest): Hold | undefined {
     const hold = this.#holds.get(digest);
     if (hold !== undefined && hold.untilMs <= performance.now()) {
+      // Nobody's own word: the daemon that wrote the row removes it, not each that finds it lapsed.
       this.#release(digest, 'lapsed', 'peer');
       return undefined;
     }
--- a/packages/forwarding/src/exchange/connectionPool.ts
+++ b/packages/forwarding/src/exchange/connectionPool.ts
@@ -1,14 +1,10 @@
 /** Connections to one upstream: each carries one request at a time, the youngest idle one first. */
+import { isRefusedConnection } from '@snipehaven/common';
 import { CONNECT_TIMEOUT_MS, MAX_CONNECTION_IDLE_MS, MAX_IDLE_CONNECTIONS } from '../constants.js';
 import { openSocket } from './openSocket.js';
 import type { ProbeOutcome } from './types.js';
 import { UpstreamConnection } from './upstreamConnection.js';
 
-/** What the kernel of a machine says whose process does not listen any more. */
-const REFUSED_CODE = 'ECONNREFUSED';
-
-const isRefusal = (error: Error): boolean => 'code' in error && error.code === REFUSED_CODE;
-
 export class ConnectionPool {
   readonly #host: string;
 
@@ -46,7 +42,7 @@
           resolve('listening');
           return;
         }
-        resolve(isRefusal(error) ? 'refused' : 'silent');
+        resolve(isRefusedConnection(error) ? 'refused' : 'silent');
       });
     });
   }
--- a/packages/policy/src/crashes/crashLedger.test.ts
+++ b/packages/policy/src/crashes/crashLedger.test.ts
@@ -71,6 +71,19 @@
   assert.is(ledger.size, 0);
 });
 
+// Symptom: a request is held back though it was just answered. Sequence: an end is told twice; between the
+// two the request is answered elsewhere. Cause: the second telling counts as another end.
+test('an end that is told again after the answer counts no more', () => {
+  const ledger = new CrashLedger();
+  ledger.note(reportEnd('u-1', [A]), 0);
+  ledger.clear(A);
+  ledger.note(reportEnd('u-1', [A]), 1);
+  assert.is(ledger.getWeight(A), 0);
+  assert.ok(ledger.hasNoted(A, 'u-1'));
+  ledger.note(reportEnd('u-2', [A]), 2);
+  assert.is(ledger.getWeight(A), 1);
+});
+
 test('ends are forgotten after a while', () => {
   const ledger = new CrashLedger();
   ledger.note(reportEnd('u-1', [A]), 0);
--- a/packages/policy/src/crashes/crashLedger.ts
+++ b/packages/policy/src/crashes/crashLedger.ts
@@ -16,6 +16,13 @@
 
 const weights: Readonly<Record<Suspicion, number>> = { strong: 1, weak: 0.5 };
 
+/**
+ * How long a request is held back. Callers that repeat one go on for minutes at the most, and each release
+ * may cost as many upstreams as it took to hold it; a request that is held wrongly must not be so for ever.
+ * An operator may release it sooner.
+ */
+export const HOLD_MS = 600_000;
+
 /** An end says nothing any more when this old; callers come back within minutes. */
 export const FORGET_AFTER_MS = 600_000;
 
@@ -39,6 +46,12 @@
   /** By request, then by the life that ended; those noted last come last. */
   readonly #ends = new Map<RequestDigest, Ends>();
 
+  /**
+   * Lives whose end was cleared from a request, the last cleared last. News are told twice and passed on: one
+   * that comes after the answer must not blame the request again.
+   */
+  readonly #settled = new Map<RequestDigest, ReadonlySet<string>>();
+
   /** Requests remembered. */
   get size(): number {
     return this.#ends.size;
@@ -67,9 +80,23 @@
     return [...(this.#ends.get(digest)?.keys() ?? [])];
   }
 
+  /** Whether this very end was noted, cleared since or not. */
+  hasNoted(digest: RequestDigest, lifeId: string): boolean {
+    return (
+      this.#ends.get(digest)?.has(lifeId) === true ||
+      this.#settled.get(digest)?.has(lifeId) === true
+    );
+  }
+
   /** The request was answered in whole: an upstream ran it and lives. False when nothing was known of it. */
   clear(digest: RequestDigest): boolean {
-    return this.#ends.delete(digest);
+    const ends = this.#ends.get(digest);
+    if (ends === undefined) {
+      return false;
+    }
+    this.#ends.delete(digest);
+    this.#settle(digest, ends);
+    return true;
   }
 
   /** The upstream lives after all, as behind a cut that has healed. */
@@ -82,7 +109,20 @@
     }
   }
 
+  #settle(digest: RequestDigest, ends: Ends): void {
+    const lives = new Set([...(this.#settled.get(digest) ?? []), ...ends.keys()]);
+    this.#settled.delete(digest);
+    this.#settled.set(digest, lives);
+    if (this.#settled.size > MAX_SUSPECTS) {
+      const [oldest = digest] = this.#settled.keys();
+      this.#settled.delete(oldest);
+    }
+  }
+
   #noteOne(digest: RequestDigest, lifeId: string, end: NotedEnd): void {
+    if (this.#settled.get(digest)?.has(lifeId)) {
+      return;
+    }
     const ends = this.#ends.get(digest) ?? new Map<string, NotedEnd>();
     const known = ends.get(lifeId);
     if (known === undefined || known.weight < end.weight) {
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,6 +1,7 @@
 export * from './configuration/messages.js';
 export * from './constants.js';
 export * from './errors.js';
+export * from './crashes/messages.js';
 export * from './evidence/messages.js';
 export * from './httpPeerServer.js';
 export * from './httpPeerTransport.js';
--- a/packages/routing/src/chatRun.ts
+++ b/packages/routing/src/chatRun.ts
@@ -17,6 +17,7 @@
   VERSION_HEADER,
 } from './constants.js';
 import { closeRefused } from './closeRefused.js';
+import { refuseHeld } from './crashes/index.js';
 import { createPin } from './createPin.js';
 import type { RoutingDependencies } from './dependencies.js';
 import { getBillingKey, hashRequest, keepAnswer, takeClaim } from './claimGuard.js';
@@ -103,6 +104,7 @@
   async execute(): Promise<void> {
     let admission: Admission | undefined;
     try {
+      refuseHeld(this.#deps, this.#request, this.#tracker);
       if (await this.#replayClaimed()) {
         return;
       }
--- /dev/null
+++ b/packages/routing/src/crashes/digestChat.ts
@@ -0,0 +1,12 @@
+/** Names a chat by what is asked and by whom, whatever attempt or daemon brings it. */
+import { asId, type RequestDigest } from '@snipehaven/common';
+import { hashRequest } from '../claimGuard.js';
+import type { ChatRequest } from '../types.js';
+
+/** 128 bits. */
+const DIGEST_CHARS = 32;
+
+export const digestChat = ({ identity, body }: ChatRequest): RequestDigest => {
+  const hash = hashRequest(`chat ${identity.team.metadata.uid}`, JSON.stringify(body));
+  return asId<RequestDigest>(hash.slice(0, DIGEST_CHARS));
+};
--- a/packages/routing/src/dependencies.ts
+++ b/packages/routing/src/dependencies.ts
@@ -8,6 +8,7 @@
 import type { TimelineRecorder } from '@snipehaven/timeline';
 import type { EngineClient, ServiceClient } from '@snipehaven/upstream';
 import type { AdmissionGate } from './admissionGate.js';
+import type { CrashTally } from './crashes/index.js';
 import type { LatencyBook } from './latencyBook.js';
 import type { TeamLimiter } from './teamLimiter.js';
 import type { UpstreamRegistry } from './upstreamRegistry.js';
@@ -47,6 +48,8 @@
   readonly pins: PinDirectory;
   readonly evidence: EvidenceBook;
   readonly assigner: RolloutAssigner;
+  /** Engines that ended, and chats that are held back for it. */
+  readonly crashes: CrashTally;
   readonly engines: EngineClient;
   readonly services: ServiceClient;
   readonly registry: UpstreamRegistry;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,6 +1,7 @@
 export * from './admissionGate.js';
 export * from './chatBody.js';
 export * from './constants.js';
+export { CrashTally } from './crashes/index.js';
 export * from './dependencies.js';
 export * from './latencyBook.js';
 export * from './refusal.js';
--- a/packages/routing/src/refusal.ts
+++ b/packages/routing/src/refusal.ts
@@ -29,6 +29,7 @@
   overloaded: { status: HTTP.unavailable, type: 'overloaded_error', isRetryable: true },
   noUpstream: { status: HTTP.unavailable, type: 'overloaded_error', isRetryable: true },
   platformAway: { status: HTTP.unavailable, type: 'overloaded_error', isRetryable: true },
+  held: { status: HTTP.unavailable, type: 'api_error', isRetryable: true },
   notReady: { status: HTTP.unavailable, type: 'overloaded_error', isRetryable: true },
   upstreamFailed: { status: HTTP.badGateway, type: 'api_error', isRetryable: true },
   deadlineExceeded: { status: HTTP.gatewayTimeout, type: 'timeout_error', isRetryable: true },
--- a/packages/routing/src/stepRunner.ts
+++ b/packages/routing/src/stepRunner.ts
@@ -2,6 +2,7 @@
 import {
   asId,
   isPromiseKept,
+  isRefusedConnection,
   type StreamId,
   type UpstreamId,
   type VersionId,
@@ -20,10 +21,12 @@
   UpstreamNotStartedError,
   UpstreamSilentError,
   type EngineEvent,
+  type StreamState,
 } from '@snipehaven/upstream';
 import { AnswerAssembler } from './answerAssembler.js';
 import { toEngineBody } from './chatBody.js';
 import { LEAVING_GRACE_MS } from './constants.js';
+import { digestChat, refuseHeld } from './crashes/index.js';
 import type { RoutingDependencies } from './dependencies.js';
 import { EngineAttempt } from './engineAttempt.js';
 import { Refusal } from './refusal.js';
@@ -145,6 +148,7 @@
   async #start(version: VersionId, excludedIds: readonly UpstreamId[]): Promise<RunningAttempt> {
     const entry = await this.#choose(version, excludedIds);
     const { request, tracker, account, signal } = this.#context;
+    refuseHeld(this.#deps, request, tracker);
     this.#assertMayDispatch(version, entry);
     this.#attempts += 1;
     const stream = this.#createStream(version, entry);
@@ -239,6 +243,7 @@
     const firstTokenMs = running.firstTokenMs ?? totalMs;
     const usage = assembler.usage ?? { promptTokens: 0, completionTokens: 0 };
     this.#deps.registry.recordOutcome(entry, 'succeeded');
+    this.#noteAnswered();
     entry.noteFirstToken(firstTokenMs);
     this.#deps.latency.record(stream.version, firstTokenMs, totalMs, usage.completionTokens);
     this.#context.account.addLine(stream, usage);
@@ -266,7 +271,10 @@
     const { request, tracker, signal } = this.#context;
     this.#noteFailure(error, running);
     if (running.dispatch.state !== 'provedNotRun') {
-      await this.#endRun(running, consumer);
+      const hasEnded = await this.#endRun(running, consumer);
+      if (hasEnded && signal.reason === undefined) {
+        this.#noteLoss(running);
+      }
     }
     if (signal.reason !== undefined || error instanceof UpstreamAbortedError) {
       throw this.#createStopRefusal();
@@ -318,19 +326,45 @@
     this.#deps.timeline.record('attemptFailed', subject, detail);
   }
 
-  /** Cancels a run whose answer nobody waits for, and bills what the caller was given of it. */
-  async #endRun(running: RunningAttempt, consumer: EventConsumer): Promise<void> {
+  #noteAnswered(): void {
+    const { crashes } = this.#deps;
+    if (!crashes.isEmpty) {
+      crashes.noteAnswered(digestChat(this.#context.request));
+    }
+  }
+
+  #noteLoss({ entry, startedAtMs, firstTokenMs }: RunningAttempt): void {
+    const beganAtMs = firstTokenMs === undefined ? undefined : startedAtMs + firstTokenMs;
+    this.#deps.crashes.noteLoss({
+      digest: digestChat(this.#context.request),
+      upstream: entry.id,
+      answeredForMs: beganAtMs === undefined ? undefined : Date.now() - beganAtMs,
+      isEndExpected: entry.leavingSinceMs !== undefined,
+    });
+    const { requestId } = this.#context.request;
+    this.#deps.timeline.record('engineEnded', { requestId, upstream: entry.id });
+  }
+
+  /**
+   * Cancels a run whose answer nobody waits for, and bills what the caller was given of it. True when the
+   * engine's process has ended: its machine refuses the call, since nobody listens there.
+   */
+  async #endRun(running: RunningAttempt, consumer: EventConsumer): Promise<boolean> {
     const { stream, entry, attempt } = running;
-    const state = await this.#deps.engines
-      .cancel(entry.spec.url, stream.streamId)
-      .catch(() => undefined);
+    let state: StreamState | undefined;
+    try {
+      state = await this.#deps.engines.cancel(entry.spec.url, stream.streamId);
+    } catch (error) {
+      return error instanceof Error && isRefusedConnection(error.cause);
+    }
     if (!consumer.hasReleased || state === undefined) {
-      return;
+      return false;
     }
     const deliveredShare = state.chunks === 0 ? 0 : Math.min(1, attempt.lastOffset / state.chunks);
     this.#context.account.addLine(stream, {
       promptTokens: state.promptTokens,
       completionTokens: Math.round(state.completionTokens * deliveredShare),
     });
+    return false;
   }
 }
--- a/packages/timeline/src/eventGroups.ts
+++ b/packages/timeline/src/eventGroups.ts
@@ -28,6 +28,7 @@
   attemptResumed: 'request',
   attemptFailed: 'fault',
   attemptEscalated: 'request',
+  engineEnded: 'fault',
   answerFinished: 'request',
   answerCut: 'fault',
   sessionMoved: 'request',
--- a/packages/timeline/src/types.ts
+++ b/packages/timeline/src/types.ts
@@ -24,6 +24,7 @@
   | 'attemptResumed'
   | 'attemptFailed'
   | 'attemptEscalated'
+  | 'engineEnded'
   | 'answerFinished'
   | 'answerCut'
   | 'sessionMoved'
