--- a/packages/bench/src/control/benchDeployment.ts
+++ b/packages/bench/src/control/benchDeployment.ts
@@ -3,6 +3,7 @@
 import { controlStandin, Deployment, hashSecret, putResource } from '@snipehaven/demo';
 import { TEAM, TEAM_KEY, VERSION } from './constants.js';
 import type { Setup } from './types.js';
+import { UNLIMITED } from '../unlimitedTeam.js';
 
 const listDataCentres = ({ dataCentres }: Setup): readonly string[] =>
   Array.from({ length: dataCentres }, (_, index) => `bench-${index + 1}`);
@@ -84,11 +85,6 @@
     keys: [{ name: 'k', sha256: hashSecret(TEAM_KEY) }],
     allowedVersions: ['scribe@*'],
     qualityTarget: 0.5,
-    limits: {
-      requestsPerSecond: 1_000_000,
-      burst: 1_000_000,
-      concurrency: 100_000,
-      spendMicroUsdPerDay: 1_000_000_000_000,
-    },
+    limits: UNLIMITED,
   });
 };
--- a/packages/bench/src/proxy/main.ts
+++ b/packages/bench/src/proxy/main.ts
@@ -16,6 +16,7 @@
   type RunningDaemon,
 } from '@snipehaven/demo';
 import { runLoad, type LoadOptions, type LoadResult } from './load.js';
+import { UNLIMITED } from '../unlimitedTeam.js';
 
 const { values } = parseArgs({
   options: {
@@ -83,12 +84,7 @@
     keys: [{ name: 'k', sha256: hashSecret(KEY) }],
     allowedVersions: ['scribe@*'],
     qualityTarget: 0.5,
-    limits: {
-      requestsPerSecond: 1_000_000,
-      burst: 1_000_000,
-      concurrency: 100_000,
-      spendMicroUsdPerDay: 1_000_000_000_000,
-    },
+    limits: UNLIMITED,
   });
 };
 
--- a/packages/cli/src/commands/recordCommands.ts
+++ b/packages/cli/src/commands/recordCommands.ts
@@ -18,6 +18,20 @@
 import { buildReportPage } from '../report/reportPage.js';
 import { SnipectlCommand } from './snipectlCommand.js';
 
+interface Period {
+  readonly since: string | undefined;
+  readonly until: string | undefined;
+}
+
+/** Both ends may be moments, or durations before now. */
+const readPeriod = ({ since, until }: Period) => {
+  const nowMs = Date.now();
+  return {
+    fromMs: readOptionalMomentMs(since, nowMs),
+    untilMs: readOptionalMomentMs(until, nowMs),
+  };
+};
+
 export class BillingCommand extends SnipectlCommand {
   static override paths = [['billing']];
 
@@ -34,12 +48,7 @@
   until = Option.String('--until', { description: 'A time, or a duration before now.' });
 
   protected async act(): Promise<ExitCode> {
-    const nowMs = Date.now();
-    const query = {
-      team: this.team,
-      fromMs: readOptionalMomentMs(this.since, nowMs),
-      untilMs: readOptionalMomentMs(this.until, nowMs),
-    };
+    const query = { team: this.team, ...readPeriod(this) };
     const billing = await this.withApi((api) => api.getBilling(query));
     this.show(billing, () => formatBilling(billing.rows));
     return exitCodes.ok;
@@ -150,12 +159,7 @@
   html = Option.String('--html', { description: 'Write one self-contained page to this file.' });
 
   protected async act(): Promise<ExitCode> {
-    const nowMs = Date.now();
-    const query = {
-      team: this.team,
-      fromMs: readOptionalMomentMs(this.since, nowMs),
-      untilMs: readOptionalMomentMs(this.until, nowMs),
-    };
+    const query = { team: this.team, ...readPeriod(this) };
     const report = await this.withApi((api) => api.getReport(query));
     if (this.html !== undefined) {
       await writeTextFile(this.html, buildReportPage(report));
--- a/packages/demo/src/workload/oracle.ts
+++ b/packages/demo/src/workload/oracle.ts
@@ -29,13 +29,8 @@
   readonly dearest: { readonly input: number; readonly output: number };
 }
 
-/** Counts of broken promises, each with examples for people. */
-export interface Verdict {
-  readonly requests: number;
-  readonly answered: number;
-  readonly refusedNotRun: number;
-  /** Refused honestly without knowing, or while another run of the key went on. */
-  readonly refusedOther: number;
+/** How often each promise was broken. */
+export interface BrokenPromises {
   readonly lost: number;
   readonly doubled: number;
   readonly ranTwice: number;
@@ -43,6 +38,15 @@
   readonly falseNotRun: number;
   readonly wrongVersion: number;
   readonly afterWithdrawal: number;
+}
+
+/** Counts of broken promises, each with examples for people. */
+export interface Verdict extends BrokenPromises {
+  readonly requests: number;
+  readonly answered: number;
+  readonly refusedNotRun: number;
+  /** Refused honestly without knowing, or while another run of the key went on. */
+  readonly refusedOther: number;
   readonly costVsDearest: number;
   readonly p50Ms: number;
   readonly p95Ms: number;
--- a/packages/forwarding/src/peers/crashMessage.ts
+++ b/packages/forwarding/src/peers/crashMessage.ts
@@ -1,6 +1,11 @@
 /** What daemons tell each other of upstreams that ended and of requests cleared: datagrams of packed JSON. */
 import { asId, type RequestDigest } from '@snipehaven/common';
-import type { EndReport, Suspect, Suspicion } from '@snipehaven/policy';
+import {
+  fromSuspectTuple,
+  toSuspectTuple,
+  type EndReport,
+  type SuspectTuple,
+} from '@snipehaven/policy';
 import { packDatagram } from './datagram.js';
 
 export interface CrashNews {
@@ -16,10 +21,7 @@
 /** Requests named of one end, the most suspect first; more than an engine takes from one daemon. */
 const MAX_SUSPECTS = 400;
 
-const marks: Readonly<Record<Suspicion, 0 | 1>> = { strong: 1, weak: 0 };
-
-type WireSuspect = readonly [digest: string, mark: 0 | 1];
-type WireEnd = readonly [lifeId: string, suspects: readonly WireSuspect[]];
+type WireEnd = readonly [lifeId: string, suspects: readonly SuspectTuple[]];
 
 interface WireMessage {
   readonly crashes: readonly [
@@ -30,9 +32,8 @@
 }
 
 const toWireEnd = ({ lifeId, suspects }: EndReport): WireEnd => {
-  const worstFirst = [...suspects].sort((a, b) => marks[b.suspicion] - marks[a.suspicion]);
-  const named = worstFirst.slice(0, MAX_SUSPECTS);
-  return [lifeId, named.map(({ digest, suspicion }): WireSuspect => [digest, marks[suspicion]])];
+  const worstFirst = suspects.map(toSuspectTuple).sort(([, a], [, b]) => b - a);
+  return [lifeId, worstFirst.slice(0, MAX_SUSPECTS)];
 };
 
 export const encodeCrashNews = ({ ends, cleared, alive }: CrashNews): Buffer => {
@@ -45,19 +46,14 @@
 const isTexts = (value: unknown): value is readonly string[] =>
   Array.isArray(value) && value.every(isText);
 
-const isWireSuspect = (value: unknown): value is WireSuspect =>
+const isSuspectTuple = (value: unknown): value is SuspectTuple =>
   Array.isArray(value) && isText(value[0]) && (value[1] === 0 || value[1] === 1);
 
 const isWireEnd = (value: unknown): value is WireEnd =>
   Array.isArray(value) &&
   isText(value[0]) &&
   Array.isArray(value[1]) &&
-  value[1].every(isWireSuspect);
-
-const toSuspect = ([digest, mark]: WireSuspect): Suspect => ({
-  digest: asId<RequestDigest>(digest),
-  suspicion: mark === marks.strong ? 'strong' : 'weak',
-});
+  value[1].every(isSuspectTuple);
 
 /** Undefined when the decoded datagram holds no such news. */
 export const restoreCrashNews = (message: unknown): CrashNews | undefined => {
@@ -72,7 +68,10 @@
   const isOurs = Array.isArray(ends) && ends.every(isWireEnd) && isTexts(cleared) && isTexts(alive);
   return isOurs
     ? {
-        ends: ends.map(([lifeId, suspects]) => ({ lifeId, suspects: suspects.map(toSuspect) })),
+        ends: ends.map(([lifeId, suspects]) => ({
+          lifeId,
+          suspects: suspects.map(fromSuspectTuple),
+        })),
         cleared: cleared.map((digest) => asId<RequestDigest>(digest)),
         alive,
       }
--- a/packages/proofs/src/soak/report/sayReport.ts
+++ b/packages/proofs/src/soak/report/sayReport.ts
@@ -1,5 +1,5 @@
 /** Prints what a run found: broken promises, figures, and the last line. */
-import type { Verdict } from '@snipehaven/demo';
+import type { BrokenPromises, Verdict } from '@snipehaven/demo';
 import type { SoakFacts } from '../soakFacts.js';
 import type { Say, SentAttempt } from '../types.js';
 import type { InForceMeasure } from '../watch/inForceProbe.js';
@@ -19,21 +19,14 @@
   readonly placeOf: (vm: string) => string | undefined;
 }
 
-/** The last line; the counts from `lost` on must be 0. */
-export interface SoakCounts {
+/** The last line; broken promises, reverts and invariants must be 0. */
+export interface SoakCounts extends BrokenPromises {
   readonly requests: number;
   readonly answered: number;
   readonly kills: number;
   readonly freezes: number;
   readonly cuts: number;
   readonly outages: number;
-  readonly lost: number;
-  readonly doubled: number;
-  readonly ranTwice: number;
-  readonly misbilled: number;
-  readonly falseNotRun: number;
-  readonly wrongVersion: number;
-  readonly afterWithdrawal: number;
   readonly configReverts: number;
   readonly invariants: number;
 }
--- a/packages/routing/src/crashes/crashTally.ts
+++ b/packages/routing/src/crashes/crashTally.ts
@@ -8,9 +8,10 @@
 import {
   CrashLedger,
   HOLD_MS,
+  fromSuspectTuple,
   judgeSuspicion,
+  toSuspectTuple,
   type EndReport,
-  type Suspicion,
 } from '@snipehaven/policy';
 import { crashGossipSchema, type CrashGossip } from '@snipehaven/protocol';
 
@@ -23,8 +24,6 @@
 /** Of each kind, the newest are told; an exchange carries other concerns beside. */
 const MAX_RUMOURS = 32;
 
-const marks: Readonly<Record<Suspicion, 0 | 1>> = { strong: 1, weak: 0 };
-
 interface Rumour<Item> {
   readonly item: Item;
   readonly heardAtMs: number;
@@ -87,7 +86,7 @@
     }
     const ends = this.#ends.map(({ item: { lifeId, suspects } }): CrashGossip['ends'][number] => [
       lifeId,
-      suspects.map(({ digest, suspicion }) => [digest, marks[suspicion]]),
+      suspects.map((suspect) => [...toSuspectTuple(suspect)]),
     ]);
     return { ends, cleared: this.#cleared.map(({ item }) => item) };
   }
@@ -95,13 +94,7 @@
   mergePayload(payload: unknown): void {
     const { ends, cleared } = crashGossipSchema.parse(payload);
     for (const [lifeId, suspects] of ends) {
-      this.#takeEnd({
-        lifeId,
-        suspects: suspects.map(([digest, mark]) => ({
-          digest: asId<RequestDigest>(digest),
-          suspicion: mark === marks.strong ? 'strong' : 'weak',
-        })),
-      });
+      this.#takeEnd({ lifeId, suspects: suspects.map(fromSuspectTuple) });
     }
     cleared.forEach((digest) => this.noteAnswered(asId<RequestDigest>(digest)));
   }
