--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,5 +1,6 @@
 export * from './connectionErrors.js';
 export * from './errors.js';
+export * from './forgetOldest.js';
 export * from './handlerActor.js';
 export * from './ids.js';
 export * from './invariant.js';
--- a/packages/forwarding/src/crashes/answeredRequests.ts
+++ b/packages/forwarding/src/crashes/answeredRequests.ts
@@ -2,7 +2,7 @@
  * Requests that upstreams answered in whole a short while ago, the newest last. A question that many callers
  * ask alike is on nearly every upstream that ends, and its answers in between may be seconds apart.
  */
-import type { RequestDigest } from '@snipehaven/common';
+import { forgetOldest, type RequestDigest } from '@snipehaven/common';
 import { ANSWERED_FOR_MS, MAX_ANSWERED } from './constants.js';
 
 export class AnsweredRequests {
@@ -12,10 +12,7 @@
   note(digest: RequestDigest, nowMs: number): void {
     this.#answeredAtMs.delete(digest);
     this.#answeredAtMs.set(digest, nowMs);
-    if (this.#answeredAtMs.size > MAX_ANSWERED) {
-      const [oldest = digest] = this.#answeredAtMs.keys();
-      this.#answeredAtMs.delete(oldest);
-    }
+    forgetOldest(this.#answeredAtMs, MAX_ANSWERED);
   }
 
   has(digest: RequestDigest, nowMs: number): boolean {
--- a/packages/forwarding/src/crashes/crashBook.ts
+++ b/packages/forwarding/src/crashes/crashBook.ts
@@ -2,7 +2,7 @@
  * What this daemon knows of upstreams that ended and of the requests on them, its own knowledge and the
  * others': which requests are held back, and what is told of it.
  */
-import type { Logger, Random, RequestDigest } from '@snipehaven/common';
+import { forgetOldest, type Logger, type Random, type RequestDigest } from '@snipehaven/common';
 import {
   CrashLedger,
   HOLD_MS,
@@ -48,7 +48,7 @@
 
   readonly #cleared = new Set<RequestDigest>();
 
-  readonly #listeners: CrashListener[] = [];
+  readonly #listeners: Partial<CrashListener>[] = [];
 
   /** Lives that ended, the newest last. */
   readonly #endedLives = new Set<string>();
@@ -68,7 +68,7 @@
     return [...this.#holds.values()].filter(({ untilMs }) => untilMs > nowMs).length;
   }
 
-  watch(listener: CrashListener): void {
+  watch(listener: Partial<CrashListener>): void {
     this.#listeners.push(listener);
   }
 
@@ -157,11 +157,8 @@
       return;
     }
     this.#endedLives.add(lifeId);
-    if (this.#endedLives.size > MAX_ENDED_LIVES) {
-      const [oldest = lifeId] = this.#endedLives;
-      this.#endedLives.delete(oldest);
-    }
-    this.#listeners.forEach((listener) => listener.onEnded(lifeId));
+    forgetOldest(this.#endedLives, MAX_ENDED_LIVES);
+    this.#listeners.forEach((listener) => listener.onEnded?.(lifeId));
   }
 
   /** Requests that were held back because of its end, too, are let go. */
@@ -193,7 +190,7 @@
       const [oldest = digest] = this.#holds.keys();
       this.#release(oldest, 'tooMany', 'peer');
     }
-    this.#listeners.forEach((listener) => listener.onHeld(hold, source));
+    this.#listeners.forEach((listener) => listener.onHeld?.(hold, source));
     if (this.#answered.has(digest, performance.now())) {
       const waitMs = this.#options.random.next() * MAX_OBJECTION_MS;
       setTimeout(() => this.#object(hold), waitMs).unref();
@@ -225,7 +222,7 @@
       { event: 'requestReleased', digest, cause, source },
       'a request is held back no more',
     );
-    this.#listeners.forEach((listener) => listener.onReleased(digest, source));
+    this.#listeners.forEach((listener) => listener.onReleased?.(digest, source));
   }
 
   #tellLater(digest: RequestDigest): void {
--- a/packages/forwarding/src/crashes/holdKeeper.ts
+++ b/packages/forwarding/src/crashes/holdKeeper.ts
@@ -44,7 +44,6 @@
   constructor(options: HoldKeeperOptions) {
     this.#options = options;
     options.book.watch({
-      onEnded: () => {},
       onHeld: (hold, source) => this.#schedule(hold, source === 'own' ? 0 : this.#drawTurnMs()),
       onReleased: (digest, source) => {
         if (source === 'own') {
--- a/packages/forwarding/src/daemon/crashWatch.ts
+++ b/packages/forwarding/src/daemon/crashWatch.ts
@@ -68,7 +68,6 @@
     this.book.watch({
       onEnded: (lifeId) => this.#judgeEnd(lifeId),
       onHeld: ({ digest }) => directory.holdBack(digest),
-      onReleased: () => {},
     });
   }
 
--- a/packages/forwarding/src/daemon/rowDecoder.ts
+++ b/packages/forwarding/src/daemon/rowDecoder.ts
@@ -1,5 +1,5 @@
 /** Decodes rows that anyone may have written; one that does not decode is logged once. */
-import { getErrorMessage, type Logger } from '@snipehaven/common';
+import { forgetOldest, getErrorMessage, type Logger } from '@snipehaven/common';
 import type { StoreRow } from '../store/index.js';
 
 export type Row = Pick<StoreRow, 'key' | 'value'>;
@@ -41,10 +41,7 @@
     }
     this.#malformed.delete(key);
     this.#malformed.set(key, cause);
-    if (this.#malformed.size > MAX_MALFORMED) {
-      const [oldest = ''] = this.#malformed.keys();
-      this.#malformed.delete(oldest);
-    }
+    forgetOldest(this.#malformed, MAX_MALFORMED);
     this.#logger.error({ event: 'rowSkipped', key, cause }, 'a row does not decode');
   }
 }
--- a/packages/forwarding/src/upstreams/upstreamDirectory.ts
+++ b/packages/forwarding/src/upstreams/upstreamDirectory.ts
@@ -1,5 +1,5 @@
 /** The upstreams that the platform lists, by service. */
-import type { Logger, RequestDigest } from '@snipehaven/common';
+import { forgetOldest, type Logger, type RequestDigest } from '@snipehaven/common';
 import type { PeerLoads } from '../peers/index.js';
 import type { Upstream } from '../types.js';
 import { DataCentreWatch } from './dataCentreWatch.js';
@@ -183,10 +183,7 @@
     }
     this.#newestBirths.delete(id);
     this.#newestBirths.set(id, bornAtMs);
-    if (this.#newestBirths.size > MAX_REMEMBERED_LIVES) {
-      const [oldest = ''] = this.#newestBirths.keys();
-      this.#newestBirths.delete(oldest);
-    }
+    forgetOldest(this.#newestBirths, MAX_REMEMBERED_LIVES);
   }
 
   /**
--- a/packages/policy/src/crashes/crashLedger.ts
+++ b/packages/policy/src/crashes/crashLedger.ts
@@ -5,7 +5,7 @@
  *
  * Ends are sets, not sums: the same end told twice, or by two daemons, counts once, in any order.
  */
-import type { RequestDigest } from '@snipehaven/common';
+import { forgetOldest, type RequestDigest } from '@snipehaven/common';
 import type { EndReport, Suspicion } from './types.js';
 
 /**
@@ -134,10 +134,7 @@
     const lives = new Set([...(this.#settled.get(digest) ?? []), ...ends.keys()]);
     this.#settled.delete(digest);
     this.#settled.set(digest, lives);
-    if (this.#settled.size > MAX_SUSPECTS) {
-      const [oldest = digest] = this.#settled.keys();
-      this.#settled.delete(oldest);
-    }
+    forgetOldest(this.#settled, MAX_SUSPECTS);
   }
 
   #noteOne(digest: RequestDigest, lifeId: string, end: NotedEnd): void {
