Confirm a table by other readers' news while a store request is pending

The daemon had received no confirmation of the status table for 5.4 s, so its roll-out schedule stood still while other daemons had already moved the session on.

Cause: a daemon that reads a table itself and whose store request hangs applies the changes that other readers pass on, but ignores their confirmation that nothing else changed. Without changes, its copy appears as old as its pending request; after 3.5 s its roll-outs stand still. The news carrying the confirmation keep arriving, but only followers use them.

Evidence: a test with two readers, one of whose requests is held indefinitely. Without the change its table is never confirmed again; with the change it is confirmed by the next news of the other reader.

Fix: the listener that applies passed-on changes during a pending request is also called when a reader's news advance, and confirms the table by them as a follower does: only if all changes known to the readers have been applied.

Result: the new test fails without the change and passes with it.

--- a/packages/forwarding/src/peers/newsBoard.ts
+++ b/packages/forwarding/src/peers/newsBoard.ts
@@ -77,7 +77,7 @@
   #onOwnChanges: (changes: TableChanges) => void = () => {};
 
   /** By table. */
-  readonly #onPassedOn = new Map<string, () => void>();
+  readonly #newsListeners = new Map<string, () => void>();
 
   constructor(vm: string, dataCentre: string) {
     this.#vm = vm;
@@ -94,10 +94,13 @@
     this.#onOwnChanges = listener;
   }
 
-  /** Calls back when changes of the table were passed on, until what it returns is called. */
-  onPassedOn(table: string, listener: () => void): () => void {
-    this.#onPassedOn.set(table, listener);
-    return () => this.#onPassedOn.delete(table);
+  /**
+   * Calls the listener when changes of the table are passed on or a reader reports a newer store time
+   * for it. Returns a function that removes the listener.
+   */
+  onNews(table: string, listener: () => void): () => void {
+    this.#newsListeners.set(table, listener);
+    return () => this.#newsListeners.delete(table);
   }
 
   publish(news: TableNews): void {
@@ -117,7 +120,7 @@
     waiting.push(changes);
     this.#changes.set(table, waiting.slice(-MAX_WAITING_CHANGES));
     this.#wake();
-    this.#onPassedOn.get(table)?.();
+    this.#newsListeners.get(table)?.();
     return this.#noteNewest(table, upTo);
   }
 
@@ -226,9 +229,12 @@
         .filter((heard) => concerns(heard) && !told.has(`${table}/${heard.vm}`))
         .forEach(({ vm }) => readers.delete(vm));
     }
-    const isAdvanced = news.map((one) => this.#note(one, nowMs)).includes(true);
-    if (isAdvanced) {
+    const advancedNews = news.filter((one) => this.#note(one, nowMs));
+    if (advancedNews.length > 0) {
       this.#wake();
+      new Set(advancedNews.map(({ table }) => table)).forEach((table) =>
+        this.#newsListeners.get(table)?.(),
+      );
     }
   }
 
--- a/packages/forwarding/src/store/tableWatcher.test.ts
+++ b/packages/forwarding/src/store/tableWatcher.test.ts
@@ -203,6 +203,18 @@
   });
 });
 
+// Guards against a table that looks outdated while its reader's own store request is pending.
+test('a reader whose store request hangs confirms its table by the news of another reader', async () => {
+  await playTwoReaders(async (store, [stalledReader]) => {
+    store.silent.add('vm-0');
+    await sleep(WAIT_MS * 3);
+    const pendingAtMs = performance.now();
+    const getConfirmedAtMs = (): number =>
+      performance.now() - (stalledReader?.freshness.ageMs ?? Infinity);
+    await waitUntil(() => getConfirmedAtMs() > pendingAtMs);
+  });
+});
+
 // Symptom: a daemon refuses keyed requests for good, 18 s in a soak, while the store is well and its
 // news come. Sequence: a follower's time of day steps. Cause: others' news confirm nothing then; it
 // asked nobody.
--- a/packages/forwarding/src/store/tableWatcher.ts
+++ b/packages/forwarding/src/store/tableWatcher.ts
@@ -287,10 +287,13 @@
     return serverTimeMs;
   }
 
-  /** The question may hang: what others pass on meanwhile is taken as it comes. */
+  /** Applies other readers' changes and confirmations while the store request is pending. */
   async #askForChanges(waitMs: number): Promise<StorePage<StoreChange>> {
     const { store, table, board } = this.#options;
-    const stopListening = board.onPassedOn(table, () => this.#takePassedOn());
+    const stopListening = board.onNews(table, () => {
+      this.#takePassedOn();
+      this.#useNews();
+    });
     try {
       return await store.readChanges(table, this.#copy.version ?? 0, waitMs);
     } finally {
