Refuse requests of a session while its version is evacuated

Cause: all upstreams of the new version are in one data centre. The data centre is taken back from an evacuation, sessions move to the new version on schedule, and 0.45 s later the data centre is evacuated again. No upstream of the version may then be selected, so requests of sessions that had run on it fell back to the old version.

Ruled out: the daemons disagreeing on the schedule. Both moves happened at vm-a-1, which had received data from the store 0.6 and 0.8 s earlier and was in stage `moved` (`sessionMoved` log lines).

Fix: a request whose session last ran at this daemon on the new version is refused immediately while all listed upstreams of that version are in evacuated data centres: 503, not run, reason `versionEvacuated`, with Retry-After set to the time until the session expires. Upstreams that crash or are cut off are not covered: requests still fall back.

Limitation: a daemon that does not know the session, because it ran elsewhere, still routes it back to the old version.

Result: the new session test fails without the check and passes with it.

--- a/packages/forwarding/src/daemon/forwardDaemon.ts
+++ b/packages/forwarding/src/daemon/forwardDaemon.ts
@@ -135,6 +135,8 @@
       countSessionMove: (stage) => this.#metrics.countSessionMove(stage),
       findPeerCounts: (service, orderVersion) =>
         this.#peerLoads.findRolloutCounts(service, orderVersion),
+      hasEvacuatedUpstreams: (service, version) =>
+        this.#directory.hasEvacuatedUpstreams(service, version),
     });
     this.#crashes = this.#createCrashWatch();
     this.#statusListener = new StatusListener({
--- a/packages/forwarding/src/rollouts/narrowToVersion.ts
+++ b/packages/forwarding/src/rollouts/narrowToVersion.ts
@@ -12,6 +12,11 @@
   /** The version that the request's session last ran on here. */
   readonly ranOn: string | undefined;
   readonly options: RequestOptions;
+  /**
+   * Whether ready upstreams of `toVersion` are in evacuated data centres; false unless the session last ran
+   * on `toVersion`.
+   */
+  readonly hasEvacuatedUpstreams: boolean;
 }
 
 const HASH_RANGE = 2 ** 32;
@@ -41,6 +46,20 @@
   return ranOn === toVersion || weight / HASH_RANGE < share;
 };
 
+/**
+ * Whether, during a running roll-out, the session last ran on the new version and all ready upstreams of that
+ * version are in evacuated data centres. Requests are then refused so that the session does not fall back to
+ * the old version.
+ */
+export const isSessionVersionEvacuated = (
+  { state, toVersion, ranOn, hasEvacuatedUpstreams }: VersionQuestion,
+  entries: readonly UpstreamEntry[],
+): boolean =>
+  state === 'running' &&
+  ranOn === toVersion &&
+  hasEvacuatedUpstreams &&
+  listOf(entries, toVersion).length === 0;
+
 type Narrow = (
   question: VersionQuestion,
   entries: readonly UpstreamEntry[],
@@ -51,6 +70,9 @@
   completed: ({ toVersion }, entries) => orOther(listOf(entries, toVersion), entries),
   rolledBack: listPresent,
   running: (question, entries) => {
+    if (isSessionVersionEvacuated(question, entries)) {
+      return [];
+    }
     const present = listPresent(question, entries);
     return isMoved(question) ? orOther(listOf(entries, question.toVersion), present) : present;
   },
--- a/packages/forwarding/src/rollouts/rolloutGuide.test.ts
+++ b/packages/forwarding/src/rollouts/rolloutGuide.test.ts
@@ -39,6 +39,7 @@
     allowedExposure: 0.15,
     countSessionMove: () => {},
     findPeerCounts: () => undefined,
+    hasEvacuatedUpstreams: () => false,
   });
 };
 
--- a/packages/forwarding/src/rollouts/rolloutGuide.ts
+++ b/packages/forwarding/src/rollouts/rolloutGuide.ts
@@ -5,7 +5,11 @@
 import type { BadVersionNews, RolloutCounts, ServiceRolloutCounts } from '../peers/index.js';
 import type { RequestOptions, RolloutOrder } from '../types.js';
 import type { UpstreamEntry } from '../upstreams/index.js';
-import { narrowToVersion } from './narrowToVersion.js';
+import {
+  isSessionVersionEvacuated,
+  narrowToVersion,
+  type VersionQuestion,
+} from './narrowToVersion.js';
 import { ServiceRollout } from './serviceRollout.js';
 import { SessionVersions, type SessionRun } from './sessionVersions.js';
 import type {
@@ -36,6 +40,8 @@
   countSessionMove(stage: RolloutStage): void;
   /** The roll-out's answer counts, summed over the reachable peers. */
   findPeerCounts(service: string, orderVersion: number): RolloutCounts | undefined;
+  /** Whether any ready upstream of the version is in an evacuated data centre. */
+  hasEvacuatedUpstreams(service: string, softwareVersion: string): boolean;
 }
 
 export class RolloutGuide {
@@ -70,6 +76,8 @@
 
   readonly #findPeerCounts: RolloutGuideOptions['findPeerCounts'];
 
+  readonly #hasEvacuatedUpstreams: RolloutGuideOptions['hasEvacuatedUpstreams'];
+
   constructor(options: RolloutGuideOptions) {
     this.#logger = options.logger;
     this.#vm = options.vm;
@@ -78,6 +86,8 @@
     this.#sessionVersions = new SessionVersions(options.sessionTtlMs);
     this.#countSessionMove = options.countSessionMove;
     this.#allowedExposure = options.allowedExposure;
+    this.#hasEvacuatedUpstreams = (service, version) =>
+      options.hasEvacuatedUpstreams(service, version);
     this.#findPeerCounts = (service, orderVersion) => options.findPeerCounts(service, orderVersion);
   }
 
@@ -258,14 +268,7 @@
     if (rollout === undefined) {
       return entries;
     }
-    const question = {
-      state: rollout.state,
-      toVersion: rollout.order.toVersion,
-      fromVersion: rollout.fromVersion,
-      place: rollout.getPlace(this.#freshness.ageMs),
-      ranOn: this.findSessionRun(service, options)?.softwareVersion,
-      options,
-    };
+    const question = this.#createQuestion(rollout, options);
     const left = narrowToVersion(question, entries);
     const isNew = ({ upstream }: UpstreamEntry): boolean =>
       upstream.softwareVersion === question.toVersion;
@@ -275,6 +278,37 @@
     return left;
   }
 
+  /**
+   * Time until the session expires unless it runs again, if all ready upstreams of its version are in
+   * evacuated data centres; undefined otherwise.
+   */
+  findSessionExpiryWaitMs(
+    service: string,
+    options: RequestOptions,
+    entries: readonly UpstreamEntry[],
+  ): number | undefined {
+    const rollout = this.#rollouts.get(service);
+    const run = this.findSessionRun(service, options);
+    const isVersionEvacuated =
+      rollout !== undefined &&
+      isSessionVersionEvacuated(this.#createQuestion(rollout, options), entries);
+    return run && isVersionEvacuated ? this.#sessionVersions.getRemainingMs(run) : undefined;
+  }
+
+  #createQuestion(rollout: ServiceRollout, options: RequestOptions): VersionQuestion {
+    const { service, toVersion } = rollout.order;
+    const ranOn = this.findSessionRun(service, options)?.softwareVersion;
+    return {
+      state: rollout.state,
+      toVersion,
+      fromVersion: rollout.fromVersion,
+      place: rollout.getPlace(this.#freshness.ageMs),
+      ranOn,
+      options,
+      hasEvacuatedUpstreams: ranOn === toVersion && this.#hasEvacuatedUpstreams(service, toVersion),
+    };
+  }
+
   #applyStatus(service: string): void {
     const rollout = this.#rollouts.get(service);
     const known = this.#statuses.get(service);
--- a/packages/forwarding/src/rollouts/rolloutKeeper.test.ts
+++ b/packages/forwarding/src/rollouts/rolloutKeeper.test.ts
@@ -86,6 +86,7 @@
     allowedExposure: 0.1,
     countSessionMove: () => {},
     findPeerCounts,
+    hasEvacuatedUpstreams: () => false,
   });
 
 /** Daemons of these ranks, each with the order just given. */
--- a/packages/forwarding/src/rollouts/sessionKeeping.test.ts
+++ b/packages/forwarding/src/rollouts/sessionKeeping.test.ts
@@ -26,9 +26,14 @@
   guide: RolloutGuide;
   /** Of another daemon. */
   other: RolloutGuide;
+  evacuatedVersions: Set<string>;
 }
 
-const createGuide = (vm: string, freshness: Freshness): RolloutGuide =>
+const createGuide = (
+  vm: string,
+  freshness: Freshness,
+  evacuatedVersions: ReadonlySet<string>,
+): RolloutGuide =>
   new RolloutGuide({
     logger: createSilentLogger(),
     vm,
@@ -38,6 +43,7 @@
     allowedExposure: 0.15,
     countSessionMove: () => {},
     findPeerCounts: () => undefined,
+    hasEvacuatedUpstreams: (_, softwareVersion) => evacuatedVersions.has(softwareVersion),
   });
 
 const test = suite<Context>('sessions keep their version');
@@ -46,8 +52,9 @@
   context.clock = install();
   context.freshness = new Freshness();
   context.freshness.confirm({ asked: readClocks(), serverTimeMs: performance.now() });
-  context.guide = createGuide('vm', context.freshness);
-  context.other = createGuide('other', context.freshness);
+  context.evacuatedVersions = new Set();
+  context.guide = createGuide('vm', context.freshness, context.evacuatedVersions);
+  context.other = createGuide('other', context.freshness, context.evacuatedVersions);
 });
 
 test.after.each(({ clock }) => clock.uninstall());
@@ -145,6 +152,31 @@
   }
 });
 
+test('sessions went back to the old version while the upstreams of the new one were evacuated', (context) => {
+  context.guide.takeOrder(ORDER, ORDER_VERSION, 0);
+  pass(context, ORDER.durationMs * 0.7);
+  const before = runAll(context.guide, [V1, V2]);
+  context.evacuatedVersions.add('v2');
+  pass(context, 1_000);
+  const during = runAll(context.guide, [V1]);
+  assert.ok([...during.values()].every((version) => version === undefined));
+  const [session = ''] = SESSIONS;
+  const waitMs = context.guide.findSessionExpiryWaitMs('s', createOptions(session), [V1]);
+  assert.is(waitMs, SESSION_TTL_MS - 1_000);
+  context.evacuatedVersions.clear();
+  assert.equal(listMoved(before, runAll(context.guide, [V1, V2])), []);
+});
+
+test('requests of expired sessions were refused while the upstreams of the new version were evacuated', (context) => {
+  context.guide.takeOrder(ORDER, ORDER_VERSION, 0);
+  pass(context, ORDER.durationMs * 0.7);
+  runAll(context.guide, [V1, V2]);
+  context.evacuatedVersions.add('v2');
+  pass(context, SESSION_TTL_MS);
+  const after = runAll(context.guide, [V1]);
+  assert.ok([...after.values()].every((version) => version === 'v1'));
+});
+
 test('a daemon whose time of day jumped sent sessions back', (context) => {
   context.guide.takeOrder(ORDER, ORDER_VERSION, 0);
   context.other.takeOrder(ORDER, ORDER_VERSION, 0);
--- a/packages/forwarding/src/rollouts/sessionVersions.ts
+++ b/packages/forwarding/src/rollouts/sessionVersions.ts
@@ -39,6 +39,11 @@
     return run && performance.now() - run.atMs < this.#ttlMs ? run : undefined;
   }
 
+  /** Time until the session expires unless it runs again. */
+  getRemainingMs({ atMs }: SessionRun): number {
+    return Math.max(0, this.#ttlMs - (performance.now() - atMs));
+  }
+
   /** To be noted when an answer begins and when it ends. Returns the move, if it is one. */
   note(session: SessionOfService, softwareVersion: string): SessionMove | undefined {
     const last = this.find(session);
--- a/packages/forwarding/src/rollouts/testSupport/modelDaemon.ts
+++ b/packages/forwarding/src/rollouts/testSupport/modelDaemon.ts
@@ -104,6 +104,7 @@
       allowedExposure: 0.15,
       countSessionMove: () => {},
       findPeerCounts: () => undefined,
+      hasEvacuatedUpstreams: () => false,
     });
     this.hearStore(1);
     return guide;
--- a/packages/forwarding/src/runs/forwardRun.ts
+++ b/packages/forwarding/src/runs/forwardRun.ts
@@ -18,8 +18,9 @@
 import { describePlace } from './describePlace.js';
 import { findLargerModel, type LargerModel } from './findLargerModel.js';
 import { findPlace, type Place } from './findPlace.js';
-import { findWarmUpWait } from './listCandidates.js';
+import { findSessionExpiryWait, findWarmUpWait } from './listCandidates.js';
 import { tellAfterRun } from './refusals.js';
+import type { PlaceQuestion } from './placeQuestion.js';
 import { Punctuality, roundMs } from './punctuality.js';
 import { relayFactories, type AnswerRelay } from './relays.js';
 import { isRefused, resolveRequest, type ResolvedRequest } from './resolveRequest.js';
@@ -357,7 +358,7 @@
     };
     const place = findPlace(this.#dependencies, question);
     if (place === undefined) {
-      this.#concludeUnplaced(findWarmUpWait(this.#dependencies, question));
+      this.#concludeUnplaced(question);
       return;
     }
     this.#noteDemand(service, place);
@@ -382,13 +383,15 @@
     this.#attempt.start();
   }
 
-  /** `waitMs`: until a cold upstream takes one more, where there is one. */
-  #concludeUnplaced(waitMs: number | undefined): void {
+  #concludeUnplaced(question: PlaceQuestion): void {
+    const expiryWaitMs = findSessionExpiryWait(this.#dependencies, question);
+    const waitMs = expiryWaitMs ?? findWarmUpWait(this.#dependencies, question);
     if (waitMs === undefined) {
       this.#concludeFailure('noUpstream');
-    } else {
-      this.#concludeFailure('warmingUp', Math.max(MIN_RETRY_AFTER_S, waitMs / MS_PER_S));
+      return;
     }
+    const reason = expiryWaitMs === undefined ? 'warmingUp' : 'versionEvacuated';
+    this.#concludeFailure(reason, Math.max(MIN_RETRY_AFTER_S, waitMs / MS_PER_S));
   }
 
   #noteDemand(service: string, { startWork, runWork }: Place): void {
--- a/packages/forwarding/src/runs/listCandidates.ts
+++ b/packages/forwarding/src/runs/listCandidates.ts
@@ -29,6 +29,13 @@
   return unused.length > 0 ? unused : ready;
 };
 
+/** In ms until the session expires, if its version is evacuated; undefined otherwise. */
+export const findSessionExpiryWait = (
+  { directory, rollouts }: ForwardDependencies,
+  { service, options }: PlaceQuestion,
+): number | undefined =>
+  rollouts.findSessionExpiryWaitMs(service, options, directory.listReady(service));
+
 /** In ms until a cold upstream takes one more; undefined where no cold one is among those allowed. */
 export const findWarmUpWait = (
   dependencies: ForwardDependencies,
--- a/packages/forwarding/src/runs/refusals.ts
+++ b/packages/forwarding/src/runs/refusals.ts
@@ -18,6 +18,7 @@
   bodyTooLarge: { status: 413, message: 'body too large', closesConnection: true },
   noUpstream: { status: 503, message: 'no upstream for this service' },
   warmingUp: { status: 503, message: 'upstreams are cold and take no more just now' },
+  versionEvacuated: { status: 503, message: 'upstreams of the session’s version are evacuated' },
   upstreamsBusy: { status: 503, message: 'upstreams are full' },
   deadlineNotRun: { status: 503, message: 'no upstream took it in time' },
   deadline: { status: 504, message: 'no answer in time' },
--- a/packages/forwarding/src/runs/types.ts
+++ b/packages/forwarding/src/runs/types.ts
@@ -14,6 +14,7 @@
   | 'bodyTooLarge'
   | 'noUpstream'
   | 'warmingUp'
+  | 'versionEvacuated'
   | 'upstreamsBusy'
   | 'deadlineNotRun'
   | 'deadline'
--- a/packages/forwarding/src/upstreams/upstreamDirectory.ts
+++ b/packages/forwarding/src/upstreams/upstreamDirectory.ts
@@ -82,6 +82,17 @@
     );
   }
 
+  /** Whether any ready upstream of the version is in an evacuated data centre. */
+  hasEvacuatedUpstreams(service: string, softwareVersion: string): boolean {
+    return [...this.#entries.values()].some(
+      ({ upstream }) =>
+        upstream.service === service &&
+        upstream.softwareVersion === softwareVersion &&
+        upstream.state === 'ready' &&
+        this.#evacuated.has(upstream.dataCentre),
+    );
+  }
+
   /** The operator wants nothing more sent to the upstreams there. */
   evacuate(dataCentre: string): void {
     if (!this.#evacuated.has(dataCentre)) {
