Prove a version in data centres that hold half of its upstreams

Symptom: a bad version was completed on mostly good answers.

Cause: four of the version's five upstreams are in data centre c, which is evacuated for all but half a second of the roll-out. The fifth, in data centre a, was started to replace one that had crashed, and is good. The sum of all answers therefore proves upstreams that could not be sent requests.

Ruled out: too few answers (60 at full share, 15 are enough), and daemons that did not receive each other's counts (the sums that the three logged differ by at most 5 answers).

Fix: answers at full share are counted per data centre of the upstream, and sent to the peers in that form. The version is completed when the test passes in data centres that together hold at least half of its ready upstreams, including evacuated ones. A data centre that is cut off or evacuated for long does not hold up a roll-out unless most of the version's upstreams are there. Counts that cannot be read no longer make a load message unreadable.

Limitation: a version that is bad on only some upstreams of one data centre is not covered; requests avoid those upstreams there as well.

Result: with the check removed, the new test with upstreams in two data centres fails.

--- a/packages/forwarding/src/daemon/crashWatch.ts
+++ b/packages/forwarding/src/daemon/crashWatch.ts
@@ -79,8 +79,9 @@
     const { directory, rollouts, getExchange } = this.#options;
     const entry = directory.findLife(lifeId);
     if (entry?.upstream.state === 'ready' && getExchange().isFirstWriter) {
-      const { service, softwareVersion } = entry.upstream;
-      rollouts.noteAnswer({ service, softwareVersion, isFailed: true, workKind: 'end' });
+      const { service, softwareVersion, dataCentre } = entry.upstream;
+      const work = { service, softwareVersion, dataCentre, workKind: 'end' };
+      rollouts.noteAnswer({ ...work, isFailed: true });
     }
   }
 }
--- a/packages/forwarding/src/daemon/forwardDaemon.ts
+++ b/packages/forwarding/src/daemon/forwardDaemon.ts
@@ -135,6 +135,7 @@
       countSessionMove: (stage) => this.#metrics.countSessionMove(stage),
       findPeerCounts: (service, orderVersion) =>
         this.#peerLoads.findRolloutCounts(service, orderVersion),
+      countUpstreams: (service, version) => this.#directory.countUpstreams(service, version),
       hasEvacuatedUpstreams: (service, version) =>
         this.#directory.hasEvacuatedUpstreams(service, version),
     });
--- a/packages/forwarding/src/peers/learned.ts
+++ b/packages/forwarding/src/peers/learned.ts
@@ -26,8 +26,8 @@
 export interface RolloutCounts {
   readonly candidate: VersionCounts;
   readonly present: VersionCounts;
-  /** The candidate's answers since all requests were directed to it. */
-  readonly candidateAtFullShare: VersionCounts;
+  /** The candidate's answers since all requests were directed to it, keyed by the upstream's data centre. */
+  readonly candidateAtFullShare: ReadonlyMap<string, VersionCounts>;
 }
 
 export interface ServiceRolloutCounts extends RolloutCounts {
@@ -39,7 +39,7 @@
 export const NO_ROLLOUT_COUNTS: RolloutCounts = {
   candidate: NO_ANSWERS,
   present: NO_ANSWERS,
-  candidateAtFullShare: NO_ANSWERS,
+  candidateAtFullShare: new Map(),
 };
 
 export interface Learned {
@@ -68,15 +68,25 @@
 const getRolloutKey = ({ service, orderVersion }: ServiceRolloutCounts): string =>
   `${service}/${orderVersion}`;
 
-const combineRolloutCounts = (
+export const combineRolloutCounts = (
   a: RolloutCounts,
   b: RolloutCounts,
   combine: (a: VersionCounts, b: VersionCounts) => VersionCounts,
-): RolloutCounts => ({
-  candidate: combine(a.candidate, b.candidate),
-  present: combine(a.present, b.present),
-  candidateAtFullShare: combine(a.candidateAtFullShare, b.candidateAtFullShare),
-});
+): RolloutCounts => {
+  const dataCentres = new Set([...a.candidateAtFullShare.keys(), ...b.candidateAtFullShare.keys()]);
+  const combineDataCentre = (dataCentre: string): VersionCounts =>
+    combine(
+      a.candidateAtFullShare.get(dataCentre) ?? NO_ANSWERS,
+      b.candidateAtFullShare.get(dataCentre) ?? NO_ANSWERS,
+    );
+  return {
+    candidate: combine(a.candidate, b.candidate),
+    present: combine(a.present, b.present),
+    candidateAtFullShare: new Map(
+      [...dataCentres].map((dataCentre) => [dataCentre, combineDataCentre(dataCentre)]),
+    ),
+  };
+};
 
 /** Clamped at zero: `b` may be newer, and larger, than the contribution included in `a`. */
 const subtractCounts = (a: VersionCounts, b: VersionCounts): VersionCounts => ({
--- a/packages/forwarding/src/peers/loadMessage.ts
+++ b/packages/forwarding/src/peers/loadMessage.ts
@@ -1,6 +1,7 @@
 /**
  * What a daemon tells the others: its work at the upstreams, and news of the store. A datagram of JSON.
  */
+import type { VersionCounts } from '@snipehaven/policy';
 import { packDatagram } from './datagram.js';
 import type { Learned, ServiceModelWork, ServicePace, ServiceRolloutCounts } from './learned.js';
 
@@ -62,8 +63,15 @@
   workTimes: number,
 ];
 type WireDemand = readonly [service: string, work: number, always: 0, model: string];
-/** Pairs of answers and bad answers: the candidate, the present version, the candidate at full share. */
-type WireRollout = readonly [service: string, orderVersion: number, ...counts: number[]];
+type WireCounts = readonly [answers: number, bad: number];
+type WireDataCentreCounts = readonly [dataCentre: string, answers: number, bad: number];
+type WireRollout = readonly [
+  service: string,
+  orderVersion: number,
+  candidate: WireCounts,
+  present: WireCounts,
+  candidateAtFullShare: readonly WireDataCentreCounts[],
+];
 type WireMessage = readonly [
   vm: string,
   dataCentre: string,
@@ -79,8 +87,6 @@
   rollouts: readonly WireRollout[],
 ];
 
-const ROLLOUT_COUNT_FIELDS = 6;
-
 /** By their number on the wire. */
 const SCOPES: readonly LoadScope[] = ['own', 'dataCentre', 'fleet'];
 
@@ -107,16 +113,17 @@
   model,
 ];
 
-const toWireRollout = ({
-  service,
-  orderVersion,
-  candidate,
-  present,
-  candidateAtFullShare,
-}: ServiceRolloutCounts): WireRollout => [
-  service,
-  orderVersion,
-  ...[candidate, present, candidateAtFullShare].flatMap(({ answers, bad }) => [answers, bad]),
+const toWireCounts = ({ answers, bad }: VersionCounts): WireCounts => [answers, bad];
+
+const toWireRollout = (counts: ServiceRolloutCounts): WireRollout => [
+  counts.service,
+  counts.orderVersion,
+  toWireCounts(counts.candidate),
+  toWireCounts(counts.present),
+  [...counts.candidateAtFullShare].map(([dataCentre, dataCentreCounts]) => [
+    dataCentre,
+    ...toWireCounts(dataCentreCounts),
+  ]),
 ];
 
 export const encodeLoadMessage = (message: LoadMessage): Buffer => {
@@ -166,25 +173,35 @@
 const isWireDemand = (value: unknown): value is WireDemand =>
   isWireEntry(value) && typeof value[3] === 'string';
 
+const isWireCounts = (value: unknown): value is WireCounts =>
+  Array.isArray(value) && value.length === 2 && value.every(isAmount);
+
 const isWireRollout = (value: unknown): value is WireRollout =>
   Array.isArray(value) &&
   typeof value[0] === 'string' &&
-  value.length === 2 + ROLLOUT_COUNT_FIELDS &&
-  value.slice(1).every(isAmount);
+  isAmount(value[1]) &&
+  isWireCounts(value[2]) &&
+  isWireCounts(value[3]) &&
+  Array.isArray(value[4]) &&
+  value[4].every(isWireEntry);
 
-const toRollout = ([service, orderVersion, ...counts]: WireRollout): ServiceRolloutCounts => {
-  const readCounts = (index: number) => ({
-    answers: counts[index] ?? 0,
-    bad: counts[index + 1] ?? 0,
-  });
-  return {
-    service,
-    orderVersion,
-    candidate: readCounts(0),
-    present: readCounts(2),
-    candidateAtFullShare: readCounts(4),
-  };
-};
+const toCounts = ([answers, bad]: WireCounts): VersionCounts => ({ answers, bad });
+
+const toRollout = ([
+  service,
+  orderVersion,
+  candidate,
+  present,
+  candidateAtFullShare,
+]: WireRollout): ServiceRolloutCounts => ({
+  service,
+  orderVersion,
+  candidate: toCounts(candidate),
+  present: toCounts(present),
+  candidateAtFullShare: new Map(
+    candidateAtFullShare.map(([dataCentre, answers, bad]) => [dataCentre, { answers, bad }]),
+  ),
+});
 
 const toPace = ([
   service,
@@ -257,8 +274,7 @@
     paces.every(isWireEntry) &&
     Array.isArray(demands) &&
     demands.every(isWireDemand) &&
-    Array.isArray(rollouts) &&
-    rollouts.every(isWireRollout);
+    Array.isArray(rollouts);
   if (!isOurs) {
     return undefined;
   }
@@ -278,7 +294,7 @@
     learned: {
       paces: (paces as unknown[]).filter(isWirePace).map(toPace),
       demands: demands.map(toDemand),
-      rollouts: rollouts.map(toRollout),
+      rollouts: (rollouts as unknown[]).filter(isWireRollout).map(toRollout),
     },
   };
 };
--- a/packages/forwarding/src/peers/testSupport/daemonFleet.ts
+++ b/packages/forwarding/src/peers/testSupport/daemonFleet.ts
@@ -74,7 +74,7 @@
 const OWN_ROLLOUT_COUNTS: RolloutCounts = {
   candidate: { answers: 3, bad: 1 },
   present: { answers: 5, bad: 0 },
-  candidateAtFullShare: { answers: 2, bad: 0.5 },
+  candidateAtFullShare: new Map([['dc-0', { answers: 2, bad: 0.5 }]]),
 };
 
 export class DaemonFleet {
--- a/packages/forwarding/src/rollouts/rolloutGuide.test.ts
+++ b/packages/forwarding/src/rollouts/rolloutGuide.test.ts
@@ -39,6 +39,7 @@
     allowedExposure: 0.15,
     countSessionMove: () => {},
     findPeerCounts: () => undefined,
+    countUpstreams: () => new Map([['a', 1]]),
     hasEvacuatedUpstreams: () => false,
   });
 };
--- a/packages/forwarding/src/rollouts/rolloutGuide.ts
+++ b/packages/forwarding/src/rollouts/rolloutGuide.ts
@@ -5,6 +5,7 @@
 import type { BadVersionNews, RolloutCounts, ServiceRolloutCounts } from '../peers/index.js';
 import type { RequestOptions, RolloutOrder } from '../types.js';
 import type { UpstreamEntry } from '../upstreams/index.js';
+import { describeCounts } from './describeCounts.js';
 import {
   isSessionVersionEvacuated,
   narrowToVersion,
@@ -40,6 +41,8 @@
   countSessionMove(stage: RolloutStage): void;
   /** The roll-out's answer counts, summed over the reachable peers. */
   findPeerCounts(service: string, orderVersion: number): RolloutCounts | undefined;
+  /** Number of ready upstreams of the version per data centre, including evacuated ones. */
+  countUpstreams(service: string, softwareVersion: string): ReadonlyMap<string, number>;
   /** Whether any ready upstream of the version is in an evacuated data centre. */
   hasEvacuatedUpstreams(service: string, softwareVersion: string): boolean;
 }
@@ -76,6 +79,8 @@
 
   readonly #findPeerCounts: RolloutGuideOptions['findPeerCounts'];
 
+  readonly #countUpstreams: RolloutGuideOptions['countUpstreams'];
+
   readonly #hasEvacuatedUpstreams: RolloutGuideOptions['hasEvacuatedUpstreams'];
 
   constructor(options: RolloutGuideOptions) {
@@ -86,6 +91,7 @@
     this.#sessionVersions = new SessionVersions(options.sessionTtlMs);
     this.#countSessionMove = options.countSessionMove;
     this.#allowedExposure = options.allowedExposure;
+    this.#countUpstreams = (service, version) => options.countUpstreams(service, version);
     this.#hasEvacuatedUpstreams = (service, version) =>
       options.hasEvacuatedUpstreams(service, version);
     this.#findPeerCounts = (service, orderVersion) => options.findPeerCounts(service, orderVersion);
@@ -128,6 +134,7 @@
       clock: this.#clock,
       allowedExposure: this.#allowedExposure,
       findPeerCounts: () => this.#findPeerCounts(order.service, orderVersion),
+      countUpstreams: () => this.#countUpstreams(order.service, order.toVersion),
     });
     this.#rollouts.set(order.service, rollout);
     this.#applyStatus(order.service);
@@ -348,7 +355,7 @@
         source,
         candidate: ledger.candidate,
         present: ledger.present,
-        fleet: rollout.fleetCounts,
+        fleet: describeCounts(rollout.fleetCounts),
         storeAgeMs: Math.round(this.#freshness.ageMs),
       },
       'roll-out changed its state',
--- a/packages/forwarding/src/rollouts/rolloutKeeper.ts
+++ b/packages/forwarding/src/rollouts/rolloutKeeper.ts
@@ -9,6 +9,7 @@
 import type { Freshness } from '../configuration/freshness.js';
 import type { BadVersionNews } from '../peers/index.js';
 import type { RolloutState } from '../types.js';
+import { describeCounts } from './describeCounts.js';
 import type { RolloutGuide } from './rolloutGuide.js';
 import type { ServiceRollout } from './serviceRollout.js';
 import type { RolloutWriter } from './types.js';
@@ -143,9 +144,10 @@
       return;
     }
     this.#loggedUnproven.add(rollout);
-    const { order, orderVersion, fleetCounts } = rollout;
+    const { order, orderVersion } = rollout;
+    const fleet = describeCounts(rollout.fleetCounts);
     this.#logger.warn(
-      { event: 'rolloutUnproven', service: order.service, orderVersion, fleet: fleetCounts },
+      { event: 'rolloutUnproven', service: order.service, orderVersion, fleet },
       'roll-out is due, but the answers do not yet prove the new version good',
     );
   }
--- a/packages/forwarding/src/rollouts/serviceRollout.ts
+++ b/packages/forwarding/src/rollouts/serviceRollout.ts
@@ -1,15 +1,16 @@
 /** One service's roll-out, as this daemon knows it. */
 import {
+  NO_ANSWERS,
   ROLLOUT_NOT_BEGUN,
   addVersionCounts,
   getRolloutPlace,
   isVersionBad,
-  isVersionProven,
+  isVersionProvenAcrossDataCentres,
   type RolloutElapsed,
   type RolloutPlace,
 } from '@snipehaven/policy';
 import type { StoreClock } from '../configuration/storeClock.js';
-import { NO_ROLLOUT_COUNTS, type RolloutCounts } from '../peers/index.js';
+import { NO_ROLLOUT_COUNTS, combineRolloutCounts, type RolloutCounts } from '../peers/index.js';
 import type { RolloutOrder, RolloutState } from '../types.js';
 import type {
   AnswerBody,
@@ -38,6 +39,8 @@
   readonly allowedExposure: number;
   /** This roll-out's answer counts, summed over the reachable peers. */
   findPeerCounts(): RolloutCounts | undefined;
+  /** Number of ready upstreams of the new version per data centre, including evacuated ones. */
+  countUpstreams(): ReadonlyMap<string, number>;
 }
 
 export class ServiceRollout {
@@ -72,11 +75,14 @@
 
   readonly #findPeerCounts: () => RolloutCounts | undefined;
 
+  readonly #countUpstreams: () => ReadonlyMap<string, number>;
+
   constructor(facts: RolloutFacts) {
     const { order, orderVersion, givenWithinMs, clock, allowedExposure } = facts;
     this.order = order;
     this.orderVersion = orderVersion;
     this.#findPeerCounts = () => facts.findPeerCounts();
+    this.#countUpstreams = () => facts.countUpstreams();
     this.#start = new RolloutStart(clock, givenWithinMs);
     this.#allowedExposure = allowedExposure;
   }
@@ -154,7 +160,7 @@
   /** True when it is a bad answer of the new version. */
   countSlowBody(work: RolloutWork): boolean {
     const role = this.#getRole(work);
-    this.ledger.countSlowBody(role);
+    this.ledger.countSlowBody(role, work);
     return role === 'candidate';
   }
 
@@ -224,23 +230,21 @@
 
   /** Answer counts of this daemon and its reachable peers. */
   get fleetCounts(): RolloutCounts {
-    const { candidate, present, candidateAtFullShare } =
-      this.#findPeerCounts() ?? NO_ROLLOUT_COUNTS;
-    return {
-      candidate: addVersionCounts(candidate, this.ledger.candidate),
-      present: addVersionCounts(present, this.ledger.present),
-      candidateAtFullShare: addVersionCounts(
-        candidateAtFullShare,
-        this.ledger.candidateAtFullShare,
-      ),
-    };
+    const peers = this.#findPeerCounts() ?? NO_ROLLOUT_COUNTS;
+    return combineRolloutCounts(peers, this.ledger, addVersionCounts);
   }
 
   /** Whether the answers show that the new version is good; always true for a service without answers. */
   get isProven(): boolean {
     const { candidate, present, candidateAtFullShare } = this.fleetCounts;
-    const hasNoAnswers = candidate.answers + present.answers === 0;
-    return hasNoAnswers || isVersionProven(candidateAtFullShare, present);
+    if (candidate.answers + present.answers === 0) {
+      return true;
+    }
+    const dataCentres = [...this.#countUpstreams()].map(([dataCentre, upstreams]) => ({
+      upstreams,
+      counts: candidateAtFullShare.get(dataCentre) ?? NO_ANSWERS,
+    }));
+    return isVersionProvenAcrossDataCentres(dataCentres, present);
   }
 
   #getRole({ softwareVersion }: RolloutWork): VersionRole {
--- a/packages/forwarding/src/rollouts/sessionKeeping.test.ts
+++ b/packages/forwarding/src/rollouts/sessionKeeping.test.ts
@@ -43,6 +43,7 @@
     allowedExposure: 0.15,
     countSessionMove: () => {},
     findPeerCounts: () => undefined,
+    countUpstreams: () => new Map([['a', 1]]),
     hasEvacuatedUpstreams: (_, softwareVersion) => evacuatedVersions.has(softwareVersion),
   });
 
--- a/packages/forwarding/src/rollouts/testSupport/modelDaemon.ts
+++ b/packages/forwarding/src/rollouts/testSupport/modelDaemon.ts
@@ -104,6 +104,7 @@
       allowedExposure: 0.15,
       countSessionMove: () => {},
       findPeerCounts: () => undefined,
+      countUpstreams: () => new Map([['a', 1]]),
       hasEvacuatedUpstreams: () => false,
     });
     this.hearStore(1);
--- a/packages/forwarding/src/rollouts/types.ts
+++ b/packages/forwarding/src/rollouts/types.ts
@@ -58,6 +58,8 @@
 export interface RolloutWork {
   readonly service: string;
   readonly softwareVersion: string;
+  /** Data centre of the upstream. */
+  readonly dataCentre: string;
   /** Kind of work, by which the versions' times are compared. */
   readonly workKind: string;
 }
--- a/packages/forwarding/src/rollouts/versionLedger.test.ts
+++ b/packages/forwarding/src/rollouts/versionLedger.test.ts
@@ -10,6 +10,7 @@
 const createAnswer = (headMs: number, isFailed = false) => ({
   service: 's',
   softwareVersion: 'v2',
+  dataCentre: 'a',
   isFailed,
   workKind: 'digest',
   headMs,
--- a/packages/forwarding/src/rollouts/versionLedger.ts
+++ b/packages/forwarding/src/rollouts/versionLedger.ts
@@ -1,6 +1,6 @@
 /** Counts answers of the two versions of a service, and tells slow ones by the old version's times. */
 import { NO_ANSWERS, addVersionCounts, type VersionCounts } from '@snipehaven/policy';
-import type { RolloutAnswer } from './types.js';
+import type { RolloutAnswer, RolloutWork } from './types.js';
 
 /** An answer this many times slower than usual on the old version is as bad as a failure. */
 const SLOW_FACTOR = 4;
@@ -21,24 +21,26 @@
 
 export type VersionRole = 'candidate' | 'present';
 
-/** `candidateAtFullShare`: the candidate's answers since all requests were directed to it. */
-type CountsKey = VersionRole | 'candidateAtFullShare';
-
 const fade = (counts: VersionCounts): VersionCounts =>
   counts.answers < MAX_ANSWERS ? counts : { answers: counts.answers / 2, bad: counts.bad / 2 };
 
+const fadeAndAdd = (known: VersionCounts, counts: VersionCounts): VersionCounts =>
+  addVersionCounts(counts.answers > 0 ? fade(known) : known, counts);
+
 const learn = (usual: Map<string, number>, workKind: string, seen: number): void => {
   const before = usual.get(workKind) ?? seen;
   usual.set(workKind, before + (seen - before) * TIME_SMOOTHING);
 };
 
 export class VersionLedger {
-  readonly #counts: Record<CountsKey, VersionCounts> = {
+  readonly #counts: Record<VersionRole, VersionCounts> = {
     candidate: NO_ANSWERS,
     present: NO_ANSWERS,
-    candidateAtFullShare: NO_ANSWERS,
   };
 
+  /** Keyed by the upstream's data centre. */
+  readonly #candidateAtFullShare = new Map<string, VersionCounts>();
+
   #isAtFullShare = false;
 
   /** Until an answer begins, by kind of work. */
@@ -55,8 +57,9 @@
     return this.#counts.present;
   }
 
-  get candidateAtFullShare(): VersionCounts {
-    return this.#counts.candidateAtFullShare;
+  /** The candidate's answers since all requests were directed to it, keyed by the upstream's data centre. */
+  get candidateAtFullShare(): ReadonlyMap<string, VersionCounts> {
+    return this.#candidateAtFullShare;
   }
 
   /** Marks that all requests are directed to the candidate from now on. */
@@ -77,8 +80,8 @@
   }
 
   /** An answer that was counted goes on too slowly. */
-  countSlowBody(role: VersionRole): void {
-    this.#add(role, { answers: 0, bad: SLOW_WEIGHT });
+  countSlowBody(role: VersionRole, { dataCentre }: RolloutWork): void {
+    this.#add(role, dataCentre, { answers: 0, bad: SLOW_WEIGHT });
   }
 
   /** Of a whole answer of the old version. */
@@ -89,20 +92,19 @@
   /** True when the answer was bad. */
   count(role: VersionRole, answer: RolloutAnswer): boolean {
     const weight = this.#weigh(answer);
-    this.#add(role, { answers: 1, bad: weight });
+    this.#add(role, answer.dataCentre, { answers: 1, bad: weight });
     if (role === 'present' && answer.headMs !== undefined) {
       learn(this.#usualMs, answer.workKind, answer.headMs);
     }
     return weight > 0;
   }
 
-  #add(role: VersionRole, counts: VersionCounts): void {
-    const keys: readonly CountsKey[] =
-      role === 'candidate' && this.#isAtFullShare ? [role, 'candidateAtFullShare'] : [role];
-    keys.forEach((key) => {
-      const known = counts.answers > 0 ? fade(this.#counts[key]) : this.#counts[key];
-      this.#counts[key] = addVersionCounts(known, counts);
-    });
+  #add(role: VersionRole, dataCentre: string, counts: VersionCounts): void {
+    this.#counts[role] = fadeAndAdd(this.#counts[role], counts);
+    if (role === 'candidate' && this.#isAtFullShare) {
+      const known = this.#candidateAtFullShare.get(dataCentre) ?? NO_ANSWERS;
+      this.#candidateAtFullShare.set(dataCentre, fadeAndAdd(known, counts));
+    }
   }
 
   /** How bad it is, from 0 to 1. */
--- a/packages/forwarding/src/runs/versionReport.test.ts
+++ b/packages/forwarding/src/runs/versionReport.test.ts
@@ -37,6 +37,7 @@
     allowedExposure: 0.15,
     countSessionMove: () => {},
     findPeerCounts: () => undefined,
+    countUpstreams: () => new Map([['a', 1]]),
     hasEvacuatedUpstreams: () => false,
   });
   context.guide.takeOrder(ORDER, 7, 0);
--- a/packages/forwarding/src/runs/versionReport.ts
+++ b/packages/forwarding/src/runs/versionReport.ts
@@ -41,11 +41,12 @@
     request: CallerRequest,
     { entry, route, model }: ReportedPlan,
   ) {
-    const { service, softwareVersion } = entry.upstream;
+    const { service, softwareVersion, dataCentre } = entry.upstream;
     this.#dependencies = dependencies;
     this.#request = request;
     this.#entry = entry;
-    this.#work = { service, softwareVersion, workKind: `${route.name}|${model ?? ''}` };
+    const workKind = `${route.name}|${model ?? ''}`;
+    this.#work = { service, softwareVersion, dataCentre, workKind };
   }
 
   /** A version that hangs is known to be slow before its answers come, if they ever do. */
--- a/packages/forwarding/src/upstreams/upstreamDirectory.ts
+++ b/packages/forwarding/src/upstreams/upstreamDirectory.ts
@@ -82,6 +82,20 @@
     );
   }
 
+  /** Number of ready upstreams of the version per data centre, including evacuated ones. */
+  countUpstreams(service: string, softwareVersion: string): ReadonlyMap<string, number> {
+    const counts = new Map<string, number>();
+    for (const { upstream } of this.#entries.values()) {
+      const { dataCentre, state } = upstream;
+      const isOfVersion =
+        upstream.service === service && upstream.softwareVersion === softwareVersion;
+      if (isOfVersion && state === 'ready') {
+        counts.set(dataCentre, (counts.get(dataCentre) ?? 0) + 1);
+      }
+    }
+    return counts;
+  }
+
   /** Whether any ready upstream of the version is in an evacuated data centre. */
   hasEvacuatedUpstreams(service: string, softwareVersion: string): boolean {
     return [...this.#entries.values()].some(
--- a/packages/policy/src/forward/forward.test.ts
+++ b/packages/policy/src/forward/forward.test.ts
@@ -9,6 +9,7 @@
   getRolloutPlace,
   isVersionBad,
   isVersionProven,
+  isVersionProvenAcrossDataCentres,
   mayTryAgain,
   pickTarget,
   type AfterAttempt,
@@ -138,6 +139,25 @@
   );
 });
 
+test('a version is proven only in data centres that hold at least half of its upstreams', () => {
+  const present = { answers: 100, bad: 1 };
+  const proven = { answers: 60, bad: 0 };
+  const evacuated = { answers: 2, bad: 1 };
+  assert.not(isVersionProvenAcrossDataCentres([], present));
+  assert.ok(isVersionProvenAcrossDataCentres([{ upstreams: 3, counts: proven }], present));
+  const isProvenWith = (provenUpstreams: number, evacuatedUpstreams: number): boolean =>
+    isVersionProvenAcrossDataCentres(
+      [
+        { upstreams: provenUpstreams, counts: proven },
+        { upstreams: evacuatedUpstreams, counts: evacuated },
+      ],
+      present,
+    );
+  assert.not(isProvenWith(1, 4));
+  assert.ok(isProvenWith(2, 2));
+  assert.ok(isProvenWith(4, 1));
+});
+
 test('a route’s requests are split by weight', () => {
   const targets = [
     { service: 'a', weight: 90 },
--- a/packages/policy/src/forward/judgeVersion.ts
+++ b/packages/policy/src/forward/judgeVersion.ts
@@ -44,6 +44,12 @@
   return candidate.bad >= MIN_BAD && share >= MIN_BAD_SHARE && share > presentShare * WORSE_FACTOR;
 };
 
+/** Number of the new version's upstreams in one data centre, and the counts of their answers. */
+export interface CandidateDataCentre {
+  readonly upstreams: number;
+  readonly counts: VersionCounts;
+}
+
 /**
  * Whether the answers show that the new version is good, by a sequential probability ratio test, which may
  * be repeated after each answer.
@@ -61,3 +67,19 @@
     goodAnswers * logRatioPerGood + candidate.bad * logRatioPerBad >= Math.log(MIN_LIKELIHOOD_RATIO)
   );
 };
+
+/**
+ * Whether the new version is proven good in data centres that together hold at least half of its upstreams.
+ * Failing and evacuated upstreams receive few requests, so the total counts could prove the version by the
+ * answers of its few other upstreams.
+ */
+export const isVersionProvenAcrossDataCentres = (
+  dataCentres: readonly CandidateDataCentre[],
+  present: VersionCounts,
+): boolean => {
+  const sumUpstreams = (selected: readonly CandidateDataCentre[]): number =>
+    selected.reduce((sum, { upstreams }) => sum + upstreams, 0);
+  const total = sumUpstreams(dataCentres);
+  const proven = sumUpstreams(dataCentres.filter(({ counts }) => isVersionProven(counts, present)));
+  return total > 0 && proven * 2 >= total;
+};
