Ask the store sooner when passed-on changes have a gap

Symptom: a daemon refused with 404 a route that a configuration had added 3,055 ms before; 3,000 ms are allowed.

Cause: 38 of the 64 daemons are killed and restarted while configurations follow each other, the readers of the table among them. News of the next reader reach the daemons that were not killed at 32.7 to 33.1 s, and these daemons have the configuration at 33.4 to 34.0 s, some 3.0 s after the last one was written. For the first 0.4 s of that time they wait for the changes that the reader passes on. Those begin after the changes that were lost with the previous readers. Because of that gap they cannot be applied, however long a daemon waits.

Ruled out: a daemon behind a cut (all three data centres are affected alike).

Fix: when later changes were passed on but the ones before them were not, a daemon waits 120 ms for the missing ones instead of 400 ms, as in a small fleet, and then asks the store. Nothing changes while nothing has been passed on yet.

Limitation: after all readers have ended, it still takes two seconds until a daemon reads the table again.

--- a/packages/forwarding/src/peers/joining.test.ts
+++ b/packages/forwarding/src/peers/joining.test.ts
@@ -284,4 +284,27 @@
   }
 });
 
+const DISCONNECTED_MS = 300;
+
+// Guards against a follower waiting the full time of a large fleet for a change that was lost.
+test('a follower that missed a change asks the store soon after the next one is passed on', async (context) => {
+  const fleet = await startFleet(context, { daemons: 60, dataCentres: 3, tables: TABLES });
+  const follower = fleet.members.findLast(({ board }) => board.own.length === 0);
+  assert.ok(follower);
+  fleet.network.setDown(follower.self.host, true);
+  fleet.store.put('missed', TABLES[0]);
+  await fleet.advance(DISCONNECTED_MS);
+  fleet.network.setDown(follower.self.host, false);
+  fleet.store.put('next', TABLES[0]);
+  const [firstTable] = follower.tables;
+  assert.ok(firstTable);
+  assert.not(firstTable.known.has('missed'));
+  let waitedMs = 0;
+  while (!firstTable.known.has('missed') && waitedMs < 3_000) {
+    await fleet.advance(5);
+    waitedMs += 5;
+  }
+  assert.ok(waitedMs < 400, `${waitedMs} ms`);
+});
+
 test.run();
--- a/packages/forwarding/src/peers/newsBoard.ts
+++ b/packages/forwarding/src/peers/newsBoard.ts
@@ -131,6 +131,14 @@
     return waiting.find(({ after }) => after <= version);
   }
 
+  /** Whether changes after the version were passed on, but none that continue from it without a gap. */
+  hasGap(table: string, version: number): boolean {
+    const waiting = this.#changes.get(table) ?? [];
+    return (
+      this.findChanges(table, version) === undefined && waiting.some(({ upTo }) => upTo > version)
+    );
+  }
+
   /** This daemon does not read the table any more, or does not reach the store. */
   withdraw(table: string): void {
     this.#own.delete(table);
--- a/packages/forwarding/src/store/tableWatcher.ts
+++ b/packages/forwarding/src/store/tableWatcher.ts
@@ -201,15 +201,18 @@
 
   /** Waits until what readers know of was passed on, for a while. */
   async #awaitPassedOn(): Promise<void> {
-    const { board } = this.#options;
+    const { board, table } = this.#options;
     const isSmallFleet = this.#options.countDaemons() <= SMALL_FLEET;
-    const waitMs = isSmallFleet ? PASS_ON_MS : PASS_ON_LARGE_MS;
-    const endAtMs = performance.now() + waitMs;
-    let leftMs = waitMs;
-    while (leftMs > 0 && !this.#useNews()) {
-      await board.waitForNews(leftMs);
+    const startedAtMs = performance.now();
+    const getLeftMs = (): number => {
+      // Changes missing before later ones were probably lost; the store is asked for them sooner.
+      const hasGap = board.hasGap(table, this.#copy.version ?? 0);
+      const waitMs = isSmallFleet || hasGap ? PASS_ON_MS : PASS_ON_LARGE_MS;
+      return startedAtMs + waitMs - performance.now();
+    };
+    while (getLeftMs() > 0 && !this.#useNews()) {
+      await board.waitForNews(getLeftMs());
       this.#takePassedOn();
-      leftMs = endAtMs - performance.now();
     }
   }
 
