Soak judge: allow a session to leave a version whose upstreams were all told to leave

The soak's operator then treats it as failed and tells all upstreams of the version to leave (upstreamState `draining`) while the roll-out's state is still `running`.

Why the case is allowed: an upstream that leaves receives no new requests. When all upstreams of the version leave, no daemon can both respect that and keep the session on its version.

Change: a move back is no longer reported if every upstream of the version had been told to leave by the time of the move. It is still reported if one upstream was not told to leave, if upstreams are only evacuated, and if the move precedes the order to leave. The rest of the check is unchanged.

--- a/packages/proofs/src/platformSoak/judge/sessionMoves.ts
+++ b/packages/proofs/src/platformSoak/judge/sessionMoves.ts
@@ -62,19 +62,36 @@
   `${after.session} moved from ${from} (${before.id} at ${before.vm})` +
   ` to ${to} (${after.id} at ${after.vm}) at ${Math.round(atMs)}`;
 
-/** To the new version in the first half of its roll-out, or back from one that is good. */
-const isForbidden = ({ operator }: SoakWorld, { from, to, atMs }: SessionMove): boolean =>
-  operator.rollouts.some((rollout) => {
+/** Whether every upstream of the version had been told to leave, so that none may receive new requests. */
+const areAllUpstreamsLeaving = (
+  { operator, backEnds }: SoakWorld,
+  version: string,
+  atMs: number,
+): boolean =>
+  backEnds.all
+    .filter((backEnd) => backEnd.service === SERVICE && backEnd.version === version)
+    .every(({ id }) =>
+      operator.leavings.some(
+        ({ upstream, acknowledgedAtMs }) => upstream === id && acknowledgedAtMs <= atMs,
+      ),
+    );
+
+/** To the new version in the first half of its roll-out, or back from a good one that may still serve. */
+const isForbidden = (world: SoakWorld, { from, to, atMs }: SessionMove): boolean => {
+  const { operator } = world;
+  return operator.rollouts.some((rollout) => {
     const isEarly = rollout.to === to && atMs < rollout.orderedAtMs + rollout.durationMs / 2;
     const isBack =
       rollout.to === from &&
       rollout.isGood &&
       rollout.state !== 'rolled_back' &&
+      !areAllUpstreamsLeaving(world, from, atMs) &&
       !operator.rollouts.some(
         (later) => later.to === to && later.orderedAtMs > rollout.orderedAtMs,
       );
     return isEarly || isBack;
   });
+};
 
 const isCalm = (evidence: Evidence, { before, after }: SessionMove): boolean =>
   isCalmBetween(
