Log an unproven roll-out when it is due, not only once its upstreams were there

So the line was missing just where upstreams are evacuated. It is now written at the first look after the roll-out is due.

--- a/packages/forwarding/src/rollouts/rolloutKeeper.ts
+++ b/packages/forwarding/src/rollouts/rolloutKeeper.ts
@@ -129,10 +129,10 @@
     const { phase } = rollout.getPlace(this.#freshness.ageMs);
     const hasHeard = performance.now() - this.#startedAtMs >= HEARING_MS;
     // A daemon that stood still while it heard nothing comes to the end without having tried the version.
-    if (phase !== 'closing' || !hasHeard || !rollout.isSeen) {
+    if (phase !== 'closing' || !hasHeard) {
       return undefined;
     }
-    if (!rollout.isProven) {
+    if (!rollout.isSeen || !rollout.isProven) {
       this.#logUnproven(rollout);
       return undefined;
     }
