Stop accepting requests once a leaving daemon is idle

Cause: a leaving daemon exits once no request is in flight, at the earliest 0.1 s after it starts closing connections. It stops accepting requests 0.6 s after it starts closing connections, or never if it exits first. In the few ms between the check that nothing is in flight and the process exit, a request on a new or kept-alive connection was read and sent upstream. A request whose body was still incomplete when the daemon stopped accepting requests was also sent.

Ruled out: exit at the end of the grace period (the daemon left after 2.3 of 4 s with nothing in flight).

Fix: stop accepting requests in the same event-loop turn as the check that nothing is in flight. A request whose body completes later is refused like any other: 503, not run.

--- a/packages/forwarding/src/daemon/forwardDaemon.ts
+++ b/packages/forwarding/src/daemon/forwardDaemon.ts
@@ -233,6 +233,8 @@
       this.#front.closeIdle();
       await sleep(DRAIN_CHECK_MS);
     } while (this.#front.inFlight > 0 && performance.now() < endAtMs);
+    // The process exits a few ms later; a request accepted in between would be lost.
+    this.#front.stopTaking();
     this.#logger.info({ event: 'stopped', inFlight: this.#front.inFlight }, 'stopped');
   }
 
--- a/packages/forwarding/src/edge/frontServer.ts
+++ b/packages/forwarding/src/edge/frontServer.ts
@@ -189,6 +189,11 @@
     body: Buffer,
     arrivedAtMs: number,
   ): void {
+    // The server may have stopped accepting requests while the body was being read.
+    if (this.#isClosed) {
+      this.#refuse(port, options, { reason: 'leaving', retryAfterS: LEAVING_RETRY_AFTER_S });
+      return;
+    }
     const { table } = this.#dependencies.configuration;
     const resolution = table ? this.#resolve(request, table, options) : 'notReady';
     if (isRefused(resolution)) {
