Drop requests received after the server ended the connection

Cause: when a response that began before the daemon left ends, the daemon ends its side of the connection. The caller's next request was already in flight (51 ms after that response, according to the daemon's log lines). The server still read it and sent it upstream, although no response could be written back.

Fix: a request on a connection whose writable side has ended is not started, and its connection is destroyed. The caller may repeat the request, since it was not forwarded.

--- a/packages/forwarding/src/edge/frontServer.ts
+++ b/packages/forwarding/src/edge/frontServer.ts
@@ -225,7 +225,11 @@
     // A busy daemon reads a request long after it came. Its caller may have left since; the end of the
     // connection lies behind the request, and upstreams would work for nobody.
     afterPendingReads(() => {
-      if (hasLeft(request.socket)) {
+      const { socket } = request;
+      if (socket.writableEnded) {
+        // The server ended the connection after the previous response, so no response can be written.
+        socket.destroy();
+      } else if (hasLeft(socket)) {
         run.cancel();
       } else {
         run.start();
