Take over reading the store when its readers stop reporting

Symptom: after a configuration change, requests for a new route got 404, or a withdrawn key still worked, for up to 3.9 s in a fleet of 64 daemons (3 s are allowed) and 2.4 s in a fleet of 9 (2 s are allowed).

Cause: a few daemons read the store for all others. Whether a reader was still running was judged only by the age of the store's data in its news. While the store holds a reader's request, a running reader has nothing new either, so a reader that had stopped was trusted for the whole duration of its request plus 0.9 s. Each daemon later in the reading order then waited 400 ms for each stopped reader before taking over, and changes passed on by the new reader stayed unread until its own news arrived through the aggregator.

Result: readerLoss.test kills all readers at four moments of their request and changes a row.

--- a/packages/forwarding/src/daemon/createWatchers.ts
+++ b/packages/forwarding/src/daemon/createWatchers.ts
@@ -53,7 +53,7 @@
   random: parts.random,
   board: parts.board,
   countDaemons: () => parts.exchange.daemons,
-  getReaderRank: () => parts.exchange.readerRank,
+  getReaderRank: (lostReaders?: ReadonlySet<string>) => parts.exchange.getReaderRank(lostReaders),
   source: parts.exchange,
 });
 
--- a/packages/forwarding/src/peers/newsBoard.ts
+++ b/packages/forwarding/src/peers/newsBoard.ts
@@ -4,6 +4,7 @@
  * asked. So a change is known everywhere as soon, and a daemon that the store turns away still knows
  * whether its configuration is the newest.
  */
+import { forgetOldest } from '@snipehaven/common';
 import type { TableChanges } from './changesMessage.js';
 import type { LoadMessage, ReaderNews, TableNews } from './loadMessage.js';
 import { READER_ORDER } from './peerOrder.js';
@@ -14,6 +15,8 @@
   readonly news: TableNews;
   /** When the reader last had the store's word anew. */
   readonly advancedAtMs: number;
+  /** When the reader last reported, directly or through an aggregator. */
+  readonly heardAtMs: number;
 }
 
 /** When it is asked, and how long ago a reader may have had the store's word anew. */
@@ -53,9 +56,21 @@
  */
 const LARGE_FLEET_READERS = 2;
 
+/**
+ * A reader that has not reported for this long is considered stopped or unreachable. The age of its
+ * news cannot show this: a running reader has no newer news while the store holds its request.
+ */
+const READER_SILENCE_MS = 1_500;
+
+/** More than the concurrent readers of a table; bounds memory, as replaced VMs never report again. */
+const MAX_LOST_READERS = 64;
+
 /** How long news of a reader are passed on without anything new in them; no table's wait is longer. */
 const MAX_PASSED_ON_AGE_MS = 11_500;
 
+const isRecentlyHeard = ({ heardAtMs }: HeardNews, nowMs: number): boolean =>
+  nowMs - heardAtMs < READER_SILENCE_MS;
+
 export class NewsBoard {
   readonly #vm: string;
 
@@ -67,6 +82,9 @@
   /** Changes that readers passed on and that were not taken yet, by table. */
   readonly #changes = new Map<string, TableChanges[]>();
 
+  /** Readers that an update no longer listed, until they report again, by table. */
+  readonly #lostReaders = new Map<string, Set<string>>();
+
   /** The newest version of the store up to which changes were read or passed on, by table. */
   readonly #newest = new Map<string, number>();
 
@@ -162,14 +180,16 @@
   listReaders(nowMs: number): readonly ReaderNews[] {
     const own = this.own.map((one) => ({ ...one, vm: this.#vm, dataCentre: this.#dataCentre }));
     const heard = [...this.#heard.values()].flatMap((readers) => [...readers.values()]);
-    const fresh = heard.filter(({ advancedAtMs }) => nowMs - advancedAtMs < MAX_PASSED_ON_AGE_MS);
+    const fresh = heard.filter(
+      (one) => nowMs - one.advancedAtMs < MAX_PASSED_ON_AGE_MS && isRecentlyHeard(one, nowMs),
+    );
     const toReader = ({ vm, dataCentre, news }: HeardNews) => ({ ...news, vm, dataCentre });
     return [...own, ...fresh.map(toReader)];
   }
 
   /** Whether enough others read the table, so that this daemon need not. */
   isCovered(table: string, daemons: number, query: NewsQuery): boolean {
-    const better = this.#listFresh(table, query).filter(({ vm }) =>
+    const better = this.#listActive(table, query).filter(({ vm }) =>
       READER_ORDER.isBefore(vm, this.#vm),
     );
     if (daemons <= SMALL_FLEET) {
@@ -185,8 +205,30 @@
    * one away.
    */
   canLean(table: string, daemons: number, query: NewsQuery): boolean {
-    const fresh = this.#listFresh(table, query);
-    return daemons <= SMALL_FLEET ? this.#countLocal(fresh) >= MIN_READERS : fresh.length > 0;
+    const active = this.#listActive(table, query);
+    return daemons <= SMALL_FLEET ? this.#countLocal(active) >= MIN_READERS : active.length > 0;
+  }
+
+  /** Former readers of the table that stopped reading it or have not reported recently. */
+  listLostReaders(table: string, nowMs: number): ReadonlySet<string> {
+    const silent = [...(this.#heard.get(table)?.values() ?? [])].filter(
+      (heard) => !isRecentlyHeard(heard, nowMs),
+    );
+    return new Set([...(this.#lostReaders.get(table) ?? []), ...silent.map(({ vm }) => vm)]);
+  }
+
+  /**
+   * Gives readers a new silence period when this daemon becomes aggregator, because they report to it
+   * only from now on. The previous aggregator gets none.
+   */
+  restartSilencePeriods(previousAggregator: string | undefined, nowMs: number): void {
+    for (const readers of this.#heard.values()) {
+      for (const heard of readers.values()) {
+        if (heard.vm !== previousAggregator) {
+          readers.set(heard.vm, { ...heard, heardAtMs: nowMs });
+        }
+      }
+    }
   }
 
   /** Undefined while no reader is heard. */
@@ -232,10 +274,15 @@
     nowMs: number,
   ): void {
     const told = new Set(news.map(({ table, vm }) => `${table}/${vm}`));
-    for (const [table, readers] of this.#heard) {
-      [...readers.values()]
-        .filter((heard) => concerns(heard) && !told.has(`${table}/${heard.vm}`))
-        .forEach(({ vm }) => readers.delete(vm));
+    const lost = [...this.#heard.values()]
+      .flatMap((readers) => [...readers.values()])
+      .filter((heard) => concerns(heard) && !told.has(`${heard.news.table}/${heard.vm}`));
+    lost.forEach(({ vm, news: { table } }) => {
+      this.#heard.get(table)?.delete(vm);
+      this.#noteLostReader(table, vm);
+    });
+    if (lost.length > 0) {
+      this.#wake();
     }
     const advancedNews = news.filter((one) => this.#note(one, nowMs));
     if (advancedNews.length > 0) {
@@ -257,11 +304,25 @@
       dataCentre,
       news: { table, lastChange, serverTimeMs },
       advancedAtMs,
+      heardAtMs: nowMs,
     });
     this.#heard.set(table, readers);
+    this.#lostReaders.get(table)?.delete(vm);
     return isAdvanced;
   }
 
+  #noteLostReader(table: string, vm: string): void {
+    const lost = this.#lostReaders.get(table) ?? new Set<string>();
+    lost.add(vm);
+    forgetOldest(lost, MAX_LOST_READERS);
+    this.#lostReaders.set(table, lost);
+  }
+
+  /** Readers that have reported recently and whose news is not too old. */
+  #listActive(table: string, query: NewsQuery): readonly HeardNews[] {
+    return this.#listFresh(table, query).filter((heard) => isRecentlyHeard(heard, query.nowMs));
+  }
+
   #listFresh(table: string, { nowMs, maxAgeMs }: NewsQuery): readonly HeardNews[] {
     const readers = [...(this.#heard.get(table)?.values() ?? [])];
     return readers.filter(({ advancedAtMs }) => nowMs - advancedAtMs < maxAgeMs);
--- a/packages/forwarding/src/peers/peerExchange.ts
+++ b/packages/forwarding/src/peers/peerExchange.ts
@@ -151,16 +151,18 @@
   /**
    * How many daemons come before this one to read the store: in the region, or twice as many as in its
    * data centre, so that one that is cut off has its own first ones. Of a small fleet all read at once.
-   * Undefined while the daemon settles and leaves the reading to others.
+   * Undefined while the daemon settles and leaves the reading to others. Lost readers are skipped,
+   * so that no daemon waits for their turn.
    */
-  get readerRank(): number | undefined {
+  getReaderRank(lostReaders: ReadonlySet<string> = new Set()): number | undefined {
     if (this.#joining.isSettling(performance.now())) {
       return undefined;
     }
     const { directory } = this.#options;
     const { vm } = directory.self;
-    const rank = directory.rank(READER_ORDER).indexOf(vm);
-    const localRank = directory.rankLocal(READER_ORDER).indexOf(vm);
+    const isCandidate = (other: string): boolean => other === vm || !lostReaders.has(other);
+    const rank = directory.rank(READER_ORDER).filter(isCandidate).indexOf(vm);
+    const localRank = directory.rankLocal(READER_ORDER).filter(isCandidate).indexOf(vm);
     return this.#isSmallFleet ? 0 : Math.min(rank, 2 * localRank);
   }
 
--- a/packages/forwarding/src/peers/sumScheme.ts
+++ b/packages/forwarding/src/peers/sumScheme.ts
@@ -22,6 +22,9 @@
 const IDLE_SUM_TICKS = 2;
 const IDLE_OWN_MS = 900;
 
+/** Readers report more often, so that other daemons detect their loss sooner. */
+const IDLE_READER_MS = 300;
+
 /** How often a daemon that waits for sums looks whether any came. */
 const WAITING_TICK_MS = 3 * TICK_MS;
 
@@ -64,6 +67,9 @@
 
   #isAggregator = false;
 
+  /** The last other daemon of this data centre whose sum was accepted. */
+  #lastAggregator: string | undefined;
+
   readonly #takeByScope: TakeByScope = {
     own: ({ message }, nowMs) => this.#takeOwn(message, nowMs),
     dataCentre: (datagram, nowMs) => this.#takeRemoteSum(datagram, nowMs),
@@ -78,7 +84,11 @@
   }
 
   tick(ticks: number, nowMs: number): void {
+    const wasAggregator = this.#isAggregator;
     this.#isAggregator = this.#election.isSelf(nowMs);
+    if (this.#isAggregator && !wasAggregator) {
+      this.#context.board.restartSilencePeriods(this.#lastAggregator, nowMs);
+    }
     if (this.#isAggregator) {
       this.#tellFleet(ticks, nowMs);
       if (ticks % REMOTE_TICKS === 0) {
@@ -140,6 +150,7 @@
     const isLocal = message.dataCentre === directory.self.dataCentre;
     if (isLocal && this.#election.noteSum(message, nowMs)) {
       this.#isAggregator = false;
+      this.#lastAggregator = message.vm;
       const learned = {
         ...message.learned,
         rollouts: subtractRolloutCounts(message.learned.rollouts, this.#toldLearned.rollouts),
@@ -154,7 +165,8 @@
   #tellChanges(nowMs: number): void {
     const { readOwnLoads, board } = this.#context;
     const content = JSON.stringify([[...readOwnLoads()], board.own]);
-    if (content !== this.#lastTold || nowMs - this.#toldAtMs >= IDLE_OWN_MS) {
+    const idleMs = board.own.length > 0 ? IDLE_READER_MS : IDLE_OWN_MS;
+    if (content !== this.#lastTold || nowMs - this.#toldAtMs >= idleMs) {
       this.#lastTold = content;
       this.tellWork(nowMs);
     }
--- a/packages/forwarding/src/peers/testSupport/daemonFleet.ts
+++ b/packages/forwarding/src/peers/testSupport/daemonFleet.ts
@@ -231,7 +231,7 @@
       freshness,
       board,
       countDaemons: () => exchange.daemons,
-      getReaderRank: () => exchange.readerRank,
+      getReaderRank: (lostReaders) => exchange.getReaderRank(lostReaders),
       source: exchange,
     });
     const reading: TableReading = { watcher, freshness, known, knownAtMs: undefined, backs: 0 };
--- a/packages/forwarding/src/store/readerCover.ts
+++ b/packages/forwarding/src/store/readerCover.ts
@@ -9,9 +9,10 @@
   readonly getWaitMs: () => number;
   countDaemons(): number;
   /**
-   * How many daemons come before this one to read, as far as known; 0: none; undefined: it must not.
+   * Number of known daemons that precede this one in the reading order, excluding lost readers;
+   * undefined if this daemon must not read.
    */
-  getReaderRank(): number | undefined;
+  getReaderRank(lostReaders?: ReadonlySet<string>): number | undefined;
 }
 
 /** Beyond a reader's wait: the time-out of its question, and of datagrams between data centres. */
@@ -89,7 +90,8 @@
   /** Whether those that come before had their time to take the reading over. */
   isOwnTurn(): boolean {
     const nowMs = performance.now();
-    const rank = this.#options.getReaderRank();
+    const { board, table, getReaderRank } = this.#options;
+    const rank = getReaderRank(board.listLostReaders(table, nowMs));
     if (rank === undefined) {
       this.#uncoveredSinceMs = nowMs;
       return false;
--- a/packages/forwarding/src/store/tableWatcher.ts
+++ b/packages/forwarding/src/store/tableWatcher.ts
@@ -50,8 +50,8 @@
 const PASS_ON_MS = 120;
 const PASS_ON_LARGE_MS = 400;
 
-/** Readers tell what they know at least this often. */
-const NEWS_WAIT_MS = 700;
+/** A follower checks at least this often whether readers still report. */
+const NEWS_WAIT_MS = 400;
 
 /** A daemon late in the order looks again at least this often. */
 const MAX_TURN_WAIT_MS = 200;
@@ -165,6 +165,8 @@
   /** Follows whoever reads meanwhile. */
   async #awaitTurn(asked: ClockReading): Promise<void> {
     if (this.#cover.best === undefined) {
+      // Changes from a new reader can arrive before its news.
+      this.#takePassedOn();
       await this.#options.board.waitForNews(MAX_TURN_WAIT_MS);
     } else {
       await this.#follow(asked);
