Platform soak: report uptime on unexpected exits and request counts by VM for cold overruns

The soak's output did not give enough to find the cause of two listed failures: an exit by a signal did not say how long the process had run, and an overrun of a cold upstream did not say which VMs sent the requests.

unexpectedExit now ends with the time that the process ran. overranCold now prints the start of the cold span in Unix milliseconds, for comparison with the daemons' log lines (a clock step shifts those), whether the upstream turned cold by itself ("sudden"), and the requests by VM in the busiest one-second window. The checks and their bounds are unchanged.

--- a/packages/proofs/src/platformSoak/fleet.ts
+++ b/packages/proofs/src/platformSoak/fleet.ts
@@ -161,9 +161,13 @@
     child.firstLine.catch(() => {
       // The exit below tells it.
     });
+    const startedAtMs = performance.now();
     const { code, signal } = await child.waitForExit();
     if (vm.process === child && !vm.isEnding) {
-      this.unexpectedExits.push(`${vm.name}: code ${code}, signal ${signal}`);
+      const uptimeMs = Math.round(performance.now() - startedAtMs);
+      this.unexpectedExits.push(
+        `${vm.name}: code ${code}, signal ${signal}, ran for ${uptimeMs} ms`,
+      );
     }
   }
 }
--- a/packages/proofs/src/platformSoak/judge/promises.ts
+++ b/packages/proofs/src/platformSoak/judge/promises.ts
@@ -15,7 +15,7 @@
   REVOKE_DEADLINE_MS,
 } from '../constants.js';
 import { renderPlainBody, renderStreamBody } from '../outside/backEnds.js';
-import type { AttemptRecord, RunRecord } from '../types.js';
+import type { ArrivalRecord, AttemptRecord, RunRecord } from '../types.js';
 import { isCalmBetween, type Evidence } from './evidence.js';
 import { sessionMoved } from './sessionMoves.js';
 
@@ -124,28 +124,48 @@
 
 const WINDOW_MS = 1_000;
 
+/** Prints the start in Unix milliseconds, like `timeMs` in the daemons' logs, which a clock step shifts. */
+const describeColdSpan = (fromMs: number, isSudden: boolean): string =>
+  `cold since ${Math.round(performance.timeOrigin + fromMs)}${isSudden ? ', sudden' : ''}`;
+
+const countByVm = (
+  arrivals: readonly ArrivalRecord[],
+  vmByAttemptId: ReadonlyMap<string, string>,
+): string => {
+  const counts = new Map<string, number>();
+  arrivals.forEach(({ attemptId }) => {
+    const vm = vmByAttemptId.get(attemptId) ?? 'unknown';
+    counts.set(vm, (counts.get(vm) ?? 0) + 1);
+  });
+  return [...counts].map(([vm, count]) => `${vm} ${count}`).join(', ');
+};
+
 /**
  * Holds for all VMs, in touch or not. An upstream tells of its coldness in the store alone: while that is
  * disturbed for all, nobody can know.
  */
-const overranCold: PromiseCheck = ({ world }) =>
-  world.operator.coldSpans.flatMap(({ upstream, fromMs, isSudden }) => {
+const overranCold: PromiseCheck = ({ world, attempts }) => {
+  const vmByAttemptId = new Map(attempts.map(({ id, vm }) => [id, vm]));
+  return world.operator.coldSpans.flatMap(({ upstream, fromMs, isSudden }) => {
     if (world.faultLog.isDisturbed('store', fromMs, fromMs + COLD_MS)) {
       return [];
     }
     const knownMs = fromMs + (isSudden ? COLD_NOTICE_MS : 0);
     const arrivals = world.backEnds.arrivals
       .filter((one) => one.upstream === upstream)
-      .map(({ atMs }) => atMs)
-      .filter((atMs) => atMs >= knownMs && atMs < fromMs + COLD_MS);
-    const counts = arrivals.map(
-      (from) => arrivals.filter((atMs) => atMs >= from && atMs < from + WINDOW_MS).length,
+      .filter(({ atMs }) => atMs >= knownMs && atMs < fromMs + COLD_MS);
+    const windows = arrivals.map(({ atMs: from }) =>
+      arrivals.filter(({ atMs }) => atMs >= from && atMs < from + WINDOW_MS),
     );
-    const most = Math.max(0, ...counts);
-    return most > COLD_PER_S * COLD_OVERAGE + COLD_SLACK
-      ? [`${upstream}: ${most} requests in a second while cold`]
+    const busiest = windows.reduce((most, one) => (one.length > most.length ? one : most), []);
+    return busiest.length > COLD_PER_S * COLD_OVERAGE + COLD_SLACK
+      ? [
+          `${upstream}: ${busiest.length} requests in a second while cold` +
+            ` (${describeColdSpan(fromMs, isSudden)}), by VM: ${countByVm(busiest, vmByAttemptId)}`,
+        ]
       : [];
   });
+};
 
 /** A request that an upstream has, on a VM that nothing but planned work disturbs, gets its answer. */
 const lost: PromiseCheck = (evidence) =>
