Platform soak: step the clock only of daemons that have started

Cause: the soak itself. It uses SIGUSR2 to make a preloaded script step the time of day; no platform sends this signal. The soak sent it before the process had run the script and installed the handler, so the signal's default action terminated the process.

Change: the fault waits for the first output line of the process before it sends the signal, and before its span in the fault log begins. The check is unchanged: any unexpected exit still counts, whatever the signal.

--- a/packages/proofs/src/platformSoak/faults/processFaults.ts
+++ b/packages/proofs/src/platformSoak/faults/processFaults.ts
@@ -67,11 +67,32 @@
   }
 };
 
+/**
+ * False if the process exits first. Until the SIGUSR2 handler is installed, the signal's default action
+ * terminates the process.
+ */
+const waitForFirstLine = async ({ process: child }: VmState): Promise<boolean> => {
+  try {
+    await child?.firstLine;
+    return true;
+  } catch {
+    return false;
+  }
+};
+
+const sendClockStep = async (vm: VmState): Promise<void> => {
+  if (await waitForFirstLine(vm)) {
+    vm.process?.signal('SIGUSR2');
+  }
+};
+
 export const stepClock: Fault = async (world, random) => {
   const vm = pickVm(world, random);
+  // A VM that is still starting does not count as disturbed.
+  await waitForFirstLine(vm);
   await world.faultLog.during(vm.name, 'stepClock', async () => {
-    vm.process?.signal('SIGUSR2');
+    await sendClockStep(vm);
     await sleep(STEP_MS);
-    vm.process?.signal('SIGUSR2');
+    await sendClockStep(vm);
   });
 };
