Limit the grace period of readers under a new aggregator to 0.7 s

Cause: a daemon that became aggregator gave all readers a new silence period of 1.5 s, because they report to it only from then on. Readers that had stopped together with the previous aggregator were passed on as readers for that time. In addition, daemons waiting for their turn to read checked only every 400 ms whether it had come, as long as news of the lost readers was recent.

Fix: - Readers have 0.7 s, not 1.5 s, to report to a new aggregator. By reading, they report within 0.6 s of its first sum, and sums of other data centres arrive every 300 ms. A report that is lost costs some calls: a daemon that need not read does so for a moment. - Daemons waiting for their turn check every 200 ms.

Tried and rejected: 250 and 300 ms instead of 400 ms for each turn to read.

Test: a reader that does not report to the new aggregator in time is dropped, and one that does is kept. It fails without the change.

--- a/packages/forwarding/src/peers/newsBoard.test.ts
+++ b/packages/forwarding/src/peers/newsBoard.test.ts
@@ -86,6 +86,19 @@
   assert.is(new Set(holders.map(findCentre)).size, 2);
 });
 
+// Guards against passing on readers that stopped together with the previous aggregator.
+test('a new aggregator drops readers that do not report within the grace period', () => {
+  const board = new NewsBoard('vm-1', 'a');
+  board.take(createMessage('vm-2'), 0);
+  board.take(createMessage('vm-3'), 0);
+  board.take(createMessage('vm-4'), 0);
+  board.extendSilencePeriods('vm-2', 1_400);
+  const listVms = (nowMs: number) => board.listReaders(nowMs).map(({ vm }) => vm);
+  assert.equal(listVms(1_600), ['vm-3', 'vm-4']);
+  board.take(createMessage('vm-3', { sequence: 2 }), 1_900);
+  assert.equal(listVms(2_200), ['vm-3']);
+});
+
 // Symptom: a reader that the store turns away asks it three times a second for nine seconds. Sequence:
 // it is among the first in the readers' order, so that no others count for it. Cause: its place in the
 // order.
--- a/packages/forwarding/src/peers/newsBoard.ts
+++ b/packages/forwarding/src/peers/newsBoard.ts
@@ -62,6 +62,12 @@
  */
 const READER_SILENCE_MS = 1_500;
 
+/**
+ * How long readers have to report to a new aggregator, directly or through the sum of another data
+ * centre.
+ */
+const NEW_AGGREGATOR_GRACE_MS = 700;
+
 /** More than the concurrent readers of a table; bounds memory, as replaced VMs never report again. */
 const MAX_LOST_READERS = 64;
 
@@ -218,14 +224,18 @@
   }
 
   /**
-   * Gives readers a new silence period when this daemon becomes aggregator, because they report to it
-   * only from now on. The previous aggregator gets none.
+   * Gives readers a grace period when this daemon becomes aggregator, because they report to it only
+   * from now on. The previous aggregator gets none.
    */
-  restartSilencePeriods(previousAggregator: string | undefined, nowMs: number): void {
+  extendSilencePeriods(previousAggregator: string | undefined, nowMs: number): void {
     for (const readers of this.#heard.values()) {
       for (const heard of readers.values()) {
         if (heard.vm !== previousAggregator) {
-          readers.set(heard.vm, { ...heard, heardAtMs: nowMs });
+          const heardAtMs = Math.max(
+            heard.heardAtMs,
+            nowMs - READER_SILENCE_MS + NEW_AGGREGATOR_GRACE_MS,
+          );
+          readers.set(heard.vm, { ...heard, heardAtMs });
         }
       }
     }
--- a/packages/forwarding/src/peers/sumScheme.ts
+++ b/packages/forwarding/src/peers/sumScheme.ts
@@ -87,7 +87,7 @@
     const wasAggregator = this.#isAggregator;
     this.#isAggregator = this.#election.isSelf(nowMs);
     if (this.#isAggregator && !wasAggregator) {
-      this.#context.board.restartSilencePeriods(this.#lastAggregator, nowMs);
+      this.#context.board.extendSilencePeriods(this.#lastAggregator, nowMs);
     }
     if (this.#isAggregator) {
       this.#tellFleet(ticks, nowMs);
--- a/packages/forwarding/src/store/tableWatcher.ts
+++ b/packages/forwarding/src/store/tableWatcher.ts
@@ -169,7 +169,7 @@
       this.#takePassedOn();
       await this.#options.board.waitForNews(MAX_TURN_WAIT_MS);
     } else {
-      await this.#follow(asked);
+      await this.#follow(asked, MAX_TURN_WAIT_MS);
     }
   }
 
@@ -187,12 +187,12 @@
   }
 
   /** Takes readers' news: asks the store only for what they did not pass on. */
-  async #follow(asked: ClockReading): Promise<void> {
+  async #follow(asked: ClockReading, waitMs = NEWS_WAIT_MS): Promise<void> {
     this.#hasFollowed = true;
     this.#noteBack('readers');
     this.#takePassedOn();
     if (this.#useNews()) {
-      await this.#options.board.waitForNews(NEWS_WAIT_MS);
+      await this.#options.board.waitForNews(waitMs);
       return;
     }
     await this.#awaitPassedOn();
