Platform soak: daemons get the environment of the deployed ones

Callers of the soak's daemons saw a signal end a starting process more easily than callers of deployed ones do. Cause: the soak passed on its whole environment. The platform passes on PATH, HOME, JAVA_HOME and LANG; with NODE_EXTRA_CA_CERTS among the others the runtime reads that file before it runs a statement, and until then no program can hear SIGHUP.

The signals that the soak sends and its checks are unchanged.

--- a/packages/demo/src/managedProcess.ts
+++ b/packages/demo/src/managedProcess.ts
@@ -10,6 +10,8 @@
   /** Options of Node itself, such as `--cpu-prof`. */
   readonly nodeArgs?: readonly string[];
   readonly env?: Readonly<Record<string, string>>;
+  /** Names of the variables that it inherits; all if absent. */
+  readonly inheritedVariables?: readonly string[];
   /** Everything the process prints goes here too. */
   readonly logFile: string;
 }
@@ -19,6 +21,9 @@
   readonly signal: NodeJS.Signals | null;
 }
 
+const inheritVariables = (names: readonly string[] = Object.keys(process.env)): NodeJS.ProcessEnv =>
+  Object.fromEntries(names.map((name) => [name, process.env[name]]));
+
 export class ManagedProcess {
   readonly name: string;
 
@@ -37,7 +42,7 @@
       [...(options.nodeArgs ?? []), options.script, ...options.args],
       {
         stdio: ['ignore', 'pipe', 'pipe'],
-        env: { ...process.env, ...options.env },
+        env: { ...inheritVariables(options.inheritedVariables), ...options.env },
       },
     );
     const log = createWriteStream(options.logFile, { flags: 'a' });
--- a/packages/proofs/src/platformSoak/fleet.ts
+++ b/packages/proofs/src/platformSoak/fleet.ts
@@ -26,6 +26,9 @@
 /** As in the deploy file. */
 const RUNTIME_OPTIONS = ['--max-old-space-size=220'];
 
+/** All that the platform passes on. Others lengthen the start, as `NODE_EXTRA_CA_CERTS` does. */
+const INHERITED_VARIABLES = ['PATH', 'HOME', 'JAVA_HOME', 'LANG'];
+
 /** Loaded into each daemon, so that a signal steps its time of day. */
 const CLOCK_SCRIPT = fileURLToPath(new URL('stepClock.js', import.meta.url));
 
@@ -102,6 +105,7 @@
       args: [],
       nodeArgs: [...RUNTIME_OPTIONS, '--import', CLOCK_SCRIPT],
       env: { SNIPEHAVEN_SETTINGS: vm.settingsFile },
+      inheritedVariables: INHERITED_VARIABLES,
       logFile: join(this.#folder, `${vm.name}.log`),
     });
     Object.assign(vm, { process: child, isEnding: false });
