Platform soak: daemons start without a preloaded script

Callers of the soak's daemons saw SIGHUP end a starting process for longer than callers of deployed ones do. The runtime then loads its module loader and that script before the first statement of the daemon's start file, which hears SIGHUP.

The script is now loaded by the last statement of the soak's copy of the start file, in the same turn, before the daemon itself is loaded.

The signals that the soak sends and its checks are unchanged.

--- a/packages/proofs/src/platformSoak/fleet.ts
+++ b/packages/proofs/src/platformSoak/fleet.ts
@@ -1,6 +1,6 @@
 /** The daemons under test: real processes, one a VM, each with a path of its own to the store. */
 import { execFile } from 'node:child_process';
-import { writeFileSync } from 'node:fs';
+import { appendFileSync, writeFileSync } from 'node:fs';
 import { dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { promisify } from 'node:util';
@@ -29,7 +29,7 @@
 /** All that the platform passes on. Others lengthen the start, as `NODE_EXTRA_CA_CERTS` does. */
 const INHERITED_VARIABLES = ['PATH', 'HOME', 'JAVA_HOME', 'LANG'];
 
-/** Loaded into each daemon, so that a signal steps its time of day. */
+/** Runs in each daemon, so that a signal steps its time of day. */
 const CLOCK_SCRIPT = fileURLToPath(new URL('stepClock.js', import.meta.url));
 
 export class Fleet {
@@ -60,9 +60,15 @@
     return join(this.#folder, 'program');
   }
 
+  get #startFile(): string {
+    return join(this.#program, 'snipehavend.cjs');
+  }
+
   /** Builds the program as it is deployed, and starts it on each VM. */
   async start(storeAddress: string): Promise<void> {
     await promisify(execFile)('npm', ['run', '-s', 'bundle', '--', this.#program], { cwd: ROOT });
+    // After the daemon's own statements: a preloaded script would delay its signal handlers.
+    appendFileSync(this.#startFile, `require(${JSON.stringify(CLOCK_SCRIPT)});\n`);
     const [targetAddress = '', port] = storeAddress.split(':');
     for (const vm of this.vms) {
       const path = await startSilentForwarder({ targetAddress, targetPort: Number(port) });
@@ -101,9 +107,9 @@
   spawn(vm: VmState): void {
     const child = new ManagedProcess({
       name: vm.name,
-      script: join(this.#program, 'snipehavend.cjs'),
+      script: this.#startFile,
       args: [],
-      nodeArgs: [...RUNTIME_OPTIONS, '--import', CLOCK_SCRIPT],
+      nodeArgs: RUNTIME_OPTIONS,
       env: { SNIPEHAVEN_SETTINGS: vm.settingsFile },
       inheritedVariables: INHERITED_VARIABLES,
       logFile: join(this.#folder, `${vm.name}.log`),
--- a/packages/proofs/src/platformSoak/stepClock.ts
+++ b/packages/proofs/src/platformSoak/stepClock.ts
@@ -1,4 +1,4 @@
-/** Loaded into a daemon's process before its own code: each SIGUSR2 steps its time of day, and back. */
+/** Loaded by a daemon's start file before the daemon: each SIGUSR2 steps its time of day, and back. */
 
 const STEPS_MS = [2_000, 0, -2_000, 0];
 
