Platform soak: SIGHUP goes to processes that have run their start file

What callers saw: nothing.

Cause: until the runtime runs the first statement of the start file, no program can handle a signal. It resets the dispositions and the mask that it inherits 6 to 17 ms after the start, its first statement comes at about 50 ms on a calm machine (90 ms to seconds on a loaded one), and SIGHUP sent at a chosen age ended a process exactly when the handler was not there (216 starts). Nothing of ours runs before; processes may neither preload nor start others.

Change: the fault that changes settings waits until the start file has run, which the kernel tells (SIGUSR2, installed by its last statement, is handled), and then signals that very process. The check is unchanged: any exit that nobody asked for is a violation.

--- a/packages/proofs/src/platformSoak/faults/processFaults.ts
+++ b/packages/proofs/src/platformSoak/faults/processFaults.ts
@@ -1,6 +1,7 @@
 /** Daemons killed, paused, restarted, told to read their settings, and their time of day stepped. */
 import { sleep } from '@snipehaven/common';
 import { GRACE_S } from '../constants.js';
+import { handlesSignal } from '../handlesSignal.js';
 import type { VmState } from '../types.js';
 import { pickVm, type Fault, type SoakWorld } from '../world.js';
 
@@ -11,6 +12,7 @@
 const HERD_SHARE = 0.6;
 const STEP_MS = 1_500;
 const SOON_MS = 150;
+const SIGNAL_POLL_MS = 2;
 
 const killOne = ({ fleet, faultLog }: SoakWorld, vm: VmState): Promise<void> =>
   faultLog.during(vm.name, 'kill', () => fleet.restart(vm, 'SIGKILL'));
@@ -53,6 +55,18 @@
   });
 };
 
+/**
+ * Sends SIGHUP once the start file has run; its last statement installs the SIGUSR2 handler. Before
+ * its first statement no program can handle a signal, and the platform does not signal a process that
+ * it has just started with the settings in effect.
+ */
+const sendReload = async ({ process: child }: VmState): Promise<void> => {
+  while (child?.isRunning && !handlesSignal(child.pid, 'SIGUSR2')) {
+    await sleep(SIGNAL_POLL_MS);
+  }
+  child?.signal('SIGHUP');
+};
+
 /** Some are told by a signal; a changed file without one must be noticed too. */
 export const reload: Fault = async (world, random) => {
   for (let index = 0; index < SERIES; index += 1) {
@@ -60,7 +74,7 @@
     await world.faultLog.during(`${vm.name} planned`, 'reload', async () => {
       world.fleet.writeSettings(vm, GRACE_S + (index % 2));
       if (random.next() < 0.5) {
-        vm.process?.signal('SIGHUP');
+        await sendReload(vm);
       }
       await sleep(SERIES_GAP_MS);
     });
