A daemon behind a hole gets the table from other daemons, and counts only a confirmed table as a regained store

What callers saw: a daemon of a data centre that is cut off from the store kept an old configuration, old keys, evacuations, upstreams and roll-outs for as long as the cut lasted, stayed ready, and logged `storeRegained` from readers each 0.9 s.

Cause: when the store drops its history, readers read the table whole and report its last change, but no changes message bridges the hole. A follower without a path to the store waited for relayed changes in vain, failed at its own request, and began again. Tables went from daemon to daemon only while one joins. The same held for a changes message that was lost or larger than 16 KB, and for a daemon that dropped its table after `historyGone` and then lost its path. `storeRegained` and `onStoreRecovered` came before it was known whether the reports confirm the table. A reader that read whole took the last change from reports that were older than the hole: a row removed in it stayed at all followers.

What changed: a reader that reads whole behind a hole sends the table to the others at once with its report, where it packs to 16 KB (in a large fleet to its data centre and one daemon of each other, which relays it). Who is still behind asks a reader, then alternately its data centre and readers, five times at most, by datagram; the first request is late by 40 ms and 2 ms a daemon at random (400 at most), so the store or a relay comes first. Answers are encoded once in 150 ms and limited to about 100 KB in 100 ms; tables of up to 160 KB packed go in parts. A table that brings no change unknown here is ignored, so nothing steps back; it confirms the state as of its own `serverTimeMs`. A whole read that differs from the rows held before claims its own version as last change. Reports that name unknown changes are no regained store. A daemon that reads whole with no reader known (it comes back and is the first) publishes report and table at once too. Older daemons ignore both new kinds of datagram, and take a `table` only while they join.

The fleet's `known` became a map, to compare values; its users compare as before.

--- a/packages/forwarding/src/daemon/createWatchers.ts
+++ b/packages/forwarding/src/daemon/createWatchers.ts
@@ -58,7 +58,7 @@
   countDaemons: () => dependencies.exchange.daemons,
   getReaderRank: (lostReaders?: ReadonlySet<string>) =>
     dependencies.exchange.getReaderRank(lostReaders),
-  source: dependencies.exchange,
+  source: dependencies.exchange.tables,
 });
 
 const watchOperator = (dependencies: WatcherDependencies): TableWatcher =>
--- a/packages/forwarding/src/peers/datagramDispatch.ts
+++ b/packages/forwarding/src/peers/datagramDispatch.ts
@@ -4,6 +4,7 @@
 import { decodeJoinMessage, type JoinMessage } from './joinMessages.js';
 import { decodeLoadMessage } from './loadMessage.js';
 import type { LoadDatagram } from './loadSharingStrategy.js';
+import { decodeTableMessage, type TableMessage } from './tableMessages.js';
 import { decodeBadVersion, type BadVersionMessage } from './badVersionMessage.js';
 
 /** A decoded datagram with its raw bytes. */
@@ -17,7 +18,8 @@
 export interface MessageHandlers {
   readonly loads: (datagram: LoadDatagram) => void;
   readonly changes: (changes: TableChanges, datagram: ReceivedDatagram) => void;
-  readonly join: (message: JoinMessage) => void;
+  readonly join: (message: JoinMessage, datagram: ReceivedDatagram) => void;
+  readonly tables: (message: TableMessage, datagram: ReceivedDatagram) => void;
   readonly crashes: (report: CrashMessage) => void;
   readonly badVersion: (report: BadVersionMessage) => void;
 }
@@ -49,6 +51,7 @@
   ),
   createHandler(decodeChanges, handlers.changes, () => 'changes'),
   createHandler(decodeJoinMessage, handlers.join, ({ kind }) => kind),
+  createHandler(decodeTableMessage, handlers.tables, ({ kind }) => kind),
   createHandler(decodeCrashMessage, handlers.crashes, () => 'crashes'),
   createHandler(decodeBadVersion, handlers.badVersion, () => 'badVersion'),
 ];
--- a/packages/forwarding/src/peers/joinMessages.ts
+++ b/packages/forwarding/src/peers/joinMessages.ts
@@ -47,7 +47,7 @@
 
 const isNumber = (value: unknown): value is number => Number.isFinite(value);
 
-const isPeer = (value: unknown): value is Peer =>
+export const isPeer = (value: unknown): value is Peer =>
   isObject(value) &&
   isString(value.vm) &&
   isString(value.dataCentre) &&
--- a/packages/forwarding/src/peers/peerExchange.ts
+++ b/packages/forwarding/src/peers/peerExchange.ts
@@ -10,6 +10,7 @@
   createDatagramHandlers,
   dispatchDatagram,
   type DatagramHandler,
+  type ReceivedDatagram,
 } from './datagramDispatch.js';
 import type { DatagramPort } from './datagramPort.js';
 import { encodeJoinMessage, type JoinMessage } from './joinMessages.js';
@@ -23,6 +24,7 @@
 import { PeerMessenger, type DatagramMeter } from './peerMessenger.js';
 import { READER_ORDER, WRITER_ORDER } from './rendezvousOrder.js';
 import { Roster } from './roster.js';
+import { TableExchange } from './tableExchange.js';
 import { AggregationStrategy } from './aggregationStrategy.js';
 import { TICK_MS, type LoadDatagram, type LoadSharingStrategy } from './loadSharingStrategy.js';
 import { encodeBadVersion, type BadVersionMessage } from './badVersionMessage.js';
@@ -71,7 +73,7 @@
 
 type StrategyName = 'mesh' | 'sums';
 
-export class PeerExchange implements SnapshotSource {
+export class PeerExchange {
   readonly #options: PeerExchangeOptions;
 
   readonly #messenger: PeerMessenger;
@@ -84,10 +86,13 @@
 
   readonly #relay: ChangesRelay;
 
+  readonly #tables: TableExchange;
+
   readonly #handlers: readonly DatagramHandler[] = createDatagramHandlers({
     loads: (datagram) => this.#receiveLoads(datagram),
     changes: (changes, { bytes, host }) => this.#relay.receive(changes, bytes, host),
-    join: (message) => this.#joinProtocol.receive(message, performance.now()),
+    join: (message, datagram) => this.#receiveJoin(message, datagram),
+    tables: (message, datagram) => this.#tables.receive(message, datagram),
     crashes: (report) => this.#options.onCrashMessage(report),
     badVersion: (report) => this.#options.onBadVersion(report),
   });
@@ -112,6 +117,12 @@
     this.#roster = new Roster(directory);
     this.#joinProtocol = new JoinProtocol({ ...options, messenger, roster: this.#roster });
     this.#relay = new ChangesRelay(directory, readerRegistry, messenger);
+    this.#tables = new TableExchange({
+      ...options,
+      messenger,
+      waitForSnapshot: (table) => this.#joinProtocol.waitForSnapshot(table),
+      sendReports: () => this.#strategy.sendReports(performance.now()),
+    });
     const context = { ...options, messenger };
     this.#strategies = {
       mesh: new MeshStrategy(context),
@@ -136,6 +147,7 @@
     this.#isStopped = true;
     clearTimeout(this.#timer);
     this.#joinProtocol.stop();
+    this.#tables.stop();
     this.#options.port.close();
   }
 
@@ -187,8 +199,9 @@
     return this.#isSmallFleet ? undefined : rank;
   }
 
-  waitForSnapshot(table: string): Promise<TableSnapshot | undefined> {
-    return this.#joinProtocol.waitForSnapshot(table);
+  /** Tables that other daemons send. */
+  get tables(): SnapshotSource {
+    return this.#tables;
   }
 
   /**
@@ -243,6 +256,13 @@
     this.#options.meter.countDatagram(kind, 'received');
   }
 
+  #receiveJoin(message: JoinMessage, datagram: ReceivedDatagram): void {
+    this.#joinProtocol.receive(message, performance.now());
+    if (message.kind === 'table') {
+      this.#tables.receiveTable(message.table, datagram);
+    }
+  }
+
   #receiveLoads(datagram: LoadDatagram): void {
     const { message, host } = datagram;
     const { self } = this.#options.directory;
--- a/packages/forwarding/src/peers/readerRegistry.ts
+++ b/packages/forwarding/src/peers/readerRegistry.ts
@@ -121,14 +121,19 @@
   }
 
   /**
-   * Calls the listener when changes of the table are relayed or a reader reports a newer store time
-   * for it. Returns a function that removes the listener.
+   * Calls the listener when changes of the table are relayed, the table is received or a reader
+   * reports a newer store time for it. Returns a function that removes the listener.
    */
   onUpdate(table: string, listener: () => void): () => void {
     this.#updateListeners.set(table, listener);
     return () => this.#updateListeners.delete(table);
   }
 
+  notifyUpdate(table: string): void {
+    this.#wakeWaiters();
+    this.#updateListeners.get(table)?.();
+  }
+
   publishReport(report: TableReport): void {
     this.#ownReports.set(report.table, report);
   }
@@ -145,8 +150,7 @@
     const pending = this.#pendingChanges.get(table) ?? [];
     pending.push(changes);
     this.#pendingChanges.set(table, pending.slice(-MAX_PENDING_CHANGES));
-    this.#wakeWaiters();
-    this.#updateListeners.get(table)?.();
+    this.notifyUpdate(table);
     return this.#advanceVersion(table, upTo);
   }
 
--- /dev/null
+++ b/packages/forwarding/src/peers/tableMessages.ts
@@ -0,0 +1,123 @@
+/**
+ * Messages that carry a whole table to a daemon that lacks changes: the request for it, and the
+ * parts of a table that is too large for one datagram. A table that fits is a join message.
+ */
+import type { TableSnapshot } from '../store/types.js';
+import { compressDatagram, parseDatagram } from './datagram.js';
+import { decodeJoinMessage, encodeJoinMessage, isPeer } from './joinMessages.js';
+import type { Peer } from './peerDirectory.js';
+
+/** Asks for a table that includes all changes up to a version of the store. */
+export interface TableRequest {
+  readonly peer: Peer;
+  readonly table: string;
+  readonly atLeastVersion: number;
+}
+
+export interface TablePart {
+  readonly table: string;
+  /** Parts of different versions do not belong together. */
+  readonly version: number;
+  readonly index: number;
+  readonly count: number;
+  /** In base64. */
+  readonly bytes: string;
+}
+
+export type TableMessage =
+  | { readonly kind: 'tableRequest'; readonly tableRequest: TableRequest }
+  | { readonly kind: 'tablePart'; readonly tablePart: TablePart };
+
+const PART_BYTES = 20_000;
+
+/** Larger tables are not sent; a daemon's receive buffer holds about ten parts. */
+const MAX_PARTS = 8;
+
+const encodeMessage = (message: TableMessage): Buffer => compressDatagram(JSON.stringify(message));
+
+export const encodeTableRequest = (tableRequest: TableRequest): Buffer =>
+  encodeMessage({ kind: 'tableRequest', tableRequest });
+
+const encodeParts = (snapshot: TableSnapshot): readonly Buffer[] => {
+  const { table, version } = snapshot;
+  const bytes = compressDatagram(JSON.stringify({ kind: 'table', table: snapshot }));
+  const count = Math.ceil(bytes.length / PART_BYTES);
+  return Array.from({ length: count }, (_, index) => {
+    const part = bytes.subarray(index * PART_BYTES, (index + 1) * PART_BYTES).toString('base64');
+    return encodeMessage({
+      kind: 'tablePart',
+      tablePart: { table, version, index, count, bytes: part },
+    });
+  });
+};
+
+/** The datagrams of a table; none if it is too large. */
+export const encodeTable = (table: TableSnapshot): readonly Buffer[] => {
+  const whole = encodeJoinMessage({ kind: 'table', table });
+  if (whole !== undefined) {
+    return [whole];
+  }
+  const parts = encodeParts(table);
+  return parts.length <= MAX_PARTS ? parts : [];
+};
+
+const isObject = (value: unknown): value is Record<string, unknown> =>
+  typeof value === 'object' && value !== null;
+
+const isTableRequest = (value: unknown): value is TableRequest =>
+  isObject(value) &&
+  isPeer(value.peer) &&
+  typeof value.table === 'string' &&
+  Number.isFinite(value.atLeastVersion);
+
+const isTablePart = (value: unknown): value is TablePart =>
+  isObject(value) &&
+  typeof value.table === 'string' &&
+  Number.isFinite(value.version) &&
+  Number.isInteger(value.count) &&
+  (value.count as number) <= MAX_PARTS &&
+  Number.isInteger(value.index) &&
+  (value.index as number) >= 0 &&
+  (value.index as number) < (value.count as number) &&
+  typeof value.bytes === 'string';
+
+/** Undefined if the decoded datagram is neither a request nor a part. */
+export const decodeTableMessage = (value: unknown): TableMessage | undefined => {
+  const isValid =
+    isObject(value) &&
+    ((value.kind === 'tableRequest' && isTableRequest(value.tableRequest)) ||
+      (value.kind === 'tablePart' && isTablePart(value.tablePart)));
+  return isValid ? (value as unknown as TableMessage) : undefined;
+};
+
+interface Assembly {
+  readonly version: number;
+  readonly parts: Map<number, string>;
+}
+
+/** Joins the parts of tables that other daemons send. */
+export class PartAssembler {
+  /** Keyed by sender and table. */
+  readonly #assemblies = new Map<string, Assembly>();
+
+  /** Returns the table once all its parts have been received. */
+  add(host: string, { table, version, index, count, bytes }: TablePart): TableSnapshot | undefined {
+    const key = `${host}/${table}`;
+    const known = this.#assemblies.get(key);
+    const assembly = known?.version === version ? known : { version, parts: new Map() };
+    assembly.parts.set(index, bytes);
+    this.#assemblies.set(key, assembly);
+    if (assembly.parts.size < count) {
+      return undefined;
+    }
+    this.#assemblies.delete(key);
+    const parts = Array.from({ length: count }, (_, at) => assembly.parts.get(at) ?? '');
+    const joined = Buffer.concat(parts.map((part) => Buffer.from(part, 'base64')));
+    const message = decodeJoinMessage(parseDatagram(joined));
+    return message?.kind === 'table' ? message.table : undefined;
+  }
+
+  clear(): void {
+    this.#assemblies.clear();
+  }
+}
--- a/packages/forwarding/src/peers/testSupport/daemonFleet.ts
+++ b/packages/forwarding/src/peers/testSupport/daemonFleet.ts
@@ -16,7 +16,8 @@
 export interface WatchedTable {
   readonly watcher: TableWatcher;
   readonly freshness: Freshness;
-  readonly known: Set<string>;
+  /** Values of the rows as passed to the listener, by key. */
+  readonly known: Map<string, string>;
   /** When the table was first known, on the monotonic clock. */
   knownAtMs: number | undefined;
   /** Number of `onBack` calls. */
@@ -208,7 +209,7 @@
     seed: number,
   ): WatchedTable {
     const freshness = new Freshness(clock);
-    const known = new Set<string>();
+    const known = new Map<string, string>();
     const watcher = new TableWatcher({
       table,
       getWaitMs: () => TABLE_WAIT_MS,
@@ -217,10 +218,11 @@
       listener: {
         onSnapshot: (rows) => {
           known.clear();
-          rows.forEach(({ key }) => known.add(key));
+          rows.forEach(({ key, value }) => known.set(key, value));
           watchedTable.knownAtMs ??= performance.now();
         },
-        onChange: ({ key, value }) => (value === undefined ? known.delete(key) : known.add(key)),
+        onChange: ({ key, value }) =>
+          value === undefined ? known.delete(key) : known.set(key, value),
         onStoreRecovered: () => {
           watchedTable.recoveries += 1;
         },
@@ -231,7 +233,7 @@
       readerRegistry,
       countDaemons: () => exchange.daemons,
       getReaderRank: (lostReaders) => exchange.getReaderRank(lostReaders),
-      source: exchange,
+      source: exchange.tables,
     });
     const watchedTable: WatchedTable = {
       watcher,
--- /dev/null
+++ b/packages/forwarding/src/store/peerFeed.ts
@@ -0,0 +1,163 @@
+/**
+ * Brings the replica of a table up to date by what other daemons send: relayed changes, whole
+ * tables, and the reports of readers that confirm them.
+ */
+import { MAX_MESH_DAEMONS } from '../peers/index.js';
+import type { ReaderRole } from './readerRole.js';
+import type { TableReplica } from './tableReplica.js';
+import type { TableWatcherOptions } from './tableWatcher.js';
+import type { TableSnapshot } from './types.js';
+
+/**
+ * How long to wait for relayed changes, which arrive with a reader's report or right after it. In a
+ * large fleet another daemon relays them, which may be busy starting. The waits are at most a tenth
+ * of the time within which changes must be in force.
+ */
+const RELAY_WAIT_MS = 120;
+const LARGE_FLEET_RELAY_WAIT_MS = 400;
+
+/** Changes that are missing for less than this are usually on their way. */
+const MIN_BEHIND_MS = 1_000;
+const BEHIND_LOG_INTERVAL_MS = 5_000;
+
+export class PeerFeed {
+  readonly #options: TableWatcherOptions;
+
+  readonly #replica: TableReplica;
+
+  readonly #readerRole: ReaderRole;
+
+  /** Since when reports have named a change that is missing here. */
+  #behindSinceMs: number | undefined;
+
+  #behindLoggedAtMs = -Infinity;
+
+  constructor(options: TableWatcherOptions, replica: TableReplica, readerRole: ReaderRole) {
+    this.#options = options;
+    this.#replica = replica;
+    this.#readerRole = readerRole;
+  }
+
+  /** Applies relayed changes, and a received table if it has a change that they do not bring. */
+  apply(): void {
+    this.#applyChanges();
+    const snapshot = this.#options.source?.findReceived(this.#options.table);
+    if (snapshot !== undefined && this.#replica.lacks(snapshot)) {
+      this.applySnapshot(snapshot);
+      this.#applyChanges();
+    }
+  }
+
+  applySnapshot(snapshot: TableSnapshot): void {
+    const { listener, freshness, logger } = this.#options;
+    const { rows, version, serverTimeMs, table } = snapshot;
+    this.#replica.replace(snapshot);
+    listener.onSnapshot(rows, serverTimeMs);
+    const isConfirmed = freshness.confirmByPeer(serverTimeMs);
+    logger.info(
+      { event: 'tableTaken', table, version, rows: rows.length, serverTimeMs, isConfirmed },
+      'table received from another daemon',
+    );
+  }
+
+  /**
+   * Returns false if readers know of a change that is not applied here, or if their reports cannot
+   * confirm this daemon's state.
+   */
+  confirm(): boolean {
+    const { latestReport } = this.#readerRole;
+    if (latestReport === undefined) {
+      return true;
+    }
+    if (this.isBehind) {
+      return false;
+    }
+    this.#behindSinceMs = undefined;
+    this.#replica.confirm(latestReport.serverTimeMs);
+    return this.#options.freshness.confirmByPeer(latestReport.serverTimeMs);
+  }
+
+  /** Whether readers know of a change that is not applied here. */
+  get isBehind(): boolean {
+    const { latestReport } = this.#readerRole;
+    return latestReport !== undefined && latestReport.lastChange > (this.#replica.version ?? -1);
+  }
+
+  /** Waits a limited time for relayed changes up to the readers' version. */
+  async awaitChanges(): Promise<void> {
+    const { readerRegistry, table } = this.#options;
+    const isSmallFleet = this.#options.countDaemons() <= MAX_MESH_DAEMONS;
+    const startedAtMs = performance.now();
+    const getLeftMs = (): number => {
+      // Changes missing before later ones were probably lost; the store is asked for them sooner.
+      const hasGap = readerRegistry.hasGap(table, this.#replica.version ?? 0);
+      const waitMs = isSmallFleet || hasGap ? RELAY_WAIT_MS : LARGE_FLEET_RELAY_WAIT_MS;
+      return startedAtMs + waitMs - performance.now();
+    };
+    while (getLeftMs() > 0 && !this.confirm()) {
+      await readerRegistry.waitForUpdate(getLeftMs());
+      this.apply();
+    }
+  }
+
+  /** Applies what others send while `act` is pending. */
+  async applyDuring<Result>(act: () => Promise<Result>): Promise<Result> {
+    const { readerRegistry, table } = this.#options;
+    const stopListening = readerRegistry.onUpdate(table, () => {
+      this.apply();
+      if (!this.confirm()) {
+        this.requestTable();
+      }
+    });
+    try {
+      return await act();
+    } finally {
+      stopListening();
+    }
+  }
+
+  /** Asks other daemons for the table if this one stays behind; the store may be faster. */
+  requestTable(): void {
+    const { source, table } = this.#options;
+    const { latestReport } = this.#readerRole;
+    if (latestReport === undefined || !this.isBehind) {
+      return;
+    }
+    this.#noteBehind(latestReport.lastChange);
+    source?.requestSnapshot({
+      table,
+      atLeastVersion: latestReport.lastChange,
+      isNeeded: () => this.isBehind,
+    });
+  }
+
+  #applyChanges(): void {
+    const { readerRegistry, table, listener } = this.#options;
+    for (;;) {
+      const { version } = this.#replica;
+      const changes =
+        version === undefined ? undefined : readerRegistry.findChanges(table, version);
+      if (changes === undefined) {
+        return;
+      }
+      const newChanges = this.#replica.apply(changes.items, changes.upTo);
+      newChanges.forEach((item) => listener.onChange(item, changes.serverTimeMs));
+    }
+  }
+
+  #noteBehind(reportedVersion: number): void {
+    const { table, logger, freshness } = this.#options;
+    const nowMs = performance.now();
+    this.#behindSinceMs ??= nowMs;
+    const behindMs = Math.round(nowMs - this.#behindSinceMs);
+    if (behindMs >= MIN_BEHIND_MS && nowMs - this.#behindLoggedAtMs >= BEHIND_LOG_INTERVAL_MS) {
+      this.#behindLoggedAtMs = nowMs;
+      const { version } = this.#replica;
+      const ageMs = Math.round(freshness.ageMs);
+      logger.warn(
+        { event: 'tableBehind', table, version, reportedVersion, behindMs, ageMs },
+        'readers know of changes that neither the store nor other daemons have brought',
+      );
+    }
+  }
+}
--- a/packages/forwarding/src/store/tableReplica.ts
+++ b/packages/forwarding/src/store/tableReplica.ts
@@ -26,6 +26,9 @@
 
   #serverTimeMs = 0;
 
+  /** The newest version ever held, also while the table must be read completely. */
+  #newestVersion = 0;
+
   constructor(table: string) {
     this.#table = table;
   }
@@ -48,6 +51,28 @@
     return Math.max(this.#lastChange, this.#fullReadVersion);
   }
 
+  /** Whether this daemon has never known the table. */
+  get isNew(): boolean {
+    return this.#newestVersion === 0;
+  }
+
+  /**
+   * Whether the rows are those held here, and no change of the table after the newest version held
+   * is known.
+   */
+  matches(rows: readonly StoreRow[], lastKnownChange: number): boolean {
+    return (
+      lastKnownChange <= this.#newestVersion &&
+      rows.length === this.#rows.size &&
+      rows.every(({ key, version }) => this.#rows.get(key)?.version === version)
+    );
+  }
+
+  /** Whether the snapshot has changes that are missing here. */
+  lacks({ version, lastChange }: TableSnapshot): boolean {
+    return this.#version === undefined ? version > this.#newestVersion : lastChange > this.#version;
+  }
+
   /** Undefined until the table is first known. */
   get snapshot(): TableSnapshot | undefined {
     if (this.#version === undefined) {
@@ -67,6 +92,7 @@
     this.#rows.clear();
     rows.forEach((row) => this.#rows.set(row.key, row));
     this.#version = version;
+    this.#newestVersion = version;
     this.#fullReadVersion = version;
     this.#lastChange = lastChange;
     this.#serverTimeMs = serverTimeMs;
@@ -84,6 +110,7 @@
       }
     }
     this.#version = Math.max(known, upTo);
+    this.#newestVersion = this.#version;
     this.#lastChange = findNewestVersion(this.#lastChange, newChanges);
     return newChanges;
   }
--- a/packages/forwarding/src/store/tableWatcher.ts
+++ b/packages/forwarding/src/store/tableWatcher.ts
@@ -9,7 +9,7 @@
 import type { Freshness } from '../configuration/freshness.js';
 import { readClocks, type ClockReading } from '../configuration/storeClock.js';
 import { HistoryGoneError } from '../errors.js';
-import { MAX_MESH_DAEMONS } from '../peers/index.js';
+import { PeerFeed } from './peerFeed.js';
 import { ReaderRole, type ReaderRoleOptions } from './readerRole.js';
 import { TableReplica, findNewestVersion } from './tableReplica.js';
 import type {
@@ -42,14 +42,6 @@
   readonly source?: SnapshotSource;
 }
 
-/**
- * How long to wait for relayed changes, which arrive with a reader's report or right after it. In a
- * large fleet another daemon relays them, which may be busy starting. The waits are at most a tenth
- * of the time within which changes must be in force.
- */
-const RELAY_WAIT_MS = 120;
-const LARGE_FLEET_RELAY_WAIT_MS = 400;
-
 /** A follower checks at least this often whether readers still report. */
 const REPORT_WAIT_MS = 400;
 
@@ -78,6 +70,8 @@
 
   readonly #readerRole: ReaderRole;
 
+  readonly #peerFeed: PeerFeed;
+
   #failures = 0;
 
   /** Whether readers were lost after there had been some. */
@@ -98,6 +92,7 @@
     this.#options = options;
     this.#replica = new TableReplica(options.table);
     this.#readerRole = new ReaderRole(options);
+    this.#peerFeed = new PeerFeed(options, this.#replica, this.#readerRole);
   }
 
   async run(): Promise<void> {
@@ -144,9 +139,13 @@
     this.#publish();
   }
 
-  /** Requests the table from other daemons the first time, from the store afterwards. */
+  /**
+   * Requests the table from other daemons the first time, and afterwards from the store, but again
+   * from others if the store does not answer.
+   */
   async #load(requested: ClockReading): Promise<void> {
     if (this.#hasRequestedSnapshot) {
+      this.#peerFeed.requestTable();
       this.#confirm(requested, await this.#readAll());
       return;
     }
@@ -154,27 +153,15 @@
     const { source, table } = this.#options;
     const snapshot = await source?.waitForSnapshot(table);
     if (snapshot !== undefined) {
-      this.#applySnapshot(snapshot);
+      this.#peerFeed.applySnapshot(snapshot);
     }
   }
 
-  #applySnapshot(snapshot: TableSnapshot): void {
-    const { listener, freshness, logger } = this.#options;
-    const { rows, version, serverTimeMs, table } = snapshot;
-    this.#replica.replace(snapshot);
-    listener.onSnapshot(rows, serverTimeMs);
-    const isConfirmed = freshness.confirmByPeer(serverTimeMs);
-    logger.info(
-      { event: 'tableTaken', table, version, rows: rows.length, serverTimeMs, isConfirmed },
-      'table received from another daemon',
-    );
-  }
-
   /** Follows the current readers in the meantime. */
   async #awaitTurn(requested: ClockReading): Promise<void> {
     if (this.#readerRole.latestReport === undefined) {
       // Changes from a new reader can arrive before its report.
-      this.#applyRelayedChanges();
+      this.#peerFeed.apply();
       await this.#options.readerRegistry.waitForUpdate(MAX_TAKEOVER_WAIT_MS);
     } else {
       await this.#follow(requested, MAX_TAKEOVER_WAIT_MS);
@@ -194,65 +181,31 @@
     }
   }
 
-  /** Follows the readers' reports, and asks the store only for changes that were not relayed. */
+  /**
+   * Follows the readers' reports. Asks the store for changes that were not relayed, and other
+   * daemons if it does not answer.
+   */
   async #follow(requested: ClockReading, waitMs = REPORT_WAIT_MS): Promise<void> {
-    this.#hasFollowedReaders = true;
-    this.#noteStoreRecovered('readers');
-    this.#applyRelayedChanges();
-    if (this.#confirmByReports()) {
+    this.#peerFeed.apply();
+    if (this.#isConfirmedByReports()) {
       await this.#options.readerRegistry.waitForUpdate(waitMs);
       return;
     }
-    await this.#awaitRelayedChanges();
-    if (!this.#confirmByReports()) {
+    await this.#peerFeed.awaitChanges();
+    if (!this.#isConfirmedByReports()) {
+      this.#peerFeed.requestTable();
       this.#confirm(requested, await this.#readChanges(0));
     }
   }
 
-  /** Waits a limited time for relayed changes up to the readers' version. */
-  async #awaitRelayedChanges(): Promise<void> {
-    const { readerRegistry, table } = this.#options;
-    const isSmallFleet = this.#options.countDaemons() <= MAX_MESH_DAEMONS;
-    const startedAtMs = performance.now();
-    const getLeftMs = (): number => {
-      // Changes missing before later ones were probably lost; the store is asked for them sooner.
-      const hasGap = readerRegistry.hasGap(table, this.#replica.version ?? 0);
-      const waitMs = isSmallFleet || hasGap ? RELAY_WAIT_MS : LARGE_FLEET_RELAY_WAIT_MS;
-      return startedAtMs + waitMs - performance.now();
-    };
-    while (getLeftMs() > 0 && !this.#confirmByReports()) {
-      await readerRegistry.waitForUpdate(getLeftMs());
-      this.#applyRelayedChanges();
+  /** A report that names changes unknown here does not show that the store can be reached. */
+  #isConfirmedByReports(): boolean {
+    const isConfirmed = this.#peerFeed.confirm();
+    if (isConfirmed && this.#readerRole.latestReport !== undefined) {
+      this.#hasFollowedReaders = true;
+      this.#noteStoreRecovered('readers');
     }
-  }
-
-  #applyRelayedChanges(): void {
-    const { readerRegistry, table, listener } = this.#options;
-    for (;;) {
-      const version = this.#replica.version ?? 0;
-      const changes = readerRegistry.findChanges(table, version);
-      if (changes === undefined) {
-        return;
-      }
-      const newChanges = this.#replica.apply(changes.items, changes.upTo);
-      newChanges.forEach((item) => listener.onChange(item, changes.serverTimeMs));
-    }
-  }
-
-  /**
-   * Returns false if readers know of a change that is not applied here, or if their reports cannot
-   * confirm this daemon's state.
-   */
-  #confirmByReports(): boolean {
-    const { latestReport } = this.#readerRole;
-    if (latestReport === undefined) {
-      return true;
-    }
-    if (latestReport.lastChange > (this.#replica.version ?? 0)) {
-      return false;
-    }
-    this.#replica.confirm(latestReport.serverTimeMs);
-    return this.#options.freshness.confirmByPeer(latestReport.serverTimeMs);
+    return isConfirmed;
   }
 
   #confirm(requested: ClockReading, serverTimeMs: number): void {
@@ -268,22 +221,48 @@
   /** Resolves with the store's clock at its answer. */
   async #readAll(): Promise<number> {
     const { store, table, listener } = this.#options;
-    const page = await store.readRows(table);
+    const page = await this.#peerFeed.applyDuring(() => store.readRows(table));
     this.#noteAnswer();
     const { items: rows, version, serverTimeMs } = page;
-    this.#replica.replace({ rows, version, serverTimeMs, lastChange: this.#findLastChange(page) });
+    if (version < (this.#replica.version ?? 0)) {
+      // A newer table came from another daemon in the meantime.
+      return serverTimeMs;
+    }
+    const isCovered = this.#readerRole.checkEnoughReaders();
+    const lastChange = this.#findLastChange(page, isCovered);
+    this.#replica.replace({ rows, version, serverTimeMs, lastChange });
     listener.onSnapshot(rows, serverTimeMs);
+    if (!isCovered && lastChange === version) {
+      this.#publishTable();
+    }
     return serverTimeMs;
   }
 
   /**
-   * A complete table does not show when its last row was removed. Existing readers know; without
-   * any, it may have been at any moment until now. If the returned version is too new, all
-   * followers ask the store once in vain.
+   * A complete table does not show when its last row was removed. Existing readers know, unless the
+   * store dropped its history: then it may have been at any moment until now, as it may without
+   * readers.
    */
-  #findLastChange({ items, version }: StorePage<StoreRow>): number {
+  #findLastChange({ items, version }: StorePage<StoreRow>, isCovered: boolean): number {
     const { latestReport } = this.#readerRole;
-    return latestReport === undefined ? version : findNewestVersion(latestReport.lastChange, items);
+    if (latestReport === undefined) {
+      return version;
+    }
+    const { lastChange } = latestReport;
+    const isKnownToReaders =
+      isCovered || this.#replica.isNew || this.#replica.matches(items, lastChange);
+    return isKnownToReaders
+      ? findNewestVersion(Math.max(lastChange, this.#replica.lastChange), items)
+      : version;
+  }
+
+  /** No relayed changes lead to this table, so the others would have to read it themselves. */
+  #publishTable(): void {
+    const { snapshot } = this.#replica;
+    if (snapshot !== undefined && this.#readerRole.isOwnTurn()) {
+      this.#publish();
+      this.#options.source?.publishSnapshot(snapshot);
+    }
   }
 
   async #readChanges(waitMs: number): Promise<number> {
@@ -305,17 +284,11 @@
   }
 
   /** Applies other readers' changes and confirmations while the store request is pending. */
-  async #requestChanges(waitMs: number): Promise<StorePage<StoreChange>> {
-    const { store, table, readerRegistry } = this.#options;
-    const stopListening = readerRegistry.onUpdate(table, () => {
-      this.#applyRelayedChanges();
-      this.#confirmByReports();
-    });
-    try {
-      return await store.readChanges(table, this.#replica.version ?? 0, waitMs);
-    } finally {
-      stopListening();
-    }
+  #requestChanges(waitMs: number): Promise<StorePage<StoreChange>> {
+    const { store, table } = this.#options;
+    return this.#peerFeed.applyDuring(() =>
+      store.readChanges(table, this.#replica.version ?? 0, waitMs),
+    );
   }
 
   #noteAnswer(): void {
@@ -358,10 +331,10 @@
     }
     this.#failures += 1;
     this.#readerRole.noteStoreLost();
-    await this.#backOff();
-    if (this.#replica.version !== undefined) {
-      this.#applyRelayedChanges();
-      this.#confirmByReports();
+    await this.#peerFeed.applyDuring(() => this.#backOff());
+    this.#peerFeed.apply();
+    if (!this.#peerFeed.confirm()) {
+      this.#peerFeed.requestTable();
     }
   }
 
--- a/packages/forwarding/src/store/testSupport/memoryStore.ts
+++ b/packages/forwarding/src/store/testSupport/memoryStore.ts
@@ -1,12 +1,15 @@
 /** In-memory store with tables, feeds that wait, outages, and call counts per daemon. */
 import { sleep } from '@snipehaven/common';
-import { StoreUnavailableError } from '../../errors.js';
+import { HistoryGoneError, StoreUnavailableError } from '../../errors.js';
 import type { RowStore, StoreChange, StorePage, StoreRow, WriteResult } from '../types.js';
 
 const POLL_MS = 5;
 const LATENCY_MS = 4;
 const DEFAULT_TABLE = 'upstreams';
 
+/** Time-out of a client's call, after the wait that it asked for. */
+const CALL_TIMEOUT_MS = 900;
+
 export class MemoryStore {
   #version = 100;
 
@@ -14,6 +17,9 @@
 
   readonly #history: (StoreChange & { readonly table: string })[] = [];
 
+  /** Feeds that ask for changes after an older version are refused. */
+  #oldestVersion = 0;
+
   /** Keyed by VM. */
   readonly calls = new Map<string, number>();
 
@@ -23,11 +29,14 @@
   /** VMs whose feed requests are never answered. */
   readonly unresponsiveVms = new Set<string>();
 
+  /** VMs whose calls are lost on the way, so that they fail only at their time-out. */
+  readonly cutOffVms = new Set<string>();
+
   isDown = false;
 
-  put(key: string, table = DEFAULT_TABLE): void {
+  put(key: string, table = DEFAULT_TABLE, value = key): void {
     this.#version += 1;
-    const row = { key, value: key, version: this.#version };
+    const row = { key, value, version: this.#version };
     this.#getRows(table).set(key, row);
     this.#history.push({ ...row, table });
   }
@@ -43,6 +52,11 @@
     this.#version += 1;
   }
 
+  dropHistory(): void {
+    this.#history.length = 0;
+    this.#oldestVersion = this.#version;
+  }
+
   getCalls(vm: string): number {
     return this.calls.get(vm) ?? 0;
   }
@@ -55,6 +69,7 @@
     const call = async (): Promise<void> => {
       this.calls.set(vm, this.getCalls(vm) + 1);
       await sleep(LATENCY_MS);
+      await this.#loseIfCutOff(vm, CALL_TIMEOUT_MS);
       this.#check(vm);
     };
     return {
@@ -71,6 +86,7 @@
           (items.length === 0 && performance.now() < endAtMs)
         ) {
           await sleep(POLL_MS);
+          await this.#loseIfCutOff(vm, endAtMs + CALL_TIMEOUT_MS - performance.now());
           this.#check(vm);
           items = this.#listChanges(table, after);
         }
@@ -82,6 +98,13 @@
     };
   }
 
+  async #loseIfCutOff(vm: string, timeoutMs: number): Promise<void> {
+    if (this.cutOffVms.has(vm)) {
+      await sleep(timeoutMs);
+      throw new StoreUnavailableError('call timed out');
+    }
+  }
+
   #check(vm: string): void {
     if (this.isDown || this.rejectedVms.has(vm)) {
       throw new StoreUnavailableError('VM rejected by the store');
@@ -95,6 +118,9 @@
   }
 
   #listChanges(table: string, after: number): StoreChange[] {
+    if (after < this.#oldestVersion) {
+      throw new HistoryGoneError('history dropped by the store');
+    }
     const changes = this.#history.filter((one) => one.table === table && one.version > after);
     return changes.map(({ table: _table, ...change }) => change);
   }
--- a/packages/forwarding/src/store/types.ts
+++ b/packages/forwarding/src/store/types.ts
@@ -63,8 +63,23 @@
   readonly rows: readonly StoreRow[];
 }
 
+/** Asks other daemons for a table. */
+export interface SnapshotRequest {
+  readonly table: string;
+  /** The store version up to which the table must include all changes. */
+  readonly atLeastVersion: number;
+  /** Asked before each message, because the changes may have arrived in another way. */
+  isNeeded(): boolean;
+}
+
 /** Source of tables that other daemons already know. */
 export interface SnapshotSource {
-  /** Undefined if no daemon sent the table in time. */
+  /** Asked at the start. Undefined if no daemon sent the table in time. */
   waitForSnapshot(table: string): Promise<TableSnapshot | undefined>;
+  /** The newest table that another daemon has sent, if any. */
+  findReceived(table: string): TableSnapshot | undefined;
+  /** Asks a limited number of times, one daemon at a time. */
+  requestSnapshot(request: SnapshotRequest): void;
+  /** Sends a table that this daemon read to the others. */
+  publishSnapshot(snapshot: TableSnapshot): void;
 }
