Daemons read the table themselves when its readers go silent

Sixteen daemons, the readers among them, were killed as the upstream became cold; the two others knew after 1,248 ms.

Cause: readers counted as stopped 1.5 s after their last report, and aggregators relayed ended readers of other data centres to each other for as long. Then each daemon waited 400 ms for each one before it in the reading order, ended ones included. An aggregator that has just started lists no readers, which looked as if they had withdrawn.

Now a daemon that has heard no reader for 650 ms reads the table at once and goes on until there are other readers. An aggregator does so when the readers of its own data centre, which it alone hears directly, are silent. The next aggregator takes over at the time-out rather than at the next tick of 450 ms, so that the loss of one aggregator is no silence. Readers that withdraw (a store that is down) are not silent: turns are waited for as before.

The new cases of readerLoss.test fail on the code without the fix, all 16.

Weighed and not done: a daemon out of touch that keeps each upstream to its share of the cold rate. With 18 daemons and a rate of 10 it could send none or one a second to each upstream, and would refuse nearly all requests of every herd of kills for the few that reach a cold one. Answers of upstreams say nothing of coldness, and 1 s is over before slowness tells. Readers that report more often leave the turns and the aggregators' change as they were. News from daemons that come back are later than a read: they take some 0.5 to 1 s to start.

--- a/packages/forwarding/src/peers/aggregationStrategy.ts
+++ b/packages/forwarding/src/peers/aggregationStrategy.ts
@@ -30,7 +30,8 @@
 const IDLE_OWN_MS = 900;
 
 /** Readers report more often, so that other daemons detect their loss sooner. */
-const IDLE_READER_MS = 300;
+const READER_TICK_MS = 2 * TICK_MS;
+const IDLE_READER_MS = READER_TICK_MS - 50;
 
 /**
  * How often a daemon that is not the aggregator checks for changes of its own and for lost
@@ -113,7 +114,15 @@
   }
 
   get tickMs(): number {
-    return this.#isAggregator ? TICK_MS : MEMBER_TICK_MS;
+    if (this.#isAggregator) {
+      return TICK_MS;
+    }
+    const isReader = this.#context.readerRegistry.ownReports.length > 0;
+    const timeoutInMs = Math.ceil(this.#election.getTimeoutInMs(performance.now())) + 1;
+    // The next aggregator takes over at once instead of at the next tick after the time-out.
+    return timeoutInMs <= 0
+      ? TICK_MS
+      : Math.min(timeoutInMs, isReader ? READER_TICK_MS : MEMBER_TICK_MS);
   }
 
   /** Does nothing on the aggregator itself: its loads are part of its next aggregate. */
--- a/packages/forwarding/src/peers/aggregatorElection.ts
+++ b/packages/forwarding/src/peers/aggregatorElection.ts
@@ -67,6 +67,11 @@
     return candidate;
   }
 
+  /** Time in ms until the aggregator counts as silent; negative if it does. */
+  getTimeoutInMs(nowMs: number): number {
+    return this.#lastHeardAtMs + AGGREGATOR_TIMEOUT_MS - nowMs;
+  }
+
   isSelf(nowMs: number): boolean {
     return this.findAggregator(nowMs) === this.#self;
   }
--- a/packages/forwarding/src/peers/loadSharingStrategy.ts
+++ b/packages/forwarding/src/peers/loadSharingStrategy.ts
@@ -31,7 +31,7 @@
 }
 
 export interface LoadSharingStrategy {
-  /** Time until the next tick, a multiple of `TICK_MS`. */
+  /** Time until the next tick; counted in whole `TICK_MS`. */
   readonly tickMs: number;
   /** `ticks`: multiples of `TICK_MS` since the start. */
   tick(ticks: number, nowMs: number): void;
--- a/packages/forwarding/src/peers/peerExchange.ts
+++ b/packages/forwarding/src/peers/peerExchange.ts
@@ -259,7 +259,7 @@
 
   #scheduleTick(nowMs: number): void {
     const { tickMs } = this.#strategy;
-    this.#ticks += tickMs / TICK_MS;
+    this.#ticks += Math.ceil(tickMs / TICK_MS);
     this.#dueAtMs = nowMs + tickMs;
     this.#timer = setTimeout(() => this.#tick(), tickMs);
   }
--- a/packages/forwarding/src/peers/readerLoss.test.ts
+++ b/packages/forwarding/src/peers/readerLoss.test.ts
@@ -18,10 +18,18 @@
 /** Time since the readers sent their pending request, which the store holds for up to 2.4 s. */
 const REQUEST_AGES_MS: readonly number[] = [0, 700, 1_400, 2_100];
 
+/** Within this time daemons must know that an upstream has become cold. */
+const COLD_NOTICE_MS = 1_000;
+
+/** Time until a killed daemon is started again. */
+const RESTART_MS = 300;
+
+const LARGE_FLEET: FleetOptions = { daemons: 18, dataCentres: 3, seeds: 3, tables: TABLES };
+
+const isReader = ({ readerRegistry }: FleetMember): boolean => readerRegistry.ownReports.length > 0;
+
 const killReaders = (fleet: DaemonFleet): readonly FleetMember[] => {
-  const readers = fleet.members.filter(
-    ({ readerRegistry }) => readerRegistry.ownReports.length > 0,
-  );
+  const readers = fleet.members.filter(isReader);
   readers.forEach((reader) => {
     fleet.network.setDown(reader.self.host, true);
     fleet.stopMember(reader);
@@ -59,4 +67,43 @@
   }
 }
 
+const startFleet = async (fleet: DaemonFleet, ageMs: number): Promise<void> => {
+  TABLES.forEach((table) => fleet.store.put('first', table));
+  await fleet.start();
+  await fleet.advance(SETTLE_MS + ageMs);
+};
+
+const listUninformed = (members: readonly FleetMember[]): readonly string[] =>
+  members
+    .filter(({ tables }) => tables.some(({ known }) => !known.has('second')))
+    .map(({ self }) => self.vm);
+
+/** The followers at the two indexes live on. */
+const SURVIVORS: readonly (readonly [number, number])[] = [
+  [0, 4],
+  [3, 7],
+  [6, 10],
+  [9, 13],
+];
+
+// Guards against requests at the usual rate to an upstream that has become cold unnoticed.
+for (const [index, survivors] of SURVIVORS.entries()) {
+  for (const ageMs of REQUEST_AGES_MS) {
+    test(`the last two daemons, pair ${index}, know of a cold upstream when all others are killed ${ageMs} ms into the readers' request`, async (context) => {
+      const fleet = createFleet(context, LARGE_FLEET);
+      await startFleet(fleet, ageMs);
+      const followers = fleet.members.filter((member) => !isReader(member));
+      const living = followers.filter((_, place) => survivors.includes(place));
+      const killed = fleet.members.filter((member) => !living.includes(member));
+      killed.forEach((member) => fleet.stopMember(member));
+      TABLES.forEach((table) => fleet.store.put('second', table));
+      const deadlineMs = performance.now() + COLD_NOTICE_MS;
+      await fleet.advance(RESTART_MS);
+      await fleet.restart(killed);
+      await fleet.advance(deadlineMs - performance.now());
+      assert.equal(listUninformed(living), []);
+    });
+  }
+}
+
 test.run();
--- a/packages/forwarding/src/peers/readerRegistry.ts
+++ b/packages/forwarding/src/peers/readerRegistry.ts
@@ -7,16 +7,14 @@
 import { forgetOldest } from '@snipehaven/common';
 import type { TableChanges } from './changesMessage.js';
 import type { LoadMessage, ReaderReport, TableReport } from './loadMessage.js';
+import { READER_TIMEOUT_MS, ReaderSilence, type ReaderContact } from './readerSilence.js';
 import { READER_ORDER } from './rendezvousOrder.js';
 
-interface ReaderState {
+interface ReaderState extends ReaderContact {
   readonly vm: string;
-  readonly dataCentre: string;
   readonly report: TableReport;
   /** When the reader last reported a newer store time. */
   readonly advancedAtMs: number;
-  /** When the reader last reported, directly or through an aggregator. */
-  readonly heardAtMs: number;
 }
 
 /** The current time, and the maximum time since a reader last reported a newer store time. */
@@ -56,12 +54,6 @@
  */
 const LARGE_FLEET_READERS = 2;
 
-/**
- * A reader that has not reported for this long is considered stopped or unreachable. The age of its
- * reports cannot show this: a running reader has no newer report while the store holds its request.
- */
-const READER_TIMEOUT_MS = 1_500;
-
 /**
  * How long readers have to report to a new aggregator, directly or through the aggregate of another
  * data centre.
@@ -98,6 +90,8 @@
 
   readonly #dataCentre: string;
 
+  readonly #silence: ReaderSilence;
+
   #waiters: (() => void)[] = [];
 
   #onOwnChanges: (changes: TableChanges) => void = () => {};
@@ -108,6 +102,7 @@
   constructor(vm: string, dataCentre: string) {
     this.#vm = vm;
     this.#dataCentre = dataCentre;
+    this.#silence = new ReaderSilence(dataCentre);
   }
 
   /** Reports on the tables that this daemon reads itself. */
@@ -231,11 +226,15 @@
       : active.length > 0;
   }
 
+  /** Whether the table's readers have gone silent; false if they withdrew their reports. */
+  areReadersSilent(table: string, daemons: number, nowMs: number): boolean {
+    const hasAggregators = daemons > MAX_MESH_DAEMONS;
+    return this.#silence.isSilent(table, this.#listKnown(table), { nowMs, hasAggregators });
+  }
+
   /** Former readers of the table that stopped reading it or have not reported recently. */
   listLostReaders(table: string, nowMs: number): ReadonlySet<string> {
-    const silent = [...(this.#readersByTable.get(table)?.values() ?? [])].filter(
-      (reader) => !hasReportedRecently(reader, nowMs),
-    );
+    const silent = this.#listKnown(table).filter((reader) => !hasReportedRecently(reader, nowMs));
     return new Set([...(this.#lostReaders.get(table) ?? []), ...silent.map(({ vm }) => vm)]);
   }
 
@@ -269,10 +268,11 @@
     };
   }
 
-  /** Resolves at the next update, or after the given time. */
+  /** Resolves at the next update, when readers may have gone silent, or after the given time. */
   async waitForUpdate(waitMs: number): Promise<void> {
+    const silenceInMs = this.#getNextSilenceAtMs() - performance.now();
     await new Promise<void>((resolve) => {
-      const timer = setTimeout(resolve, waitMs);
+      const timer = setTimeout(resolve, Math.min(waitMs, silenceInMs));
       this.#waiters.push(() => {
         clearTimeout(timer);
         resolve();
@@ -306,10 +306,7 @@
     const lost = [...this.#readersByTable.values()]
       .flatMap((readers) => [...readers.values()])
       .filter((reader) => isInScope(reader) && !listed.has(`${reader.report.table}/${reader.vm}`));
-    lost.forEach(({ vm, report: { table } }) => {
-      this.#readersByTable.get(table)?.delete(vm);
-      this.#addLostReader(table, vm);
-    });
+    lost.forEach((reader) => this.#removeReader(reader, nowMs));
     if (lost.length > 0) {
       this.#wakeWaiters();
     }
@@ -339,10 +336,31 @@
       heardAtMs: nowMs,
     });
     this.#readersByTable.set(table, readers);
+    this.#silence.recordReport(table);
     this.#lostReaders.get(table)?.delete(vm);
     return isAdvanced;
   }
 
+  #removeReader(reader: ReaderState, nowMs: number): void {
+    const { vm, report } = reader;
+    const { table } = report;
+    this.#readersByTable.get(table)?.delete(vm);
+    this.#addLostReader(table, vm);
+    if (this.#listKnown(table).length === 0) {
+      this.#silence.recordLastLoss(table, reader, nowMs);
+    }
+  }
+
+  /** When readers of any table may go silent next. */
+  #getNextSilenceAtMs(): number {
+    const nowMs = performance.now();
+    const tables = [...this.#readersByTable.keys()];
+    return Math.min(
+      Infinity,
+      ...tables.map((table) => this.#silence.getNextSilenceAtMs(this.#listKnown(table), nowMs)),
+    );
+  }
+
   #addLostReader(table: string, vm: string): void {
     const lost = this.#lostReaders.get(table) ?? new Set<string>();
     lost.add(vm);
@@ -358,8 +376,11 @@
   }
 
   #listFresh(table: string, { nowMs, maxAgeMs }: ReportQuery): readonly ReaderState[] {
-    const readers = [...(this.#readersByTable.get(table)?.values() ?? [])];
-    return readers.filter(({ advancedAtMs }) => nowMs - advancedAtMs < maxAgeMs);
+    return this.#listKnown(table).filter(({ advancedAtMs }) => nowMs - advancedAtMs < maxAgeMs);
+  }
+
+  #listKnown(table: string): readonly ReaderState[] {
+    return [...(this.#readersByTable.get(table)?.values() ?? [])];
   }
 
   #wakeWaiters(): void {
--- a/packages/forwarding/src/peers/testSupport/daemonFleet.ts
+++ b/packages/forwarding/src/peers/testSupport/daemonFleet.ts
@@ -82,7 +82,10 @@
 
   readonly store = new MemoryStore();
 
-  readonly members: readonly FleetMember[];
+  #members: readonly FleetMember[];
+
+  /** Number of processes started so far, which tells those of one VM apart. */
+  #processes = 0;
 
   readonly #clock: Clock;
 
@@ -107,12 +110,16 @@
       lossShare,
     });
     this.#selves = Array.from({ length: daemons }, (_, index) => createSelf(index, dataCentres));
-    this.members = this.#selves.map((self, index) => this.#createMember(self, seed + index));
+    this.#members = this.#selves.map((self) => this.#createMember(self, seed));
     if (seeds === 0) {
       this.members.forEach(({ directory }) => this.#selves.forEach((peer) => directory.put(peer)));
     }
   }
 
+  get members(): readonly FleetMember[] {
+    return this.#members;
+  }
+
   /**
    * Starts the daemons spread over a third of a second, as timers of real daemons are not in phase.
    */
@@ -136,6 +143,15 @@
     tables.forEach(({ watcher }) => watcher.stop());
   }
 
+  /** Starts new processes of the VMs of stopped members, which replace these in the fleet. */
+  async restart(stopped: readonly FleetMember[]): Promise<readonly FleetMember[]> {
+    const { seed = SEED } = this.#options;
+    const started = stopped.map(({ self }) => this.#createMember(self, seed));
+    this.#members = [...this.#members.filter((member) => !stopped.includes(member)), ...started];
+    await this.start(started);
+    return started;
+  }
+
   /** Advances the clock in steps and runs pending promises after each. */
   async advance(durationMs: number): Promise<void> {
     for (let leftMs = durationMs; leftMs > 0; leftMs -= STEP_MS) {
@@ -156,7 +172,9 @@
     return { sent: add('sent'), received: add('received'), receivedBytes: add('receivedBytes') };
   }
 
-  #createMember(self: Peer, seed: number): FleetMember {
+  #createMember(self: Peer, firstSeed: number): FleetMember {
+    const seed = firstSeed + this.#processes;
+    this.#processes += 1;
     const random = createRandom(seed);
     const directory = new PeerDirectory(self, random);
     const loads = new PeerLoads();
--- a/packages/forwarding/src/peers/testSupport/datagramNetwork.ts
+++ b/packages/forwarding/src/peers/testSupport/datagramNetwork.ts
@@ -67,13 +67,21 @@
 
   createPort(self: Peer): DatagramPort {
     this.#dataCentres.set(self.host, self.dataCentre);
+    let isClosed = false;
     return {
       open: (listener) => {
         this.#listeners.set(self.host, listener);
         return Promise.resolve();
       },
-      send: (bytes, { host }) => this.#send(bytes, self.host, host),
-      close: () => this.#listeners.delete(self.host),
+      send: (bytes, { host }) => {
+        if (!isClosed) {
+          this.#send(bytes, self.host, host);
+        }
+      },
+      close: () => {
+        isClosed = true;
+        this.#listeners.delete(self.host);
+      },
     };
   }
 
--- a/packages/forwarding/src/store/readerRole.ts
+++ b/packages/forwarding/src/store/readerRole.ts
@@ -1,8 +1,10 @@
 /** Decides whether this daemon reads a table itself or relies on other readers. */
+import type { Logger } from '@snipehaven/common';
 import type { LatestReport, ReaderRegistry, ReportQuery } from '../peers/index.js';
 
 export interface ReaderRoleOptions {
   readonly table: string;
+  readonly logger: Logger;
   /** Reports of the other daemons on the table. */
   readonly readerRegistry: ReaderRegistry;
   /** How long the store may hold a request; read anew for each. */
@@ -88,6 +90,9 @@
 
   /** Whether enough other daemons read the table; if so, this daemon withdraws its own report. */
   checkEnoughReaders(): boolean {
+    if (this.#areReadersSilent(performance.now())) {
+      return false;
+    }
     const { readerRegistry, table } = this.#options;
     const isCovered =
       performance.now() < this.#backsOffUntilMs
@@ -104,7 +109,10 @@
     return isCovered;
   }
 
-  /** Whether the daemons that precede this one have had time to take over reading. */
+  /**
+   * Whether the daemons that precede this one have had time to take over reading. If the readers
+   * went silent, they may have ended with all of these daemons, so this one does not wait.
+   */
   isOwnTurn(): boolean {
     const nowMs = performance.now();
     const { readerRegistry, table, getReaderRank } = this.#options;
@@ -113,10 +121,31 @@
       this.#tooFewReadersSinceMs = nowMs;
       return false;
     }
+    if (this.#areReadersSilent(nowMs)) {
+      this.#takeTurn();
+    }
     this.#tooFewReadersSinceMs ??= nowMs;
     return nowMs - this.#tooFewReadersSinceMs >= TAKEOVER_INTERVAL_MS * rank;
   }
 
+  /** Takes the turn at once and keeps it until there are enough other readers. */
+  #takeTurn(): void {
+    if (this.#tooFewReadersSinceMs !== -Infinity) {
+      const { logger, table } = this.#options;
+      logger.info({ event: 'readersSilent', table }, 'readers went silent; reading the table');
+      this.#tooFewReadersSinceMs = -Infinity;
+    }
+  }
+
+  /** False soon after this daemon has lost the store: reading would not help. */
+  #areReadersSilent(nowMs: number): boolean {
+    const { readerRegistry, table, countDaemons } = this.#options;
+    return (
+      nowMs >= this.#backsOffUntilMs &&
+      readerRegistry.areReadersSilent(table, countDaemons(), nowMs)
+    );
+  }
+
   /**
    * A reader whose feed has gone silent reports nothing new, and gives up its request a little
    * after the wait. If the wait has just become shorter, readers may still have requests with the
