--- a/packages/forwarding/src/peers/peerExchange.ts
+++ b/packages/forwarding/src/peers/peerExchange.ts
@@ -279,7 +279,7 @@
 
   #scheduleTick(nowMs: number): void {
     const { tickMs } = this.#strategy;
-    this.#ticks += tickMs / TICK_MS;
+    this.#ticks += Math.ceil(tickMs / TICK_MS);
     this.#dueAtMs = nowMs + tickMs;
     this.#timer = setTimeout(() => this.#tick(), tickMs);
   }
