--- a/packages/forwarding/src/peers/droppedHistory.test.ts
+++ b/packages/forwarding/src/peers/droppedHistory.test.ts
@@ -155,23 +155,44 @@
   });
 }
 
-// Guards against a daemon that has dropped its table and waits for the store alone.
-test('a daemon that is cut off while it reads its table again gets it from others', async (context) => {
+/** A daemon drops its table, then loses the store, while it hears of no other daemon. */
+const startAlone = async (
+  context: FleetContext,
+): Promise<{ readonly fleet: DaemonFleet; readonly alone: FleetMember }> => {
   const fleet = await startCutOff(context, SMALL_FLEET, 2_000);
-  const [first] = listCutOff(fleet);
-  assert.ok(first);
-  fleet.network.setDown(first.self.host, true);
+  const [alone] = listCutOff(fleet);
+  assert.ok(alone);
+  const { tables, self } = alone;
+  fleet.network.setDown(self.host, true);
   changeTables(fleet);
   fleet.store.dropHistory();
-  fleet.store.cutOffVms.delete(first.self.vm);
-  while (first.tables.every(({ watcher }) => watcher.snapshot !== undefined)) {
+  fleet.store.cutOffVms.delete(self.vm);
+  while (tables.every(({ watcher }) => watcher.snapshot !== undefined)) {
     await fleet.advance(1);
   }
-  fleet.store.cutOffVms.add(first.self.vm);
+  fleet.store.cutOffVms.add(self.vm);
   await fleet.advance(SETTLE_MS);
-  assert.not(isUpToDate(first));
-  fleet.network.setDown(first.self.host, false);
+  assert.not(isUpToDate(alone));
+  return { fleet, alone };
+};
+
+// Guards against a daemon that has dropped its table and waits for the store alone.
+test('a daemon that is cut off while it reads its table again gets it from others', async (context) => {
+  const { fleet, alone } = await startAlone(context);
+  fleet.network.setDown(alone.self.host, false);
+  await assertSoon(fleet, isUpToDate, SMALL_FLEET.maxDelayMs);
+});
+
+// Guards against dropping upstreams whose rows the store lost, before their grace period begins.
+test('a daemon is told of the regained store before rows of others', async (context) => {
+  const { fleet, alone } = await startAlone(context);
+  const before = alone.tables.map(({ recoveries }) => recoveries);
+  fleet.network.setDown(alone.self.host, false);
   await assertSoon(fleet, isUpToDate, SMALL_FLEET.maxDelayMs);
+  const seen = alone.tables.map(
+    ({ knownAtRecoveries }, index) => knownAtRecoveries[before[index] ?? 0],
+  );
+  assert.ok(seen.every((known) => known?.has('removed')));
 });
 
 test.run();
--- a/packages/forwarding/src/peers/tableExchange.ts
+++ b/packages/forwarding/src/peers/tableExchange.ts
@@ -48,9 +48,10 @@
 const SPREAD_PER_DAEMON_MS = 2;
 const MAX_SPREAD_MS = 400;
 
-/** Before the second request; doubled for each further one. */
+/** Before the second request; doubled for each further one up to the maximum. */
 const RETRY_DELAY_MS = 150;
-const MAX_REQUESTS = 5;
+const MAX_RETRY_DELAY_MS = 400;
+const MAX_REQUESTS = 8;
 
 /** Several daemons may ask at once; the answer is encoded once per this period. */
 const ANSWER_CACHE_MS = 150;
@@ -178,7 +179,7 @@
       this.#timers.delete(table);
       return;
     }
-    this.#schedule(request, sent + 1, RETRY_DELAY_MS * 2 ** sent);
+    this.#schedule(request, sent + 1, Math.min(MAX_RETRY_DELAY_MS, RETRY_DELAY_MS * 2 ** sent));
     const { directory, messenger, logger } = this.#options;
     const peer = this.#pickHolder(request, sent);
     if (peer !== undefined) {
--- a/packages/forwarding/src/peers/testSupport/daemonFleet.ts
+++ b/packages/forwarding/src/peers/testSupport/daemonFleet.ts
@@ -20,8 +20,10 @@
   readonly known: Map<string, string>;
   /** When the table was first known, on the monotonic clock. */
   knownAtMs: number | undefined;
-  /** Number of `onBack` calls. */
+  /** Number of `onStoreRecovered` calls. */
   recoveries: number;
+  /** `known` at each of them. */
+  readonly knownAtRecoveries: ReadonlyMap<string, string>[];
 }
 
 export interface FleetMember {
@@ -225,6 +227,7 @@
           value === undefined ? known.delete(key) : known.set(key, value),
         onStoreRecovered: () => {
           watchedTable.recoveries += 1;
+          watchedTable.knownAtRecoveries.push(new Map(known));
         },
       },
       logger: createSilentLogger(),
@@ -241,6 +244,7 @@
       known,
       knownAtMs: undefined,
       recoveries: 0,
+      knownAtRecoveries: [],
     };
     return watchedTable;
   }
--- a/packages/forwarding/src/store/peerFeed.ts
+++ b/packages/forwarding/src/store/peerFeed.ts
@@ -32,10 +32,19 @@
 
   #behindLoggedAtMs = -Infinity;
 
-  constructor(options: TableWatcherOptions, replica: TableReplica, readerRole: ReaderRole) {
+  readonly #beforeRows: () => void;
+
+  /** `beforeRows` is called before rows of others are applied. */
+  constructor(
+    options: TableWatcherOptions,
+    replica: TableReplica,
+    readerRole: ReaderRole,
+    beforeRows: () => void,
+  ) {
     this.#options = options;
     this.#replica = replica;
     this.#readerRole = readerRole;
+    this.#beforeRows = beforeRows;
   }
 
   /** Applies relayed changes, and a received table if it has a change that they do not bring. */
@@ -51,6 +60,7 @@
   applySnapshot(snapshot: TableSnapshot): void {
     const { listener, freshness, logger } = this.#options;
     const { rows, version, serverTimeMs, table } = snapshot;
+    this.#beforeRows();
     this.#replica.replace(snapshot);
     listener.onSnapshot(rows, serverTimeMs);
     const isConfirmed = freshness.confirmByPeer(serverTimeMs);
@@ -65,14 +75,14 @@
    * confirm this daemon's state.
    */
   confirm(): boolean {
-    const { latestReport } = this.#readerRole;
-    if (latestReport === undefined) {
-      return true;
-    }
     if (this.isBehind) {
       return false;
     }
     this.#behindSinceMs = undefined;
+    const { latestReport } = this.#readerRole;
+    if (latestReport === undefined) {
+      return true;
+    }
     this.#replica.confirm(latestReport.serverTimeMs);
     return this.#options.freshness.confirmByPeer(latestReport.serverTimeMs);
   }
@@ -140,6 +150,7 @@
       if (changes === undefined) {
         return;
       }
+      this.#beforeRows();
       const newChanges = this.#replica.apply(changes.items, changes.upTo);
       newChanges.forEach((item) => listener.onChange(item, changes.serverTimeMs));
     }
--- a/packages/forwarding/src/store/tableWatcher.ts
+++ b/packages/forwarding/src/store/tableWatcher.ts
@@ -25,7 +25,7 @@
   /** `serverTimeMs`: the store's monotonic clock when it answered. */
   onSnapshot(rows: readonly StoreRow[], serverTimeMs: number): void;
   onChange(change: StoreChange, serverTimeMs: number): void;
-  /** Called when the store can be reached again, before its rows are applied. */
+  /** Called when the store's state is known again, before its rows are applied. */
   onStoreRecovered?(): void;
 }
 
@@ -92,7 +92,9 @@
     this.#options = options;
     this.#replica = new TableReplica(options.table);
     this.#readerRole = new ReaderRole(options);
-    this.#peerFeed = new PeerFeed(options, this.#replica, this.#readerRole);
+    this.#peerFeed = new PeerFeed(options, this.#replica, this.#readerRole, () =>
+      this.#noteRowsOfOthers(),
+    );
   }
 
   async run(): Promise<void> {
@@ -297,9 +299,23 @@
     this.#noteStoreRecovered('store');
   }
 
+  get #isStoreLost(): boolean {
+    return this.#failures > 0 || this.#hasLostReaders;
+  }
+
+  /**
+   * What a reader read while this daemon could not is the store's state after the outage, also
+   * before reports confirm that it is complete.
+   */
+  #noteRowsOfOthers(): void {
+    if (this.#isStoreLost) {
+      this.#options.listener.onStoreRecovered?.();
+    }
+  }
+
   /** The store's state is known again, through its own answer or through readers. */
   #noteStoreRecovered(source: 'store' | 'readers'): void {
-    if (this.#failures > 0 || this.#hasLostReaders) {
+    if (this.#isStoreLost) {
       const { logger, table, listener } = this.#options;
       logger.info(
         { event: 'storeRegained', table, source, failures: this.#failures },
