An aggregator sends changes to the aggregators of the other data centres too

Cause: changes go to one random daemon of each other data centre, which relays them there. When most daemons have ended, that one often has too. The others learnt from the report, 300 ms later, that a change was missing, and waited 400 ms for it before they read it.

Now a daemon that is aggregator, and so reads first when readers go silent, sends to the aggregators that it hears as well. Two more datagrams for each change that an aggregator reads; other readers send as before.

Evidence, in memory: 18 daemons, all readers and 60 % of the others killed for good. Two of the eight new cases of readerLoss.test fail without this change.

--- a/packages/forwarding/src/peers/aggregationStrategy.ts
+++ b/packages/forwarding/src/peers/aggregationStrategy.ts
@@ -149,6 +149,16 @@
     this.sendLoads(nowMs);
   }
 
+  /**
+   * A random daemon of each data centre may have ended, so an aggregator also sends to the other
+   * aggregators that it hears.
+   */
+  pickRemoteRelays(nowMs: number): readonly Peer[] {
+    const picked = this.#context.directory.pickRemotePeers();
+    const aggregators = picked.map((peer) => this.#resolveRemote(peer, nowMs));
+    return [...new Set([...picked, ...aggregators])];
+  }
+
   receive(datagram: LoadDatagram, nowMs: number): void {
     this.#handlersByScope[datagram.message.scope](datagram, nowMs);
   }
--- a/packages/forwarding/src/peers/changesRelay.ts
+++ b/packages/forwarding/src/peers/changesRelay.ts
@@ -1,9 +1,17 @@
 /** Relays changes of the store's tables from readers to the other daemons. */
 import { encodeChanges, type TableChanges } from './changesMessage.js';
 import { MAX_MESH_DAEMONS, type ReaderRegistry } from './readerRegistry.js';
-import type { PeerDirectory } from './peerDirectory.js';
+import type { Peer, PeerDirectory } from './peerDirectory.js';
 import type { PeerMessenger } from './peerMessenger.js';
 
+export interface ChangesRelayOptions {
+  readonly directory: PeerDirectory;
+  readonly readerRegistry: ReaderRegistry;
+  readonly messenger: PeerMessenger;
+  /** In a large fleet, daemons of the other data centres that relay what this one sends. */
+  pickRemoteRelays(this: void): readonly Peer[];
+}
+
 export class ChangesRelay {
   readonly #directory: PeerDirectory;
 
@@ -11,10 +19,13 @@
 
   readonly #messenger: PeerMessenger;
 
-  constructor(directory: PeerDirectory, readerRegistry: ReaderRegistry, messenger: PeerMessenger) {
+  readonly #pickRemoteRelays: () => readonly Peer[];
+
+  constructor({ directory, readerRegistry, messenger, pickRemoteRelays }: ChangesRelayOptions) {
     this.#directory = directory;
     this.#readerRegistry = readerRegistry;
     this.#messenger = messenger;
+    this.#pickRemoteRelays = pickRemoteRelays;
   }
 
   /**
@@ -34,7 +45,7 @@
    */
   broadcast(changes: TableChanges): void {
     const { all, local } = this.#directory;
-    const peers = this.#isSmallFleet ? all : [...local, ...this.#directory.pickRemotePeers()];
+    const peers = this.#isSmallFleet ? all : [...local, ...this.#pickRemoteRelays()];
     this.#messenger.sendIfEncoded(peers, encodeChanges(changes));
   }
 
--- a/packages/forwarding/src/peers/loadSharingStrategy.ts
+++ b/packages/forwarding/src/peers/loadSharingStrategy.ts
@@ -3,7 +3,7 @@
 import type { SharedStatistics } from './sharedStatistics.js';
 import type { LoadMessage, UpstreamLoad } from './loadMessage.js';
 import type { ReaderRegistry } from './readerRegistry.js';
-import type { PeerDirectory } from './peerDirectory.js';
+import type { Peer, PeerDirectory } from './peerDirectory.js';
 import type { PeerLoads } from './peerLoads.js';
 import type { PeerMessenger } from './peerMessenger.js';
 
@@ -39,6 +39,8 @@
   sendLoads(nowMs: number): void;
   /** Sends this daemon's reader reports at once. */
   sendReports(nowMs: number): void;
+  /** Daemons of the other data centres to which changes are sent, which relay them there. */
+  pickRemoteRelays(nowMs: number): readonly Peer[];
   receive(datagram: LoadDatagram, nowMs: number): void;
   /** Called when this daemon was suspended and has just resumed. */
   handlePause(nowMs: number): void;
--- a/packages/forwarding/src/peers/meshStrategy.ts
+++ b/packages/forwarding/src/peers/meshStrategy.ts
@@ -46,6 +46,10 @@
     this.#send(this.#context.directory.all);
   }
 
+  pickRemoteRelays(): readonly Peer[] {
+    return this.#context.directory.pickRemotePeers();
+  }
+
   receive({ message }: LoadDatagram, nowMs: number): void {
     if (message.scope === 'own') {
       this.#context.loads.receive(message, nowMs);
--- a/packages/forwarding/src/peers/peerExchange.ts
+++ b/packages/forwarding/src/peers/peerExchange.ts
@@ -111,7 +111,12 @@
     this.#messenger = messenger;
     this.#roster = new Roster(directory);
     this.#joinProtocol = new JoinProtocol({ ...options, messenger, roster: this.#roster });
-    this.#relay = new ChangesRelay(directory, readerRegistry, messenger);
+    this.#relay = new ChangesRelay({
+      directory,
+      readerRegistry,
+      messenger,
+      pickRemoteRelays: () => this.#strategy.pickRemoteRelays(performance.now()),
+    });
     const context = { ...options, messenger };
     this.#strategies = {
       mesh: new MeshStrategy(context),
--- a/packages/forwarding/src/peers/readerLoss.test.ts
+++ b/packages/forwarding/src/peers/readerLoss.test.ts
@@ -1,4 +1,5 @@
 /** Time until store changes reach all remaining daemons after every reader has been killed. */
+import { createRandom } from '@snipehaven/common';
 import * as assert from 'uvu/assert';
 import type { DaemonFleet, FleetMember, FleetOptions } from './testSupport/daemonFleet.js';
 import { createFleet, createFleetSuite } from './testSupport/fleetSuite.js';
@@ -106,4 +107,21 @@
   }
 }
 
+const HERD_SHARE = 0.6;
+const HERD_SEEDS: readonly number[] = [1, 2, 3, 4, 5, 6, 7, 8];
+
+// Guards against changes that one data centre reads and sends to ended daemons of the others.
+for (const seed of HERD_SEEDS) {
+  test(`all remaining daemons know of a cold upstream when the readers and most others end, seed ${seed}`, async (context) => {
+    const fleet = createFleet(context, { ...LARGE_FLEET, seed: seed * 1_000 });
+    await startFleet(fleet, seed * 370);
+    const random = createRandom(seed);
+    const killed = fleet.members.filter((member) => isReader(member) || random.next() < HERD_SHARE);
+    killed.forEach((member) => fleet.stopMember(member));
+    TABLES.forEach((table) => fleet.store.put('second', table));
+    await fleet.advance(COLD_NOTICE_MS);
+    assert.equal(listUninformed(fleet.members.filter((member) => !killed.includes(member))), []);
+  });
+}
+
 test.run();
