--- a/packages/forwarding/src/peers/peerExchange.ts
+++ b/packages/forwarding/src/peers/peerExchange.ts
@@ -116,7 +116,12 @@
     this.#messenger = messenger;
     this.#roster = new Roster(directory);
     this.#joinProtocol = new JoinProtocol({ ...options, messenger, roster: this.#roster });
-    this.#relay = new ChangesRelay(directory, readerRegistry, messenger);
+    this.#relay = new ChangesRelay({
+      directory,
+      readerRegistry,
+      messenger,
+      pickRemoteRelays: () => this.#strategy.pickRemoteRelays(performance.now()),
+    });
     this.#tables = new TableExchange({
       ...options,
       messenger,
