A daemon that can't start ends although callers are connected

Callers saw: connections that stay open without an answer. When one of the daemon's other listeners can't be opened (here the metrics port, in use by another process), it printed the error and set its exit code, but went on running for as long as a caller that had connected early kept its connection.

The daemon is now stopped when its start fails, which closes what it has opened.

--- a/packages/forwarding/src/daemon/runForwardDaemon.ts
+++ b/packages/forwarding/src/daemon/runForwardDaemon.ts
@@ -7,7 +7,10 @@
 /** Time-out for flushing the log; less than what is left of the grace period. */
 const LOG_FLUSH_TIMEOUT_MS = 250;
 
-/** `listener`: already listens for callers in this process. */
+/**
+ * `listener`: already listens for callers in this process. If the daemon can't start, nothing of it is
+ * left open that would keep the process running.
+ */
 export const runForwardDaemon = async (
   adapter: PlatformAdapter,
   logger: Logger,
@@ -26,5 +29,10 @@
         logger.flush(() => process.exit(0));
       });
   });
-  await daemon.start();
+  try {
+    await daemon.start();
+  } catch (error) {
+    daemon.stop();
+    throw error;
+  }
 };
