A daemon that lacks a table asks any daemon for it, not only readers and its data centre

A table too large to be sent to all spreads from the two readers alone as long as nobody in a data centre cut off has it: of 400 daemons with 133 cut off and a table of 65 KB packed, the last had it 3,600 ms after the change; 3,000 are allowed to configurations. Most daemons with a way to the store have read it by then. Now the second request goes to any daemon and the third to the data centre.

--- a/packages/forwarding/src/peers/tableExchange.ts
+++ b/packages/forwarding/src/peers/tableExchange.ts
@@ -191,16 +191,19 @@
     }
   }
 
-  /** Alternates between readers and the data centre, which may have the table from a reader. */
+  /**
+   * A reader first; then any daemon, as most have a table soon that was too large to be sent to all;
+   * then one of the data centre, which may be cut off from the others.
+   */
   #pickHolder({ table, atLeastVersion }: SnapshotRequest, sent: number): Peer | undefined {
     const { directory, readerRegistry, random } = this.#options;
     const readers = readerRegistry
       .listReaders(performance.now())
       .filter((one) => one.table === table && one.lastChange >= atLeastVersion)
       .flatMap(({ vm }) => directory.find(vm) ?? []);
-    const groups = sent % 2 === 0 ? [readers, directory.local] : [directory.local, readers];
-    const group = groups.find(({ length }) => length > 0) ?? directory.all;
-    return pickRandom(group, random);
+    const groups = [readers, directory.all, directory.local];
+    const group = groups[sent % groups.length] ?? [];
+    return pickRandom(group.length > 0 ? group : directory.all, random);
   }
 
   #answer({ peer, table, atLeastVersion }: TableRequest): void {
