Platform soak: the operator waits for the roll-out's own status

Cause: the soak's operator, not the product. It read the roll-out's status 1 s after its order and took every state but `running` for the end, also no state at all, or that of an earlier roll-out. Daemons may write the first status up to 1.5 s after an order in a small fleet (a tick and a random wait of up to four more, of 250 ms each), later if some of them are restarting. The operator took the new version away in the meantime, while daemons knew its roll-out as running; another lane replaced one of its upstreams, so one stayed listed, and nobody told it to leave. The next order came while the first roll-out still ran. As that was the store's first one, no status row says which version served before. Daemons keep sessions on what they ran on here; the one that had been restarted meanwhile knew no session and sent them to the upstream that was left, in its own data centre. No operator takes a version away before its roll-out has been completed or rolled back.

Now it waits until the state of its own order is `completed` or `rolled_back`, within the same total bound as before. The promise on sessions is unchanged.

The two new tests write the status 1.5 s late, on a store without a status and on one with that of an earlier roll-out; both fail on the code without the change (the new version left in the first case, the old one in the second).

Ruled out: daemons that disagree about the roll-out. All of them, the restarted one too, knew the same order and the same status.

--- a/packages/proofs/src/platformSoak/faults/operatorFaults.ts
+++ b/packages/proofs/src/platformSoak/faults/operatorFaults.ts
@@ -18,9 +18,6 @@
 const ROLLOUT_PATIENCE_MS = 1_500;
 const MS_PER_S = 1_000;
 
-/** Until the daemons have written that the roll-out runs. */
-const TAKEN_UP_MS = 1_000;
-
 const services: readonly ServiceName[] = ['plain', 'models'];
 
 /** Acts on an open upstream, if there is one. */
@@ -117,16 +114,18 @@
   );
 };
 
+const isFinal = (state: string | undefined): boolean =>
+  state === 'completed' || state === 'rolled_back';
+
 const rollOut = async ({ operator, backEnds }: SoakWorld, failureShare: number): Promise<void> => {
   const old = backEnds.listOpen('models');
   const version = `v${backEnds.all.length}`;
   const fresh = await Promise.all(old.map(() => operator.addColdBackEnd('models', version)));
   fresh.forEach((backEnd) => Object.assign(backEnd, { failureShare }));
   operator.orderRollout('models', version, ROLLOUT_S, failureShare === USUAL_FAILURE_SHARE);
-  await sleep(TAKEN_UP_MS);
   await waitUntil(
-    () => operator.readRolloutState('models') !== 'running',
-    ROLLOUT_S * MS_PER_S - TAKEN_UP_MS + ROLLOUT_PATIENCE_MS,
+    () => isFinal(operator.readRolloutState('models')),
+    ROLLOUT_S * MS_PER_S + ROLLOUT_PATIENCE_MS,
     ROLLOUT_POLL_MS,
   );
   const isCompleted = operator.readRolloutState('models') === 'completed';
--- a/packages/proofs/src/platformSoak/outside/operator.ts
+++ b/packages/proofs/src/platformSoak/outside/operator.ts
@@ -171,6 +171,7 @@
     this.rollouts.push({ service, to, orderedAtMs, durationMs, isGood, state: undefined });
   }
 
+  /** Of the last roll-out ordered; the row may still hold that of an earlier one. */
   readRolloutState(service: ServiceName): string | undefined {
     const status = this.#store.read('status', `rollout/${service}`) as
       { state?: string; to?: string } | undefined;
@@ -178,7 +179,7 @@
     if (rollout !== undefined && status?.to === rollout.to) {
       rollout.state = status.state;
     }
-    return status?.state;
+    return rollout?.state;
   }
 
   #list(backEnd: BackEnd, state: 'ready' | 'draining', coldMs = 0): void {
