Platform soak: the operator waits for roll-outs that are completed late

Cause: the soak's operator. Daemons hold a version's completion while too few answers prove it; with 12 answers at the end of its 6 s it was completed some 1.5 s later. The operator gave up 7.5 s after its order and took the new version away at that very moment, which daemons then knew as the completed one: all sessions went back, and a daemon that knew of the next order's upstreams 1.8 s before the order had nothing but them and the old version to choose from. No operator takes a version away while its roll-out runs.

Now it waits twice the roll-out's duration. The bound is one of the operator's patience, no check; the promise on sessions is unchanged.

Not changed: an operator that gives up after twice the time takes the new version away as before.

--- a/packages/proofs/src/platformSoak/faults/operatorFaults.test.ts
+++ b/packages/proofs/src/platformSoak/faults/operatorFaults.test.ts
@@ -12,7 +12,6 @@
 import { goodRollout } from './operatorFaults.js';
 
 const OLD_STATUS = { to: 'v1', state: 'completed' };
-const LATE_MS = 1_500;
 const ORDER_LIMIT_MS = 10;
 const ROLLOUT_LIMIT_MS = 12_000;
 
@@ -40,11 +39,19 @@
 const writeStatus = ({ store }: SoakWorld, status: unknown): void =>
   store.put('status', 'rollout/models', status);
 
-/** Plays a roll-out whose own status is first written after `lateMs`; returns the versions that leave. */
-const playLateStatus = async (
-  lateMs: number,
-  earlier: unknown,
-): Promise<{ beforeStatus: readonly string[]; atEnd: readonly string[] }> => {
+interface StatusTimes {
+  /** After the order. */
+  readonly runningAtMs: number;
+  readonly completedAtMs: number;
+  readonly earlier?: unknown;
+}
+
+/** Plays a roll-out; returns the versions that leave before it is completed, and until its end. */
+const playRollout = async ({
+  runningAtMs,
+  completedAtMs,
+  earlier,
+}: StatusTimes): Promise<{ beforeCompleted: readonly string[]; atEnd: readonly string[] }> => {
   const world = await startWorld();
   if (earlier !== undefined) {
     writeStatus(world, earlier);
@@ -57,15 +64,15 @@
     });
     const { operator } = world;
     assert.ok(await clock.advanceUntil(() => operator.rollouts.length > 0, ORDER_LIMIT_MS));
-    await clock.advance(lateMs);
+    await clock.advance(runningAtMs);
     const to = operator.rollouts[0]?.to;
     writeStatus(world, { to, state: 'running' });
-    await clock.advance(lateMs);
-    const beforeStatus = listLeaving(world);
+    await clock.advance(completedAtMs - runningAtMs);
+    const beforeCompleted = listLeaving(world);
     writeStatus(world, { to, state: 'completed' });
     assert.ok(await clock.advanceUntil(() => isOver, ROLLOUT_LIMIT_MS));
     await playing;
-    return { beforeStatus, atEnd: listLeaving(world) };
+    return { beforeCompleted, atEnd: listLeaving(world) };
   } finally {
     clock.uninstall();
     world.backEnds.all
@@ -74,18 +81,22 @@
   }
 };
 
-const assertNothingLeavesEarly = async (earlier: unknown): Promise<void> => {
-  const { beforeStatus, atEnd } = await playLateStatus(LATE_MS, earlier);
-  assert.equal(beforeStatus, []);
+const assertOldVersionLeavesAtEnd = async (times: StatusTimes): Promise<void> => {
+  const { beforeCompleted, atEnd } = await playRollout(times);
+  assert.equal(beforeCompleted, []);
   assert.equal(atEnd, ['v1']);
 };
 
 // Guards against an operator that takes the new version away while its roll-out runs.
 test('a roll-out whose first status was written late was taken for ended', () =>
-  assertNothingLeavesEarly(undefined));
+  assertOldVersionLeavesAtEnd({ runningAtMs: 1_500, completedAtMs: 3_000 }));
 
 // Guards against an operator that takes the old version away while the roll-out runs.
 test('the status of an earlier roll-out was taken for that of the present one', () =>
-  assertNothingLeavesEarly(OLD_STATUS));
+  assertOldVersionLeavesAtEnd({ runningAtMs: 1_500, completedAtMs: 3_000, earlier: OLD_STATUS }));
+
+// Guards against an operator that takes away a version that too few answers have proven so far.
+test('a roll-out that was completed late was taken for failed', () =>
+  assertOldVersionLeavesAtEnd({ runningAtMs: 500, completedAtMs: 11_000 }));
 
 test.run();
--- a/packages/proofs/src/platformSoak/faults/operatorFaults.ts
+++ b/packages/proofs/src/platformSoak/faults/operatorFaults.ts
@@ -13,11 +13,11 @@
 const ROLLOUT_S = 6;
 const BAD_SHARE = 0.6;
 const ROLLOUT_POLL_MS = 100;
-
-/** A version that is completed a little late is not taken away for it. */
-const ROLLOUT_PATIENCE_MS = 1_500;
 const MS_PER_S = 1_000;
 
+/** Daemons complete a roll-out later where too few answers have proven the version so far. */
+const MAX_ROLLOUT_MS = 2 * ROLLOUT_S * MS_PER_S;
+
 const services: readonly ServiceName[] = ['plain', 'models'];
 
 /** Acts on an open upstream, if there is one. */
@@ -125,7 +125,7 @@
   operator.orderRollout('models', version, ROLLOUT_S, failureShare === USUAL_FAILURE_SHARE);
   await waitUntil(
     () => isFinal(operator.readRolloutState('models')),
-    ROLLOUT_S * MS_PER_S + ROLLOUT_PATIENCE_MS,
+    MAX_ROLLOUT_MS,
     ROLLOUT_POLL_MS,
   );
   const isCompleted = operator.readRolloutState('models') === 'completed';
