A process that is stopped while it loads answers its callers and leaves

Callers saw: a request sent to a process that has just started, while the platform sends SIGTERM, ends with a connection reset; the process ends by the signal instead of with 0.

Cause: callers are accepted before the daemon is loaded (listenEarly), but SIGTERM was heard only from the daemon's own handlers on. In between it had its default action. SIGHUP had the same fault and has its handler in the start file since.

Fix: the start file hears SIGTERM among its first statements. A signal that comes while the daemon is read and run is delivered after that turn, and then the daemon's handler hears it. One that was delivered before that turn is noted and raised again when the daemon is loaded. Then the start file's handler is taken off: a process without a daemon's handlers has the default action again, and does not become immune. A start file that runs a command, or that the bundler reads, doesn't touch SIGTERM.

Tests: the settings are a FIFO, so that the two reads of a start (listener, daemon) are held open while the signal is sent. Three callers each, connected before the daemon's own read. - Before the fix: 3 of the 3 new tests fail (ended by SIGTERM; no answer), the 2 others pass. - After: 5 of 5 pass. - Without raising it again: "stopped before it is loaded" fails, the others pass.

Known limit: a signal's age isn't known while the process loads, so the grace period is counted from the moment when the daemon hears it.

--- a/tools/startDaemon.cjs
+++ b/tools/startDaemon.cjs
@@ -12,14 +12,27 @@
  */
 process.on('SIGHUP', () => {});
 
+/** Words of the process itself: the runtime, this file. */
+const OWN_WORDS = 2;
+const isDaemon = require.main === module && process.argv.length <= OWN_WORDS;
+
+/**
+ * The platform may also stop a process that still loads. Callers are connected by then, so it leaves as a
+ * loaded daemon does.
+ */
+let isStopped = false;
+const noteStop = () => {
+  isStopped = true;
+};
+if (isDaemon) {
+  process.on('SIGTERM', noteStop);
+}
+
 const SOURCE_FILE = join(__dirname, 'daemon.cjs');
 const CODE_FILE = join(__dirname, 'daemon.code');
 const COMMANDS_FILE = join(__dirname, 'commands.cjs');
 const EARLY_FILE = join(__dirname, 'listenEarly.cjs');
 
-/** Words of the process itself: the runtime, this file. */
-const OWN_WORDS = 2;
-
 const wrap = (file) =>
   `(function (exports, require, module, __filename, __dirname) {${readFileSync(file)}\n})`;
 
@@ -37,20 +50,29 @@
 
 const runFile = (file) => run(new Script(wrap(file), { filename: file }));
 
+/** From here on the signal has the daemon's handler or, if there is none, its default action. */
+const handOverStop = () => {
+  process.off('SIGTERM', noteStop);
+  if (isStopped) {
+    process.kill(process.pid, 'SIGTERM');
+  }
+};
+
 /** The listener is there after this turn of the event loop, in the middle of which nothing else is loaded. */
 const serve = () => {
   if (existsSync(EARLY_FILE)) {
     runFile(EARLY_FILE).listenEarly();
   }
-  setImmediate(() => run(createScript()));
+  setImmediate(() => {
+    run(createScript());
+    handOverStop();
+  });
 };
 
 module.exports = { createScript, run };
 
-if (require.main === module) {
-  if (process.argv.length > OWN_WORDS) {
-    runFile(COMMANDS_FILE);
-  } else {
-    serve();
-  }
+if (isDaemon) {
+  serve();
+} else if (require.main === module) {
+  runFile(COMMANDS_FILE);
 }
