snipehavend hears SIGTERM and SIGINT from before it listens

Seen: `snipehavend` of the own wire, told to stop while it starts, ends by the signal although its listeners are open already: connections are cut, nothing is logged, the exit code isn't 0.

Cause: the signals got their handlers after `await daemon.start()`. Fix: they are heard before the daemon is made; the stop follows the start. A second signal still ends it at once, now also during the start. What runs the process is a module of its own, taken out of `serveCommand.ts`.

Test: the file of the peers' secret is a FIFO. The daemon reads it once to check it, and once again when it listens; the signal is sent while that second read is held open.

--- a/packages/daemon/src/serveCommand.ts
+++ b/packages/daemon/src/serveCommand.ts
@@ -1,44 +1,13 @@
 /** The daemon's only command: serve, or check and describe settings. */
 import { Builtins, Cli, Command, Option } from 'clipanion';
-import { createLogger, getErrorMessage, type Logger } from '@snipehaven/common';
-import { Daemon } from './daemon.js';
-import {
-  checkSettings,
-  describeSettings,
-  readSettings,
-  SettingsError,
-  type Settings,
-} from './settings/index.js';
+import { createLogger, getErrorMessage } from '@snipehaven/common';
+import { runDaemon } from './runDaemon.js';
+import { checkSettings, describeSettings, readSettings, SettingsError } from './settings/index.js';
 
 const EXIT_OK = 0;
 const EXIT_UNFINISHED = 1;
 const EXIT_SETTINGS = 2;
 
-/** Runs until a signal ends it; resolves with the exit code. */
-const runDaemon = async (settings: Settings, logger: Logger): Promise<number> => {
-  const daemon = new Daemon(settings, logger, process.env);
-  const addresses = await daemon.start();
-  logger.info({ addresses }, 'listening');
-  const signal = await new Promise<string>((resolve) => {
-    process.once('SIGTERM', () => resolve('SIGTERM'));
-    process.once('SIGINT', () => resolve('SIGINT'));
-  });
-  logger.info({ signal }, 'shutting down');
-  const forced = new Promise<undefined>((resolve) => {
-    const force = (): void => resolve(undefined);
-    process.once('SIGTERM', force);
-    process.once('SIGINT', force);
-  });
-  const report = await Promise.race([daemon.stop(), forced]);
-  if (report === undefined) {
-    logger.warn('a second signal ended the shutdown; requests may be cut off');
-    return EXIT_UNFINISHED;
-  }
-  logger.info(report, 'stopped');
-  const left = report.unfinishedRequests + report.unflushedRecords + report.unwrittenAnswers;
-  return left === 0 ? EXIT_OK : EXIT_UNFINISHED;
-};
-
 class ServeCommand extends Command {
   static override paths = [Command.Default];
 
