--- a/packages/proofs/src/platformSoak/judge/calmService.ts
+++ b/packages/proofs/src/platformSoak/judge/calmService.ts
@@ -67,7 +67,7 @@
 const describe = ({ name, sent, served, usualFailures }: CalmService): string =>
   `${name} serves ${served} of ${sent}, ${usualFailures} failed by healthy upstreams,`;
 
-/** A line for each VM that does not serve enough, and one for the fleet with all its failures. */
+/** A line for each VM that does not serve enough. Of the fleet, all failures count. */
 export const listUnservedVms = (evidence: Evidence): readonly string[] => {
   const services = countService(evidence);
   const fleet = {
