--- a/packages/daemon/src/runDaemon.test.ts
+++ b/packages/daemon/src/runDaemon.test.ts
@@ -9,7 +9,7 @@
 import { startStandins, type Standins } from '@snipehaven/standins';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
-import { getTestTables, testSecrets, toToml } from './testSupport/startTestDaemon.js';
+import { getTestTables, testSecrets, toToml, waitUntil } from './testSupport/startTestDaemon.js';
 
 const PROGRAM = fileURLToPath(new URL('snipehavend.js', import.meta.url));
 
@@ -40,7 +40,13 @@
   const chunks: string[] = [];
   daemon.stdout.on('data', (chunk) => chunks.push(String(chunk)));
   const getLog = () => chunks.join('');
-  return { daemon, getLog };
+  const waitForLine = (text: string) =>
+    waitUntil(text, () => getLog().includes(text) || hasEnded(daemon));
+  const stop = async () => {
+    daemon.kill('SIGTERM');
+    await waitUntil('the daemon ends', () => hasEnded(daemon));
+  };
+  return { daemon, getLog, waitForLine, stop };
 };
 
 const replaceByFifo = async (file: string): Promise<void> => {
@@ -48,6 +54,22 @@
   await rename(`${file}.new`, file);
 };
 
+// Guards against SIGHUP, which other daemons take as a reload, ending the process with its requests.
+test('SIGHUP is logged and does not end the daemon', async () => {
+  const { daemon, getLog, waitForLine, stop } = await startProcess();
+  try {
+    await waitForLine('"listening"');
+    daemon.kill('SIGHUP');
+    await waitForLine('SIGHUP has no effect');
+    assert.is(daemon.signalCode, null);
+    await stop();
+    assert.equal([daemon.exitCode, daemon.signalCode], [0, null]);
+    assert.match(getLog(), '"stopped"');
+  } finally {
+    daemon.kill('SIGKILL');
+  }
+});
+
 // Guards against a signal that ends the process while it starts, when callers are already connected.
 ['SIGTERM', 'SIGINT'].forEach((signal) =>
   test(`${signal} during the start lets the daemon stop in order`, async () => {
--- a/packages/daemon/src/runDaemon.ts
+++ b/packages/daemon/src/runDaemon.ts
@@ -29,6 +29,9 @@
 export const runDaemon = async (settings: Settings, logger: Logger): Promise<number> => {
   const stopSignal = hearStopSignal();
   const forced = stopSignal.then(hearStopSignal).then(() => undefined);
+  process.on('SIGHUP', () => {
+    logger.warn('SIGHUP has no effect: the settings are read at the start only');
+  });
   const daemon = new Daemon(settings, logger, process.env);
   const report = await Promise.race([serve(daemon, logger, stopSignal), forced]);
   if (report === undefined) {
