A table sent in parts is joined although an earlier answer lost a part

What callers saw: nothing measured at callers. A daemon behind a hole whose table is larger than a datagram could not get it from a daemon whose first answer had lost a part, and went on with an old configuration.

The parts of a second answer were added to those left of the first; they completed it early with a part of other bytes, the joined bytes were dropped, and what came after began the next mixture. Deflate without a checksum may also decode such a mixture to other text.

The version in a part is no longer read by anyone and is gone. No released daemon sends or understands parts yet.

"parts of another version or sender are not joined" now sends the very part that is missing from another sender, instead of a part of other bytes with the version changed, since the digest alone would refuse that. crc32 of zlib was ruled out: the linter counts it as experimental in the Node.js versions allowed.

--- a/packages/forwarding/src/peers/tableMessages.test.ts
+++ b/packages/forwarding/src/peers/tableMessages.test.ts
@@ -49,12 +49,27 @@
 // Guards against a table mixed from two versions.
 test('parts of another version or sender are not joined', () => {
   const [first] = decodeParts(createTable(5, 100_000));
-  const [, ...rest] = decodeParts(createTable(6, 100_000));
+  const [missing, ...rest] = decodeParts(createTable(6, 100_000));
   const assembler = new PartAssembler();
   assert.ok(first);
+  assert.ok(missing);
   assert.is(assembler.add(HOST, first), undefined);
   rest.forEach((part) => assert.is(assembler.add(HOST, part), undefined));
-  assert.is(assembler.add('10.0.0.2', { ...first, version: 6 }), undefined);
+  assert.is(assembler.add('10.0.0.2', missing), undefined);
+});
+
+// Guards against a lost part after which no later answer of that daemon can be joined.
+test('a table is joined from a second answer of the same version after the first lost a part', () => {
+  const table = createTable(5, 100_000);
+  const confirmed = { ...table, serverTimeMs: 1_700_000_123_456 };
+  const assembler = new PartAssembler();
+  const [, ...incomplete] = decodeParts(table);
+  incomplete.forEach((part) => assert.is(assembler.add(HOST, part), undefined));
+  const joined = decodeParts(confirmed).map((part) => assembler.add(HOST, part));
+  assert.equal(
+    joined.filter((one) => one !== undefined),
+    [confirmed],
+  );
 });
 
 test('a table of more than the largest number of parts is not sent', () => {
@@ -62,12 +77,13 @@
 });
 
 test('malformed messages are ignored', () => {
-  const part = { table: 'operator', version: 1, index: 0, count: 2, bytes: '' };
+  const part = { table: 'operator', digest: '', index: 0, count: 2, bytes: '' };
   const malformed: readonly unknown[] = [
     undefined,
     { kind: 'other' },
     { kind: 'tableRequest', tableRequest: { table: 'operator', atLeastVersion: 1 } },
     { kind: 'tableRequest', tableRequest: { peer: PEER, table: 'operator' } },
+    { kind: 'tablePart', tablePart: { ...part, digest: 1 } },
     { kind: 'tablePart', tablePart: { ...part, index: 2 } },
     { kind: 'tablePart', tablePart: { ...part, count: 1_000_000 } },
     { kind: 'tablePart', tablePart: { ...part, index: -1 } },
--- a/packages/forwarding/src/peers/tableMessages.ts
+++ b/packages/forwarding/src/peers/tableMessages.ts
@@ -2,6 +2,7 @@
  * Messages that carry a whole table to a daemon that lacks changes: the request for it, and the
  * parts of a table that is too large for one datagram. A table that fits is a join message.
  */
+import { createHash } from 'node:crypto';
 import type { TableSnapshot } from '../store/types.js';
 import { compressDatagram, parseDatagram } from './datagram.js';
 import { decodeJoinMessage, encodeJoinMessage, isPeer } from './joinMessages.js';
@@ -16,8 +17,11 @@
 
 export interface TablePart {
   readonly table: string;
-  /** Parts of different versions do not belong together. */
-  readonly version: number;
+  /**
+   * Of all bytes of the table. Parts with different digests do not belong together: a table of
+   * the same version is encoded anew when the store confirms it.
+   */
+  readonly digest: string;
   readonly index: number;
   readonly count: number;
   /** In base64. */
@@ -38,15 +42,18 @@
 export const encodeTableRequest = (tableRequest: TableRequest): Buffer =>
   encodeMessage({ kind: 'tableRequest', tableRequest });
 
+const createDigest = (bytes: Buffer): string => createHash('sha256').update(bytes).digest('base64');
+
 const encodeParts = (snapshot: TableSnapshot): readonly Buffer[] => {
-  const { table, version } = snapshot;
+  const { table } = snapshot;
   const bytes = compressDatagram(JSON.stringify({ kind: 'table', table: snapshot }));
   const count = Math.ceil(bytes.length / PART_BYTES);
+  const digest = createDigest(bytes);
   return Array.from({ length: count }, (_, index) => {
     const part = bytes.subarray(index * PART_BYTES, (index + 1) * PART_BYTES).toString('base64');
     return encodeMessage({
       kind: 'tablePart',
-      tablePart: { table, version, index, count, bytes: part },
+      tablePart: { table, digest, index, count, bytes: part },
     });
   });
 };
@@ -73,7 +80,7 @@
 const isTablePart = (value: unknown): value is TablePart =>
   isObject(value) &&
   typeof value.table === 'string' &&
-  Number.isFinite(value.version) &&
+  typeof value.digest === 'string' &&
   Number.isInteger(value.count) &&
   (value.count as number) <= MAX_PARTS &&
   Number.isInteger(value.index) &&
@@ -91,7 +98,7 @@
 };
 
 interface Assembly {
-  readonly version: number;
+  readonly digest: string;
   readonly parts: Map<number, string>;
 }
 
@@ -101,10 +108,11 @@
   readonly #assemblies = new Map<string, Assembly>();
 
   /** Returns the table once all its parts have been received. */
-  add(host: string, { table, version, index, count, bytes }: TablePart): TableSnapshot | undefined {
+  add(host: string, part: TablePart): TableSnapshot | undefined {
+    const { table, digest, index, count, bytes } = part;
     const key = `${host}/${table}`;
     const known = this.#assemblies.get(key);
-    const assembly = known?.version === version ? known : { version, parts: new Map() };
+    const assembly = known?.digest === digest ? known : { digest, parts: new Map() };
     assembly.parts.set(index, bytes);
     this.#assemblies.set(key, assembly);
     if (assembly.parts.size < count) {
@@ -112,7 +120,10 @@
     }
     this.#assemblies.delete(key);
     const parts = Array.from({ length: count }, (_, at) => assembly.parts.get(at) ?? '');
-    const joined = Buffer.concat(parts.map((part) => Buffer.from(part, 'base64')));
+    const joined = Buffer.concat(parts.map((one) => Buffer.from(one, 'base64')));
+    if (createDigest(joined) !== digest) {
+      return undefined;
+    }
     const message = decodeJoinMessage(parseDatagram(joined));
     return message?.kind === 'table' ? message.table : undefined;
   }
