A daemon that can't open its port for other daemons ends

A daemon whose peer address is in use or not its own listened for callers, held their requests as those of a daemon that is still starting, and never served nor ended; `start` waited forever.

`open` now waits for `listening` or the error, and rejects with the latter; `runForwardDaemon` then stops the daemon and the process ends, as for the other listeners. Errors after that are logged as before.

--- a/packages/forwarding/src/peers/datagramPort.ts
+++ b/packages/forwarding/src/peers/datagramPort.ts
@@ -1,10 +1,11 @@
 /** Sends and receives datagrams; tests replace it by a simulated network of many daemons. */
 import { createSocket } from 'node:dgram';
+import { once } from 'node:events';
 import { getErrorMessage, type Logger } from '@snipehaven/common';
 import type { SocketAddress } from '../types.js';
 
 export interface DatagramPort {
-  /** `host`: the sender's address. */
+  /** Rejects if the address cannot be used. `host`: the sender's address. */
   open(onDatagram: (bytes: Buffer, host: string) => void): Promise<void>;
   send(bytes: Buffer, to: SocketAddress): void;
   close(): void;
@@ -19,10 +20,10 @@
   return {
     open: async (onDatagram) => {
       socket.on('message', (bytes, { address: host }) => onDatagram(bytes, host));
+      const opened = once(socket, 'listening');
+      socket.bind(address.port, address.host);
+      await opened;
       socket.on('error', logFailure);
-      await new Promise<void>((resolve) => {
-        socket.bind(address.port, address.host, resolve);
-      });
     },
     send: (bytes, { host, port }) => socket.send(bytes, port, host),
     close: () => socket.close(),
