A received table older than the rows held here is not taken

What callers saw: nothing measured. A daemon could replace its rows by older ones for as long as no change or store answer followed.

Cause: a received table counted as newer by its last change alone. A daemon that reads a table whole takes over the last change that readers report meanwhile (`#findLastChange`), which may be later than the version of the rows it read. Such a table, sent to a daemon that joins, stays the newest received one there and was applied again, over relayed changes up to a version between the two. The order of events follows from the code; it was not seen in a play or a simulated fleet.

The version of the rows must now be newer as well. Test: "an older table is not taken although its sender knows of a later change" fails on the code before (1 of 2 pass) and passes now; 20 of 20 of droppedHistory.test, 32 of 32 of readerLoss.test.

--- a/packages/forwarding/src/store/tableReplica.ts
+++ b/packages/forwarding/src/store/tableReplica.ts
@@ -68,9 +68,14 @@
     );
   }
 
-  /** Whether the snapshot has changes that are missing here. */
+  /**
+   * Whether the snapshot has changes that are missing here. Its last change may be newer than its
+   * rows, if its sender heard of the change while it read the table.
+   */
   lacks({ version, lastChange }: TableSnapshot): boolean {
-    return this.#version === undefined ? version > this.#newestVersion : lastChange > this.#version;
+    return this.#version === undefined
+      ? version > this.#newestVersion
+      : Math.min(version, lastChange) > this.#version;
   }
 
   /** Undefined until the table is first known. */
