Incomplete tables of other daemons are bounded

What callers saw: nothing; found by review. Parts of a table whose others were lost stayed in memory for each sender and table, up to some 216 KB each. The 16 newest are kept now. An unused method is gone.

--- a/packages/forwarding/src/peers/tableMessages.test.ts
+++ b/packages/forwarding/src/peers/tableMessages.test.ts
@@ -72,6 +72,17 @@
   );
 });
 
+// Guards against memory that grows with each sender of a table whose parts were lost.
+test('the oldest incomplete tables are dropped', () => {
+  const assembler = new PartAssembler();
+  const [first, ...rest] = decodeParts(createTable(5, 100_000));
+  assert.ok(first);
+  Array.from({ length: 100 }, (_, index) => assembler.add(`10.0.1.${index}`, first));
+  const joinFrom = (host: string) => rest.map((part) => assembler.add(host, part)).at(-1);
+  assert.is(joinFrom('10.0.1.0'), undefined);
+  assert.ok(joinFrom('10.0.1.99'));
+});
+
 test('a table of more than the largest number of parts is not sent', () => {
   assert.equal(encodeTable(createTable(5, 400_000)), []);
 });
--- a/packages/forwarding/src/peers/tableMessages.ts
+++ b/packages/forwarding/src/peers/tableMessages.ts
@@ -3,6 +3,7 @@
  * parts of a table that is too large for one datagram. A table that fits is a join message.
  */
 import { createHash } from 'node:crypto';
+import { forgetOldest } from '@snipehaven/common';
 import type { TableSnapshot } from '../store/types.js';
 import { compressDatagram, parseDatagram } from './datagram.js';
 import { decodeJoinMessage, encodeJoinMessage, isPeer } from './joinMessages.js';
@@ -97,6 +98,9 @@
   return isValid ? (value as unknown as TableMessage) : undefined;
 };
 
+/** Tables of which some parts are missing; more than a daemon asks for at a time. */
+const MAX_ASSEMBLIES = 16;
+
 interface Assembly {
   readonly digest: string;
   readonly parts: Map<number, string>;
@@ -115,6 +119,7 @@
     const assembly = known?.digest === digest ? known : { digest, parts: new Map() };
     assembly.parts.set(index, bytes);
     this.#assemblies.set(key, assembly);
+    forgetOldest(this.#assemblies, MAX_ASSEMBLIES);
     if (assembly.parts.size < count) {
       return undefined;
     }
@@ -127,8 +132,4 @@
     const message = decodeJoinMessage(parseDatagram(joined));
     return message?.kind === 'table' ? message.table : undefined;
   }
-
-  clear(): void {
-    this.#assemblies.clear();
-  }
 }
