Daemons take turns when readers go silent

What callers saw: nothing yet; found by review. Since all daemons of a data centre read the store at once when its first two aggregators end together, and all of a fleet when the readers and the next aggregators end.

Cause: the silence ended the turns altogether. Reports of the first daemons that read reach the others through the next aggregator some 250 ms later, when all had read.

Now the turns go on, at 5 ms for each daemon before this one instead of 400. A daemon that hears of a reader before its turn does not read.

--- a/packages/forwarding/src/peers/readerLoss.test.ts
+++ b/packages/forwarding/src/peers/readerLoss.test.ts
@@ -2,6 +2,7 @@
 import { createRandom } from '@snipehaven/common';
 import * as assert from 'uvu/assert';
 import type { DaemonFleet, FleetMember, FleetOptions } from './testSupport/daemonFleet.js';
+import { AGGREGATOR_ORDER } from './rendezvousOrder.js';
 import { createFleet, createFleetSuite } from './testSupport/fleetSuite.js';
 
 const test = createFleetSuite('loss of readers');
@@ -124,4 +125,20 @@
   });
 }
 
+// Guards against a data centre whose daemons all read the store because two of them ended.
+test('most daemons do not read when a large data centre loses its first two aggregators', async (context) => {
+  const fleet = createFleet(context, { ...LARGE_FLEET, daemons: 195 });
+  await startFleet(fleet, 0);
+  const local = fleet.members
+    .filter(({ self }) => self.dataCentre === 'dc-0')
+    .sort((a, b) => (AGGREGATOR_ORDER.isBefore(a.self.vm, b.self.vm) ? -1 : 1));
+  const remaining = local.slice(2);
+  local.slice(0, 2).forEach((member) => fleet.stopMember(member));
+  const countCalls = ({ self }: FleetMember): number => fleet.store.getCalls(self.vm);
+  const callsBefore = new Map(remaining.map((member) => [member, countCalls(member)]));
+  await fleet.advance(SETTLE_MS);
+  const reading = remaining.filter((member) => countCalls(member) > (callsBefore.get(member) ?? 0));
+  assert.ok(reading.length < remaining.length / 2, `${reading.length} of ${remaining.length}`);
+});
+
 test.run();
--- a/packages/forwarding/src/store/readerRole.ts
+++ b/packages/forwarding/src/store/readerRole.ts
@@ -30,6 +30,15 @@
  */
 const TAKEOVER_INTERVAL_MS = 400;
 
+/**
+ * The same while the readers are silent: changes must not wait, and the first daemons to read are
+ * heard by many of the others before their turn.
+ */
+const SILENCE_TAKEOVER_INTERVAL_MS = 5;
+
+/** Maximum wait of a daemon whose turn to read has not come yet. */
+const MAX_TAKEOVER_WAIT_MS = 200;
+
 /** A reader that lost the store asks it again after this time while others read. */
 const STORE_LOSS_BACKOFF_MS = 2_000;
 
@@ -39,6 +48,12 @@
   /** Until this time, a daemon that lost the store relies on other readers if there are any. */
   #backsOffUntilMs = 0;
 
+  /** Since when the readers have been silent; undefined while they are not. */
+  #silentSinceMs: number | undefined;
+
+  /** When this daemon reads although readers are only silent; Infinity while they are not. */
+  #silenceTurnAtMs = Infinity;
+
   /** Since when there have been too few other readers; undefined while there are enough. */
   #tooFewReadersSinceMs: number | undefined;
 
@@ -111,7 +126,7 @@
 
   /**
    * Whether the daemons that precede this one have had time to take over reading. If the readers
-   * went silent, they may have ended with all of these daemons, so this one does not wait.
+   * went silent, they may have ended with all of these daemons, so this one waits for a short time.
    */
   isOwnTurn(): boolean {
     const nowMs = performance.now();
@@ -121,14 +136,23 @@
       this.#tooFewReadersSinceMs = nowMs;
       return false;
     }
-    if (this.#areReadersSilent(nowMs)) {
+    this.#silentSinceMs = this.#areReadersSilent(nowMs)
+      ? (this.#silentSinceMs ?? nowMs)
+      : undefined;
+    this.#silenceTurnAtMs = (this.#silentSinceMs ?? Infinity) + SILENCE_TAKEOVER_INTERVAL_MS * rank;
+    if (this.#silenceTurnAtMs <= nowMs) {
       this.#takeTurn();
     }
     this.#tooFewReadersSinceMs ??= nowMs;
     return nowMs - this.#tooFewReadersSinceMs >= TAKEOVER_INTERVAL_MS * rank;
   }
 
-  /** Takes the turn at once and keeps it until there are enough other readers. */
+  /** Time in ms after which a daemon whose turn has not come must check again. */
+  get turnCheckInMs(): number {
+    return Math.min(MAX_TAKEOVER_WAIT_MS, Math.max(1, this.#silenceTurnAtMs - performance.now()));
+  }
+
+  /** Takes the turn and keeps it until there are enough other readers. */
   #takeTurn(): void {
     if (this.#tooFewReadersSinceMs !== -Infinity) {
       const { logger, table } = this.#options;
--- a/packages/forwarding/src/store/tableWatcher.ts
+++ b/packages/forwarding/src/store/tableWatcher.ts
@@ -45,9 +45,6 @@
 /** A follower checks at least this often whether readers still report. */
 const REPORT_WAIT_MS = 400;
 
-/** Maximum wait of a daemon whose turn to read has not come yet. */
-const MAX_TAKEOVER_WAIT_MS = 200;
-
 /**
  * Backoff of store requests. It bounds how much longer an outage lasts for this daemon once the store
  * is reachable again.
@@ -164,9 +161,9 @@
     if (this.#readerRole.latestReport === undefined) {
       // Changes from a new reader can arrive before its report.
       this.#peerFeed.apply();
-      await this.#options.readerRegistry.waitForUpdate(MAX_TAKEOVER_WAIT_MS);
+      await this.#options.readerRegistry.waitForUpdate(this.#readerRole.turnCheckInMs);
     } else {
-      await this.#follow(requested, MAX_TAKEOVER_WAIT_MS);
+      await this.#follow(requested, this.#readerRole.turnCheckInMs);
     }
   }
 
