Lines and a gauge for the rate limits that upstreams name in their answers

Callers saw nothing; operators could not see why an upstream in need kept its usual load.

The adapter decodes the limit into AnswerMetadata.rateLimit; each incarnation keeps what was said last, with its age; begin, change and end are logged, and 'sent' lines carry the limit that was in force. No request is treated differently. An answer that overtakes a newer one can't end a limit.

--- a/packages/forwarding/src/daemon/addGauges.ts
+++ b/packages/forwarding/src/daemon/addGauges.ts
@@ -25,6 +25,12 @@
     'Data centres to whose upstreams nothing is sent.',
     () => directory.evacuated.length,
   );
+  metrics.addGauge(
+    'snipehaven_upstreams_rate_limited',
+    'Upstreams whose answers name a limit of the request rate.',
+    () =>
+      [...directory.entries].filter(({ rateLimit }) => rateLimit.requestsPerS !== undefined).length,
+  );
   metrics.addGauge('snipehaven_in_flight', 'Requests in flight.', () => front.inFlight);
   metrics.addGauge(
     'snipehaven_configuration_version',
--- a/packages/forwarding/src/daemon/forwardDaemon.ts
+++ b/packages/forwarding/src/daemon/forwardDaemon.ts
@@ -7,7 +7,7 @@
 import { ForwardMetrics, FrontServer, StatusServer, type CallerListener } from '../edge/index.js';
 import { RolloutTracker, RolloutKeeper } from '../rollouts/index.js';
 import type { RowStore, TableWatcher } from '../store/index.js';
-import { ColdRateLimiter, UpstreamDirectory } from '../upstreams/index.js';
+import { ColdRateLimiter, RateLimitTracker, UpstreamDirectory } from '../upstreams/index.js';
 import {
   ReaderRegistry,
   PeerDirectory,
@@ -154,6 +154,7 @@
       configuration: this.#configuration,
       directory: this.#directory,
       coldGate: new ColdRateLimiter(this.#exchange),
+      rateLimits: new RateLimitTracker(logger),
       dialect: adapter.dialect,
       rollouts: this.#rollouts,
       crashes: this.#crashes.tracker,
--- a/packages/forwarding/src/runs/attempt.ts
+++ b/packages/forwarding/src/runs/attempt.ts
@@ -231,6 +231,7 @@
     this.#recordActivity();
     this.#beganAtMs = performance.now();
     this.#mayHaveRun = !head.facts.isNotRun;
+    this.#recordStatements(head);
     if (this.#mayHaveRun) {
       this.#plan.entry.exitDetector.onResponseStarted(this);
       this.#reporter.recordSessionRun();
@@ -299,6 +300,14 @@
     }
   }
 
+  /** A misdirected request was answered by another upstream at the address. */
+  #recordStatements({ facts }: ResponseHead): void {
+    if (!facts.isMisdirected) {
+      const { entry } = this.#plan;
+      this.#dependencies.rateLimits.recordAnswer(entry, facts.rateLimit, this.#startedAtMs);
+    }
+  }
+
   #recordActivity(): void {
     const nowMs = performance.now();
     this.#lastHeardAtMs = nowMs;
--- a/packages/forwarding/src/runs/describePlacement.ts
+++ b/packages/forwarding/src/runs/describePlacement.ts
@@ -14,6 +14,7 @@
     upstream: entry.id,
     backlog: Math.round(entry.backlog),
     isCold: entry.cold.isCold(performance.now()) || undefined,
+    rateLimitPerS: entry.rateLimit.requestsPerS,
     requests: entry.requests,
     startWork: Math.round(startWork),
     expectedMs: roundMs(getWorkPace(service).estimateStartMs(workAhead)),
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -144,6 +144,15 @@
   readonly lastEventId?: number;
 }
 
+/**
+ * What an answer says about the request rate that its upstream accepts from all daemons together.
+ * `invalid`: the value is not a plausible rate and changes nothing.
+ */
+export type StatedRateLimit =
+  | { readonly kind: 'none' }
+  | { readonly kind: 'limited'; readonly requestsPerS: number }
+  | { readonly kind: 'invalid'; readonly text: string };
+
 /** Metadata from an upstream's answer headers. */
 export interface AnswerMetadata {
   /** The attempt that the answer belongs to, as echoed by the upstream. */
@@ -154,6 +163,7 @@
   readonly isMisdirected: boolean;
   /** The model's confidence in its answer, 0 to 100. */
   readonly confidence?: number;
+  readonly rateLimit: StatedRateLimit;
 }
 
 /** Values of the headers that the forwarder adds to a request to an upstream. */
--- a/packages/forwarding/src/upstreams/index.ts
+++ b/packages/forwarding/src/upstreams/index.ts
@@ -1,5 +1,6 @@
 export { ColdRateLimiter, type FleetMembership } from './coldRateLimiter.js';
 export type { ExitVerdict, InFlightRequest } from './exitDetector.js';
+export { RateLimitTracker } from './rateLimitTracker.js';
 export { UpstreamDirectory } from './upstreamDirectory.js';
 export {
   UpstreamEntry,
--- a/packages/forwarding/src/upstreams/upstreamEntry.ts
+++ b/packages/forwarding/src/upstreams/upstreamEntry.ts
@@ -5,6 +5,7 @@
 import { ColdState } from './coldState.js';
 import { DataCentreMonitor } from './dataCentreMonitor.js';
 import { ExitDetector, type InFlightRequest } from './exitDetector.js';
+import { RateLimitState } from './rateLimitState.js';
 
 /** Weight of the newest outcome in the failure share; about the last ten outcomes dominate. */
 const FAILURE_SMOOTHING = 0.12;
@@ -40,6 +41,8 @@
 
   readonly cold = new ColdState();
 
+  readonly rateLimit = new RateLimitState();
+
   #upstream: Upstream;
 
   #requests = 0;
