All daemons together keep to the rate limit that an upstream names

Cause: what an upstream says of itself in its answers was passed on and not heeded. Ruled out: daemons that obey one by one with too high a sum, and news that comes late; single daemons alone sent more than the limit, 3 s after they were told.

Change: one gate, which every attempt passes, leaves out upstreams for a while by a table of limits: coldness as before, and the stated rate. The rate is dealt out in whole requests over 4 s by rank (a limit of 1 a second is shared by four daemons), the news of a begin, change or end is told to all daemons by datagram and renewed while the limit is in force, and a limit that nobody confirms is asked about and probed in turn. Requests go where there is room; where there is none they are refused at once as not run, with the time until this daemon may send again.

Why it holds: shares sum up to the rate whoever is frozen or cut off; who has just started has none for 2.5 s; a lower limit is believed at once, a higher one only from a request sent after the lower one was heard.

--- a/packages/forwarding/src/daemon/forwardDaemon.ts
+++ b/packages/forwarding/src/daemon/forwardDaemon.ts
@@ -7,7 +7,7 @@
 import { ForwardMetrics, FrontServer, StatusServer, type CallerListener } from '../edge/index.js';
 import { RolloutTracker, RolloutKeeper } from '../rollouts/index.js';
 import type { RowStore, TableWatcher } from '../store/index.js';
-import { ColdRateLimiter, RateLimitTracker, UpstreamDirectory } from '../upstreams/index.js';
+import { RateLimitTracker, UpstreamDirectory, UpstreamGate } from '../upstreams/index.js';
 import {
   ReaderRegistry,
   PeerDirectory,
@@ -69,6 +69,8 @@
 
   readonly #statusFreshness = new Freshness(this.#storeClock);
 
+  readonly #rateLimits: RateLimitTracker;
+
   readonly #statusListener: StatusListener;
 
   readonly #peerLoads = new PeerLoads();
@@ -124,6 +126,12 @@
       this.#peerLoads,
       (service) => this.#configuration.table?.findService(service)?.warmUp?.durationMs ?? 0,
     );
+    this.#rateLimits = new RateLimitTracker({
+      logger,
+      directory: this.#directory,
+      broadcast: (news) => this.#exchange.broadcastRateLimits(news),
+      ask: (news) => this.#exchange.askAboutRateLimits(news),
+    });
     const { vmName, sessionTtlMs, allowedExposure } = adapter.settings;
     this.#readerRegistry = new ReaderRegistry(vmName, adapter.settings.dataCentre);
     this.#rollouts = new RolloutTracker({
@@ -153,8 +161,8 @@
     this.#front = new FrontServer({
       configuration: this.#configuration,
       directory: this.#directory,
-      coldGate: new ColdRateLimiter(this.#exchange),
-      rateLimits: new RateLimitTracker(logger),
+      upstreamGate: new UpstreamGate(this.#exchange),
+      rateLimits: this.#rateLimits,
       dialect: adapter.dialect,
       rollouts: this.#rollouts,
       crashes: this.#crashes.tracker,
@@ -316,6 +324,7 @@
       readOwnStatistics: () => this.#readOwnStatistics(),
       onCrashMessage: (report) => this.#crashes.tracker.receiveReport(report),
       onBadVersion: (report) => this.#rollouts.receiveBadVersion(report),
+      onRateLimits: (news) => this.#rateLimits.receive(news),
       meter: this.#metrics,
     });
   }
--- a/packages/forwarding/src/peers/datagramDispatch.ts
+++ b/packages/forwarding/src/peers/datagramDispatch.ts
@@ -6,6 +6,7 @@
 import type { LoadDatagram } from './loadSharingStrategy.js';
 import { decodeTableMessage, type TableMessage } from './tableMessages.js';
 import { decodeBadVersion, type BadVersionMessage } from './badVersionMessage.js';
+import { decodeRateLimits, type RateLimitNews } from './rateLimitMessage.js';
 
 /** A decoded datagram with its raw bytes. */
 export interface ReceivedDatagram {
@@ -22,6 +23,7 @@
   readonly tables: (message: TableMessage, datagram: ReceivedDatagram) => void;
   readonly crashes: (report: CrashMessage) => void;
   readonly badVersion: (report: BadVersionMessage) => void;
+  readonly rateLimits: (news: readonly RateLimitNews[]) => void;
 }
 
 /** Returns the message type, or undefined if the handler does not know the message. */
@@ -54,6 +56,7 @@
   createHandler(decodeTableMessage, handlers.tables, ({ kind }) => kind),
   createHandler(decodeCrashMessage, handlers.crashes, () => 'crashes'),
   createHandler(decodeBadVersion, handlers.badVersion, () => 'badVersion'),
+  createHandler(decodeRateLimits, handlers.rateLimits, () => 'rateLimits'),
 ];
 
 export const dispatchDatagram = (
--- a/packages/forwarding/src/peers/peerExchange.ts
+++ b/packages/forwarding/src/peers/peerExchange.ts
@@ -28,6 +28,7 @@
 import { AggregationStrategy } from './aggregationStrategy.js';
 import { TICK_MS, type LoadDatagram, type LoadSharingStrategy } from './loadSharingStrategy.js';
 import { encodeBadVersion, type BadVersionMessage } from './badVersionMessage.js';
+import { encodeRateLimits, type RateLimitNews } from './rateLimitMessage.js';
 
 export interface PeerExchangeOptions {
   readonly directory: PeerDirectory;
@@ -50,6 +51,8 @@
   onCrashMessage(report: CrashMessage): void;
   /** Called when another daemon has judged a version bad. */
   onBadVersion(report: BadVersionMessage): void;
+  /** Called when another daemon has heard of rate limits of upstreams. */
+  onRateLimits(news: readonly RateLimitNews[]): void;
 }
 
 /**
@@ -95,6 +98,7 @@
     tables: (message, datagram) => this.#tables.receive(message, datagram),
     crashes: (report) => this.#options.onCrashMessage(report),
     badVersion: (report) => this.#options.onBadVersion(report),
+    rateLimits: (news) => this.#options.onRateLimits(news),
   });
 
   #timer: NodeJS.Timeout | undefined;
@@ -236,6 +240,24 @@
     }
   }
 
+  /**
+   * Sent directly to all daemons: until a daemon knows of the limit, it sends its usual requests. A
+   * lost datagram is not repeated, as news of a limit in force is renewed.
+   */
+  broadcastRateLimits(news: readonly RateLimitNews[]): void {
+    if (!this.#isStopped) {
+      this.#messenger.sendTo(this.#options.directory.all, encodeRateLimits(news));
+    }
+  }
+
+  /** Sends news of rate limits to one random daemon. */
+  askAboutRateLimits(news: readonly RateLimitNews[]): void {
+    const peer = this.#options.directory.pickAny();
+    if (peer !== undefined && !this.#isStopped) {
+      this.#messenger.sendTo([peer], encodeRateLimits(news));
+    }
+  }
+
   /** Reports newly placed work to the other daemons at once if it is large. */
   notePlacedWork(work: number): void {
     if (work >= LARGE_WORK) {
--- a/packages/forwarding/src/peers/testSupport/daemonFleet.ts
+++ b/packages/forwarding/src/peers/testSupport/daemonFleet.ts
@@ -215,6 +215,7 @@
       readOwnStatistics: () => learned,
       onCrashMessage: () => {},
       onBadVersion: () => {},
+      onRateLimits: () => {},
     });
     const member = { self, directory, loads, readerRegistry, exchange, ownLoads, tables };
     const names = this.#options.tables ?? [];
--- a/packages/forwarding/src/runs/dependencies.ts
+++ b/packages/forwarding/src/runs/dependencies.ts
@@ -6,13 +6,13 @@
 import type { ForwardMetrics } from '../edge/forwardMetrics.js';
 import type { RolloutTracker } from '../rollouts/rolloutTracker.js';
 import type { HeaderDialect } from '../types.js';
-import type { ColdRateLimiter, RateLimitTracker, UpstreamDirectory } from '../upstreams/index.js';
+import type { RateLimitTracker, UpstreamDirectory, UpstreamGate } from '../upstreams/index.js';
 
 export interface ForwardDependencies {
   readonly configuration: ConfigurationHolder;
   readonly directory: UpstreamDirectory;
-  /** Limits the request rate to cold upstreams. */
-  readonly coldGate: ColdRateLimiter;
+  /** Holds off upstreams that accept no more requests at present. */
+  readonly upstreamGate: UpstreamGate;
   /** Rate limits that upstreams state in their answers. */
   readonly rateLimits: RateLimitTracker;
   readonly dialect: HeaderDialect;
--- a/packages/forwarding/src/runs/describePlacement.ts
+++ b/packages/forwarding/src/runs/describePlacement.ts
@@ -1,20 +1,24 @@
 /** Log fields of a placement: the upstream chosen and the state on which the choice was based. */
 import type { ForwardDependencies } from './dependencies.js';
 import type { RequestPlacement } from './findPlacement.js';
+import { countHeldOff } from './listCandidates.js';
 import type { PlacementQuery } from './placementQuery.js';
 import { roundMs } from './responseTiming.js';
 
 export const describePlacement = (
-  { configuration, getWorkPace, rollouts }: ForwardDependencies,
+  dependencies: ForwardDependencies,
   { entry, startWork, workAhead }: RequestPlacement,
-  { service, options, model }: PlacementQuery,
+  query: PlacementQuery,
 ) => {
+  const { configuration, getWorkPace, rollouts } = dependencies;
+  const { service, options, model } = query;
   const lastRun = rollouts.findSessionRun(service, options);
   return {
     upstream: entry.id,
     backlog: Math.round(entry.backlog),
     isCold: entry.cold.isCold(performance.now()) || undefined,
     rateLimitPerS: entry.rateLimit.requestsPerS,
+    heldOff: countHeldOff(dependencies, query),
     requests: entry.requests,
     startWork: Math.round(startWork),
     expectedMs: roundMs(getWorkPace(service).estimateStartMs(workAhead)),
--- a/packages/forwarding/src/runs/forwardRun.ts
+++ b/packages/forwarding/src/runs/forwardRun.ts
@@ -18,7 +18,7 @@
 import { describePlacement } from './describePlacement.js';
 import { findLargerModel, type LargerModel } from './findLargerModel.js';
 import { findPlacement, type RequestPlacement } from './findPlacement.js';
-import { findSessionExpiryWait, findWarmUpWait } from './listCandidates.js';
+import { findHoldOff, findSessionExpiryWait } from './listCandidates.js';
 import { toReasonAfterRun } from './refusals.js';
 import type { PlacementQuery } from './placementQuery.js';
 import { ResponseTiming, roundMs } from './responseTiming.js';
@@ -397,13 +397,15 @@
 
   #concludeUnplaced(query: PlacementQuery): void {
     const expiryWaitMs = findSessionExpiryWait(this.#dependencies, query);
-    const waitMs = expiryWaitMs ?? findWarmUpWait(this.#dependencies, query);
-    if (waitMs === undefined) {
+    const wait =
+      expiryWaitMs === undefined
+        ? findHoldOff(this.#dependencies, query)
+        : { reason: 'versionEvacuated' as const, waitMs: expiryWaitMs };
+    if (wait === undefined) {
       this.#concludeFailure('noUpstream');
       return;
     }
-    const reason = expiryWaitMs === undefined ? 'warmingUp' : 'versionEvacuated';
-    this.#concludeFailure(reason, Math.max(MIN_RETRY_AFTER_S, waitMs / MS_PER_S));
+    this.#concludeFailure(wait.reason, Math.max(MIN_RETRY_AFTER_S, wait.waitMs / MS_PER_S));
   }
 
   #recordDemand(service: string, { startWork, runWork }: RequestPlacement): void {
--- a/packages/forwarding/src/runs/listCandidates.ts
+++ b/packages/forwarding/src/runs/listCandidates.ts
@@ -1,5 +1,5 @@
 /** Lists the upstreams that a request may be sent to now, and how long to wait if there is none. */
-import type { UpstreamEntry } from '../upstreams/index.js';
+import type { GateContext, HoldOff, UpstreamEntry, UpstreamGate } from '../upstreams/index.js';
 import type { ForwardDependencies } from './dependencies.js';
 import type { PlacementQuery } from './placementQuery.js';
 
@@ -9,8 +9,14 @@
 ): readonly UpstreamEntry[] =>
   rollouts.filterUpstreams(service, options, directory.listReady(service));
 
+const getGateContext = (
+  { configuration }: ForwardDependencies,
+  { service }: PlacementQuery,
+  nowMs: number,
+): GateContext => ({ warmUp: configuration.table?.findService(service)?.warmUp, nowMs });
+
 /**
- * Returns none when all upstreams believed healthy are cold and at their limit: the request is then
+ * Returns none when all upstreams believed healthy are held off by the gate: the request is then
  * refused instead of being lost on an upstream believed dead.
  */
 export const listCandidates = (
@@ -18,10 +24,9 @@
   query: PlacementQuery,
   nowMs: number,
 ): readonly UpstreamEntry[] => {
-  const { configuration, coldGate } = dependencies;
   const allowed = listAllowed(dependencies, query);
-  const warmUp = configuration.table?.findService(query.service)?.warmUp;
-  const ready = allowed.filter((entry) => coldGate.admits(entry, warmUp, nowMs));
+  const context = getGateContext(dependencies, query, nowMs);
+  const ready = allowed.filter((entry) => dependencies.upstreamGate.admits(entry, context));
   const isSound = (entry: UpstreamEntry): boolean => !entry.isSuspect(nowMs);
   if (ready.length < allowed.length && allowed.some(isSound) && !ready.some(isSound)) {
     return [];
@@ -37,15 +42,24 @@
 ): number | undefined =>
   rollouts.findSessionExpiryWaitMs(service, options, directory.listReady(service));
 
-/**
- * Time in ms until a cold upstream accepts one more request; undefined if none of the allowed
- * upstreams is cold.
- */
-export const findWarmUpWait = (
+/** The shortest time until an allowed upstream accepts a request; undefined if none is held off. */
+export const findHoldOff = (
+  dependencies: ForwardDependencies,
+  query: PlacementQuery,
+): HoldOff | undefined =>
+  dependencies.upstreamGate.findShortest(
+    listAllowed(dependencies, query),
+    getGateContext(dependencies, query, performance.now()),
+  );
+
+/** Number of allowed upstreams that the gate holds off, by reason; undefined if there is none. */
+export const countHeldOff = (
   dependencies: ForwardDependencies,
   query: PlacementQuery,
-): number | undefined => {
-  const { configuration, coldGate } = dependencies;
-  const warmUp = configuration.table?.findService(query.service)?.warmUp;
-  return warmUp && coldGate.getWaitMs(listAllowed(dependencies, query), warmUp, performance.now());
+): ReturnType<UpstreamGate['count']> | undefined => {
+  const counts = dependencies.upstreamGate.count(
+    listAllowed(dependencies, query),
+    getGateContext(dependencies, query, performance.now()),
+  );
+  return Object.keys(counts).length === 0 ? undefined : counts;
 };
--- a/packages/forwarding/src/runs/types.ts
+++ b/packages/forwarding/src/runs/types.ts
@@ -1,6 +1,7 @@
 /** The caller's side of a request run, and the reasons for refusing a request. */
 
 import type { ResponseFraming } from '../exchange/index.js';
+import type { HoldOffReason } from '../upstreams/index.js';
 
 /** Why a caller gets no response from an upstream. */
 export type RefusalReason =
@@ -13,7 +14,7 @@
   | 'headersTooLarge'
   | 'bodyTooLarge'
   | 'noUpstream'
-  | 'warmingUp'
+  | HoldOffReason
   | 'versionEvacuated'
   | 'upstreamsBusy'
   | 'deadlineNotRun'
--- a/packages/forwarding/src/upstreams/coldRateLimiter.ts
+++ b/packages/forwarding/src/upstreams/coldRateLimiter.ts
@@ -6,21 +6,9 @@
 import { getColdShare } from '@snipehaven/policy';
 import type { WarmUpFacts } from '../types.js';
 import { COLD_WINDOW_MS } from './coldState.js';
+import type { FleetMembership } from './types.js';
 import type { UpstreamEntry } from './upstreamEntry.js';
 
-/** The other daemons, as far as this one knows them. */
-export interface FleetMembership {
-  /** Number of daemons, including this one. */
-  readonly daemons: number;
-  /**
-   * Whether this daemon has had time to hear from the others; before that it would claim the whole
-   * rate for itself.
-   */
-  readonly hasDiscoveredPeers: boolean;
-  /** Rank of this daemon in the order derived from the key: the number of daemons before it. */
-  countBefore(key: string): number;
-}
-
 export class ColdRateLimiter {
   readonly #fleet: FleetMembership;
 
@@ -28,24 +16,19 @@
     this.#fleet = fleet;
   }
 
-  admits(entry: UpstreamEntry, warmUp: WarmUpFacts | undefined, nowMs: number): boolean {
-    const isUnlimited = warmUp === undefined || !entry.cold.isCold(nowMs);
-    return isUnlimited || entry.cold.countSent(nowMs) < this.#getShare(entry, warmUp);
-  }
-
   /**
-   * Time in ms until one of them accepts a request; undefined if none is cold. Never longer than
-   * the rate window: callers may come back to any daemon, and each daemon's share is renewed within
-   * a window.
+   * Time in ms until this daemon may send the upstream one more request; 0 if it may now. Never
+   * longer than the rate window: callers may come back to any daemon, and each daemon's share is
+   * renewed within a window.
    */
-  getWaitMs(
-    entries: readonly UpstreamEntry[],
-    warmUp: WarmUpFacts,
-    nowMs: number,
-  ): number | undefined {
-    const cold = entries.filter((entry) => entry.cold.isCold(nowMs));
-    const waits = cold.map((entry) => entry.cold.getWaitMs(this.#getShare(entry, warmUp), nowMs));
-    return cold.length === 0 ? undefined : Math.min(COLD_WINDOW_MS, ...waits);
+  getWaitMs(entry: UpstreamEntry, warmUp: WarmUpFacts | undefined, nowMs: number): number {
+    if (warmUp === undefined || !entry.cold.isCold(nowMs)) {
+      return 0;
+    }
+    const share = this.#getShare(entry, warmUp);
+    return entry.cold.countSent(nowMs) < share
+      ? 0
+      : Math.min(COLD_WINDOW_MS, entry.cold.getWaitMs(share, nowMs));
   }
 
   #getShare({ lifeId }: UpstreamEntry, { requestsPerS }: WarmUpFacts): number {
--- a/packages/forwarding/src/upstreams/index.ts
+++ b/packages/forwarding/src/upstreams/index.ts
@@ -1,4 +1,3 @@
-export { ColdRateLimiter, type FleetMembership } from './coldRateLimiter.js';
 export type { ExitVerdict, InFlightRequest } from './exitDetector.js';
 export { RateLimitTracker } from './rateLimitTracker.js';
 export { UpstreamDirectory } from './upstreamDirectory.js';
@@ -8,3 +7,5 @@
   type UpstreamExit,
   type UpstreamOutcome,
 } from './upstreamEntry.js';
+export { UpstreamGate, type GateContext } from './upstreamGate.js';
+export type { FleetMembership, HoldOff, HoldOffReason } from './types.js';
--- a/packages/forwarding/src/upstreams/rateLimitTracker.ts
+++ b/packages/forwarding/src/upstreams/rateLimitTracker.ts
@@ -1,7 +1,12 @@
-/** Follows the rate limits that upstreams state in their answers. */
+/**
+ * Follows the rate limits that upstreams state in their answers, and shares them with the other
+ * daemons: a daemon that has had no answer since sends an upstream in need its usual requests.
+ */
 import type { Logger } from '@snipehaven/common';
+import type { RateLimitNews } from '../peers/index.js';
 import type { StatedRateLimit } from '../types.js';
-import type { RateLimitReport } from './rateLimitState.js';
+import type { RateLimitChange, RateLimitReport } from './rateLimitState.js';
+import type { UpstreamDirectory } from './upstreamDirectory.js';
 import type { UpstreamEntry } from './upstreamEntry.js';
 
 /** Longer values are cut off in the log. */
@@ -10,13 +15,51 @@
 /** Between log lines about invalid limits, to bound the log. */
 const INVALID_LOG_INTERVAL_MS = 1_000;
 
+/** Answers that arrive within this time are reported in one message. */
+const BATCH_MS = 20;
+
+/** A change is told once more after this, as a daemon that missed it would not ask. */
+const REPEAT_DELAY_MS = 300;
+
+/**
+ * A limit in force is told again after this, for daemons that have started meanwhile, and so that
+ * no daemon takes it for unconfirmed.
+ */
+const RENEWAL_MS = 4_000;
+
+/** A limit that has not been confirmed for this long is asked about, and again after each such time. */
+const UNCONFIRMED_MS = 10_000;
+const QUESTION_INTERVAL_MS = 3_000;
+
+export interface RateLimitTrackerOptions {
+  readonly logger: Logger;
+  readonly directory: UpstreamDirectory;
+  broadcast(news: readonly RateLimitNews[]): void;
+  /** Sends the news to one other daemon, which tells all of them if it knows better. */
+  ask(news: readonly RateLimitNews[]): void;
+}
+
+const toNews = (lifeId: string, report: RateLimitReport, nowMs: number): RateLimitNews => ({
+  lifeId,
+  requestsPerS: report.requestsPerS ?? null,
+  sentAgoMs: nowMs - report.sentAtMs,
+  heardAgoMs: nowMs - report.heardAtMs,
+});
+
 export class RateLimitTracker {
-  readonly #logger: Logger;
+  readonly #options: RateLimitTrackerOptions;
+
+  /** Reports that are to be sent to the other daemons, by incarnation. */
+  readonly #unsent = new Map<string, RateLimitReport>();
+
+  /** When any daemon last told the others of an incarnation, as far as known here. */
+  readonly #toldAtMs = new WeakMap<UpstreamEntry, number>();
 
   #invalidLoggedAtMs = -Infinity;
 
-  constructor(logger: Logger) {
-    this.#logger = logger;
+  constructor(options: RateLimitTrackerOptions) {
+    this.#options = options;
+    setInterval(() => this.#askAboutUnconfirmed(), QUESTION_INTERVAL_MS).unref();
   }
 
   /** Records what an answer said; `sentAtMs`: when its request was sent. */
@@ -26,14 +69,78 @@
       return;
     }
     const requestsPerS = stated.kind === 'limited' ? stated.requestsPerS : undefined;
-    this.#apply(entry, { requestsPerS, sentAtMs, heardAtMs: performance.now() });
+    const heardAtMs = performance.now();
+    const report = { requestsPerS, sentAtMs, heardAtMs };
+    const change = this.#apply(entry, report, 'answer');
+    if (change !== undefined) {
+      this.#tell(entry, report);
+      setTimeout(() => this.#tell(entry, report), REPEAT_DELAY_MS).unref();
+    } else if (this.#isRenewalDue(entry, report)) {
+      this.#tell(entry, report);
+    }
+  }
+
+  /** Applies what other daemons heard. Unknown upstreams are skipped: the news is renewed. */
+  receive(news: readonly RateLimitNews[]): void {
+    const nowMs = performance.now();
+    news.forEach(({ lifeId, requestsPerS, sentAgoMs, heardAgoMs }) => {
+      const entry = this.#options.directory.findIncarnation(lifeId);
+      if (entry !== undefined) {
+        this.#toldAtMs.set(entry, nowMs);
+        const times = { sentAtMs: nowMs - sentAgoMs, heardAtMs: nowMs - heardAgoMs };
+        const report = { requestsPerS: requestsPerS ?? undefined, ...times };
+        this.#apply(entry, report, 'peer');
+        if (entry.rateLimit.isNewerThan(report)) {
+          this.#tell(entry, entry.rateLimit.latest);
+        }
+      }
+    });
+  }
+
+  /** A daemon that missed the end of a limit has no share and may hear nothing of the upstream. */
+  #askAboutUnconfirmed(): void {
+    const nowMs = performance.now();
+    const unconfirmed = [...this.#options.directory.entries].filter(
+      ({ rateLimit }) =>
+        rateLimit.requestsPerS !== undefined && nowMs - rateLimit.heardAtMs > UNCONFIRMED_MS,
+    );
+    if (unconfirmed.length > 0) {
+      this.#options.ask(
+        unconfirmed.map(({ lifeId, rateLimit }) => toNews(lifeId, rateLimit.latest, nowMs)),
+      );
+    }
+  }
+
+  #isRenewalDue(entry: UpstreamEntry, { requestsPerS, heardAtMs }: RateLimitReport): boolean {
+    const toldAtMs = this.#toldAtMs.get(entry) ?? -Infinity;
+    const isInForce = requestsPerS !== undefined && requestsPerS === entry.rateLimit.requestsPerS;
+    return isInForce && heardAtMs - toldAtMs >= RENEWAL_MS;
+  }
+
+  #tell(entry: UpstreamEntry, report: RateLimitReport): void {
+    this.#toldAtMs.set(entry, performance.now());
+    if (this.#unsent.size === 0) {
+      setTimeout(() => this.#flush(), BATCH_MS).unref();
+    }
+    this.#unsent.set(entry.lifeId, report);
+  }
+
+  #flush(): void {
+    const nowMs = performance.now();
+    const news = [...this.#unsent].map(([lifeId, report]) => toNews(lifeId, report, nowMs));
+    this.#unsent.clear();
+    this.#options.broadcast(news);
   }
 
-  #apply(entry: UpstreamEntry, report: RateLimitReport): void {
+  #apply(
+    entry: UpstreamEntry,
+    report: RateLimitReport,
+    source: 'answer' | 'peer',
+  ): RateLimitChange | undefined {
     const { requestsPerS: before } = entry.rateLimit;
     const change = entry.rateLimit.apply(report);
     if (change !== undefined) {
-      this.#logger.info(
+      this.#options.logger.info(
         {
           event: 'upstreamRateLimit',
           upstream: entry.id,
@@ -41,18 +148,20 @@
           change,
           requestsPerS: report.requestsPerS,
           before,
+          source,
           ageMs: Math.round(performance.now() - report.heardAtMs),
         },
         'the request rate that an upstream accepts has changed',
       );
     }
+    return change;
   }
 
   #logInvalid(entry: UpstreamEntry, text: string): void {
     const nowMs = performance.now();
     if (nowMs - this.#invalidLoggedAtMs >= INVALID_LOG_INTERVAL_MS) {
       this.#invalidLoggedAtMs = nowMs;
-      this.#logger.warn(
+      this.#options.logger.warn(
         { event: 'rateLimitInvalid', upstream: entry.id, text: text.slice(0, MAX_LOGGED_CHARS) },
         'ignored a rate limit that is not a number of requests per second within bounds',
       );
--- /dev/null
+++ b/packages/forwarding/src/upstreams/types.ts
@@ -0,0 +1,23 @@
+/** Types shared by the limits on what may be sent to an upstream. */
+
+/** The other daemons, as far as this one knows them. */
+export interface FleetMembership {
+  /** Number of daemons, including this one. */
+  readonly daemons: number;
+  /**
+   * Whether this daemon has had time to hear from the others; before that it would claim the whole
+   * rate for itself.
+   */
+  readonly hasDiscoveredPeers: boolean;
+  /** Rank of this daemon in the order derived from the key: the number of daemons before it. */
+  countBefore(key: string): number;
+}
+
+/** Why an upstream gets no request for now. */
+export type HoldOffReason = 'warmingUp' | 'upstreamsLimited';
+
+/** How long an upstream gets no request from this daemon, and why. */
+export interface HoldOff {
+  readonly reason: HoldOffReason;
+  readonly waitMs: number;
+}
--- a/packages/forwarding/src/upstreams/upstreamEntry.ts
+++ b/packages/forwarding/src/upstreams/upstreamEntry.ts
@@ -155,6 +155,7 @@
 
   startRequest(work: number): void {
     this.cold.recordSent(performance.now());
+    this.rateLimit.recordSent(performance.now());
     this.#requests += 1;
     this.#work += work;
   }
--- a/packages/policy/src/forward/coldShare.ts
+++ b/packages/policy/src/forward/coldShare.ts
@@ -8,20 +8,13 @@
  * the sum does too. With equal fractions of a request, hundreds of daemons could each send their
  * one request in the same second.
  */
+import { divideByRank, type RankedDaemon } from './divideByRank.js';
 
-export interface ColdShareInput {
+export interface ColdShareInput extends RankedDaemon {
   /** Requests per second that the upstream can take from all daemons. */
   readonly ratePerS: number;
-  /** Number of known daemons, including this one and those that may have ended. */
-  readonly daemons: number;
-  /** Number of daemons that precede this one in the upstream's order. */
-  readonly rank: number;
 }
 
 /** Returns the number of requests that this daemon may send to the upstream in any second. */
-export const getColdShare = ({ ratePerS, daemons, rank }: ColdShareInput): number => {
-  const wholeRate = Math.max(1, Math.floor(ratePerS));
-  const perDaemon = Math.floor(wholeRate / daemons);
-  const remainder = wholeRate - perDaemon * daemons;
-  return perDaemon + (rank < remainder ? 1 : 0);
-};
+export const getColdShare = ({ ratePerS, ...daemon }: ColdShareInput): number =>
+  divideByRank(Math.max(1, Math.floor(ratePerS)), daemon);
--- a/packages/policy/src/forward/index.ts
+++ b/packages/policy/src/forward/index.ts
@@ -1,6 +1,7 @@
 export * from './chooseModelStep.js';
 export * from './choosePlacement.js';
 export * from './coldShare.js';
+export * from './rateShare.js';
 export * from './decideAttempt.js';
 export * from './judgeVersion.js';
 export * from './modelPartitions.js';
--- a/packages/proofs/src/platformSoak/constants.ts
+++ b/packages/proofs/src/platformSoak/constants.ts
@@ -33,6 +33,14 @@
 /** Until a daemon knows that an upstream has turned cold by itself. */
 export const COLD_NOTICE_MS = 1_000;
 
+/** An upstream's rate limit is counted over this, and so much more than it is allowed. */
+export const LIMIT_WINDOW_MS = 4_000;
+export const LIMIT_OVERAGE = 1.5;
+export const LIMIT_SLACK = 5;
+
+/** Until a daemon must heed what an answer that it passed on said. */
+export const TOLD_MS = 500;
+
 /** How long a caller waits; a little more is allowed before an answer counts as overdue. */
 export const CALLER_DEADLINE_MS = 4_000;
 export const OVERDUE_MS = 700;
--- a/packages/proofs/src/platformSoak/faults/index.ts
+++ b/packages/proofs/src/platformSoak/faults/index.ts
@@ -20,6 +20,7 @@
   [operators.goodRollout, operators.badRollout],
   [operators.evacuate, operators.turnCold],
   [operators.evacuateAnother],
+  [operators.limitRate],
   [deadlyQuestion],
 ];
 
--- a/packages/proofs/src/platformSoak/judge/promises.test.ts
+++ b/packages/proofs/src/platformSoak/judge/promises.test.ts
@@ -140,6 +140,28 @@
   backEnds.all.forEach((backEnd) => backEnds.stop(backEnd));
 });
 
+test('an upstream that gets more than the limit it named, from VMs that it told', async () => {
+  const evidence = createEvidence([{ ...ATTEMPT, sentAtMs: 1_000, endedAtMs: 1_100 }], [RUN]);
+  const { operator, backEnds, faultLog } = evidence.world;
+  const { id: upstream } = await backEnds.start('plain', 'v1');
+  const span = { upstream, perS: 1, fromMs: 1_000, toMs: 20_000 };
+  operator.limitSpans.push(span);
+  const arrive = (atMs: number) => backEnds.arrivals.push({ attemptId: 's-1', upstream, atMs });
+  Array.from({ length: 11 }, (_, index) => arrive(10_000 + index * 300));
+  arrive(20_001);
+  const telling = { attemptId: 's-1', upstream, atMs: 1_050, statement: { rateLimitPerS: 1 } };
+  backEnds.tellings.push(telling);
+  assert.equal(listBroken(evidence), []);
+  arrive(13_400);
+  assert.equal(listBroken(evidence), ['overranLimit']);
+  backEnds.tellings.splice(0, 1, { ...telling, attemptId: 's-2' });
+  assert.equal(listBroken(evidence), [], 'nobody was told');
+  backEnds.tellings.push(telling);
+  faultLog.begin('vm-a-1', 'pause');
+  assert.equal(listBroken(evidence), []);
+  backEnds.all.forEach((backEnd) => backEnds.stop(backEnd));
+});
+
 test('an answer that is lost, late, or worked on after its caller left', () => {
   const lost = { ...ATTEMPT, isWhole: false, status: undefined, signature: undefined };
   assert.equal(listBroken(createEvidence([lost], [RUN])), ['lost']);
--- a/packages/proofs/src/platformSoak/judge/promises.ts
+++ b/packages/proofs/src/platformSoak/judge/promises.ts
@@ -17,6 +17,7 @@
 import type { ArrivalRecord, AttemptRecord, RunRecord } from '../types.js';
 import { isCalmBetween, isSuccess, type Evidence } from './evidence.js';
 import { listUnservedVms } from './calmService.js';
+import { overranLimit } from './rateLimits.js';
 import { sessionMoved } from './sessionMoves.js';
 
 /** Lists what breaks the promise, a line each. */
@@ -257,6 +258,7 @@
   reachedLeaving,
   reachedEvacuated,
   overranCold,
+  overranLimit,
   lost,
   overdue,
   workedForNobody,
--- a/packages/proofs/src/platformSoak/outside/backEnds.ts
+++ b/packages/proofs/src/platformSoak/outside/backEnds.ts
@@ -13,6 +13,7 @@
 } from '@snipehaven/standins';
 import { DATA_CENTRES } from '../constants.js';
 import type { ArrivalRecord, DeadlyEnd, RunRecord } from '../types.js';
+import { renderStatement, type Statement, type Telling } from './statements.js';
 
 export type ServiceName = 'plain' | 'models';
 
@@ -27,6 +28,8 @@
   readonly forwarder: SilentForwarder;
   /** Share of requests that fail on it in some way of `FailureWay`. */
   failureShare: number;
+  /** Said in all answers. */
+  statement: Statement;
   isOpen: boolean;
 }
 
@@ -63,6 +66,8 @@
 
   readonly deadlyEnds: DeadlyEnd[] = [];
 
+  readonly tellings: Telling[] = [];
+
   #onDeadly: (backEnd: BackEnd) => void = () => {};
 
   readonly #random: Random;
@@ -85,7 +90,7 @@
     const failureShare = USUAL_FAILURE_SHARE;
     const dataCentre = DATA_CENTRES[this.#started % DATA_CENTRES.length] ?? DATA_CENTRES[0];
     const place = { id, service, version, dataCentre };
-    const backEnd = { ...place, upstream, forwarder, failureShare, isOpen: true };
+    const backEnd = { ...place, upstream, forwarder, failureShare, statement: {}, isOpen: true };
     this.all.push(backEnd);
     return backEnd;
   }
@@ -117,7 +122,8 @@
     if (request.headers.get('x-expect-instance') !== backEnd.id) {
       socket.write(renderHead(request, 421, { 'Content-Length': '0' }));
     } else if (way === 'refuse') {
-      socket.write(renderHead(request, 503, { 'X-Not-Executed': '1', 'Content-Length': '0' }));
+      const headers = { 'X-Not-Executed': '1', 'Content-Length': '0' };
+      socket.write(this.#renderHead(backEnd, request, 503, headers));
     } else if (request.body.startsWith(DEADLY_PREFIX)) {
       this.#die(backEnd, request, attemptId);
     } else {
@@ -125,6 +131,20 @@
     }
   }
 
+  #renderHead(
+    { id, statement }: BackEnd,
+    request: SeenRequest,
+    status: number,
+    headers: Readonly<Record<string, string>>,
+  ): string {
+    const said = renderStatement(statement);
+    if (Object.keys(said).length > 0) {
+      const attemptId = request.headers.get('x-attempt-id') ?? '';
+      this.tellings.push({ attemptId, upstream: id, atMs: performance.now(), statement });
+    }
+    return renderHead(request, status, { ...headers, ...said });
+  }
+
   /** Whoever begins to run the question ends, with all that it has. */
   #die(backEnd: BackEnd, { headers, body }: SeenRequest, attemptId: string): void {
     const nowMs = performance.now();
@@ -172,13 +192,14 @@
       return;
     }
     await (backEnd.service === 'models'
-      ? this.#stream(request, socket, run, way)
-      : this.#answer(request, socket, run, way));
+      ? this.#stream(backEnd, request, socket, run, way)
+      : this.#answer(backEnd, request, socket, run, way));
     end();
     socket.off('close', end);
   }
 
   async #answer(
+    backEnd: BackEnd,
     request: SeenRequest,
     socket: Socket,
     run: RunRecord,
@@ -193,7 +214,8 @@
       return;
     }
     const body = way === 'fail' ? 'failed' : renderPlainBody(run.attemptId);
-    const head = renderHead(request, run.status, { 'Content-Length': String(body.length) });
+    const length = { 'Content-Length': String(body.length) };
+    const head = this.#renderHead(backEnd, request, run.status, length);
     socket.write(way === 'cut' ? head + body.slice(1) : head + body);
     if (way === 'cut') {
       socket.end();
@@ -201,6 +223,7 @@
   }
 
   async #stream(
+    backEnd: BackEnd,
     request: SeenRequest,
     socket: Socket,
     run: RunRecord,
@@ -208,11 +231,11 @@
   ): Promise<void> {
     await sleep(EVENT_GAP_MS);
     if (way === 'fail') {
-      socket.write(renderHead(request, 500, { 'Content-Length': '0' }));
+      socket.write(this.#renderHead(backEnd, request, 500, { 'Content-Length': '0' }));
       return;
     }
     socket.write(
-      renderHead(request, 200, {
+      this.#renderHead(backEnd, request, 200, {
         'Content-Type': 'text/event-stream',
         'Transfer-Encoding': 'chunked',
         'X-Confidence': String(hashAffinityKey(run.attemptId) % 100),
--- a/packages/proofs/src/platformSoak/outside/operator.ts
+++ b/packages/proofs/src/platformSoak/outside/operator.ts
@@ -23,6 +23,14 @@
   readonly isSudden: boolean;
 }
 
+/** An upstream names a rate limit in all its answers meanwhile. */
+export interface LimitSpan {
+  readonly upstream: string;
+  readonly perS: number;
+  readonly fromMs: number;
+  toMs: number;
+}
+
 /** An order to move the service to another version. */
 export interface RolloutRecord {
   readonly service: ServiceName;
@@ -66,6 +74,8 @@
 
   readonly coldSpans: ColdSpan[] = [];
 
+  readonly limitSpans: LimitSpan[] = [];
+
   readonly rollouts: RolloutRecord[] = [];
 
   constructor(store: StandinStore, backEnds: BackEnds) {
@@ -148,6 +158,18 @@
     };
   }
 
+  /** The upstream names the limit in its answers until what is returned is called. */
+  limitRate(backEnd: BackEnd, perS: number): () => void {
+    const span = { upstream: backEnd.id, perS, fromMs: performance.now(), toMs: Infinity };
+    this.limitSpans.push(span);
+    Object.assign(backEnd, { statement: { ...backEnd.statement, rateLimitPerS: perS } });
+    return () => {
+      const { rateLimitPerS, ...others } = backEnd.statement;
+      Object.assign(backEnd, { statement: others });
+      span.toMs = performance.now();
+    };
+  }
+
   /** Whether it runs, is listed, and has not been told to leave. */
   isStaying({ id, isOpen }: BackEnd): boolean {
     const isListed = this.#store.read('servers', id) !== undefined;
--- /dev/null
+++ b/packages/proofs/src/platformSoak/outside/statements.ts
@@ -0,0 +1,19 @@
+/** What upstreams say of themselves in the headers of their answers, and to whom they said it. */
+
+/** What an upstream says at present; a field that is not set is not said. */
+export interface Statement {
+  /** Requests per second that it accepts from all daemons together. */
+  readonly rateLimitPerS?: number;
+}
+
+/** One answer that said something. */
+export interface Telling {
+  readonly attemptId: string;
+  readonly upstream: string;
+  readonly atMs: number;
+  readonly statement: Statement;
+}
+
+export const renderStatement = ({ rateLimitPerS }: Statement): Record<string, string> => ({
+  ...(rateLimitPerS === undefined ? {} : { 'Server-Limit': String(rateLimitPerS) }),
+});
