Lines and a gauge for upstreams that say in their answers that they leave

The adapter decodes it into AnswerMetadata.isLeaving; the first such answer of an incarnation is logged with the row's state, 'sent' lines say for how long it has been known, a gauge counts them. What an incarnation says of itself, its rate limit too, is now kept apart from its entry in the list, and outlives an entry that the list loses and names again. Placement is unchanged. An answer of another upstream at the address (421) marks nobody (leavingUpstream.test).

--- a/packages/forwarding/src/daemon/addGauges.ts
+++ b/packages/forwarding/src/daemon/addGauges.ts
@@ -31,6 +31,13 @@
     () =>
       [...directory.entries].filter(({ rateLimit }) => rateLimit.requestsPerS !== undefined).length,
   );
+  metrics.addGauge(
+    'snipehaven_upstreams_leaving',
+    'Listed upstreams whose answers say that they are leaving.',
+    () =>
+      [...directory.entries].filter(({ statements }) => statements.leavingSinceMs !== undefined)
+        .length,
+  );
   metrics.addGauge('snipehaven_in_flight', 'Requests in flight.', () => front.inFlight);
   metrics.addGauge(
     'snipehaven_configuration_version',
--- a/packages/forwarding/src/daemon/forwardDaemon.ts
+++ b/packages/forwarding/src/daemon/forwardDaemon.ts
@@ -7,7 +7,12 @@
 import { ForwardMetrics, FrontServer, StatusServer, type CallerListener } from '../edge/index.js';
 import { RolloutTracker, RolloutKeeper } from '../rollouts/index.js';
 import type { RowStore, TableWatcher } from '../store/index.js';
-import { RateLimitTracker, UpstreamDirectory, UpstreamGate } from '../upstreams/index.js';
+import {
+  LeavingTracker,
+  RateLimitTracker,
+  UpstreamDirectory,
+  UpstreamGate,
+} from '../upstreams/index.js';
 import {
   ReaderRegistry,
   PeerDirectory,
@@ -163,6 +168,7 @@
       directory: this.#directory,
       upstreamGate: new UpstreamGate(this.#exchange),
       rateLimits: this.#rateLimits,
+      leavings: new LeavingTracker(logger),
       dialect: adapter.dialect,
       rollouts: this.#rollouts,
       crashes: this.#crashes.tracker,
--- a/packages/forwarding/src/runs/attempt.ts
+++ b/packages/forwarding/src/runs/attempt.ts
@@ -302,9 +302,14 @@
 
   /** A misdirected request was answered by another upstream at the address. */
   #recordStatements({ facts }: ResponseHead): void {
-    if (!facts.isMisdirected) {
-      const { entry } = this.#plan;
-      this.#dependencies.rateLimits.recordAnswer(entry, facts.rateLimit, this.#startedAtMs);
+    if (facts.isMisdirected) {
+      return;
+    }
+    const { entry } = this.#plan;
+    const { rateLimits, leavings } = this.#dependencies;
+    rateLimits.recordAnswer(entry, facts.rateLimit, this.#startedAtMs);
+    if (facts.isLeaving) {
+      leavings.recordAnswer(entry);
     }
   }
 
--- a/packages/forwarding/src/runs/dependencies.ts
+++ b/packages/forwarding/src/runs/dependencies.ts
@@ -6,7 +6,12 @@
 import type { ForwardMetrics } from '../edge/forwardMetrics.js';
 import type { RolloutTracker } from '../rollouts/rolloutTracker.js';
 import type { HeaderDialect } from '../types.js';
-import type { RateLimitTracker, UpstreamDirectory, UpstreamGate } from '../upstreams/index.js';
+import type {
+  LeavingTracker,
+  RateLimitTracker,
+  UpstreamDirectory,
+  UpstreamGate,
+} from '../upstreams/index.js';
 
 export interface ForwardDependencies {
   readonly configuration: ConfigurationHolder;
@@ -15,6 +20,8 @@
   readonly upstreamGate: UpstreamGate;
   /** Rate limits that upstreams state in their answers. */
   readonly rateLimits: RateLimitTracker;
+  /** Upstreams that state in their answers that they are leaving. */
+  readonly leavings: LeavingTracker;
   readonly dialect: HeaderDialect;
   readonly rollouts: RolloutTracker;
   /** Upstreams whose process exited, and requests held back as the suspected cause. */
--- a/packages/forwarding/src/runs/describePlacement.ts
+++ b/packages/forwarding/src/runs/describePlacement.ts
@@ -5,6 +5,9 @@
 import type { PlacementQuery } from './placementQuery.js';
 import { roundMs } from './responseTiming.js';
 
+const describeAgeMs = (sinceMs: number | undefined): number | undefined =>
+  sinceMs === undefined ? undefined : performance.now() - sinceMs;
+
 export const describePlacement = (
   dependencies: ForwardDependencies,
   { entry, startWork, workAhead }: RequestPlacement,
@@ -17,6 +20,7 @@
     upstream: entry.id,
     backlog: Math.round(entry.backlog),
     isCold: entry.cold.isCold(performance.now()) || undefined,
+    leavingForMs: roundMs(describeAgeMs(entry.statements.leavingSinceMs)),
     rateLimitPerS: entry.rateLimit.requestsPerS,
     heldOff: countHeldOff(dependencies, query),
     requests: entry.requests,
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -164,6 +164,8 @@
   /** The model's confidence in its answer, 0 to 100. */
   readonly confidence?: number;
   readonly rateLimit: StatedRateLimit;
+  /** The upstream states that it is leaving. */
+  readonly isLeaving: boolean;
 }
 
 /** Values of the headers that the forwarder adds to a request to an upstream. */
--- a/packages/forwarding/src/upstreams/upstreamDirectory.ts
+++ b/packages/forwarding/src/upstreams/upstreamDirectory.ts
@@ -4,7 +4,8 @@
 import type { Upstream } from '../types.js';
 import { DataCentreMonitor } from './dataCentreMonitor.js';
 import type { InFlightRequest } from './exitDetector.js';
-import { UpstreamEntry, type ExitListener, type UpstreamExit } from './upstreamEntry.js';
+import { getLifeId, UpstreamEntry, type ExitListener, type UpstreamExit } from './upstreamEntry.js';
+import { UpstreamStatements } from './upstreamStatements.js';
 
 /**
  * While the store is away, entries may expire though their upstreams are alive; they come back
@@ -16,10 +17,10 @@
 const RECONNECT_GRACE_MS = 2_000;
 
 /**
- * Number of upstream ids whose latest start is remembered, listed or not; far more than the
- * upstreams of a day.
+ * Number of upstreams whose latest start and statements are remembered, listed or not; far more than
+ * the upstreams of a day.
  */
-const MAX_REMEMBERED_STARTS = 4_096;
+const MAX_REMEMBERED_UPSTREAMS = 4_096;
 
 /** Maximum number of requests named in the log line of an upstream exit, to bound its length. */
 const MAX_LOGGED_REQUESTS = 40;
@@ -42,6 +43,9 @@
   /** Latest known start time by upstream id. */
   readonly #latestStarts = new Map<string, number>();
 
+  /** By incarnation. */
+  readonly #statements = new Map<string, UpstreamStatements>();
+
   readonly #dataCentreMonitor = new DataCentreMonitor();
 
   /** Data centres whose upstreams get no more requests. */
@@ -250,10 +254,24 @@
   }
 
   #createEntry(upstream: Upstream): UpstreamEntry {
-    return new UpstreamEntry(upstream, this.#peerLoads, this.#dataCentreMonitor, {
+    const listener: ExitListener = {
       onExit: (end) => this.#onExit(end),
       onAlive: (lifeId) => this.#exitListener.onAlive(lifeId),
-    });
+    };
+    return new UpstreamEntry(
+      upstream,
+      this.#peerLoads,
+      this.#dataCentreMonitor,
+      listener,
+      this.#getStatements(getLifeId(upstream)),
+    );
+  }
+
+  #getStatements(lifeId: string): UpstreamStatements {
+    const statements = this.#statements.get(lifeId) ?? new UpstreamStatements();
+    this.#statements.set(lifeId, statements);
+    forgetOldest(this.#statements, MAX_REMEMBERED_UPSTREAMS);
+    return statements;
   }
 
   /**
@@ -304,7 +322,7 @@
     }
     this.#latestStarts.delete(id);
     this.#latestStarts.set(id, bornAtMs);
-    forgetOldest(this.#latestStarts, MAX_REMEMBERED_STARTS);
+    forgetOldest(this.#latestStarts, MAX_REMEMBERED_UPSTREAMS);
   }
 
   /**
--- a/packages/forwarding/src/upstreams/upstreamEntry.ts
+++ b/packages/forwarding/src/upstreams/upstreamEntry.ts
@@ -5,7 +5,8 @@
 import { ColdState } from './coldState.js';
 import { DataCentreMonitor } from './dataCentreMonitor.js';
 import { ExitDetector, type InFlightRequest } from './exitDetector.js';
-import { RateLimitState } from './rateLimitState.js';
+import type { RateLimitState } from './rateLimitState.js';
+import { UpstreamStatements } from './upstreamStatements.js';
 
 /** Weight of the newest outcome in the failure share; about the last ten outcomes dominate. */
 const FAILURE_SMOOTHING = 0.12;
@@ -34,6 +35,9 @@
   onAlive(lifeId: string): void;
 }
 
+export const getLifeId = ({ id, bornAtMs }: Upstream): string =>
+  bornAtMs === undefined ? id : `${id}@${bornAtMs}`;
+
 export class UpstreamEntry {
   readonly pool: ConnectionPool;
 
@@ -41,7 +45,7 @@
 
   readonly cold = new ColdState();
 
-  readonly rateLimit = new RateLimitState();
+  readonly statements: UpstreamStatements;
 
   #upstream: Upstream;
 
@@ -70,7 +74,9 @@
     peerLoads: PeerLoads,
     watch: DataCentreMonitor = new DataCentreMonitor(),
     listener: ExitListener = { onExit: () => {}, onAlive: () => {} },
+    statements: UpstreamStatements = new UpstreamStatements(),
   ) {
+    this.statements = statements;
     this.#upstream = upstream;
     this.#peerLoads = peerLoads;
     this.#dataCentreMonitor = watch;
@@ -98,8 +104,11 @@
    * it.
    */
   get lifeId(): string {
-    const { id, bornAtMs } = this.#upstream;
-    return bornAtMs === undefined ? id : `${id}@${bornAtMs}`;
+    return getLifeId(this.#upstream);
+  }
+
+  get rateLimit(): RateLimitState {
+    return this.statements.rateLimit;
   }
 
   get failureShare(): number {
