Nothing new goes to an upstream that says in its answers that it leaves

Cause: only the list made an upstream leave. The store was down from 35.6 to 47 s, so the row said 'ready' for 12 s more, and the answers, which had the word from 35.6 s on, were not heeded. Ruled out: requests that waited or were repeated for long (the record's requests were sent by the client 3 s after the answer and reached the server 4 ms later).

Change: an incarnation whose answer says so accepts nothing new, for good: the fact is kept by incarnation, so a list that loses it and names it again, or a row that says 'ready', changes nothing. Other daemons are told by datagram. As the last upstream of its service it is used for half of the drain time-out, while it still serves; then requests are refused at once. Its end is expected, and is blamed on no request or version; it doesn't count as a ready upstream of its version.

--- a/packages/forwarding/src/daemon/crashCoordinator.ts
+++ b/packages/forwarding/src/daemon/crashCoordinator.ts
@@ -82,7 +82,7 @@
   #judgeEnd(lifeId: string): void {
     const { directory, rollouts, getExchange } = this.#options;
     const entry = directory.findIncarnation(lifeId);
-    if (entry?.upstream.state === 'ready' && getExchange().isFirstWriter) {
+    if (entry?.isReady === true && getExchange().isFirstWriter) {
       const { service, softwareVersion, dataCentre } = entry.upstream;
       const work = { service, softwareVersion, dataCentre, workKind: 'end' };
       rollouts.recordAnswer({ ...work, isFailed: true });
--- a/packages/forwarding/src/daemon/forwardDaemon.ts
+++ b/packages/forwarding/src/daemon/forwardDaemon.ts
@@ -39,6 +39,12 @@
  */
 const REVOKE_MARGIN_MS = 200;
 
+/**
+ * Part of the drain time-out for which an upstream that says it is leaving is used when its service
+ * has no other; the rest is for requests that wait or are repeated.
+ */
+const LAST_RESORT_SHARE = 0.5;
+
 /** The balancer probes once a second and removes a VM after two failed probes. */
 const BALANCER_NOTICE_MS = 2_200;
 
@@ -76,6 +82,8 @@
 
   readonly #rateLimits: RateLimitTracker;
 
+  readonly #leavings: LeavingTracker;
+
   readonly #statusListener: StatusListener;
 
   readonly #peerLoads = new PeerLoads();
@@ -130,6 +138,7 @@
       logger,
       this.#peerLoads,
       (service) => this.#configuration.table?.findService(service)?.warmUp?.durationMs ?? 0,
+      adapter.settings.drainTimeoutMs * LAST_RESORT_SHARE,
     );
     this.#rateLimits = new RateLimitTracker({
       logger,
@@ -137,6 +146,11 @@
       broadcast: (news) => this.#exchange.broadcastRateLimits(news),
       ask: (news) => this.#exchange.askAboutRateLimits(news),
     });
+    this.#leavings = new LeavingTracker({
+      logger,
+      directory: this.#directory,
+      broadcast: (news) => this.#exchange.broadcastLeavings(news),
+    });
     const { vmName, sessionTtlMs, allowedExposure } = adapter.settings;
     this.#readerRegistry = new ReaderRegistry(vmName, adapter.settings.dataCentre);
     this.#rollouts = new RolloutTracker({
@@ -168,7 +182,7 @@
       directory: this.#directory,
       upstreamGate: new UpstreamGate(this.#exchange),
       rateLimits: this.#rateLimits,
-      leavings: new LeavingTracker(logger),
+      leavings: this.#leavings,
       dialect: adapter.dialect,
       rollouts: this.#rollouts,
       crashes: this.#crashes.tracker,
@@ -331,6 +345,7 @@
       onCrashMessage: (report) => this.#crashes.tracker.receiveReport(report),
       onBadVersion: (report) => this.#rollouts.receiveBadVersion(report),
       onRateLimits: (news) => this.#rateLimits.receive(news),
+      onLeavings: (news) => this.#leavings.receive(news),
       meter: this.#metrics,
     });
   }
--- a/packages/forwarding/src/daemon/types.ts
+++ b/packages/forwarding/src/daemon/types.ts
@@ -31,6 +31,8 @@
   readonly sessionTtlMs: number;
   /** Time from SIGTERM until the process is killed. */
   readonly graceMs: number;
+  /** Time for which an upstream that leaves goes on serving, at least. */
+  readonly drainTimeoutMs: number;
   /** Maximum time for which a revoked key may still be accepted after its removal. */
   readonly revokeDeadlineMs: number;
   /**
--- a/packages/forwarding/src/peers/datagramDispatch.ts
+++ b/packages/forwarding/src/peers/datagramDispatch.ts
@@ -6,6 +6,7 @@
 import type { LoadDatagram } from './loadSharingStrategy.js';
 import { decodeTableMessage, type TableMessage } from './tableMessages.js';
 import { decodeBadVersion, type BadVersionMessage } from './badVersionMessage.js';
+import { decodeLeavings, type LeavingNews } from './leavingMessage.js';
 import { decodeRateLimits, type RateLimitNews } from './rateLimitMessage.js';
 
 /** A decoded datagram with its raw bytes. */
@@ -24,6 +25,7 @@
   readonly crashes: (report: CrashMessage) => void;
   readonly badVersion: (report: BadVersionMessage) => void;
   readonly rateLimits: (news: readonly RateLimitNews[]) => void;
+  readonly leavings: (news: readonly LeavingNews[]) => void;
 }
 
 /** Returns the message type, or undefined if the handler does not know the message. */
@@ -57,6 +59,7 @@
   createHandler(decodeCrashMessage, handlers.crashes, () => 'crashes'),
   createHandler(decodeBadVersion, handlers.badVersion, () => 'badVersion'),
   createHandler(decodeRateLimits, handlers.rateLimits, () => 'rateLimits'),
+  createHandler(decodeLeavings, handlers.leavings, () => 'leavings'),
 ];
 
 export const dispatchDatagram = (
--- a/packages/forwarding/src/peers/peerExchange.ts
+++ b/packages/forwarding/src/peers/peerExchange.ts
@@ -28,6 +28,7 @@
 import { AggregationStrategy } from './aggregationStrategy.js';
 import { TICK_MS, type LoadDatagram, type LoadSharingStrategy } from './loadSharingStrategy.js';
 import { encodeBadVersion, type BadVersionMessage } from './badVersionMessage.js';
+import { encodeLeavings, type LeavingNews } from './leavingMessage.js';
 import { encodeRateLimits, type RateLimitNews } from './rateLimitMessage.js';
 
 export interface PeerExchangeOptions {
@@ -53,6 +54,8 @@
   onBadVersion(report: BadVersionMessage): void;
   /** Called when another daemon has heard of rate limits of upstreams. */
   onRateLimits(news: readonly RateLimitNews[]): void;
+  /** Called when another daemon has heard that upstreams are leaving. */
+  onLeavings(news: readonly LeavingNews[]): void;
 }
 
 /**
@@ -99,6 +102,7 @@
     crashes: (report) => this.#options.onCrashMessage(report),
     badVersion: (report) => this.#options.onBadVersion(report),
     rateLimits: (news) => this.#options.onRateLimits(news),
+    leavings: (news) => this.#options.onLeavings(news),
   });
 
   #timer: NodeJS.Timeout | undefined;
@@ -250,6 +254,13 @@
     }
   }
 
+  /** Sent directly to all daemons: the store may be away, or name the upstream as ready for long. */
+  broadcastLeavings(news: readonly LeavingNews[]): void {
+    if (!this.#isStopped) {
+      this.#messenger.sendTo(this.#options.directory.all, encodeLeavings(news));
+    }
+  }
+
   /** Sends news of rate limits to one random daemon. */
   askAboutRateLimits(news: readonly RateLimitNews[]): void {
     const peer = this.#options.directory.pickAny();
--- a/packages/forwarding/src/peers/testSupport/daemonFleet.ts
+++ b/packages/forwarding/src/peers/testSupport/daemonFleet.ts
@@ -216,6 +216,7 @@
       onCrashMessage: () => {},
       onBadVersion: () => {},
       onRateLimits: () => {},
+      onLeavings: () => {},
     });
     const member = { self, directory, loads, readerRegistry, exchange, ownLoads, tables };
     const names = this.#options.tables ?? [];
--- a/packages/forwarding/src/upstreams/upstreamDirectory.ts
+++ b/packages/forwarding/src/upstreams/upstreamDirectory.ts
@@ -62,14 +62,19 @@
   /** Time in ms for which upstreams of a service stay cold after their start. */
   readonly #getWarmUpMs: (service: string) => number;
 
+  /** Time in ms for which a leaving upstream is used when its service has no other. */
+  readonly #lastResortMs: number;
+
   constructor(
     logger: Logger,
     peerLoads: PeerLoads,
     getWarmUpMs: (service: string) => number = () => 0,
+    lastResortMs = 0,
   ) {
     this.#logger = logger;
     this.#peerLoads = peerLoads;
     this.#getWarmUpMs = getWarmUpMs;
+    this.#lastResortMs = lastResortMs;
   }
 
   /**
@@ -91,24 +96,32 @@
     sent.filter((one) => one.digest === digest).forEach((one) => one.onHeld());
   }
 
-  /** Upstreams of the service that accept new requests. */
+  /**
+   * Upstreams of the service that accept new requests. If there is none, those whose answers said
+   * only a moment ago that they are leaving: they still serve.
+   */
   listReady(service: string): UpstreamEntry[] {
-    return [...this.#entries.values()].filter(
+    const listed = [...this.#entries.values()].filter(
       ({ upstream }) =>
         upstream.service === service &&
         upstream.state === 'ready' &&
         !this.#evacuated.has(upstream.dataCentre),
     );
+    const ready = listed.filter(({ isReady }) => isReady);
+    const sinceMs = performance.now() - this.#lastResortMs;
+    return ready.length > 0
+      ? ready
+      : listed.filter(({ statements: { leavingSinceMs = -Infinity } }) => leavingSinceMs > sinceMs);
   }
 
   /** Number of ready upstreams of the version per data centre, including evacuated ones. */
   countUpstreams(service: string, softwareVersion: string): ReadonlyMap<string, number> {
     const counts = new Map<string, number>();
-    for (const { upstream } of this.#entries.values()) {
-      const { dataCentre, state } = upstream;
+    for (const { upstream, isReady } of this.#entries.values()) {
+      const { dataCentre } = upstream;
       const isOfVersion =
         upstream.service === service && upstream.softwareVersion === softwareVersion;
-      if (isOfVersion && state === 'ready') {
+      if (isOfVersion && isReady) {
         counts.set(dataCentre, (counts.get(dataCentre) ?? 0) + 1);
       }
     }
@@ -118,10 +131,10 @@
   /** Whether any ready upstream of the version is in an evacuated data centre. */
   hasEvacuatedUpstreams(service: string, softwareVersion: string): boolean {
     return [...this.#entries.values()].some(
-      ({ upstream }) =>
+      ({ upstream, isReady }) =>
+        isReady &&
         upstream.service === service &&
         upstream.softwareVersion === softwareVersion &&
-        upstream.state === 'ready' &&
         this.#evacuated.has(upstream.dataCentre),
     );
   }
@@ -238,7 +251,7 @@
       return;
     }
     const waitMs = this.#graceUntilMs - performance.now();
-    if (waitMs > 0 && entry.upstream.state === 'ready') {
+    if (waitMs > 0 && entry.isReady) {
       this.#keepDoubtful(entry, waitMs);
       return;
     }
--- a/packages/forwarding/src/upstreams/upstreamEntry.ts
+++ b/packages/forwarding/src/upstreams/upstreamEntry.ts
@@ -134,6 +134,11 @@
     return this.#lastBytesAtMs;
   }
 
+  /** Whether neither its row nor its answers say that it is leaving. */
+  get isReady(): boolean {
+    return this.#upstream.state === 'ready' && this.statements.leavingSinceMs === undefined;
+  }
+
   /** True when the list no longer names it, but may be wrong. */
   get isDoubtful(): boolean {
     return this.#isDoubtful;
@@ -202,7 +207,7 @@
   }
 
   #describeExit(lost: readonly InFlightRequest[]): UpstreamExit {
-    const isExpected = !this.#isListed || this.#isDoubtful || this.#upstream.state !== 'ready';
+    const isExpected = !this.#isListed || this.#isDoubtful || !this.isReady;
     return { upstream: this.#upstream, lifeId: this.lifeId, isExpected, lost };
   }
 }
--- a/packages/proofs/src/platformSoak/faults/operatorFaults.ts
+++ b/packages/proofs/src/platformSoak/faults/operatorFaults.ts
@@ -50,16 +50,24 @@
   }
 };
 
-/** A new upstream comes, an old one drains and leaves; some never say that they drain. */
+type LeaveWay = 'drain' | 'remove' | 'answersOnly';
+
+/** What the list says of an upstream that leaves; its answers say so in each case. */
+const leaveWays: Readonly<Record<LeaveWay, (world: SoakWorld, old: BackEnd) => void>> = {
+  drain: ({ operator }, old) => (old.isOpen ? operator.drain(old) : operator.remove(old)),
+  remove: ({ operator }, old) => operator.remove(old),
+  // The platform's list names it as ready until it is gone, as while the store is away.
+  answersOnly: () => {},
+};
+
+/** A new upstream comes, an old one leaves. */
 export const replaceUpstream: Fault = withBackEnd((world, old, random) => {
   const { operator, backEnds, faultLog } = world;
   return faultLog.during('fleet of upstreams', 'replaceUpstream', async () => {
     await operator.addColdBackEnd(old.service, old.version);
-    if (old.isOpen && random.next() < 0.7) {
-      operator.drain(old);
-    } else {
-      operator.remove(old);
-    }
+    operator.sayLeaving(old);
+    const way = pickRandom(Object.keys(leaveWays) as LeaveWay[], random) ?? 'drain';
+    leaveWays[way](world, old);
     await sleep(DRAIN_MS + STAY_AFTER_DRAIN_MS);
     operator.remove(old);
     backEnds.stop(old);
--- a/packages/proofs/src/platformSoak/judge/promises.test.ts
+++ b/packages/proofs/src/platformSoak/judge/promises.test.ts
@@ -27,6 +27,8 @@
   cancelledAtMs: undefined,
 };
 
+const FAILED = { signature: undefined, status: 502 };
+
 const RUN: RunRecord = {
   attemptId: 's-1',
   upstream: 'plain-1',
@@ -162,6 +164,26 @@
   backEnds.all.forEach((backEnd) => backEnds.stop(backEnd));
 });
 
+test('a request at an upstream that told the VM of its leaving', () => {
+  const first = { ...ATTEMPT, sentAtMs: 1_000, endedAtMs: 1_100 };
+  const late = { ...ATTEMPT, id: 's-2', sentAtMs: 3_101, endedAtMs: 3_150, ...FAILED };
+  const evidence = createEvidence([first, late], [RUN]);
+  const { backEnds, faultLog } = evidence.world;
+  const arrival = { attemptId: 's-2', upstream: 'plain-1', atMs: 3_110 };
+  backEnds.arrivals.push(arrival);
+  assert.equal(listBroken(evidence), []);
+  const telling = { attemptId: 's-1', upstream: 'plain-1', atMs: 1_050 };
+  backEnds.tellings.push({ ...telling, statement: { isLeaving: true } });
+  assert.equal(listBroken(evidence), ['reachedToldLeaving']);
+  late.sentAtMs = 3_099;
+  assert.equal(listBroken(evidence), []);
+  late.sentAtMs = 3_101;
+  faultLog.begin('store', 'spoilStore');
+  assert.equal(listBroken(evidence), ['reachedToldLeaving']);
+  faultLog.begin('vm-a-1', 'pause');
+  assert.equal(listBroken(evidence), []);
+});
+
 test('an answer that is lost, late, or worked on after its caller left', () => {
   const lost = { ...ATTEMPT, isWhole: false, status: undefined, signature: undefined };
   assert.equal(listBroken(createEvidence([lost], [RUN])), ['lost']);
--- a/packages/proofs/src/platformSoak/judge/promises.ts
+++ b/packages/proofs/src/platformSoak/judge/promises.ts
@@ -17,6 +17,7 @@
 import type { ArrivalRecord, AttemptRecord, RunRecord } from '../types.js';
 import { isCalmBetween, isSuccess, type Evidence } from './evidence.js';
 import { listUnservedVms } from './calmService.js';
+import { reachedToldLeaving } from './leavings.js';
 import { overranLimit } from './rateLimits.js';
 import { sessionMoved } from './sessionMoves.js';
 
@@ -256,6 +257,7 @@
   unasked,
   revokedKeyRan,
   reachedLeaving,
+  reachedToldLeaving,
   reachedEvacuated,
   overranCold,
   overranLimit,
--- a/packages/proofs/src/platformSoak/judge/rateLimits.ts
+++ b/packages/proofs/src/platformSoak/judge/rateLimits.ts
@@ -3,36 +3,11 @@
 import type { LimitSpan } from '../outside/operator.js';
 import type { Telling } from '../outside/statements.js';
 import type { ArrivalRecord } from '../types.js';
-import { isSuccess, type Evidence } from './evidence.js';
+import type { Evidence } from './evidence.js';
+import { isUndisturbedSince, listToldAtMs } from './told.js';
 
 const MS_PER_S = 1_000;
 
-/** When each VM passed on answers that this upstream gave, by VM. */
-export const listToldAtMs = (
-  { attempts }: Evidence,
-  tellings: readonly Telling[],
-): ReadonlyMap<string, readonly number[]> => {
-  const attemptIds = new Set(tellings.map(({ attemptId }) => attemptId));
-  const toldAtMs = new Map<string, number[]>();
-  for (const attempt of attempts) {
-    if (attemptIds.has(attempt.id) && isSuccess(attempt)) {
-      const known = toldAtMs.get(attempt.vm) ?? [];
-      known.push(attempt.endedAtMs ?? Infinity);
-      toldAtMs.set(attempt.vm, known);
-    }
-  }
-  return toldAtMs;
-};
-
-/** Restarts, pauses and cuts of a VM excuse it. */
-export const isUndisturbedSince = (
-  { world }: Evidence,
-  vm: string,
-  fromMs: number,
-  toMs: number,
-): boolean =>
-  [vm, `${vm} planned`].every((target) => !world.faultLog.isDisturbed(target, fromMs, toMs));
-
 const listCounted = (evidence: Evidence, span: LimitSpan): readonly ArrivalRecord[] => {
   const { backEnds } = evidence.world;
   const vmByAttemptId = new Map(evidence.attempts.map(({ id, vm }) => [id, vm]));
--- a/packages/proofs/src/platformSoak/outside/operator.ts
+++ b/packages/proofs/src/platformSoak/outside/operator.ts
@@ -170,6 +170,11 @@
     };
   }
 
+  /** The upstream says in its answers that it leaves. */
+  sayLeaving(backEnd: BackEnd): void {
+    Object.assign(backEnd, { statement: { ...backEnd.statement, isLeaving: true } });
+  }
+
   /** Whether it runs, is listed, and has not been told to leave. */
   isStaying({ id, isOpen }: BackEnd): boolean {
     const isListed = this.#store.read('servers', id) !== undefined;
--- a/packages/proofs/src/platformSoak/outside/statements.ts
+++ b/packages/proofs/src/platformSoak/outside/statements.ts
@@ -4,6 +4,7 @@
 export interface Statement {
   /** Requests per second that it accepts from all daemons together. */
   readonly rateLimitPerS?: number;
+  readonly isLeaving?: boolean;
 }
 
 /** One answer that said something. */
@@ -14,6 +15,10 @@
   readonly statement: Statement;
 }
 
-export const renderStatement = ({ rateLimitPerS }: Statement): Record<string, string> => ({
+export const renderStatement = ({
+  rateLimitPerS,
+  isLeaving,
+}: Statement): Record<string, string> => ({
   ...(rateLimitPerS === undefined ? {} : { 'Server-Limit': String(rateLimitPerS) }),
+  ...(isLeaving === true ? { 'Server-Leaving': '1' } : {}),
 });
