Lines for the back-off that upstreams ask for when they turn a request away

The adapter decodes Retry-After of an upstream's 503 into AnswerMetadata.backOff; each incarnation keeps until when it lasts for this daemon; begins and extensions are logged, 'sent' lines have what is left of it. Placement is unchanged. A value that is no number, negative, a date or above 600 s is logged and changes nothing (backOff.test); limits of rates use the same log line, once a second at most.

--- a/packages/forwarding/src/daemon/forwardDaemon.ts
+++ b/packages/forwarding/src/daemon/forwardDaemon.ts
@@ -8,6 +8,7 @@
 import { RolloutTracker, RolloutKeeper } from '../rollouts/index.js';
 import type { RowStore, TableWatcher } from '../store/index.js';
 import {
+  BackOffTracker,
   LeavingTracker,
   RateLimitTracker,
   UpstreamDirectory,
@@ -183,6 +184,7 @@
       upstreamGate: new UpstreamGate(this.#exchange),
       rateLimits: this.#rateLimits,
       leavings: this.#leavings,
+      backOffs: new BackOffTracker(logger),
       dialect: adapter.dialect,
       rollouts: this.#rollouts,
       crashes: this.#crashes.tracker,
--- a/packages/forwarding/src/runs/attempt.ts
+++ b/packages/forwarding/src/runs/attempt.ts
@@ -306,8 +306,9 @@
       return;
     }
     const { entry } = this.#plan;
-    const { rateLimits, leavings } = this.#dependencies;
+    const { rateLimits, leavings, backOffs } = this.#dependencies;
     rateLimits.recordAnswer(entry, facts.rateLimit, this.#startedAtMs);
+    backOffs.recordAnswer(entry, facts.backOff);
     if (facts.isLeaving) {
       leavings.recordAnswer(entry);
     }
--- a/packages/forwarding/src/runs/dependencies.ts
+++ b/packages/forwarding/src/runs/dependencies.ts
@@ -7,6 +7,7 @@
 import type { RolloutTracker } from '../rollouts/rolloutTracker.js';
 import type { HeaderDialect } from '../types.js';
 import type {
+  BackOffTracker,
   LeavingTracker,
   RateLimitTracker,
   UpstreamDirectory,
@@ -22,6 +23,8 @@
   readonly rateLimits: RateLimitTracker;
   /** Upstreams that state in their answers that they are leaving. */
   readonly leavings: LeavingTracker;
+  /** Upstreams that want no requests from this daemon for a while. */
+  readonly backOffs: BackOffTracker;
   readonly dialect: HeaderDialect;
   readonly rollouts: RolloutTracker;
   /** Upstreams whose process exited, and requests held back as the suspected cause. */
--- a/packages/forwarding/src/runs/describePlacement.ts
+++ b/packages/forwarding/src/runs/describePlacement.ts
@@ -21,6 +21,7 @@
     backlog: Math.round(entry.backlog),
     isCold: entry.cold.isCold(performance.now()) || undefined,
     leavingForMs: roundMs(describeAgeMs(entry.statements.leavingSinceMs)),
+    backOffMs: roundMs(entry.statements.backOff.getRemainingMs(performance.now()) || undefined),
     rateLimitPerS: entry.rateLimit.requestsPerS,
     heldOff: countHeldOff(dependencies, query),
     requests: entry.requests,
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -153,6 +153,15 @@
   | { readonly kind: 'limited'; readonly requestsPerS: number }
   | { readonly kind: 'invalid'; readonly text: string };
 
+/**
+ * How long an upstream that turned a request away wants none from this daemon. `invalid`: the value
+ * is not a plausible time and changes nothing.
+ */
+export type StatedBackOff =
+  | { readonly kind: 'none' }
+  | { readonly kind: 'backOff'; readonly delayMs: number }
+  | { readonly kind: 'invalid'; readonly text: string };
+
 /** Metadata from an upstream's answer headers. */
 export interface AnswerMetadata {
   /** The attempt that the answer belongs to, as echoed by the upstream. */
@@ -164,6 +173,7 @@
   /** The model's confidence in its answer, 0 to 100. */
   readonly confidence?: number;
   readonly rateLimit: StatedRateLimit;
+  readonly backOff: StatedBackOff;
   /** The upstream states that it is leaving. */
   readonly isLeaving: boolean;
 }
--- /dev/null
+++ b/packages/forwarding/src/upstreams/backOffTracker.ts
@@ -0,0 +1,33 @@
+/**
+ * Follows for how long upstreams that turned a request away want none from this daemon. Other
+ * daemons are not told: each upstream decides for each daemon.
+ */
+import type { Logger } from '@snipehaven/common';
+import type { StatedBackOff } from '../types.js';
+import { InvalidStatementLog } from './invalidStatementLog.js';
+import type { UpstreamEntry } from './upstreamEntry.js';
+
+export class BackOffTracker {
+  readonly #logger: Logger;
+
+  readonly #invalidLog: InvalidStatementLog;
+
+  constructor(logger: Logger) {
+    this.#logger = logger;
+    this.#invalidLog = new InvalidStatementLog(logger, 'backOff');
+  }
+
+  recordAnswer(entry: UpstreamEntry, stated: StatedBackOff): void {
+    if (stated.kind === 'invalid') {
+      this.#invalidLog.add(entry, stated.text);
+      return;
+    }
+    const delayMs = stated.kind === 'backOff' ? stated.delayMs : 0;
+    if (entry.statements.backOff.extend(delayMs, performance.now())) {
+      this.#logger.info(
+        { event: 'upstreamBackOff', upstream: entry.id, life: entry.lifeId, delayMs },
+        'an upstream that turned a request away wants none for a while',
+      );
+    }
+  }
+}
--- a/packages/forwarding/src/upstreams/index.ts
+++ b/packages/forwarding/src/upstreams/index.ts
@@ -1,4 +1,5 @@
 export type { ExitVerdict, InFlightRequest } from './exitDetector.js';
+export { BackOffTracker } from './backOffTracker.js';
 export { LeavingTracker } from './leavingTracker.js';
 export { RateLimitTracker } from './rateLimitTracker.js';
 export { UpstreamDirectory } from './upstreamDirectory.js';
--- a/packages/forwarding/src/upstreams/rateLimitTracker.ts
+++ b/packages/forwarding/src/upstreams/rateLimitTracker.ts
@@ -5,16 +5,11 @@
 import type { Logger } from '@snipehaven/common';
 import type { RateLimitNews } from '../peers/index.js';
 import type { StatedRateLimit } from '../types.js';
+import { InvalidStatementLog } from './invalidStatementLog.js';
 import type { RateLimitChange, RateLimitReport } from './rateLimitState.js';
 import type { UpstreamDirectory } from './upstreamDirectory.js';
 import type { UpstreamEntry } from './upstreamEntry.js';
 
-/** Longer values are cut off in the log. */
-const MAX_LOGGED_CHARS = 40;
-
-/** Between log lines about invalid limits, to bound the log. */
-const INVALID_LOG_INTERVAL_MS = 1_000;
-
 /** Answers that arrive within this time are reported in one message. */
 const BATCH_MS = 20;
 
@@ -55,17 +50,18 @@
   /** When any daemon last told the others of an incarnation, as far as known here. */
   readonly #toldAtMs = new WeakMap<UpstreamEntry, number>();
 
-  #invalidLoggedAtMs = -Infinity;
+  readonly #invalidLog: InvalidStatementLog;
 
   constructor(options: RateLimitTrackerOptions) {
     this.#options = options;
+    this.#invalidLog = new InvalidStatementLog(options.logger, 'rateLimit');
     setInterval(() => this.#askAboutUnconfirmed(), QUESTION_INTERVAL_MS).unref();
   }
 
   /** Records what an answer said; `sentAtMs`: when its request was sent. */
   recordAnswer(entry: UpstreamEntry, stated: StatedRateLimit, sentAtMs: number): void {
     if (stated.kind === 'invalid') {
-      this.#logInvalid(entry, stated.text);
+      this.#invalidLog.add(entry, stated.text);
       return;
     }
     const requestsPerS = stated.kind === 'limited' ? stated.requestsPerS : undefined;
@@ -156,15 +152,4 @@
     }
     return change;
   }
-
-  #logInvalid(entry: UpstreamEntry, text: string): void {
-    const nowMs = performance.now();
-    if (nowMs - this.#invalidLoggedAtMs >= INVALID_LOG_INTERVAL_MS) {
-      this.#invalidLoggedAtMs = nowMs;
-      this.#options.logger.warn(
-        { event: 'rateLimitInvalid', upstream: entry.id, text: text.slice(0, MAX_LOGGED_CHARS) },
-        'ignored a rate limit that is not a number of requests per second within bounds',
-      );
-    }
-  }
 }
