An upstream that asks for a back-off gets nothing from the daemon until it is over

Cause: a 503 was kept as a refusal, which makes an upstream suspect for 100 ms, and its Retry-After was not kept. A suspicion would not have done: the next answer of the upstream undoes it, and suspects are the fallback where there is nobody else.

Change: the gate has a third limit. After a 503 with Retry-After this daemon sends the upstream nothing until that time is over, then one request tries it, once in 500 ms, until an answer asks for no more; the others follow. Where all have asked, requests are refused at once as not run, with the shortest time left and up to a quarter more at random, also after an attempt that was turned away. Other daemons are not told: the upstream decides for each. The number of upstreams held off comes with the placement and is counted by reason only where there are any.

--- a/packages/forwarding/src/runs/attempt.ts
+++ b/packages/forwarding/src/runs/attempt.ts
@@ -308,7 +308,7 @@
     const { entry } = this.#plan;
     const { rateLimits, leavings, backOffs } = this.#dependencies;
     rateLimits.recordAnswer(entry, facts.rateLimit, this.#startedAtMs);
-    backOffs.recordAnswer(entry, facts.backOff);
+    backOffs.recordAnswer(entry, facts.backOff, this.#startedAtMs);
     if (facts.isLeaving) {
       leavings.recordAnswer(entry);
     }
--- a/packages/forwarding/src/runs/describePlacement.ts
+++ b/packages/forwarding/src/runs/describePlacement.ts
@@ -10,7 +10,7 @@
 
 export const describePlacement = (
   dependencies: ForwardDependencies,
-  { entry, startWork, workAhead }: RequestPlacement,
+  { entry, startWork, workAhead, heldOffCount }: RequestPlacement,
   query: PlacementQuery,
 ) => {
   const { configuration, getWorkPace, rollouts } = dependencies;
@@ -23,7 +23,7 @@
     leavingForMs: roundMs(describeAgeMs(entry.statements.leavingSinceMs)),
     backOffMs: roundMs(entry.statements.backOff.getRemainingMs(performance.now()) || undefined),
     rateLimitPerS: entry.rateLimit.requestsPerS,
-    heldOff: countHeldOff(dependencies, query),
+    heldOff: heldOffCount > 0 ? countHeldOff(dependencies, query) : undefined,
     requests: entry.requests,
     startWork: Math.round(startWork),
     expectedMs: roundMs(getWorkPace(service).estimateStartMs(workAhead)),
--- a/packages/forwarding/src/runs/findPlacement.ts
+++ b/packages/forwarding/src/runs/findPlacement.ts
@@ -25,6 +25,8 @@
   readonly workAhead: number;
   /** Mean backlog of the candidate upstreams. */
   readonly meanBacklog: number;
+  /** Number of upstreams that were left out as they accept no requests at present. */
+  readonly heldOffCount: number;
 }
 
 const toCandidate = (
@@ -72,7 +74,7 @@
   const { directory, random, configuration } = dependencies;
   const { service, route, options, model } = query;
   const nowMs = performance.now();
-  const entries = listCandidates(dependencies, query, nowMs);
+  const { entries, heldOffCount } = listCandidates(dependencies, query, nowMs);
   const meanBacklog = getMeanBacklog(entries);
   const pool = configuration.table?.findService(service);
   const work = estimateWork(route, pool, options, model);
@@ -105,5 +107,6 @@
     runWork: work.running,
     workAhead: entry.backlog + startWork,
     meanBacklog,
+    heldOffCount,
   };
 };
--- a/packages/forwarding/src/runs/forwardRun.ts
+++ b/packages/forwarding/src/runs/forwardRun.ts
@@ -11,6 +11,7 @@
 import { digestRequest, type Hold } from '../crashes/index.js';
 import type { ResponseHead, ExchangeFailure } from '../exchange/index.js';
 import type { ForwardRoute } from '../types.js';
+import type { HoldOff } from '../upstreams/index.js';
 import { Attempt, type AttemptListener } from './attempt.js';
 import type { ForwardDependencies } from './dependencies.js';
 import { buildRefusal } from './buildRefusal.js';
@@ -18,7 +19,7 @@
 import { describePlacement } from './describePlacement.js';
 import { findLargerModel, type LargerModel } from './findLargerModel.js';
 import { findPlacement, type RequestPlacement } from './findPlacement.js';
-import { findHoldOff, findSessionExpiryWait } from './listCandidates.js';
+import { findHoldOff, findSessionExpiryWait, listCandidates } from './listCandidates.js';
 import { toReasonAfterRun } from './refusals.js';
 import type { PlacementQuery } from './placementQuery.js';
 import { ResponseTiming, roundMs } from './responseTiming.js';
@@ -34,9 +35,21 @@
 
 const MS_PER_S = 1_000;
 
+/**
+ * Share of the wait that is added at random to Retry-After. Without it, all callers that were refused
+ * during a back-off would return at its end.
+ */
+const waitSpread: Readonly<Partial<Record<RefusalReason, number>>> = { upstreamsBackedOff: 0.25 };
+
 const getSecondsLeft = ({ untilMs }: Hold): number =>
   Math.max(1, Math.ceil((untilMs - performance.now()) / MS_PER_S));
 
+/** How long a session waits for its version, whose upstreams are evacuated. */
+interface SessionHoldOff {
+  readonly reason: 'versionEvacuated';
+  readonly waitMs: number;
+}
+
 const isSuccess = (status: number): boolean => status >= 200 && status < 300;
 
 const isRepeatable = (route: ForwardRoute): boolean =>
@@ -288,8 +301,24 @@
       return;
     }
     const isNotRun = outcome === 'refused' || isUnspent(outcome);
-    const reason = isNotRun ? 'upstreamsBusy' : 'upstreamFailed';
-    this.#concludeFailure(isHeld ? 'held' : reason);
+    if (isNotRun && !isHeld) {
+      this.#concludeTurnedAway();
+      return;
+    }
+    this.#concludeFailure(isHeld ? 'held' : 'upstreamFailed');
+  }
+
+  /** Tells the caller for how long no upstream accepts requests, if that is known. */
+  #concludeTurnedAway(): void {
+    const query = this.#createQuery(this.#attempt?.service ?? '');
+    const isAnyOpen =
+      listCandidates(this.#dependencies, query, performance.now()).entries.length > 0;
+    const holdOff = isAnyOpen ? undefined : findHoldOff(this.#dependencies, query);
+    if (holdOff === undefined) {
+      this.#concludeFailure('upstreamsBusy');
+    } else {
+      this.#concludeHeldOff(holdOff);
+    }
   }
 
   #canTryAgain(outcome: AttemptOutcome): boolean {
@@ -357,17 +386,8 @@
 
   #send(service: string): void {
     const { route, team } = this.#resolved;
-    const { options } = this.#request;
-    const { crashes } = this.#dependencies;
-    const blame = crashes.isEmpty ? 0 : crashes.getWeight(this.digest);
-    const query = {
-      service,
-      route,
-      options,
-      model: this.#model,
-      usedUpstreams: this.#usedUpstreams,
-      suspectDigest: blame === 0 ? undefined : this.digest,
-    };
+    const query = this.#createQuery(service);
+    const blame = this.#blame;
     const placement = findPlacement(this.#dependencies, query);
     if (placement === undefined) {
       this.#concludeUnplaced(query);
@@ -395,17 +415,41 @@
     this.#attempt.start();
   }
 
+  /** How much this request is suspected of making upstreams exit; 0 if it is not. */
+  get #blame(): number {
+    const { crashes } = this.#dependencies;
+    return crashes.isEmpty ? 0 : crashes.getWeight(this.digest);
+  }
+
+  #createQuery(service: string): PlacementQuery {
+    return {
+      service,
+      route: this.#resolved.route,
+      options: this.#request.options,
+      model: this.#model,
+      usedUpstreams: this.#usedUpstreams,
+      suspectDigest: this.#blame === 0 ? undefined : this.digest,
+    };
+  }
+
   #concludeUnplaced(query: PlacementQuery): void {
     const expiryWaitMs = findSessionExpiryWait(this.#dependencies, query);
-    const wait =
-      expiryWaitMs === undefined
-        ? findHoldOff(this.#dependencies, query)
-        : { reason: 'versionEvacuated' as const, waitMs: expiryWaitMs };
-    if (wait === undefined) {
-      this.#concludeFailure('noUpstream');
+    if (expiryWaitMs !== undefined) {
+      this.#concludeHeldOff({ reason: 'versionEvacuated', waitMs: expiryWaitMs });
       return;
     }
-    this.#concludeFailure(wait.reason, Math.max(MIN_RETRY_AFTER_S, wait.waitMs / MS_PER_S));
+    const holdOff = findHoldOff(this.#dependencies, query);
+    if (holdOff === undefined) {
+      this.#concludeFailure('noUpstream');
+    } else {
+      this.#concludeHeldOff(holdOff);
+    }
+  }
+
+  #concludeHeldOff({ reason, waitMs }: HoldOff | SessionHoldOff): void {
+    const spread = (waitSpread[reason] ?? 0) * this.#dependencies.random.next();
+    const waitS = (waitMs * (1 + spread)) / MS_PER_S;
+    this.#concludeFailure(reason, Math.max(MIN_RETRY_AFTER_S, waitS));
   }
 
   #recordDemand(service: string, { startWork, runWork }: RequestPlacement): void {
--- a/packages/forwarding/src/runs/listCandidates.ts
+++ b/packages/forwarding/src/runs/listCandidates.ts
@@ -15,6 +15,12 @@
   nowMs: number,
 ): GateContext => ({ warmUp: configuration.table?.findService(service)?.warmUp, nowMs });
 
+export interface Candidates {
+  readonly entries: readonly UpstreamEntry[];
+  /** Number of allowed upstreams that the gate holds off. */
+  readonly heldOffCount: number;
+}
+
 /**
  * Returns none when all upstreams believed healthy are held off by the gate: the request is then
  * refused instead of being lost on an upstream believed dead.
@@ -23,16 +29,17 @@
   dependencies: ForwardDependencies,
   query: PlacementQuery,
   nowMs: number,
-): readonly UpstreamEntry[] => {
+): Candidates => {
   const allowed = listAllowed(dependencies, query);
   const context = getGateContext(dependencies, query, nowMs);
   const ready = allowed.filter((entry) => dependencies.upstreamGate.admits(entry, context));
+  const heldOffCount = allowed.length - ready.length;
   const isSound = (entry: UpstreamEntry): boolean => !entry.isSuspect(nowMs);
-  if (ready.length < allowed.length && allowed.some(isSound) && !ready.some(isSound)) {
-    return [];
+  if (heldOffCount > 0 && allowed.some(isSound) && !ready.some(isSound)) {
+    return { entries: [], heldOffCount };
   }
   const unused = ready.filter((entry) => !query.usedUpstreams.has(entry.lifeId));
-  return unused.length > 0 ? unused : ready;
+  return { entries: unused.length > 0 ? unused : ready, heldOffCount };
 };
 
 /** Time in ms until the session expires, if its version is evacuated; undefined otherwise. */
@@ -52,14 +59,12 @@
     getGateContext(dependencies, query, performance.now()),
   );
 
-/** Number of allowed upstreams that the gate holds off, by reason; undefined if there is none. */
+/** Number of allowed upstreams that the gate holds off, by reason. */
 export const countHeldOff = (
   dependencies: ForwardDependencies,
   query: PlacementQuery,
-): ReturnType<UpstreamGate['count']> | undefined => {
-  const counts = dependencies.upstreamGate.count(
+): ReturnType<UpstreamGate['count']> =>
+  dependencies.upstreamGate.count(
     listAllowed(dependencies, query),
     getGateContext(dependencies, query, performance.now()),
   );
-  return Object.keys(counts).length === 0 ? undefined : counts;
-};
--- a/packages/forwarding/src/runs/refusals.ts
+++ b/packages/forwarding/src/runs/refusals.ts
@@ -32,6 +32,10 @@
     status: 503,
     message: 'upstreams have limited their request rate and accept no more requests at present',
   },
+  upstreamsBackedOff: {
+    status: 503,
+    message: 'upstreams have turned requests away and accept none at present',
+  },
   versionEvacuated: { status: 503, message: 'upstreams of the session’s version are evacuated' },
   upstreamsBusy: { status: 503, message: 'upstreams are full' },
   deadlineNotRun: {
--- a/packages/forwarding/src/upstreams/backOffTracker.ts
+++ b/packages/forwarding/src/upstreams/backOffTracker.ts
@@ -17,13 +17,19 @@
     this.#invalidLog = new InvalidStatementLog(logger, 'backOff');
   }
 
-  recordAnswer(entry: UpstreamEntry, stated: StatedBackOff): void {
+  /** Records what an answer said; `sentAtMs`: when its request was sent. */
+  recordAnswer(entry: UpstreamEntry, stated: StatedBackOff, sentAtMs: number): void {
     if (stated.kind === 'invalid') {
       this.#invalidLog.add(entry, stated.text);
       return;
     }
-    const delayMs = stated.kind === 'backOff' ? stated.delayMs : 0;
-    if (entry.statements.backOff.extend(delayMs, performance.now())) {
+    const { backOff } = entry.statements;
+    if (stated.kind === 'none') {
+      backOff.recordAccepted(sentAtMs);
+      return;
+    }
+    const { delayMs } = stated;
+    if (backOff.extend(delayMs, performance.now())) {
       this.#logger.info(
         { event: 'upstreamBackOff', upstream: entry.id, life: entry.lifeId, delayMs },
         'an upstream that turned a request away wants none for a while',
--- a/packages/forwarding/src/upstreams/types.ts
+++ b/packages/forwarding/src/upstreams/types.ts
@@ -14,7 +14,7 @@
 }
 
 /** Why an upstream gets no request for now. */
-export type HoldOffReason = 'warmingUp' | 'upstreamsLimited';
+export type HoldOffReason = 'warmingUp' | 'upstreamsLimited' | 'upstreamsBackedOff';
 
 /** How long an upstream gets no request from this daemon, and why. */
 export interface HoldOff {
--- a/packages/forwarding/src/upstreams/upstreamEntry.ts
+++ b/packages/forwarding/src/upstreams/upstreamEntry.ts
@@ -168,8 +168,10 @@
   }
 
   startRequest(work: number): void {
-    this.cold.recordSent(performance.now());
-    this.rateLimit.recordSent(performance.now());
+    const nowMs = performance.now();
+    this.cold.recordSent(nowMs);
+    this.rateLimit.recordSent(nowMs);
+    this.statements.backOff.recordSent(nowMs);
     this.#requests += 1;
     this.#work += work;
   }
--- a/packages/forwarding/src/upstreams/upstreamGate.ts
+++ b/packages/forwarding/src/upstreams/upstreamGate.ts
@@ -28,6 +28,7 @@
     const limits: Readonly<Record<HoldOffReason, GetWaitMs>> = {
       warmingUp: (entry, { warmUp, nowMs }) => cold.getWaitMs(entry, warmUp, nowMs),
       upstreamsLimited: (entry, { nowMs }) => rate.getWaitMs(entry, nowMs),
+      upstreamsBackedOff: ({ statements }, { nowMs }) => statements.backOff.getWaitMs(nowMs),
     };
     this.#limits = Object.entries(limits) as [HoldOffReason, GetWaitMs][];
   }
--- a/packages/proofs/src/platformSoak/constants.ts
+++ b/packages/proofs/src/platformSoak/constants.ts
@@ -41,6 +41,9 @@
 /** Until a daemon must heed what an answer that it passed on said. */
 export const TOLD_MS = 500;
 
+/** Requests that may reach an upstream from a VM during the back-off that it asked this VM for. */
+export const MAX_BACK_OFF_ARRIVALS = 2;
+
 /** How long a caller waits; a little more is allowed before an answer counts as overdue. */
 export const CALLER_DEADLINE_MS = 4_000;
 export const OVERDUE_MS = 700;
--- a/packages/proofs/src/platformSoak/faults/index.ts
+++ b/packages/proofs/src/platformSoak/faults/index.ts
@@ -21,6 +21,7 @@
   [operators.evacuate, operators.turnCold],
   [operators.evacuateAnother],
   [operators.limitRate],
+  [operators.shed],
   [deadlyQuestion],
 ];
 
--- a/packages/proofs/src/platformSoak/faults/operatorFaults.ts
+++ b/packages/proofs/src/platformSoak/faults/operatorFaults.ts
@@ -106,6 +106,21 @@
   }),
 );
 
+const SHED_SHARE = 0.4;
+const BACK_OFFS_S = [0.7, 1.5, 3];
+const MIN_SHED_MS = 1_000;
+const SHED_SPREAD_MS = 4_000;
+
+/** An upstream turns requests away for a while and asks for a back-off. */
+export const shed: Fault = withBackEnd(({ faultLog }, backEnd, random) =>
+  faultLog.during('fleet of upstreams', 'shed', async () => {
+    const backOffS = pickRandom(BACK_OFFS_S, random) ?? 1;
+    Object.assign(backEnd, { shedding: { share: SHED_SHARE, backOffS } });
+    await sleep(MIN_SHED_MS + random.nextInt(SHED_SPREAD_MS));
+    Object.assign(backEnd, { shedding: undefined });
+  }),
+);
+
 const MIN_EVACUATION_MS = 500;
 const EVACUATION_SPREAD_MS = 5_000;
 
--- a/packages/proofs/src/platformSoak/judge/promises.test.ts
+++ b/packages/proofs/src/platformSoak/judge/promises.test.ts
@@ -184,6 +184,19 @@
   assert.equal(listBroken(evidence), []);
 });
 
+test('more than two requests from a VM within the back-off that an upstream asked it for', () => {
+  const evidence = createEvidence([{ ...ATTEMPT, sentAtMs: 900, endedAtMs: 1_100 }], [RUN]);
+  const { backEnds, faultLog } = evidence.world;
+  const arrival = { attemptId: 's-1', upstream: 'plain-1' };
+  backEnds.tellings.push({ ...arrival, atMs: 1_000, statement: { backOffS: 2 } });
+  [1_400, 1_600, 2_900, 3_100].forEach((atMs) => backEnds.arrivals.push({ ...arrival, atMs }));
+  assert.equal(listBroken(evidence), []);
+  backEnds.arrivals.push({ ...arrival, atMs: 2_000 });
+  assert.equal(listBroken(evidence), ['brokeBackOff']);
+  faultLog.begin('vm-a-1', 'pause');
+  assert.equal(listBroken(evidence), []);
+});
+
 test('an answer that is lost, late, or worked on after its caller left', () => {
   const lost = { ...ATTEMPT, isWhole: false, status: undefined, signature: undefined };
   assert.equal(listBroken(createEvidence([lost], [RUN])), ['lost']);
--- a/packages/proofs/src/platformSoak/judge/promises.ts
+++ b/packages/proofs/src/platformSoak/judge/promises.ts
@@ -15,6 +15,7 @@
 } from '../constants.js';
 import { renderPlainBody, renderStreamBody } from '../outside/backEnds.js';
 import type { ArrivalRecord, AttemptRecord, RunRecord } from '../types.js';
+import { brokeBackOff } from './backOffs.js';
 import { isCalmBetween, isSuccess, type Evidence } from './evidence.js';
 import { listUnservedVms } from './calmService.js';
 import { reachedToldLeaving } from './leavings.js';
@@ -261,6 +262,7 @@
   reachedEvacuated,
   overranCold,
   overranLimit,
+  brokeBackOff,
   lost,
   overdue,
   workedForNobody,
--- a/packages/proofs/src/platformSoak/outside/backEnds.ts
+++ b/packages/proofs/src/platformSoak/outside/backEnds.ts
@@ -17,6 +17,13 @@
 
 export type ServiceName = 'plain' | 'models';
 
+/** An upstream turns requests away and asks for a back-off. */
+export interface Shedding {
+  /** Share of the requests that are turned away. */
+  readonly share: number;
+  readonly backOffS: number;
+}
+
 /** Of one upstream; `version` is that of its software. */
 export interface BackEnd {
   readonly id: string;
@@ -30,6 +37,8 @@
   failureShare: number;
   /** Said in all answers. */
   statement: Statement;
+  /** Undefined while it turns no requests away. */
+  shedding: Shedding | undefined;
   isOpen: boolean;
 }
 
@@ -90,7 +99,8 @@
     const failureShare = USUAL_FAILURE_SHARE;
     const dataCentre = DATA_CENTRES[this.#started % DATA_CENTRES.length] ?? DATA_CENTRES[0];
     const place = { id, service, version, dataCentre };
-    const backEnd = { ...place, upstream, forwarder, failureShare, statement: {}, isOpen: true };
+    const state = { failureShare, statement: {}, shedding: undefined, isOpen: true };
+    const backEnd = { ...place, ...state, upstream, forwarder };
     this.all.push(backEnd);
     return backEnd;
   }
@@ -121,6 +131,8 @@
     this.arrivals.push({ attemptId, upstream: backEnd.id, atMs, isUsualFailure });
     if (request.headers.get('x-expect-instance') !== backEnd.id) {
       socket.write(renderHead(request, 421, { 'Content-Length': '0' }));
+    } else if (backEnd.shedding !== undefined && this.#random.next() < backEnd.shedding.share) {
+      this.#shed(backEnd, backEnd.shedding, request, socket);
     } else if (way === 'refuse') {
       const headers = { 'X-Not-Executed': '1', 'Content-Length': '0' };
       socket.write(this.#renderHead(backEnd, request, 503, headers));
@@ -131,6 +143,12 @@
     }
   }
 
+  #shed(backEnd: BackEnd, { backOffS }: Shedding, request: SeenRequest, socket: Socket): void {
+    const said = { ...backEnd, statement: { ...backEnd.statement, backOffS } };
+    const headers = { 'X-Not-Executed': '1', 'Content-Length': '0' };
+    socket.write(this.#renderHead(said, request, 503, headers));
+  }
+
   #renderHead(
     { id, statement }: BackEnd,
     request: SeenRequest,
--- a/packages/proofs/src/platformSoak/outside/statements.ts
+++ b/packages/proofs/src/platformSoak/outside/statements.ts
@@ -5,6 +5,8 @@
   /** Requests per second that it accepts from all daemons together. */
   readonly rateLimitPerS?: number;
   readonly isLeaving?: boolean;
+  /** In seconds; only with a request that is turned away. */
+  readonly backOffS?: number;
 }
 
 /** One answer that said something. */
@@ -18,7 +20,9 @@
 export const renderStatement = ({
   rateLimitPerS,
   isLeaving,
+  backOffS,
 }: Statement): Record<string, string> => ({
   ...(rateLimitPerS === undefined ? {} : { 'Server-Limit': String(rateLimitPerS) }),
   ...(isLeaving === true ? { 'Server-Leaving': '1' } : {}),
+  ...(backOffS === undefined ? {} : { 'Retry-After': String(backOffS) }),
 });
