--- a/packages/forwarding/src/runs/describePlacement.ts
+++ b/packages/forwarding/src/runs/describePlacement.ts
@@ -5,7 +5,7 @@
 import type { PlacementQuery } from './placementQuery.js';
 import { roundMs } from './responseTiming.js';
 
-const describeAgeMs = (sinceMs: number | undefined): number | undefined =>
+const getAgeMs = (sinceMs: number | undefined): number | undefined =>
   sinceMs === undefined ? undefined : performance.now() - sinceMs;
 
 export const describePlacement = (
@@ -20,8 +20,7 @@
     upstream: entry.id,
     backlog: Math.round(entry.backlog),
     isCold: entry.cold.isCold(performance.now()) || undefined,
-    leavingForMs: roundMs(describeAgeMs(entry.statements.leavingSinceMs)),
-    backOffMs: roundMs(entry.statements.backOff.getRemainingMs(performance.now()) || undefined),
+    leavingForMs: roundMs(getAgeMs(entry.statements.leavingSinceMs)),
     rateLimitPerS: entry.rateLimit.requestsPerS,
     heldOff: heldOffCount > 0 ? countHeldOff(dependencies, query) : undefined,
     requests: entry.requests,
--- a/packages/forwarding/src/upstreams/backOffState.ts
+++ b/packages/forwarding/src/upstreams/backOffState.ts
@@ -35,11 +35,6 @@
     }
   }
 
-  /** Time in ms until the upstream takes requests again; 0 if it does. */
-  getRemainingMs(nowMs: number): number {
-    return Math.max(0, this.#untilMs - nowMs);
-  }
-
   /** Time in ms until this daemon may send one more request; 0 if it may now. */
   getWaitMs(nowMs: number): number {
     const nextTrialAtMs = this.#isOnTrial ? this.#trialSentAtMs + TRIAL_INTERVAL_MS : -Infinity;
--- a/packages/forwarding/src/upstreams/rateLimitFleet.test.ts
+++ b/packages/forwarding/src/upstreams/rateLimitFleet.test.ts
@@ -40,7 +40,6 @@
 const STEP_MS = 20;
 const ANSWER_MS = 60;
 const REQUESTS_PER_S = 4;
-const CONTEXT = { warmUp: undefined };
 
 /** From the first statement until all must heed it. */
 const NOTICE_MS = 3_000;
@@ -110,7 +109,7 @@
   #request({ directory, tracker, gate }: Daemon, index: number): void {
     const entry = directory.find('u-1');
     const sentAtMs = performance.now();
-    if (entry !== undefined && gate.admits(entry, { ...CONTEXT, nowMs: sentAtMs })) {
+    if (entry !== undefined && gate.admits(entry, { warmUp: undefined, nowMs: sentAtMs })) {
       entry.startRequest(1);
       this.arrivals.push({ atMs: sentAtMs, daemon: index });
       setTimeout(() => {
