Options of the table watcher stand apart from it

peerFeed took a type from tableWatcher, which takes functions from peerFeed. The options and the listener's type now have a file of their own that both import; no behaviour changes.

--- a/packages/forwarding/src/store/index.ts
+++ b/packages/forwarding/src/store/index.ts
@@ -1,2 +1,3 @@
-export { TableWatcher, type TableListener } from './tableWatcher.js';
+export { TableWatcher } from './tableWatcher.js';
+export type { TableListener } from './tableWatcherOptions.js';
 export type * from './types.js';
--- a/packages/forwarding/src/store/peerFeed.ts
+++ b/packages/forwarding/src/store/peerFeed.ts
@@ -5,7 +5,7 @@
 import { MAX_MESH_DAEMONS } from '../peers/index.js';
 import type { ReaderRole } from './readerRole.js';
 import type { TableReplica } from './tableReplica.js';
-import type { TableWatcherOptions } from './tableWatcher.js';
+import type { TableWatcherOptions } from './tableWatcherOptions.js';
 import type { TableSnapshot } from './types.js';
 
 /**
--- a/packages/forwarding/src/store/tableWatcher.ts
+++ b/packages/forwarding/src/store/tableWatcher.ts
@@ -5,42 +5,14 @@
  * Therefore each call has its own time-out, and after a failure the table is read again or the feed
  * is resumed on a new connection.
  */
-import { getErrorMessage, sleep, type Logger, type Random } from '@snipehaven/common';
-import type { Freshness } from '../configuration/freshness.js';
+import { getErrorMessage, sleep } from '@snipehaven/common';
 import { readClocks, type ClockReading } from '../configuration/storeClock.js';
 import { HistoryGoneError } from '../errors.js';
 import { PeerFeed } from './peerFeed.js';
-import { ReaderRole, type ReaderRoleOptions } from './readerRole.js';
+import { ReaderRole } from './readerRole.js';
 import { TableReplica, findNewestVersion } from './tableReplica.js';
-import type {
-  RowStore,
-  SnapshotSource,
-  StoreChange,
-  StorePage,
-  StoreRow,
-  TableSnapshot,
-} from './types.js';
-
-export interface TableListener {
-  /** `serverTimeMs`: the store's monotonic clock when it answered. */
-  onSnapshot(rows: readonly StoreRow[], serverTimeMs: number): void;
-  onChange(change: StoreChange, serverTimeMs: number): void;
-  /** Called when the store's state is known again, before its rows are applied. */
-  onStoreRecovered?(): void;
-}
-
-export interface TableWatcherOptions extends ReaderRoleOptions {
-  /** Delay after a change, so that further changes arrive in one answer: each call is billed. */
-  readonly batchDelayMs: number;
-  readonly store: RowStore;
-  readonly listener: TableListener;
-  readonly logger: Logger;
-  readonly random: Random;
-  /** Confirmed by each answer of the store and by reader reports. */
-  readonly freshness: Freshness;
-  /** Asked once, before the table is first read. */
-  readonly source?: SnapshotSource;
-}
+import type { TableWatcherOptions } from './tableWatcherOptions.js';
+import type { StoreChange, StorePage, StoreRow, TableSnapshot } from './types.js';
 
 /** A follower checks at least this often whether readers still report. */
 const REPORT_WAIT_MS = 400;
