Callers refused for a rate limit return at different times

Callers that were refused for a rate limit in the same moment were all told to return when this daemon may send its next request, and one of them fits. Up to a quarter of the wait is added at random, as for back-offs.

--- a/packages/forwarding/src/runs/forwardRun.ts
+++ b/packages/forwarding/src/runs/forwardRun.ts
@@ -37,9 +37,12 @@
 
 /**
  * Share of the wait that is added at random to Retry-After. Without it, all callers that were refused
- * during a back-off would return at its end.
+ * meanwhile would return at the same moment.
  */
-const waitSpread: Readonly<Partial<Record<RefusalReason, number>>> = { upstreamsBackedOff: 0.25 };
+const waitSpread: Readonly<Partial<Record<RefusalReason, number>>> = {
+  upstreamsLimited: 0.25,
+  upstreamsBackedOff: 0.25,
+};
 
 const getSecondsLeft = ({ untilMs }: Hold): number =>
   Math.max(1, Math.ceil((untilMs - performance.now()) / MS_PER_S));
