--- a/packages/proofs/src/platformSoak/faults/operatorFaults.ts
+++ b/packages/proofs/src/platformSoak/faults/operatorFaults.ts
@@ -60,6 +60,13 @@
   answersOnly: () => {},
 };
 
+/** An upstream that only its answers announce stays longer, so that late requests are seen. */
+const leaveMs: Readonly<Record<LeaveWay, number>> = {
+  drain: DRAIN_MS + STAY_AFTER_DRAIN_MS,
+  remove: DRAIN_MS + STAY_AFTER_DRAIN_MS,
+  answersOnly: 2 * DRAIN_MS + STAY_AFTER_DRAIN_MS,
+};
+
 /** A new upstream comes, an old one leaves. */
 export const replaceUpstream: Fault = withBackEnd((world, old, random) => {
   const { operator, backEnds, faultLog } = world;
@@ -68,7 +75,7 @@
     operator.sayLeaving(old);
     const way = pickRandom(Object.keys(leaveWays) as LeaveWay[], random) ?? 'drain';
     leaveWays[way](world, old);
-    await sleep(DRAIN_MS + STAY_AFTER_DRAIN_MS);
+    await sleep(leaveMs[way]);
     operator.remove(old);
     backEnds.stop(old);
   });
