--- a/packages/forwarding/src/runs/listCandidates.ts
+++ b/packages/forwarding/src/runs/listCandidates.ts
@@ -15,6 +15,7 @@
   nowMs: number,
 ): GateContext => ({ warmUp: configuration.table?.findService(service)?.warmUp, nowMs });
 
+/** The upstreams to choose from for one attempt. */
 export interface Candidates {
   readonly entries: readonly UpstreamEntry[];
   /** Number of allowed upstreams that the gate holds off. */
--- a/packages/forwarding/src/upstreams/backOffState.ts
+++ b/packages/forwarding/src/upstreams/backOffState.ts
@@ -22,6 +22,7 @@
     return isLonger;
   }
 
+  /** Called for each request of this daemon. */
   recordSent(nowMs: number): void {
     if (this.#isOnTrial) {
       this.#trialSentAtMs = nowMs;
--- a/packages/forwarding/src/upstreams/rateLimitState.ts
+++ b/packages/forwarding/src/upstreams/rateLimitState.ts
@@ -10,6 +10,7 @@
   readonly heardAtMs: number;
 }
 
+/** How a report changed the known limit. */
 export type RateLimitChange = 'begun' | 'changed' | 'ended';
 
 const BEFORE_ANY_ANSWER: RateLimitReport = {
@@ -47,6 +48,7 @@
     return this.#latest.heardAtMs;
   }
 
+  /** Counts a request of this daemon, while a limit is known. */
   recordSent(nowMs: number): void {
     if (this.requestsPerS !== undefined) {
       this.#sentAtMs = this.#sentAtMs.filter((atMs) => atMs > nowMs - SENT_MEMORY_MS);
@@ -58,7 +60,10 @@
     return this.#sentAtMs.at(-1) ?? -Infinity;
   }
 
-  /** Time in ms until one more request fits into a limit of so many requests in any `windowMs`. */
+  /**
+   * Time in ms until one more request fits into a limit of so many requests in any `windowMs`;
+   * Infinity if the limit is 0.
+   */
   getWaitMs(requests: number, windowMs: number, nowMs: number): number {
     if (requests <= 0) {
       return Infinity;
--- a/packages/forwarding/src/upstreams/upstreamEntry.ts
+++ b/packages/forwarding/src/upstreams/upstreamEntry.ts
@@ -35,6 +35,7 @@
   onAlive(lifeId: string): void;
 }
 
+/** Identifies one incarnation of an upstream; its id alone where ids are not used again. */
 export const getLifeId = ({ id, bornAtMs }: Upstream): string =>
   bornAtMs === undefined ? id : `${id}@${bornAtMs}`;
 
