Soak: upstreams that only their answers announce are a fault of their own

replaceUpstream had got a third way to leave, at the cost of rows that drain, and a lane in the middle had moved the draws of the one behind it. replaceUpstream draws and checks as before again, except that a leaving upstream's answers say so; the leaving that no row tells is replaceUnannounced, in the last lane with shed.

--- a/packages/proofs/src/platformSoak/faults/index.ts
+++ b/packages/proofs/src/platformSoak/faults/index.ts
@@ -20,9 +20,9 @@
   [operators.goodRollout, operators.badRollout],
   [operators.evacuate, operators.turnCold],
   [operators.evacuateAnother],
-  [operators.limitRate],
-  [operators.shed],
   [deadlyQuestion],
+  [operators.limitRate],
+  [operators.shed, operators.replaceUnannounced],
 ];
 
 /** Work that an operator plans; nothing fails by itself. */
--- a/packages/proofs/src/platformSoak/faults/operatorFaults.ts
+++ b/packages/proofs/src/platformSoak/faults/operatorFaults.ts
@@ -50,37 +50,37 @@
   }
 };
 
-type LeaveWay = 'drain' | 'remove' | 'answersOnly';
-
-/** What the list says of an upstream that leaves; its answers say so in each case. */
-const leaveWays: Readonly<Record<LeaveWay, (world: SoakWorld, old: BackEnd) => void>> = {
-  drain: ({ operator }, old) => (old.isOpen ? operator.drain(old) : operator.remove(old)),
-  remove: ({ operator }, old) => operator.remove(old),
-  // The platform's list names it as ready until it is gone, as while the store is away.
-  answersOnly: () => {},
-};
-
-/** An upstream that only its answers announce stays longer, so that late requests are seen. */
-const leaveMs: Readonly<Record<LeaveWay, number>> = {
-  drain: DRAIN_MS + STAY_AFTER_DRAIN_MS,
-  remove: DRAIN_MS + STAY_AFTER_DRAIN_MS,
-  answersOnly: 2 * DRAIN_MS + STAY_AFTER_DRAIN_MS,
-};
-
-/** A new upstream comes, an old one leaves. */
+/** A new upstream comes, an old one drains and leaves; some never say that they drain. */
 export const replaceUpstream: Fault = withBackEnd((world, old, random) => {
   const { operator, backEnds, faultLog } = world;
   return faultLog.during('fleet of upstreams', 'replaceUpstream', async () => {
     await operator.addColdBackEnd(old.service, old.version);
     operator.sayLeaving(old);
-    const way = pickRandom(Object.keys(leaveWays) as LeaveWay[], random) ?? 'drain';
-    leaveWays[way](world, old);
-    await sleep(leaveMs[way]);
+    if (old.isOpen && random.next() < 0.7) {
+      operator.drain(old);
+    } else {
+      operator.remove(old);
+    }
+    await sleep(DRAIN_MS + STAY_AFTER_DRAIN_MS);
     operator.remove(old);
     backEnds.stop(old);
   });
 });
 
+/**
+ * An old upstream says only in its answers that it leaves, and is listed as ready until it is gone, as
+ * while the store is away.
+ */
+export const replaceUnannounced: Fault = withBackEnd(({ operator, backEnds, faultLog }, old) =>
+  faultLog.during('fleet of upstreams', 'replaceUnannounced', async () => {
+    await operator.addColdBackEnd(old.service, old.version);
+    operator.sayLeaving(old);
+    await sleep(2 * DRAIN_MS + STAY_AFTER_DRAIN_MS);
+    operator.remove(old);
+    backEnds.stop(old);
+  }),
+);
+
 /** Gone without a word; the platform notices later. */
 export const crashUpstream: Fault = withBackEnd(({ operator, backEnds, faultLog }, old) =>
   faultLog.during('upstreams', 'crashUpstream', async () => {
