--- a/packages/forwarding/src/upstreams/rateLimitTracker.ts
+++ b/packages/forwarding/src/upstreams/rateLimitTracker.ts
@@ -1,6 +1,6 @@
 /**
  * Follows the rate limits that upstreams state in their answers, and shares them with the other
- * daemons: a daemon that has had no answer since sends an upstream in need its usual requests.
+ * daemons: a daemon that has had no answer since goes on sending the upstream its usual requests.
  */
 import type { Logger } from '@snipehaven/common';
 import type { RateLimitNews } from '../peers/index.js';
--- a/packages/proofs/src/platformSoak/faults/operatorFaults.ts
+++ b/packages/proofs/src/platformSoak/faults/operatorFaults.ts
@@ -104,7 +104,7 @@
 const MIN_LIMIT_MS = 4_500;
 const LIMIT_SPREAD_MS = 6_000;
 
-/** An upstream in need names a rate limit in its answers for a while. */
+/** An overloaded upstream names a rate limit in its answers for a while. */
 export const limitRate: Fault = withBackEnd(({ operator, faultLog }, backEnd, random) =>
   faultLog.during('fleet of upstreams', 'limitRate', async () => {
     const end = operator.limitRate(backEnd, pickRandom(RATE_LIMITS_PER_S, random) ?? 1);
--- a/packages/proofs/src/platformSoak/outside/operator.ts
+++ b/packages/proofs/src/platformSoak/outside/operator.ts
@@ -23,7 +23,7 @@
   readonly isSudden: boolean;
 }
 
-/** An upstream names a rate limit in all its answers meanwhile. */
+/** From `fromMs` until `toMs` all answers of the upstream name the rate limit. */
 export interface LimitSpan {
   readonly upstream: string;
   readonly perS: number;
