Confirm the configuration in time while the readers' connections are silent

What callers saw: 404 for a new route, or answers of the previous service of a moved one, for longer than the time within which a configuration must be in force (config-apply-ms), at VMs whose own path to the store was sound.

Cause: a few daemons read the store for all. A reader whose connection has gone silent notices it at the time-out of its request, 3.3 s after it was sent, and reports as usual until then. A follower did not ask the store as long as readers reported, whatever the age of what they reported; after that the daemons before it in the reading order had their turns, although they were cut off as well.

Change: - A follower asks the store itself when the configuration has not been confirmed for config-apply-ms less 0.3 s, and not again for 2 s after the store did not answer. A daemon that has just joined does not. - The readers' requests for the operator's table end at even intervals: each has a slot of the wait on the store's clock.

--- a/packages/forwarding/src/daemon/createWatchers.ts
+++ b/packages/forwarding/src/daemon/createWatchers.ts
@@ -18,6 +18,9 @@
 const OPERATOR_WAIT_MS = 2_500;
 const UPSTREAM_WAIT_MS = 2_300;
 
+/** For asking the store about the configuration before its confirmation is overdue. */
+const CONFIRMATION_MARGIN_MS = 300;
+
 /**
  * During a roll-out: a daemon without contact stops changing its share after 3.5 s. Without a
  * roll-out, the table only announces new peers.
@@ -64,6 +67,9 @@
 const watchOperator = (dependencies: WatcherDependencies): TableWatcher =>
   new TableWatcher({
     getWaitMs: () => OPERATOR_WAIT_MS,
+    isStaggered: true,
+    maxUnconfirmedMs:
+      dependencies.adapter.settings.configurationDeadlineMs - CONFIRMATION_MARGIN_MS,
     batchDelayMs: OPERATOR_BATCH_DELAY_MS,
     listener: new OperatorListener(dependencies),
     freshness: dependencies.configuration.freshness,
--- a/packages/forwarding/src/daemon/types.ts
+++ b/packages/forwarding/src/daemon/types.ts
@@ -33,6 +33,8 @@
   readonly graceMs: number;
   /** Time for which an upstream that leaves goes on serving, at least. */
   readonly drainTimeoutMs: number;
+  /** Maximum time until a configuration must be in force after the operator has written it. */
+  readonly configurationDeadlineMs: number;
   /** Maximum time for which a revoked key may still be accepted after its removal. */
   readonly revokeDeadlineMs: number;
   /**
--- a/packages/forwarding/src/peers/readerRegistry.ts
+++ b/packages/forwarding/src/peers/readerRegistry.ts
@@ -23,6 +23,13 @@
   readonly maxAgeMs: number;
 }
 
+/** The place of a reader in the order of all active readers of a table. */
+export interface ReaderPlace {
+  readonly index: number;
+  /** Number of active readers, including this one. */
+  readonly count: number;
+}
+
 /** The newest values over all readers of a table. */
 export interface LatestReport {
   readonly lastChange: number;
@@ -206,11 +213,15 @@
     return [...own, ...fresh.map(toReader)];
   }
 
+  /** The place of this daemon among the active readers of the table. */
+  getReaderPlace(table: string, query: ReportQuery): ReaderPlace {
+    const index = this.#listPreceding(table, query).length;
+    return { index, count: this.#listActive(table, query).length + 1 };
+  }
+
   /** Whether enough other daemons read the table, so that this one need not. */
   hasEnoughReaders(table: string, daemons: number, query: ReportQuery): boolean {
-    const preceding = this.#listActive(table, query).filter(({ vm }) =>
-      READER_ORDER.isBefore(vm, this.#vm),
-    );
+    const preceding = this.#listPreceding(table, query);
     if (daemons <= MAX_MESH_DAEMONS) {
       return preceding.length >= MIN_READERS + Math.ceil(daemons / DAEMONS_PER_READER);
     }
@@ -379,6 +390,11 @@
     );
   }
 
+  /** Active readers that come before this daemon in the reader order. */
+  #listPreceding(table: string, query: ReportQuery): readonly ReaderState[] {
+    return this.#listActive(table, query).filter(({ vm }) => READER_ORDER.isBefore(vm, this.#vm));
+  }
+
   #listFresh(table: string, { nowMs, maxAgeMs }: ReportQuery): readonly ReaderState[] {
     return this.#listKnown(table).filter(({ advancedAtMs }) => nowMs - advancedAtMs < maxAgeMs);
   }
--- a/packages/forwarding/src/peers/testSupport/daemonFleet.ts
+++ b/packages/forwarding/src/peers/testSupport/daemonFleet.ts
@@ -52,6 +52,8 @@
   readonly seeds?: number;
   /** Tables of the store that all daemons follow. */
   readonly tables?: readonly string[];
+  /** Time after which followers ask the store about the table `operator` themselves. */
+  readonly maxUnconfirmedMs?: number;
 }
 
 /** Typical of a region with idle daemons. */
@@ -64,6 +66,9 @@
 
 const TABLE_WAIT_MS = 2_400;
 
+/** As in a real daemon, its readers' requests are staggered. */
+const CONFIGURATION_TABLE = 'operator';
+
 const createSelf = (index: number, dataCentres: number): Peer => ({
   vm: `vm-${index}`,
   dataCentre: `dc-${index % dataCentres}`,
@@ -230,11 +235,16 @@
     clock: StoreClock,
     seed: number,
   ): WatchedTable {
+    const { maxUnconfirmedMs } = this.#options;
     const freshness = new Freshness(clock);
     const known = new Map<string, string>();
     const watcher = new TableWatcher({
       table,
       getWaitMs: () => TABLE_WAIT_MS,
+      isStaggered: table === CONFIGURATION_TABLE,
+      ...(table === CONFIGURATION_TABLE && maxUnconfirmedMs !== undefined
+        ? { maxUnconfirmedMs }
+        : {}),
       batchDelayMs: 0,
       store: this.store.createClient(self.vm),
       listener: {
--- a/packages/forwarding/src/store/readerRole.ts
+++ b/packages/forwarding/src/store/readerRole.ts
@@ -9,6 +9,11 @@
   readonly readerRegistry: ReaderRegistry;
   /** How long the store may hold a request; read anew for each. */
   readonly getWaitMs: () => number;
+  /**
+   * Whether the readers' requests end at even intervals, so that the table is confirmed more often
+   * than each reader's wait.
+   */
+  readonly isStaggered?: boolean;
   countDaemons(): number;
   /**
    * Number of known daemons that precede this one in the reader order, excluding lost readers;
@@ -39,6 +44,9 @@
 /** Maximum wait of a daemon whose turn to read has not come yet. */
 const MAX_TAKEOVER_WAIT_MS = 200;
 
+/** A staggered request is not shorter than this, as each is billed. */
+const MIN_STAGGERED_WAIT_MS = 100;
+
 /** A reader that lost the store asks it again after this time while others read. */
 const STORE_LOSS_BACKOFF_MS = 2_000;
 
@@ -94,11 +102,33 @@
     return readerRegistry.ownReports.some((news) => news.table === table);
   }
 
+  /**
+   * How long the store may hold this reader's next request. Staggered requests end in the reader's
+   * own slot of the wait, by the store's clock, which all readers share.
+   */
+  getRequestWaitMs(storeTimeMs: number): number {
+    const { readerRegistry, table, getWaitMs, isStaggered = false } = this.#options;
+    const waitMs = getWaitMs();
+    if (!isStaggered) {
+      return waitMs;
+    }
+    const { index, count } = readerRegistry.getReaderPlace(table, this.#getReportQuery());
+    const slotMs = (waitMs * index) / count;
+    const sinceSlotMs = (((storeTimeMs - slotMs) % waitMs) + waitMs) % waitMs;
+    const leftMs = Math.ceil(waitMs - sinceSlotMs);
+    return leftMs < MIN_STAGGERED_WAIT_MS ? leftMs + waitMs : leftMs;
+  }
+
   /** The store rejected this daemon or did not answer. */
   noteStoreLost(): void {
     this.#backsOffUntilMs = performance.now() + STORE_LOSS_BACKOFF_MS;
   }
 
+  /** Time until this daemon asks the store again although it lost it; at most 0 if it did not. */
+  get backsOffForMs(): number {
+    return this.#backsOffUntilMs - performance.now();
+  }
+
   noteStoreAnswer(): void {
     this.#backsOffUntilMs = 0;
   }
--- a/packages/forwarding/src/store/tableWatcher.ts
+++ b/packages/forwarding/src/store/tableWatcher.ts
@@ -105,7 +105,9 @@
     }
     // When taking over, a held request would leave all followers without a report for its whole
     // wait.
-    const waitMs = this.#readerRole.isReading ? this.#options.getWaitMs() : 0;
+    const waitMs = this.#readerRole.isReading
+      ? this.#readerRole.getRequestWaitMs(this.#replica.serverTimeMs)
+      : 0;
     this.#confirm(requested, await this.#readChanges(waitMs));
     this.#publish();
   }
@@ -130,15 +132,33 @@
 
   /** Follows the current readers in the meantime. */
   async #awaitTurn(requested: ClockReading): Promise<void> {
-    if (this.#readerRole.latestReport === undefined) {
+    if (this.#readerRole.latestReport === undefined && this.#overdueInMs > 0) {
       // Changes from a new reader can arrive before its report.
       this.#peerFeed.apply();
-      await this.#options.readerRegistry.waitForUpdate(this.#readerRole.turnCheckInMs);
+      await this.#awaitUpdate(this.#readerRole.turnCheckInMs);
     } else {
       await this.#follow(requested, this.#readerRole.turnCheckInMs);
     }
   }
 
+  /**
+   * Time until this daemon asks the store unless the table is confirmed. The connections of all
+   * readers may be silent, which they notice only at the time-out of their requests.
+   */
+  get #overdueInMs(): number {
+    const { maxUnconfirmedMs = Infinity, freshness, getReaderRank } = this.#options;
+    if (maxUnconfirmedMs === Infinity) {
+      return Infinity;
+    }
+    const leftMs = maxUnconfirmedMs - freshness.ageMs;
+    const isSettling = leftMs <= 0 && getReaderRank() === undefined;
+    return Math.max(leftMs, isSettling ? REPORT_WAIT_MS : this.#readerRole.backsOffForMs);
+  }
+
+  async #awaitUpdate(waitMs: number): Promise<void> {
+    await this.#options.readerRegistry.waitForUpdate(Math.min(waitMs, this.#overdueInMs));
+  }
+
   /**
    * A follower knows the store's state only through readers. Without them its table may be older
    * than it seems.
@@ -158,12 +178,16 @@
    */
   async #follow(requested: ClockReading, waitMs = REPORT_WAIT_MS): Promise<void> {
     this.#peerFeed.apply();
-    if (this.#isConfirmedByReports()) {
-      await this.#options.readerRegistry.waitForUpdate(waitMs);
+    const isConfirmed = this.#isConfirmedByReports();
+    const isOverdue = this.#overdueInMs <= 0;
+    if (isConfirmed && !isOverdue) {
+      await this.#awaitUpdate(waitMs);
       return;
     }
-    await this.#peerFeed.awaitChanges();
-    if (!this.#isConfirmedByReports()) {
+    if (!isOverdue) {
+      await this.#peerFeed.awaitChanges();
+    }
+    if (isOverdue || !this.#isConfirmedByReports()) {
       this.#peerFeed.requestTable();
       this.#confirm(requested, await this.#readChanges(0));
     }
--- a/packages/forwarding/src/store/tableWatcherOptions.ts
+++ b/packages/forwarding/src/store/tableWatcherOptions.ts
@@ -21,6 +21,11 @@
   readonly random: Random;
   /** Confirmed by each answer of the store and by reader reports. */
   readonly freshness: Freshness;
+  /**
+   * A follower whose table has not been confirmed for this long asks the store itself, whatever the
+   * readers report; by default it relies on them.
+   */
+  readonly maxUnconfirmedMs?: number;
   /** Asked once, before the table is first read. */
   readonly source?: SnapshotSource;
 }
