Followers ask about the configuration at half a short deadline at least

With config-apply-ms of 300 or less, a follower would have asked the store without a pause, as its configuration counted as overdue from the moment of each answer. No deployment on record has such a bound. The time after which it asks is the deadline less 0.3 s, but at least half of it.

A client of the store counts its pause from its creation.

--- a/packages/forwarding/src/daemon/createWatchers.ts
+++ b/packages/forwarding/src/daemon/createWatchers.ts
@@ -8,7 +8,7 @@
 import { TableWatcher, type RowStore } from '../store/index.js';
 import type { UpstreamDirectory } from '../upstreams/index.js';
 import { OperatorListener, UpstreamListener, type StatusListener } from './tableListeners.js';
-import type { PlatformAdapter } from './types.js';
+import type { ForwardSettings, PlatformAdapter } from './types.js';
 
 /**
  * How long the store may hold a request. Feeds go silent without a reset, which shows only in a
@@ -18,7 +18,7 @@
 const OPERATOR_WAIT_MS = 2_500;
 const UPSTREAM_WAIT_MS = 2_300;
 
-/** For asking the store about the configuration before its confirmation is overdue. */
+/** Leaves a follower time to ask the store before changes of the configuration are late. */
 const CONFIRMATION_MARGIN_MS = 300;
 
 /**
@@ -64,12 +64,14 @@
   source: dependencies.exchange.tables,
 });
 
+const getMaxUnconfirmedMs = ({ configurationDeadlineMs }: ForwardSettings): number =>
+  Math.max(configurationDeadlineMs - CONFIRMATION_MARGIN_MS, configurationDeadlineMs / 2);
+
 const watchOperator = (dependencies: WatcherDependencies): TableWatcher =>
   new TableWatcher({
     getWaitMs: () => OPERATOR_WAIT_MS,
     isStaggered: true,
-    maxUnconfirmedMs:
-      dependencies.adapter.settings.configurationDeadlineMs - CONFIRMATION_MARGIN_MS,
+    maxUnconfirmedMs: getMaxUnconfirmedMs(dependencies.adapter.settings),
     batchDelayMs: OPERATOR_BATCH_DELAY_MS,
     listener: new OperatorListener(dependencies),
     freshness: dependencies.configuration.freshness,
