--- a/packages/forwarding/src/configuration/absenceCheck.ts
+++ b/packages/forwarding/src/configuration/absenceCheck.ts
@@ -7,7 +7,7 @@
 
 /**
  * A VM that has had an outdated configuration for this long is cut off from the store. Further
- * repeats would not help callers, so unknown routes and keys are refused for good again.
+ * repeats would not help callers, so unknown routes and keys get a final answer again.
  */
 const CUT_OFF_MS = 5_000;
 
--- a/packages/forwarding/src/store/tableWatcher.ts
+++ b/packages/forwarding/src/store/tableWatcher.ts
@@ -173,8 +173,8 @@
   }
 
   /**
-   * Follows the readers' reports. Asks the store for changes that were not relayed, and other
-   * daemons if it does not answer.
+   * Follows the readers' reports. Asks the store for changes that were not relayed, or if the
+   * confirmation is overdue, and other daemons if it does not answer.
    */
   async #follow(requested: ClockReading, waitMs = REPORT_WAIT_MS): Promise<void> {
     this.#peerFeed.apply();
