Count the attempts to connect to upstreams by outcome

Lines told single failed attempts; neither a line nor a metric told whether a daemon reached any upstream, and by which error it did not (time-out or refusal), once the lines were no longer collected.

snipehaven_upstream_connections_total counts attempts by path and outcome. Connections are opened and probed by a connector of the upstream, which is also where the daemon's tests replace the network. No decision changes: the tests of forwarding and platform are those of before.

--- a/packages/forwarding/src/daemon/forwardDaemon.ts
+++ b/packages/forwarding/src/daemon/forwardDaemon.ts
@@ -6,8 +6,10 @@
 import { Freshness } from '../configuration/freshness.js';
 import { StoreClock } from '../configuration/storeClock.js';
 import { ForwardMetrics, FrontServer, StatusServer, type CallerListener } from '../edge/index.js';
+import { DirectConnector, type OpenSocket } from '../exchange/index.js';
 import { RolloutTracker, RolloutKeeper } from '../rollouts/index.js';
 import type { RowStore, TableWatcher } from '../store/index.js';
+import type { Upstream } from '../types.js';
 import {
   BackOffTracker,
   LeavingTracker,
@@ -63,6 +65,13 @@
 /** The settings file may change without a signal. */
 const SETTINGS_CHECK_MS = 2_000;
 
+export interface ForwardDaemonOptions {
+  /** Already listens for callers in this process. */
+  readonly listener?: CallerListener | undefined;
+  /** Opens connections to upstreams; TCP unless replaced. */
+  readonly openSocket?: OpenSocket;
+}
+
 export class ForwardDaemon {
   readonly #adapter: PlatformAdapter;
 
@@ -127,11 +136,10 @@
   /** Resolves when the daemon has left; undefined until it begins to leave. */
   #leaving: Promise<void> | undefined;
 
-  readonly #listener: CallerListener | undefined;
+  readonly #options: ForwardDaemonOptions;
 
-  /** `listener`: already listens for callers in this process. */
-  constructor(adapter: PlatformAdapter, logger: Logger, listener?: CallerListener) {
-    this.#listener = listener;
+  constructor(adapter: PlatformAdapter, logger: Logger, options: ForwardDaemonOptions = {}) {
+    this.#options = options;
     this.#adapter = adapter;
     this.#logger = logger;
     this.#settings = adapter.settings;
@@ -141,6 +149,7 @@
       this.#peerLoads,
       (service) => this.#configuration.table?.findService(service)?.warmUp?.durationMs ?? 0,
       adapter.settings.drainTimeoutMs * LAST_RESORT_SHARE,
+      (upstream) => this.#createConnector(upstream),
     );
     this.#rateLimits = new RateLimitTracker({
       logger,
@@ -215,7 +224,7 @@
 
   async start(): Promise<void> {
     const { callerAddress, readinessAddress, metricsAddress } = this.#settings;
-    await this.#front.listen(callerAddress, this.#listener);
+    await this.#front.listen(callerAddress, this.#options.listener);
     await this.#readiness.listen(readinessAddress);
     await this.#metricsServer.listen(metricsAddress);
     await this.#exchange.start();
@@ -296,6 +305,16 @@
     return this.#front.inFlight;
   }
 
+  #createConnector({ host, port }: Upstream): DirectConnector {
+    const { openSocket } = this.#options;
+    return new DirectConnector({
+      host,
+      port,
+      onOutcome: (outcome) => this.#metrics.countConnection('direct', outcome),
+      ...(openSocket === undefined ? {} : { open: openSocket }),
+    });
+  }
+
   #createStore(purpose: string): RowStore {
     const client = this.#adapter.createStore();
     const store = new MeteredStore(client, this.#metrics, this.#logger, purpose);
--- a/packages/forwarding/src/daemon/index.ts
+++ b/packages/forwarding/src/daemon/index.ts
@@ -1,4 +1,4 @@
-export { ForwardDaemon } from './forwardDaemon.js';
+export { ForwardDaemon, type ForwardDaemonOptions } from './forwardDaemon.js';
 export { runForwardDaemon } from './runForwardDaemon.js';
 export type { StatusDocument } from './statusDocument.js';
 export type * from './types.js';
--- a/packages/forwarding/src/daemon/runForwardDaemon.ts
+++ b/packages/forwarding/src/daemon/runForwardDaemon.ts
@@ -16,7 +16,7 @@
   logger: Logger,
   listener?: CallerListener,
 ): Promise<void> => {
-  const daemon = new ForwardDaemon(adapter, logger, listener);
+  const daemon = new ForwardDaemon(adapter, logger, { listener });
   process.on('SIGHUP', () => daemon.reload('SIGHUP'));
   process.on('SIGTERM', () => {
     daemon
--- a/packages/forwarding/src/edge/forwardMetrics.ts
+++ b/packages/forwarding/src/edge/forwardMetrics.ts
@@ -3,6 +3,7 @@
  */
 import { LATENCY_QUANTILES, createLatencyHistogram, type Histogram } from '@snipehaven/common';
 import { Counter, Gauge, Registry } from 'prom-client';
+import type { ConnectOutcome } from '../exchange/index.js';
 import type { RolloutStage } from '../rollouts/types.js';
 import type { RouteKind } from '../types.js';
 
@@ -21,6 +22,8 @@
 
   readonly #upstreamEnds: Counter;
 
+  readonly #connections: Counter;
+
   readonly #sessionMoves: Counter;
 
   readonly #latency: Gauge;
@@ -53,6 +56,12 @@
       labelNames: ['service'],
       registers,
     });
+    this.#connections = new Counter({
+      name: 'snipehaven_upstream_connections_total',
+      help: 'Attempts to connect to upstreams by path and outcome.',
+      labelNames: ['path', 'outcome'],
+      registers,
+    });
     this.#sessionMoves = new Counter({
       name: 'snipehaven_sessions_moved_total',
       help: 'Sessions that ran on another version here than before, by the stage of the roll-out.',
@@ -102,6 +111,10 @@
     this.#upstreamEnds.inc({ service });
   }
 
+  countConnection(path: 'direct', outcome: ConnectOutcome): void {
+    this.#connections.inc({ path, outcome });
+  }
+
   countSessionMove(stage: RolloutStage): void {
     this.#sessionMoves.inc({ stage });
   }
--- a/packages/forwarding/src/exchange/connectionPool.ts
+++ b/packages/forwarding/src/exchange/connectionPool.ts
@@ -2,16 +2,12 @@
  * Connection pool of one upstream. Each connection carries one request at a time; the most recently
  * used idle one is taken first.
  */
-import { isRefusedConnection } from '@snipehaven/common';
-import { CONNECT_TIMEOUT_MS, MAX_CONNECTION_IDLE_MS, MAX_IDLE_CONNECTIONS } from '../constants.js';
-import { openSocket } from './openSocket.js';
-import type { ProbeOutcome } from './types.js';
+import { MAX_CONNECTION_IDLE_MS, MAX_IDLE_CONNECTIONS } from '../constants.js';
+import type { Connector } from './types.js';
 import { UpstreamConnection } from './upstreamConnection.js';
 
 export class ConnectionPool {
-  readonly #host: string;
-
-  readonly #port: number;
+  readonly #connector: Connector;
 
   #idle: UpstreamConnection[] = [];
 
@@ -19,9 +15,8 @@
 
   #shortestConnectMs: number | undefined;
 
-  constructor(host: string, port: number) {
-    this.#host = host;
-    this.#port = port;
+  constructor(connector: Connector) {
+    this.#connector = connector;
   }
 
   /**
@@ -32,28 +27,10 @@
   acquire(isFreshNeeded: boolean): UpstreamConnection {
     const idle = isFreshNeeded ? undefined : this.#popIdle();
     return (
-      idle ??
-      new UpstreamConnection(this.#host, this.#port, (tookMs) => this.#recordConnectTime(tookMs))
+      idle ?? new UpstreamConnection(this.#connector, (tookMs) => this.#recordConnectTime(tookMs))
     );
   }
 
-  /**
-   * Checks whether the upstream's process still listens, by opening a connection that carries no
-   * request.
-   */
-  probe(): Promise<ProbeOutcome> {
-    return new Promise((resolve) => {
-      openSocket(this.#host, this.#port, CONNECT_TIMEOUT_MS, (error, socket) => {
-        socket?.destroy();
-        if (error === null) {
-          resolve('listening');
-          return;
-        }
-        resolve(isRefusedConnection(error) ? 'refused' : 'silent');
-      });
-    });
-  }
-
   /**
    * Round trip to the upstream, estimated by its fastest connection set-up; undefined before the
    * first one.
--- a/packages/forwarding/src/exchange/openSocket.ts
+++ b/packages/forwarding/src/exchange/openSocket.ts
@@ -1,8 +1,7 @@
 /** Opens TCP connections for undici clients, with a connect time-out of their own. */
-import { connect, type Socket } from 'node:net';
+import { connect } from 'node:net';
 import { SnipehavenError, afterPendingReads } from '@snipehaven/common';
-
-export type ConnectCallback = (error: Error | null, socket: Socket | null) => void;
+import type { ConnectCallback, OpenSocket } from './types.js';
 
 /** Idle time after which the kernel sends keep-alive probes. */
 const KEEP_ALIVE_DELAY_MS = 2_000;
@@ -16,12 +15,12 @@
  * the kernel would retry for a minute. The callback is called once. Returns the socket; `error` and
  * `end` listeners that the caller adds at once run before those of the library.
  */
-export const openSocket = (
+export const openSocket: OpenSocket = (
   host: string,
   port: number,
   timeoutMs: number,
   callback: ConnectCallback,
-): Socket => {
+) => {
   const socket = connect({
     host,
     port,
--- a/packages/forwarding/src/exchange/types.ts
+++ b/packages/forwarding/src/exchange/types.ts
@@ -1,4 +1,5 @@
 /** Types of one request sent to one upstream, and of its outcome. */
+import type { Socket } from 'node:net';
 import type { AnswerMetadata, HeaderMap } from '../types.js';
 
 /**
@@ -47,3 +48,24 @@
   readonly attemptId: string;
   readonly isFreshConnectionNeeded: boolean;
 }
+
+/** The callback is called once, with an error or with the connected socket. */
+export type ConnectCallback = (error: Error | null, socket: Socket | null) => void;
+
+/** Opens a TCP connection within a time limit. */
+export type OpenSocket = (
+  host: string,
+  port: number,
+  timeoutMs: number,
+  callback: ConnectCallback,
+) => Socket;
+
+/** `timedOut`: nothing answered within the time limit. */
+export type ConnectOutcome = 'connected' | 'refused' | 'timedOut' | 'failed';
+
+/** Opens and probes connections to one upstream. */
+export interface Connector {
+  open(callback: ConnectCallback): Socket;
+  /** Checks whether the upstream's process listens, by a connection that carries no request. */
+  probe(): Promise<ProbeOutcome>;
+}
--- a/packages/forwarding/src/exchange/upstreamConnection.ts
+++ b/packages/forwarding/src/exchange/upstreamConnection.ts
@@ -4,8 +4,7 @@
  */
 import type { Socket } from 'node:net';
 import { Client, type Dispatcher } from 'undici';
-import { CONNECT_TIMEOUT_MS } from '../constants.js';
-import { openSocket, type ConnectCallback } from './openSocket.js';
+import type { ConnectCallback, Connector } from './types.js';
 
 /**
  * Margin before the upstream's announced idle time-out at which the connection is closed on this
@@ -14,6 +13,9 @@
 const KEEP_ALIVE_MARGIN_MS = 700;
 const MAX_RESPONSE_HEADER_BYTES = 65_536;
 
+/** Required by the client, which neither resolves nor sends it: requests have a `Host` of their own. */
+const UPSTREAM_ORIGIN = 'http://upstream';
+
 export class UpstreamConnection {
   readonly #client: Client;
 
@@ -28,12 +30,12 @@
   #idleSinceMs = 0;
 
   /** `onConnected` receives the set-up time of each connection. */
-  constructor(host: string, port: number, onConnected: (tookMs: number) => void) {
+  constructor(connector: Connector, onConnected: (tookMs: number) => void) {
     this.#onConnected = onConnected;
     const open = (_options: unknown, callback: ConnectCallback): void => {
-      this.#open(host, port, callback);
+      this.#open(connector, callback);
     };
-    this.#client = new Client(`http://${host}:${port}`, {
+    this.#client = new Client(UPSTREAM_ORIGIN, {
       connect: open as never,
       pipelining: 1,
       headersTimeout: 0,
@@ -78,9 +80,9 @@
     });
   }
 
-  #open(host: string, port: number, callback: ConnectCallback): void {
+  #open(connector: Connector, callback: ConnectCallback): void {
     const startedAtMs = performance.now();
-    const socket = openSocket(host, port, CONNECT_TIMEOUT_MS, (error, opened) => {
+    const socket = connector.open((error, opened) => {
       this.#socket = opened ?? undefined;
       if (opened !== null) {
         this.#onConnected(performance.now() - startedAtMs);
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -7,7 +7,12 @@
 export * from './edge/index.js';
 export * from './errors.js';
 export * from './crashes/index.js';
-export { openSocket, type ConnectCallback } from './exchange/index.js';
+export {
+  ConnectTimedOutError,
+  openSocket,
+  type ConnectCallback,
+  type OpenSocket,
+} from './exchange/index.js';
 export * from './peers/index.js';
 export * from './rollouts/index.js';
 export * from './runs/index.js';
--- a/packages/forwarding/src/upstreams/upstreamDirectory.ts
+++ b/packages/forwarding/src/upstreams/upstreamDirectory.ts
@@ -1,5 +1,6 @@
 /** The upstreams listed by the platform, by service. */
 import { forgetOldest, type Logger, type RequestDigest } from '@snipehaven/common';
+import { DirectConnector, type Connector } from '../exchange/index.js';
 import type { PeerLoads } from '../peers/index.js';
 import type { Upstream } from '../types.js';
 import { DataCentreMonitor } from './dataCentreMonitor.js';
@@ -65,16 +66,21 @@
   /** Time in ms for which a leaving upstream is used when its service has no other. */
   readonly #lastResortMs: number;
 
+  readonly #createConnector: (upstream: Upstream) => Connector;
+
   constructor(
     logger: Logger,
     peerLoads: PeerLoads,
     getWarmUpMs: (service: string) => number = () => 0,
     lastResortMs = 0,
+    createConnector: (upstream: Upstream) => Connector = (upstream) =>
+      new DirectConnector(upstream),
   ) {
     this.#logger = logger;
     this.#peerLoads = peerLoads;
     this.#getWarmUpMs = getWarmUpMs;
     this.#lastResortMs = lastResortMs;
+    this.#createConnector = createConnector;
   }
 
   /**
@@ -277,6 +283,7 @@
       this.#dataCentreMonitor,
       listener,
       this.#getStatements(getLifeId(upstream)),
+      this.#createConnector(upstream),
     );
   }
 
--- a/packages/forwarding/src/upstreams/upstreamEntry.ts
+++ b/packages/forwarding/src/upstreams/upstreamEntry.ts
@@ -1,5 +1,5 @@
 /** One incarnation of an upstream as this daemon sees it: its load, outcomes and suspicion. */
-import { ConnectionPool } from '../exchange/index.js';
+import { ConnectionPool, DirectConnector, type Connector } from '../exchange/index.js';
 import type { PeerLoads, UpstreamLoad } from '../peers/index.js';
 import type { Upstream } from '../types.js';
 import { ColdState } from './coldState.js';
@@ -76,14 +76,15 @@
     watch: DataCentreMonitor = new DataCentreMonitor(),
     listener: ExitListener = { onExit: () => {}, onAlive: () => {} },
     statements: UpstreamStatements = new UpstreamStatements(),
+    connector: Connector = new DirectConnector(upstream),
   ) {
     this.statements = statements;
     this.#upstream = upstream;
     this.#peerLoads = peerLoads;
     this.#dataCentreMonitor = watch;
-    this.pool = new ConnectionPool(upstream.host, upstream.port);
+    this.pool = new ConnectionPool(connector);
     this.exitDetector = new ExitDetector({
-      probe: () => this.pool.probe(),
+      probe: () => connector.probe(),
       onExit: (lost) => {
         this.#suspectUntilMs = performance.now() + MAX_SUSPICION_MS;
         listener.onExit(this.#describeExit(lost));
