Relay connections to upstreams through other daemons while the direct path is lost

Cause: nothing but a daemon's own links connected it with an upstream. The daemons logged 1,256 failed connections and no other failure; the three others logged none, and the upstreams turned nobody away, so neither load nor suspicion of upstreams was the cause.

A connection that is not open after 100 ms, or fails, is now opened through another daemon beside the direct attempt; the first one is used. The other daemon passes bytes; every decision, share, statement and count stays at the daemon that has the caller, so nothing is decided or sent twice, and a request of which no byte was written counts as not sent, as before. Bytes travel in the bodies of an HTTP request, whose last chunk tells the end of the upstream's side from the loss of the relaying daemon. When a direct connection fails though another daemon reaches the upstream, all paths are checked: idle connections of lost ones are closed, and repeatable requests that hang on silent ones move. A daemon that finds its own paths lost says so, and another is asked. Exits of upstreams are reported only by a daemon that reaches other upstreams of the service at that time; otherwise another daemon is asked. The port serves listed daemons alone, connects to listed upstreams alone, and bounds connections, headers and idle time.

--- a/packages/forwarding/src/crashes/crashTracker.test.ts
+++ b/packages/forwarding/src/crashes/crashTracker.test.ts
@@ -47,6 +47,7 @@
   sentAtMs: 0,
   beganAtMs,
   onHeld: () => {},
+  onPathLost: () => {},
 });
 
 const createEnd = (
--- a/packages/forwarding/src/crashes/holdPersister.test.ts
+++ b/packages/forwarding/src/crashes/holdPersister.test.ts
@@ -80,7 +80,7 @@
 const observeEnds = (tracker: CrashTracker): void => {
   LIVES.forEach((lifeId) => {
     const one = { attemptId: `at ${lifeId}`, digest: A, sentAtMs: 0, beganAtMs: undefined };
-    const lost = [{ ...one, onHeld: () => {} }];
+    const lost = [{ ...one, onHeld: () => {}, onPathLost: () => {} }];
     tracker.recordExit({ upstream: { id: lifeId } as Upstream, lifeId, isExpected: false, lost });
   });
 };
--- a/packages/forwarding/src/daemon/forwardDaemon.ts
+++ b/packages/forwarding/src/daemon/forwardDaemon.ts
@@ -6,10 +6,9 @@
 import { Freshness } from '../configuration/freshness.js';
 import { StoreClock } from '../configuration/storeClock.js';
 import { ForwardMetrics, FrontServer, StatusServer, type CallerListener } from '../edge/index.js';
-import { DirectConnector, type OpenSocket } from '../exchange/index.js';
+import type { OpenSocket } from '../exchange/index.js';
 import { RolloutTracker, RolloutKeeper } from '../rollouts/index.js';
 import type { RowStore, TableWatcher } from '../store/index.js';
-import type { Upstream } from '../types.js';
 import {
   BackOffTracker,
   LeavingTracker,
@@ -33,6 +32,7 @@
 import { CrashCoordinator } from './crashCoordinator.js';
 import { MeteredStore } from './meteredStore.js';
 import { PerService } from './perService.js';
+import { RelayCoordinator } from './relayCoordinator.js';
 import { StoreRolloutWriter } from './storeRolloutWriter.js';
 import { StatusListener } from './tableListeners.js';
 import type { ForwardSettings, PlatformAdapter } from './types.js';
@@ -81,6 +81,11 @@
 
   readonly #configuration: ConfigurationHolder;
 
+  readonly #peerDirectory: PeerDirectory;
+
+  /** Connections to upstreams through other daemons, and for them. */
+  readonly #relays: RelayCoordinator;
+
   readonly #directory: UpstreamDirectory;
 
   readonly #rollouts: RolloutTracker;
@@ -144,12 +149,21 @@
     this.#logger = logger;
     this.#settings = adapter.settings;
     this.#configuration = new ConfigurationHolder(logger, this.#storeClock);
+    this.#peerDirectory = new PeerDirectory(this.#getSelf(), this.#random);
+    this.#relays = new RelayCoordinator({
+      peers: this.#peerDirectory,
+      logger,
+      random: this.#random,
+      metrics: this.#metrics,
+      openSocket: options.openSocket,
+      findEntry: (lifeId) => this.#directory.findIncarnation(lifeId),
+    });
     this.#directory = new UpstreamDirectory(
       logger,
       this.#peerLoads,
       (service) => this.#configuration.table?.findService(service)?.warmUp?.durationMs ?? 0,
       adapter.settings.drainTimeoutMs * LAST_RESORT_SHARE,
-      (upstream) => this.#createConnector(upstream),
+      (upstream) => this.#relays.createConnector(upstream),
     );
     this.#rateLimits = new RateLimitTracker({
       logger,
@@ -228,6 +242,7 @@
     await this.#readiness.listen(readinessAddress);
     await this.#metricsServer.listen(metricsAddress);
     await this.#exchange.start();
+    await this.#relays.listen(this.#settings.peerAddress);
     this.#watchers.forEach((watcher) => {
       void watcher.run();
     });
@@ -276,18 +291,23 @@
   async #drain(): Promise<void> {
     const endAtMs = performance.now() + this.#settings.graceMs - GRACE_MARGIN_MS;
     this.#logger.info({ event: 'leaving', inFlight: this.#front.inFlight }, 'leaving');
+    this.#relays.leave();
     await sleep(BALANCER_NOTICE_MS);
     this.#front.leave();
     setTimeout(() => this.#front.stopTaking(), LATE_REQUEST_MS).unref();
     do {
       this.#front.closeIdle();
       await sleep(DRAIN_CHECK_MS);
-    } while (this.#front.inFlight > 0 && performance.now() < endAtMs);
+    } while (this.#isBusy && performance.now() < endAtMs);
     // The process exits a few ms later; a request accepted in between would be lost.
     this.#front.stopTaking();
     this.#logger.info({ event: 'stopped', inFlight: this.#front.inFlight }, 'stopped');
   }
 
+  get #isBusy(): boolean {
+    return this.#front.inFlight > 0 || this.#relays.inFlight > 0;
+  }
+
   /** Stops at once and aborts running requests. */
   stop(): void {
     this.#stopping.abort();
@@ -295,6 +315,7 @@
     this.#crashes.holdPersister.stop();
     this.#stores.forEach((store) => store.close());
     this.#front.destroy();
+    this.#relays.stop();
     this.#readiness.close();
     this.#metricsServer.close();
     this.#exchange.stop();
@@ -305,16 +326,6 @@
     return this.#front.inFlight;
   }
 
-  #createConnector({ host, port }: Upstream): DirectConnector {
-    const { openSocket } = this.#options;
-    return new DirectConnector({
-      host,
-      port,
-      onOutcome: (outcome) => this.#metrics.countConnection('direct', outcome),
-      ...(openSocket === undefined ? {} : { open: openSocket }),
-    });
-  }
-
   #createStore(purpose: string): RowStore {
     const client = this.#adapter.createStore();
     const store = new MeteredStore(client, this.#metrics, this.#logger, purpose);
@@ -354,10 +365,9 @@
   }
 
   #createExchange(): PeerExchange {
-    const self = this.#getSelf();
     return new PeerExchange({
-      directory: new PeerDirectory(self, this.#random),
-      port: createUdpPort(self, this.#logger),
+      directory: this.#peerDirectory,
+      port: createUdpPort(this.#peerDirectory.self, this.#logger),
       clock: this.#storeClock,
       seeds: this.#settings.seedAddresses,
       listSnapshots: () => this.#watchers.flatMap(({ snapshot }) => snapshot ?? []),
--- a/packages/forwarding/src/edge/forwardMetrics.ts
+++ b/packages/forwarding/src/edge/forwardMetrics.ts
@@ -3,7 +3,7 @@
  */
 import { LATENCY_QUANTILES, createLatencyHistogram, type Histogram } from '@snipehaven/common';
 import { Counter, Gauge, Registry } from 'prom-client';
-import type { ConnectOutcome } from '../exchange/index.js';
+import type { ConnectionPath, ConnectOutcome } from '../exchange/index.js';
 import type { RolloutStage } from '../rollouts/types.js';
 import type { RouteKind } from '../types.js';
 
@@ -24,6 +24,8 @@
 
   readonly #connections: Counter;
 
+  readonly #relayedForPeers: Counter;
+
   readonly #sessionMoves: Counter;
 
   readonly #latency: Gauge;
@@ -62,6 +64,12 @@
       labelNames: ['path', 'outcome'],
       registers,
     });
+    this.#relayedForPeers = new Counter({
+      name: 'snipehaven_relayed_for_peers_total',
+      help: 'Connections to upstreams that other daemons asked this one to relay, by outcome.',
+      labelNames: ['outcome'],
+      registers,
+    });
     this.#sessionMoves = new Counter({
       name: 'snipehaven_sessions_moved_total',
       help: 'Sessions that ran on another version here than before, by the stage of the roll-out.',
@@ -111,10 +119,14 @@
     this.#upstreamEnds.inc({ service });
   }
 
-  countConnection(path: 'direct', outcome: ConnectOutcome): void {
+  countConnection(path: ConnectionPath, outcome: ConnectOutcome): void {
     this.#connections.inc({ path, outcome });
   }
 
+  countRelayedForPeer(outcome: string): void {
+    this.#relayedForPeers.inc({ outcome });
+  }
+
   countSessionMove(stage: RolloutStage): void {
     this.#sessionMoves.inc({ stage });
   }
--- a/packages/forwarding/src/exchange/connectionPool.ts
+++ b/packages/forwarding/src/exchange/connectionPool.ts
@@ -54,6 +54,7 @@
   /** Closes idle connections; those in use close with their request. */
   close(): void {
     this.#isClosed = true;
+    this.#connector.close();
     this.closeIdle();
   }
 
--- a/packages/forwarding/src/exchange/exchange.ts
+++ b/packages/forwarding/src/exchange/exchange.ts
@@ -4,6 +4,7 @@
 import type { HeaderDialect, HeaderMap } from '../types.js';
 import type { ConnectionPool } from './connectionPool.js';
 import type {
+  ConnectionPath,
   ResponseFraming,
   ExchangeListener,
   ExchangeVerdict,
@@ -77,6 +78,11 @@
     return this;
   }
 
+  /** Undefined until the connection is open. */
+  get path(): ConnectionPath | undefined {
+    return this.#connection.path;
+  }
+
   /** Cancels the request at the upstream by closing its connection. */
   abort(): void {
     if (this.#phase !== 'over') {
--- a/packages/forwarding/src/exchange/index.ts
+++ b/packages/forwarding/src/exchange/index.ts
@@ -1,5 +1,5 @@
 export { ConnectionPool } from './connectionPool.js';
-export { DirectConnector } from './directConnector.js';
+export { DirectConnector, classifyConnectError } from './directConnector.js';
 export { Exchange } from './exchange.js';
 export type * from './types.js';
 export { openSocket, ConnectTimedOutError } from './openSocket.js';
--- a/packages/forwarding/src/exchange/types.ts
+++ b/packages/forwarding/src/exchange/types.ts
@@ -1,5 +1,6 @@
 /** Types of one request sent to one upstream, and of its outcome. */
 import type { Socket } from 'node:net';
+import type { Duplex } from 'node:stream';
 import type { AnswerMetadata, HeaderMap } from '../types.js';
 
 /**
@@ -63,9 +64,36 @@
 /** `timedOut`: nothing answered within the time limit. */
 export type ConnectOutcome = 'connected' | 'refused' | 'timedOut' | 'failed';
 
+/** `relayed`: through another daemon. */
+export type ConnectionPath = 'direct' | 'relayed';
+
+export interface OpenedConnection {
+  readonly stream: Duplex;
+  readonly path: ConnectionPath;
+}
+
+/** The callback is called once, with an error or with the open connection. */
+export type OpenCallback = (error: Error | null, opened: OpenedConnection | null) => void;
+
+export interface PathListener {
+  /** No new direct connection can be opened; `isSilent`: nor do open ones carry anything. */
+  onLost(isSilent: boolean): void;
+}
+
 /** Opens and probes connections to one upstream. */
 export interface Connector {
-  open(callback: ConnectCallback): Socket;
+  /** Whether direct connections cannot be opened though other daemons reach the upstream. */
+  readonly isBlocked: boolean;
+  /** Returns a function that gives up; the callback is then not called. */
+  open(callback: OpenCallback): () => void;
   /** Checks whether the upstream's process listens, by a connection that carries no request. */
   probe(): Promise<ProbeOutcome>;
+  /** Reports to the listener when the direct path to the upstream is lost. */
+  watchPath(listener: PathListener): void;
+  /** Called when the upstream sent something. */
+  recordActivity(): void;
+  /** Called when a request has got no answer for a while: the direct path may be lost. */
+  checkPath(): void;
+  /** Called when the upstream is no longer listed. */
+  close(): void;
 }
--- a/packages/forwarding/src/exchange/upstreamConnection.ts
+++ b/packages/forwarding/src/exchange/upstreamConnection.ts
@@ -3,8 +3,9 @@
  * a hidden queue of the library and the state of the socket is known.
  */
 import type { Socket } from 'node:net';
+import type { Duplex } from 'node:stream';
 import { Client, type Dispatcher } from 'undici';
-import type { ConnectCallback, Connector } from './types.js';
+import type { ConnectCallback, ConnectionPath, Connector, OpenedConnection } from './types.js';
 
 /**
  * Margin before the upstream's announced idle time-out at which the connection is closed on this
@@ -21,7 +22,11 @@
 
   readonly #onConnected: (tookMs: number) => void;
 
-  #socket: Socket | undefined;
+  #stream: Duplex | undefined;
+
+  #path: ConnectionPath | undefined;
+
+  #giveUp: (() => void) | undefined;
 
   #hasFailed = false;
 
@@ -29,7 +34,7 @@
 
   #idleSinceMs = 0;
 
-  /** `onConnected` receives the set-up time of each connection. */
+  /** `onConnected` receives the set-up time of each direct connection. */
   constructor(connector: Connector, onConnected: (tookMs: number) => void) {
     this.#onConnected = onConnected;
     const open = (_options: unknown, callback: ConnectCallback): void => {
@@ -45,10 +50,24 @@
     });
   }
 
-  /** True if a request can be sent without reconnecting. */
+  /** Undefined until the connection is open. */
+  get path(): ConnectionPath | undefined {
+    return this.#path;
+  }
+
+  /**
+   * True if another request can be sent without reconnecting. A relayed connection carries one
+   * request, so that the daemon that relays it need not keep idle ones while it leaves.
+   */
   get isUsable(): boolean {
-    const socket = this.#socket;
-    return socket !== undefined && !socket.destroyed && !this.#hasEnded && !this.#hasFailed;
+    const stream = this.#stream;
+    return (
+      stream !== undefined &&
+      this.#path === 'direct' &&
+      !stream.destroyed &&
+      !this.#hasEnded &&
+      !this.#hasFailed
+    );
   }
 
   /** True after the socket was reset or failed otherwise. */
@@ -74,7 +93,8 @@
   }
 
   destroy(): void {
-    this.#socket?.destroy();
+    this.#giveUp?.();
+    this.#stream?.destroy();
     this.#client.destroy().catch(() => {
       // Destroying twice is harmless, but undici reports it as an error.
     });
@@ -82,20 +102,29 @@
 
   #open(connector: Connector, callback: ConnectCallback): void {
     const startedAtMs = performance.now();
-    const socket = connector.open((error, opened) => {
-      this.#socket = opened ?? undefined;
+    this.#giveUp = connector.open((error, opened) => {
+      this.#giveUp = undefined;
       if (opened !== null) {
-        this.#onConnected(performance.now() - startedAtMs);
+        this.#adopt(opened, startedAtMs);
       }
-      callback(error, opened);
+      // The client reads and writes a stream; it needs nothing else of a socket.
+      callback(error, (opened?.stream ?? null) as Socket | null);
     });
+  }
+
+  #adopt({ stream, path }: OpenedConnection, startedAtMs: number): void {
+    this.#stream = stream;
+    this.#path = path;
+    if (path === 'direct') {
+      this.#onConnected(performance.now() - startedAtMs);
+    }
     // These listeners run before the library's own. undici reports a response without a length, or
     // a chunked one on a connection that closes, as complete when the socket is reset or ends
     // early; the exchange reads these flags to recognize an incomplete response.
-    socket.on('error', () => {
+    stream.on('error', () => {
       this.#hasFailed = true;
     });
-    socket.on('end', () => {
+    stream.on('end', () => {
       this.#hasEnded = true;
     });
   }
--- a/packages/forwarding/src/peers/peerDirectory.ts
+++ b/packages/forwarding/src/peers/peerDirectory.ts
@@ -110,6 +110,11 @@
     this.#invalidateLists();
   }
 
+  /** Whether the address is that of a known daemon. */
+  hasHost(host: string): boolean {
+    return this.#byHost.has(host);
+  }
+
   /** Whether the sender is a daemon of another data centre. */
   isRemote(host: string): boolean {
     const sender = this.#byHost.get(host);
--- a/packages/forwarding/src/runs/attempt.ts
+++ b/packages/forwarding/src/runs/attempt.ts
@@ -20,7 +20,7 @@
   UpstreamOutcome,
 } from '../upstreams/index.js';
 import type { CallerRequest } from './callerRequest.js';
-import { RECENT_ACTIVITY_MS } from './constants.js';
+import { MIN_LOST_SILENCE_MS, PATH_CHECK_MS, RECENT_ACTIVITY_MS } from './constants.js';
 import type { ForwardDependencies } from './dependencies.js';
 import { VersionReporter } from './versionReporter.js';
 
@@ -71,6 +71,8 @@
 
   #silenceTimer: NodeJS.Timeout | undefined;
 
+  #pathTimer: NodeJS.Timeout | undefined;
+
   #lastHeardAtMs = performance.now();
 
   #startedAtMs = performance.now();
@@ -162,6 +164,7 @@
     this.#mayHaveRun = true;
     this.#dependencies.notePlaced(this.#countedWork);
     this.#armSilenceTimer();
+    this.#pathTimer = setTimeout(() => this.#plan.entry.checkPath(), PATH_CHECK_MS);
     this.#reporter.onSent();
     this.#exchange.start();
   }
@@ -193,6 +196,15 @@
     }
   }
 
+  /** Moves a repeatable request that is silent on a direct connection to another path. */
+  onPathLost(): void {
+    const silentMs = performance.now() - this.#lastHeardAtMs;
+    const isLost = this.#exchange.path === 'direct' && silentMs >= MIN_LOST_SILENCE_MS;
+    if (this.#isListening && isLost) {
+      this.#listener.onSilence(silentMs);
+    }
+  }
+
   recordOutcome(outcome: UpstreamOutcome): void {
     this.#plan.entry.recordOutcome(outcome, performance.now());
     this.#reporter.reportOutcome(outcome);
@@ -201,6 +213,7 @@
   /** Ignores the rest of the exchange, which ends by itself. */
   detach(): void {
     this.#isListening = false;
+    clearTimeout(this.#pathTimer);
     clearTimeout(this.#silenceTimer);
   }
 
@@ -227,6 +240,7 @@
   }
 
   #onHead(head: ResponseHead): void {
+    clearTimeout(this.#pathTimer);
     this.#reporter.onResponseStart();
     this.#recordActivity();
     this.#beganAtMs = performance.now();
@@ -276,6 +290,7 @@
   #onFailure(failure: ExchangeFailure): void {
     this.#mayHaveRun &&= failure.verdict !== 'notSent';
     this.#releaseLoad();
+    clearTimeout(this.#pathTimer);
     clearTimeout(this.#silenceTimer);
     if (this.#isListening) {
       this.#isListening = false;
@@ -290,12 +305,15 @@
   }
 
   /**
-   * Reports a failure to the roll-out only if the upstream process did not exit: one exit would
-   * otherwise count against its version once for each request lost with it.
+   * Reports a failure to the roll-out only if the upstream process did not exit, as one exit would
+   * otherwise count against its version once for each request lost with it, and if the connection
+   * was not lost on the way.
    */
   async #settleLoss(): Promise<void> {
     this.#plan.entry.recordOutcome('failed', performance.now());
-    if ((await this.#exitVerdict) !== 'ended') {
+    const isEnded = (await this.#exitVerdict) === 'ended';
+    const isPathDoubtful = this.#exchange.path === 'relayed' || this.#plan.entry.isPathLost;
+    if (!isEnded && !isPathDoubtful) {
       this.#reporter.reportOutcome('failed');
     }
   }
--- a/packages/forwarding/src/upstreams/exitDetector.test.ts
+++ b/packages/forwarding/src/upstreams/exitDetector.test.ts
@@ -13,6 +13,7 @@
   sentAtMs: 0,
   beganAtMs: undefined,
   onHeld: () => {},
+  onPathLost: () => {},
 });
 
 const createDetector = (outcome: ProbeOutcome) => {
--- a/packages/forwarding/src/upstreams/exitDetector.ts
+++ b/packages/forwarding/src/upstreams/exitDetector.ts
@@ -15,6 +15,8 @@
   readonly beganAtMs: number | undefined;
   /** Called when requests of this digest are held back. */
   onHeld(): void;
+  /** Called when direct connections to the upstream carry nothing any more. */
+  onPathLost(): void;
 }
 
 /** `unknown`: the probe got no reply, as during a network partition. */
--- a/packages/forwarding/src/upstreams/index.ts
+++ b/packages/forwarding/src/upstreams/index.ts
@@ -4,6 +4,7 @@
 export { RateLimitTracker } from './rateLimitTracker.js';
 export { UpstreamDirectory } from './upstreamDirectory.js';
 export {
+  getLifeId,
   UpstreamEntry,
   type ExitListener,
   type UpstreamExit,
--- a/packages/forwarding/src/upstreams/upstreamEntry.ts
+++ b/packages/forwarding/src/upstreams/upstreamEntry.ts
@@ -66,6 +66,8 @@
 
   #isListed = true;
 
+  readonly #connector: Connector;
+
   readonly #peerLoads: PeerLoads;
 
   readonly #dataCentreMonitor: DataCentreMonitor;
@@ -82,6 +84,7 @@
     this.#upstream = upstream;
     this.#peerLoads = peerLoads;
     this.#dataCentreMonitor = watch;
+    this.#connector = connector;
     this.pool = new ConnectionPool(connector);
     this.exitDetector = new ExitDetector({
       probe: () => connector.probe(),
@@ -91,6 +94,7 @@
       },
       onAlive: () => listener.onAlive(this.lifeId),
     });
+    connector.watchPath({ onLost: (isSilent) => this.#onPathLost(isSilent) });
   }
 
   get upstream(): Upstream {
@@ -189,7 +193,18 @@
     this.#work = this.#requests === 0 ? 0 : this.#work - work;
   }
 
+  /** Whether direct connections to it cannot be opened though other daemons reach it. */
+  get isPathLost(): boolean {
+    return this.#connector.isBlocked;
+  }
+
+  /** Called when a request has got no answer for a while. */
+  checkPath(): void {
+    this.#connector.checkPath();
+  }
+
   recordActivity(nowMs: number): void {
+    this.#connector.recordActivity();
     this.#lastBytesAtMs = nowMs;
     this.#dataCentreMonitor.recordActivity(this.#upstream.dataCentre);
     this.#suspectUntilMs = 0;
@@ -210,6 +225,14 @@
     }
   }
 
+  /** Open connections that are silent would hold their requests until a time-out. */
+  #onPathLost(isSilent: boolean): void {
+    this.pool.closeIdle();
+    if (isSilent) {
+      [...this.exitDetector.inFlight].forEach((one) => one.onPathLost());
+    }
+  }
+
   #describeExit(lost: readonly InFlightRequest[]): UpstreamExit {
     const isExpected = !this.#isListed || this.#isDoubtful || !this.isReady;
     return { upstream: this.#upstream, lifeId: this.lifeId, isExpected, lost };
