--- a/packages/forwarding/src/runs/forwardRun.ts
+++ b/packages/forwarding/src/runs/forwardRun.ts
@@ -35,6 +35,9 @@
 
 const MS_PER_S = 1_000;
 
+/** Bounds the length of a log line. */
+const MAX_LOGGED_PARTS = 8;
+
 /**
  * Share of the wait that is added at random to Retry-After. Without it, all callers that were refused
  * meanwhile would return at the same moment.
@@ -296,8 +299,9 @@
       !isHeld &&
       this.#canTryAgain(outcome) &&
       (outcome === 'notSent' || this.#tryTakeRetryBudget('failure'));
-    const digestField = outcome === 'unknown' ? { digest: this.digest } : {};
-    this.#log('attemptFailed', { outcome, cause, repeated: canRepeat, ...digestField });
+    const content =
+      outcome === 'unknown' ? { digest: this.digest, parts: this.#listLoggedParts() } : {};
+    this.#log('attemptFailed', { outcome, cause, repeated: canRepeat, ...content });
     this.#attempt?.detach();
     if (canRepeat) {
       this.#resend();
@@ -311,6 +315,12 @@
     this.#concludeFailure(isHeld ? 'held' : 'upstreamFailed');
   }
 
+  /** The parts of the prompt that other requests may share. */
+  #listLoggedParts(): readonly string[] {
+    const shared = this.#request.options.promptParts.slice(0, -1);
+    return shared.slice(0, MAX_LOGGED_PARTS).map(({ id }) => id);
+  }
+
   /** Tells the caller for how long no upstream accepts requests, if that is known. */
   #concludeTurnedAway(): void {
     const query = this.#createQuery(this.#attempt?.service ?? '');
