Hold back requests for a part of their prompts under which upstreams crash

Cause: a request was recognized by its team, path and whole body.

The suspects of a lost request are now its own digest and those of the parts that other requests may share, in one table, one message and one kind of row. A part is cleared by an answer that has brought bytes for 300 ms, not by its head, which engines may send seconds before they begin; the same moment now tells a request that has begun from one that may be the cause. Rare parts are judged first, and a hold on a part explains the crashes that were counted for whatever ran beside it; a part of most requests takes six crashes. Requests with a suspect part go to one upstream, those in flight elsewhere that have not begun are called back, and a held part is refused at once with the time left. At most 32 parts of a prompt are considered, as hashes.

--- a/packages/forwarding/src/crashes/constants.ts
+++ b/packages/forwarding/src/crashes/constants.ts
@@ -30,3 +30,13 @@
 
 /** Requests answered within this time are reported as cleared in one datagram. */
 export const CLEARED_DELAY_MS = 150;
+
+/** Parts of prompts whose frequency is known, and the time in which it is halved. */
+export const MAX_SIGHTED_PARTS = 4_096;
+export const SIGHTING_HALF_LIFE_MS = 15_000;
+
+/**
+ * Crashes after which a part of most requests is held. It runs on every upstream that crashes, and
+ * holding it refuses most requests.
+ */
+export const COMMON_PART_HOLD_THRESHOLD = 6;
--- a/packages/forwarding/src/crashes/crashTracker.test.ts
+++ b/packages/forwarding/src/crashes/crashTracker.test.ts
@@ -44,6 +44,7 @@
 const send = (digest: RequestDigest, beganAtMs?: number): InFlightRequest => ({
   attemptId: createAttemptId(),
   digest,
+  partDigests: [],
   sentAtMs: 0,
   beganAtMs,
   onHeld: () => {},
@@ -114,7 +115,7 @@
 }) => {
   ['u-1', 'u-2', 'u-3', 'u-4'].forEach((life) => {
     tracker.recordExit(createEnd(life, [send(A)]));
-    tracker.recordSuccess(A);
+    tracker.recordSuccess([A]);
     clock.tick(ANSWERED_FOR_MS);
   });
   assert.is(tracker.findHold(A), undefined);
@@ -131,7 +132,7 @@
   clock,
 }) => {
   clock.tick(1_000);
-  tracker.recordSuccess(A);
+  tracker.recordSuccess([A]);
   ['u-1', 'u-2', 'u-3'].forEach((life) => tracker.recordExit(createEnd(life, [send(A), send(B)])));
   assert.is(tracker.findHold(A), undefined);
   assert.ok(tracker.findHold(B));
@@ -144,7 +145,7 @@
 });
 
 test('an answer clears a request for a limited time only', ({ tracker, clock }) => {
-  tracker.recordSuccess(A);
+  tracker.recordSuccess([A]);
   clock.tick(ANSWERED_FOR_MS);
   ['u-1', 'u-2', 'u-3'].forEach((life) => tracker.recordExit(createEnd(life, [send(A)])));
   assert.ok(tracker.findHold(A));
@@ -157,7 +158,7 @@
   sentReports,
   clock,
 }) => {
-  tracker.recordSuccess(A);
+  tracker.recordSuccess([A]);
   tracker.receiveReport(reportEnds(A, 'u-1', 'u-2', 'u-3'));
   tracker.receiveReport({ ...EMPTY_CRASH_MESSAGE, cleared: [A] });
   clock.tick(1_000);
@@ -169,7 +170,7 @@
   sentReports,
   clock,
 }) => {
-  tracker.recordSuccess(A);
+  tracker.recordSuccess([A]);
   clock.tick(1_000);
   assert.equal(sentReports, []);
 });
@@ -182,8 +183,8 @@
   ['u-1', 'u-2', 'u-3'].forEach((life) => {
     tracker.recordExit(createEnd(life, [send(A, 100), send(B)], life === 'u-3'));
   });
-  assert.is(tracker.getWeight(A), 1.5);
-  assert.is(tracker.getWeight(B), 2.5);
+  assert.is(tracker.findMainSuspect([A])?.weight ?? 0, 1.5);
+  assert.is(tracker.findMainSuspect([B])?.weight ?? 0, 2.5);
 });
 
 test('the number of requests held back is limited by releasing the oldest', ({ tracker }) => {
--- a/packages/forwarding/src/crashes/crashTracker.ts
+++ b/packages/forwarding/src/crashes/crashTracker.ts
@@ -1,6 +1,9 @@
 /**
  * Tracks upstreams that crashed and the requests running on them, as observed by this daemon or
  * reported by others. Decides which requests are held back, and reports to the other daemons.
+ *
+ * Suspects are requests as a whole and the parts of prompts that requests share: where no two
+ * requests are alike, only the part is under more than a few crashes.
  */
 import { forgetOldest, type Logger, type Random, type RequestDigest } from '@snipehaven/common';
 import {
@@ -13,8 +16,16 @@
 import { EMPTY_CRASH_MESSAGE, type CrashMessage } from '../peers/index.js';
 import type { InFlightRequest, UpstreamExit } from '../upstreams/index.js';
 import { AnsweredRequests } from './answeredRequests.js';
-import { CLEARED_DELAY_MS, MAX_ENDED_LIVES, MAX_HELD, MAX_OBJECTION_MS } from './constants.js';
-import type { Hold } from './types.js';
+import {
+  CLEARED_DELAY_MS,
+  COMMON_PART_HOLD_THRESHOLD,
+  MAX_ENDED_LIVES,
+  MAX_HELD,
+  MAX_OBJECTION_MS,
+} from './constants.js';
+import { PartSightings } from './partSightings.js';
+import { isPartDigest } from './requestDigest.js';
+import type { Hold, MainSuspect } from './types.js';
 
 export interface CrashTrackerOptions {
   readonly logger: Logger;
@@ -37,7 +48,7 @@
   onReleased(digest: RequestDigest, source: CrashSource): void;
 }
 
-type ReleaseCause = 'answered' | 'lapsed' | 'removed' | 'tooMany' | 'upstreamsLive';
+type ReleaseCause = 'answered' | 'explained' | 'lapsed' | 'removed' | 'tooMany' | 'upstreamsLive';
 
 export class CrashTracker {
   readonly #options: CrashTrackerOptions;
@@ -48,6 +59,8 @@
 
   readonly #answered = new AnsweredRequests();
 
+  readonly #sightings = new PartSightings();
+
   readonly #cleared = new Set<RequestDigest>();
 
   readonly #listeners: Partial<CrashListener>[] = [];
@@ -85,20 +98,34 @@
     return hold;
   }
 
-  /**
-   * The weight of the suspicion against the request: 1 for each upstream that crashed while running
-   * it.
-   */
-  getWeight(digest: RequestDigest): number {
-    return this.#counter.getWeight(digest);
+  /** The first hold on any of the suspects; undefined if a request with them may be sent. */
+  findFirstHold(suspects: readonly RequestDigest[]): Hold | undefined {
+    return suspects.map((digest) => this.findHold(digest)).find((hold) => hold !== undefined);
+  }
+
+  /** The suspect with the most crashes; undefined if none is under any. */
+  findMainSuspect(suspects: readonly RequestDigest[]): MainSuspect | undefined {
+    const weighed = suspects
+      .map((digest) => ({ digest, weight: this.#counter.getWeight(digest) }))
+      .filter(({ digest, weight }) => weight > 0 && !this.#sightings.isCommon(digest));
+    // Of equal weights a part comes first: all requests with it then go to one upstream.
+    return weighed.reduce<MainSuspect | undefined>(
+      (most, one) => (one.weight >= (most?.weight ?? 0) ? one : most),
+      undefined,
+    );
+  }
+
+  /** Called for each request, with the parts of its prompt that others may share. */
+  noteRequest(parts: readonly RequestDigest[]): void {
+    this.#sightings.note(parts, performance.now());
   }
 
   /** Records the exit of an upstream that was running requests of this daemon. */
   recordExit(end: UpstreamExit): void {
     const nowMs = performance.now();
     const suspects = end.lost
-      .filter(({ digest }) => !this.#answered.has(digest, nowMs))
-      .map((one) => this.#toSuspect(one, end, nowMs));
+      .flatMap((one) => this.#toSuspects(one, end, nowMs))
+      .filter(({ digest }) => !this.#answered.has(digest, nowMs));
     const report = { lifeId: end.lifeId, suspects };
     this.#options.broadcast({ ...EMPTY_CRASH_MESSAGE, ends: [report] });
     this.#recordEnd(report, 'own');
@@ -110,12 +137,15 @@
     alive.forEach((lifeId) => this.#withdraw(lifeId, 'peer'));
   }
 
-  /** Records that an upstream answered the request completely. */
-  recordSuccess(digest: RequestDigest): void {
-    this.#answered.note(digest, performance.now());
-    if (this.#clear(digest, 'own')) {
-      this.#scheduleClearedReport(digest);
-    }
+  /** Records that an upstream survived a request of these suspects. */
+  recordSuccess(suspects: readonly RequestDigest[]): void {
+    const nowMs = performance.now();
+    suspects.forEach((digest) => {
+      this.#answered.note(digest, nowMs);
+      if (this.#clear(digest, 'own')) {
+        this.#scheduleClearedReport(digest);
+      }
+    });
   }
 
   /** Records that an upstream that was considered crashed has run a request since. */
@@ -143,21 +173,50 @@
     }
   }
 
-  #toSuspect(
-    { digest, attemptId, beganAtMs }: InFlightRequest,
+  #toSuspects(
+    { digest, partDigests, attemptId, beganAtMs }: InFlightRequest,
     { isExpected }: UpstreamExit,
     nowMs: number,
-  ): Suspect {
+  ): readonly Suspect[] {
     const answeredForMs = beganAtMs === undefined ? undefined : nowMs - beganAtMs;
     const suspicion = judgeSuspicion({ answeredForMs, isEndExpected: isExpected });
-    return { digest, attemptId, suspicion };
+    return [digest, ...partDigests].map((one) => ({ digest: one, attemptId, suspicion }));
   }
 
   #recordEnd(report: CrashReport, source: CrashSource): void {
     const nowMs = performance.now();
     this.#recordEndedLife(report.lifeId);
-    const heldDigests = this.#counter.recordReport(report, nowMs);
-    heldDigests.forEach((digest) => this.#hold(digest, source, nowMs));
+    const culprit = report.suspects.find(
+      ({ digest }) => isPartDigest(digest) && this.findHold(digest) !== undefined,
+    );
+    if (culprit !== undefined) {
+      this.#counter.explain([report.lifeId], culprit.digest);
+    }
+    const suspected = this.#counter.recordReport(report, nowMs);
+    // One after the other: a hold explains crashes that were counted for other suspects too.
+    for (const digest of this.#sortBySpecificity(suspected)) {
+      if (this.#mustHold(digest)) {
+        this.#hold(digest, source, nowMs);
+      }
+    }
+  }
+
+  #mustHold(digest: RequestDigest): boolean {
+    const isCertain =
+      !this.#sightings.isCommon(digest) ||
+      this.#counter.getWeight(digest) >= COMMON_PART_HOLD_THRESHOLD;
+    return isCertain && this.#counter.hasReachedThreshold(digest);
+  }
+
+  /**
+   * Parts that few requests have come first, then other parts, then single requests: a request that
+   * ran beside a crashing part on several upstreams is as suspect as the part.
+   */
+  #sortBySpecificity(suspects: readonly RequestDigest[]): readonly RequestDigest[] {
+    const parts = suspects.filter((digest) => isPartDigest(digest));
+    const requests = suspects.filter((digest) => !isPartDigest(digest));
+    const getCount = (part: RequestDigest): number => this.#sightings.getCount(part);
+    return [...parts.sort((a, b) => getCount(a) - getCount(b)), ...requests];
   }
 
   #recordEndedLife(lifeId: string): void {
@@ -189,6 +248,10 @@
   #addHold(hold: Hold, source: CrashSource): void {
     const { digest, lives, untilMs } = hold;
     this.#holds.set(digest, hold);
+    if (isPartDigest(digest)) {
+      this.#counter.explain(lives, digest);
+      this.#releaseExplained(source);
+    }
     const forMs = Math.round(untilMs - performance.now());
     this.#options.logger.warn(
       { event: 'requestHeld', digest, lives, source, forMs },
@@ -205,6 +268,15 @@
     }
   }
 
+  /** Releases requests that ran beside a part which is held now, and have no other crashes. */
+  #releaseExplained(source: CrashSource): void {
+    for (const { digest } of this.#holds.values()) {
+      if (this.#counter.isExplained(digest)) {
+        this.#release(digest, 'explained', source);
+      }
+    }
+  }
+
   /**
    * Clears a held request that this daemon knows to have been answered, unless it was released
    * meanwhile.
--- /dev/null
+++ b/packages/forwarding/src/crashes/crashingParts.test.ts
@@ -0,0 +1,166 @@
+/** Telling the part of prompts that crashes upstreams from the parts and requests that run beside it. */
+import FakeTimers, { type Clock } from '@sinonjs/fake-timers';
+import { asId, createRandom, createSilentLogger, type RequestDigest } from '@snipehaven/common';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+import type { CrashMessage } from '../peers/index.js';
+import type { PromptPart, Upstream } from '../types.js';
+import type { InFlightRequest } from '../upstreams/index.js';
+import { COMMON_PART_HOLD_THRESHOLD } from './constants.js';
+import { CrashTracker } from './crashTracker.js';
+import { digestSharedParts } from './requestDigest.js';
+
+interface Context {
+  clock: Clock;
+  sent: CrashMessage[];
+  tracker: CrashTracker;
+}
+
+const test = suite<Context>('crashing parts of prompts', {} as Context);
+
+test.before.each((context) => {
+  const sent: CrashMessage[] = [];
+  const clock = FakeTimers.install();
+  const tracker = new CrashTracker({
+    logger: createSilentLogger(),
+    random: createRandom(1),
+    broadcast: (report) => sent.push(report),
+  });
+  Object.assign(context, { clock, sent, tracker });
+});
+
+test.after.each(({ clock }) => clock.uninstall());
+
+const toParts = (ids: readonly string[]): readonly PromptPart[] =>
+  ids.map((id) => ({ id, tokens: 10 }));
+
+const digestPart = (id: string): RequestDigest => {
+  const [digest] = digestSharedParts(toParts([id, 'own']));
+  assert.ok(digest);
+  return digest;
+};
+
+const FIRST = digestPart('first');
+const BAD = digestPart('bad');
+const OTHER_BAD = digestPart('otherBad');
+
+let requests = 0;
+
+/** A request of its own, with these shared parts. */
+const send = (tracker: CrashTracker, ...partDigests: readonly RequestDigest[]): InFlightRequest => {
+  requests += 1;
+  tracker.noteRequest(partDigests);
+  return {
+    attemptId: `attempt ${requests}`,
+    digest: asId<RequestDigest>(`request ${requests}`),
+    partDigests,
+    sentAtMs: 0,
+    beganAtMs: undefined,
+    onHeld: () => {},
+    onPathLost: () => {},
+  };
+};
+
+const crash = (
+  tracker: CrashTracker,
+  lifeId: string,
+  lost: readonly InFlightRequest[],
+  isExpected = false,
+): void => tracker.recordExit({ upstream: { id: lifeId } as Upstream, lifeId, isExpected, lost });
+
+const sendSound = (tracker: CrashTracker, count: number): void => {
+  for (let sent = 0; sent < count; sent += 1) {
+    send(tracker, FIRST);
+  }
+};
+
+test('a part is held once upstreams crashed under three requests that share nothing else', ({
+  tracker,
+}) => {
+  sendSound(tracker, 20);
+  crash(tracker, 'u-1', [send(tracker, FIRST, BAD)]);
+  crash(tracker, 'u-2', [send(tracker, FIRST, BAD)]);
+  assert.is(tracker.findHold(BAD), undefined);
+  crash(tracker, 'u-3', [send(tracker, FIRST, BAD)]);
+  assert.equal(tracker.findHold(BAD)?.lives, ['u-1', 'u-2', 'u-3']);
+  assert.is(tracker.findFirstHold([asId<RequestDigest>('new'), FIRST, BAD])?.digest, BAD);
+});
+
+// Guards against refusing sound requests for the part that all prompts begin with.
+test('the part that sound requests share is not held for the crashes of another one', ({
+  tracker,
+}) => {
+  sendSound(tracker, 20);
+  for (let crashed = 1; crashed <= 9; crashed += 1) {
+    crash(tracker, `u-${crashed}`, [send(tracker, FIRST), send(tracker, FIRST, BAD)]);
+  }
+  assert.ok(tracker.findHold(BAD));
+  assert.is(tracker.findHold(FIRST), undefined);
+});
+
+test('a part that was answered lately is not blamed, wherever in the prompt it stands', ({
+  tracker,
+  sent,
+}) => {
+  tracker.recordSuccess([BAD]);
+  crash(tracker, 'u-1', [send(tracker, FIRST, BAD)]);
+  const [report] = sent.flatMap(({ ends }) => ends);
+  assert.not(report?.suspects.some(({ digest }) => digest === BAD));
+});
+
+// Guards against refusing requests that were lost beside the crashing part three times by chance.
+test('requests that ran beside a part that is held are no longer suspect', ({ tracker }) => {
+  sendSound(tracker, 20);
+  const unlucky = send(tracker, FIRST);
+  const again = { ...unlucky, attemptId: 'again' };
+  crash(tracker, 'u-1', [unlucky, send(tracker, FIRST, BAD)]);
+  crash(tracker, 'u-2', [unlucky, send(tracker, FIRST, BAD)]);
+  crash(tracker, 'u-3', [again, send(tracker, FIRST, BAD)]);
+  assert.ok(tracker.findHold(BAD));
+  assert.is(tracker.findHold(unlucky.digest), undefined);
+  assert.is(tracker.findMainSuspect([unlucky.digest]), undefined);
+});
+
+test('two parts that crash the same upstreams are both held', ({ tracker }) => {
+  sendSound(tracker, 40);
+  for (let crashed = 1; crashed <= 6; crashed += 1) {
+    const bad = crashed % 2 === 0 ? BAD : OTHER_BAD;
+    crash(tracker, `u-${crashed}`, [send(tracker, FIRST, bad)]);
+  }
+  assert.ok(tracker.findHold(BAD));
+  assert.ok(tracker.findHold(OTHER_BAD));
+});
+
+// Guards against refusing nearly all requests after several upstreams were lost at once.
+test('a part of most requests takes more crashes', ({ tracker }) => {
+  sendSound(tracker, 20);
+  for (let crashed = 1; crashed < COMMON_PART_HOLD_THRESHOLD; crashed += 1) {
+    crash(tracker, `u-${crashed}`, [send(tracker, FIRST), send(tracker, FIRST)]);
+  }
+  assert.is(tracker.findHold(FIRST), undefined);
+  assert.is(tracker.findMainSuspect([FIRST]), undefined);
+});
+
+test('upstreams that leave are half as much evidence', ({ tracker }) => {
+  sendSound(tracker, 20);
+  for (let left = 1; left <= 5; left += 1) {
+    crash(tracker, `u-${left}`, [send(tracker, FIRST, BAD)], true);
+  }
+  assert.is(tracker.findHold(BAD), undefined);
+});
+
+test('prompts of hundreds of parts add a bounded number of suspects', () => {
+  const ids = Array.from({ length: 900 }, (_, index) => `part ${index}`);
+  const digests = digestSharedParts(toParts(ids));
+  assert.is(digests.length, 32);
+  assert.is(digests[0], digestPart('part 0'));
+  assert.is(digests.at(-1), digestPart('part 898'));
+});
+
+test('the last part belongs to the request alone, and digests reveal no id', () => {
+  assert.equal(digestSharedParts(toParts(['own'])), []);
+  assert.equal(digestSharedParts([]), []);
+  assert.match(BAD, /^part-[\w-]{22}$/);
+});
+
+test.run();
--- a/packages/forwarding/src/crashes/holdPersister.test.ts
+++ b/packages/forwarding/src/crashes/holdPersister.test.ts
@@ -79,7 +79,13 @@
 
 const observeEnds = (tracker: CrashTracker): void => {
   LIVES.forEach((lifeId) => {
-    const one = { attemptId: `at ${lifeId}`, digest: A, sentAtMs: 0, beganAtMs: undefined };
+    const one = {
+      attemptId: `at ${lifeId}`,
+      digest: A,
+      partDigests: [],
+      sentAtMs: 0,
+      beganAtMs: undefined,
+    };
     const lost = [{ ...one, onHeld: () => {}, onPathLost: () => {} }];
     tracker.recordExit({ upstream: { id: lifeId } as Upstream, lifeId, isExpected: false, lost });
   });
@@ -174,7 +180,7 @@
   await clock.tickAsync(1);
   assert.equal(removed, [], 'observed by another daemon');
   holdPersister.applyRecord(recordUntil(HOLD_MS), 8, OFFSET_MS);
-  tracker.recordSuccess(A);
+  tracker.recordSuccess([A]);
   await clock.tickAsync(1);
   assert.equal(removed, [A]);
   holdPersister.applyRemoval(A);
--- a/packages/forwarding/src/crashes/types.ts
+++ b/packages/forwarding/src/crashes/types.ts
@@ -28,3 +28,9 @@
   write(hold: HoldRecord, expectedVersion: number): Promise<boolean>;
   remove(digest: RequestDigest): Promise<void>;
 }
+
+/** What of a request is suspected most, and by how many crashes. */
+export interface MainSuspect {
+  readonly digest: RequestDigest;
+  readonly weight: number;
+}
--- a/packages/forwarding/src/runs/attempt.ts
+++ b/packages/forwarding/src/runs/attempt.ts
@@ -20,7 +20,12 @@
   UpstreamOutcome,
 } from '../upstreams/index.js';
 import type { CallerRequest } from './callerRequest.js';
-import { MIN_LOST_SILENCE_MS, PATH_CHECK_MS, RECENT_ACTIVITY_MS } from './constants.js';
+import {
+  MIN_LOST_SILENCE_MS,
+  PATH_CHECK_MS,
+  RECENT_ACTIVITY_MS,
+  UNDER_WAY_MS,
+} from './constants.js';
 import type { ForwardDependencies } from './dependencies.js';
 import { VersionReporter } from './versionReporter.js';
 
@@ -45,6 +50,10 @@
   onSilence(silentMs: number): boolean;
   /** Digest of the request content; computed on first use. */
   readonly digest: RequestDigest;
+  /** Digests of the parts of its prompt that other requests may share; computed on first use. */
+  readonly partDigests: readonly RequestDigest[];
+  /** Called once when the response has gone on past its beginning. */
+  onUnderWay(): void;
   /** Called when the request is held back and this attempt's response has not begun. */
   onHeld(): void;
 }
@@ -87,6 +96,8 @@
 
   #isListening = true;
 
+  #isUnderWay = false;
+
   #isLoadCounted = false;
 
   /** Work still counted in the upstream's load. */
@@ -142,6 +153,10 @@
     return this.#listener.digest;
   }
 
+  get partDigests(): readonly RequestDigest[] {
+    return this.#listener.partDigests;
+  }
+
   get sentAtMs(): number {
     return this.#startedAtMs;
   }
@@ -243,7 +258,6 @@
     clearTimeout(this.#pathTimer);
     this.#reporter.onResponseStart();
     this.#recordActivity();
-    this.#beganAtMs = performance.now();
     this.#mayHaveRun = !head.facts.isNotRun;
     this.#recordStatements(head);
     if (this.#mayHaveRun) {
@@ -267,6 +281,7 @@
 
   #onData(bytes: Buffer): void {
     this.#recordActivity();
+    this.#recordProgress();
     this.#reporter.onBytes(bytes.length);
     this.#silenceMs =
       this.#plan.route.kind === 'stream'
@@ -277,6 +292,16 @@
     }
   }
 
+  /** An engine may send the head of its answer long before it begins to run the request. */
+  #recordProgress(): void {
+    const nowMs = performance.now();
+    this.#beganAtMs ??= nowMs;
+    if (!this.#isUnderWay && nowMs - this.#beganAtMs >= UNDER_WAY_MS) {
+      this.#isUnderWay = true;
+      this.#listener.onUnderWay();
+    }
+  }
+
   #onEnd(): void {
     this.#reporter.onResponseComplete();
     this.#releaseLoad();
--- a/packages/forwarding/src/runs/forwardRun.ts
+++ b/packages/forwarding/src/runs/forwardRun.ts
@@ -8,7 +8,7 @@
   type RepeatPurpose,
 } from '@snipehaven/policy';
 import { MIN_ATTEMPT_MS, MIN_RETRY_AFTER_S } from '../constants.js';
-import { digestRequest, type Hold } from '../crashes/index.js';
+import { digestRequest, digestSharedParts, type Hold, type MainSuspect } from '../crashes/index.js';
 import type { ResponseHead, ExchangeFailure } from '../exchange/index.js';
 import type { ForwardRoute } from '../types.js';
 import type { HoldOff } from '../upstreams/index.js';
@@ -100,6 +100,8 @@
 
   #digest: RequestDigest | undefined;
 
+  #partDigests: readonly RequestDigest[] | undefined;
+
   constructor(
     dependencies: ForwardDependencies,
     request: CallerRequest,
@@ -126,10 +128,16 @@
     return this.#digest;
   }
 
+  get partDigests(): readonly RequestDigest[] {
+    this.#partDigests ??= digestSharedParts(this.#request.options.promptParts);
+    return this.#partDigests;
+  }
+
   start(): void {
     if (this.#isFinished) {
       return;
     }
+    this.#dependencies.crashes.noteRequest(this.partDigests);
     if (this.#hold !== undefined) {
       this.#concludeFailure('held');
       return;
@@ -375,7 +383,11 @@
   /** The hold on this request; undefined while it may be sent. */
   get #hold(): Hold | undefined {
     const { crashes } = this.#dependencies;
-    return crashes.isEmpty ? undefined : crashes.findHold(this.digest);
+    return crashes.isEmpty ? undefined : crashes.findFirstHold(this.#suspects);
+  }
+
+  get #suspects(): readonly RequestDigest[] {
+    return [this.digest, ...this.partDigests];
   }
 
   /**
@@ -384,7 +396,14 @@
    */
   #reportSuccess(): void {
     if (isSuccess(this.#status ?? 0)) {
-      this.#dependencies.crashes.recordSuccess(this.digest);
+      this.#dependencies.crashes.recordSuccess(this.#suspects);
+    }
+  }
+
+  /** An upstream survived the beginning of an answer on these parts; its end may take long. */
+  onUnderWay(): void {
+    if (isSuccess(this.#status ?? 0)) {
+      this.#dependencies.crashes.recordSuccess(this.partDigests);
     }
   }
 
@@ -400,7 +419,7 @@
   #send(service: string): void {
     const { route, team } = this.#resolved;
     const query = this.#createQuery(service);
-    const blame = this.#blame;
+    const suspect = this.#mainSuspect;
     const placement = findPlacement(this.#dependencies, query);
     if (placement === undefined) {
       this.#concludeUnplaced(query);
@@ -423,15 +442,15 @@
     this.#log('sent', {
       ...describePlacement(this.#dependencies, placement, query),
       attempt: this.#countedAttempts,
-      ...(blame === 0 ? {} : { blame, digest: this.digest }),
+      ...(suspect === undefined ? {} : { blame: suspect.weight, digest: suspect.digest }),
     });
     this.#attempt.start();
   }
 
-  /** How much this request is suspected of making upstreams exit; 0 if it is not. */
-  get #blame(): number {
+  /** What of this request is suspected most of making upstreams exit, if anything is. */
+  get #mainSuspect(): MainSuspect | undefined {
     const { crashes } = this.#dependencies;
-    return crashes.isEmpty ? 0 : crashes.getWeight(this.digest);
+    return crashes.isEmpty ? undefined : crashes.findMainSuspect(this.#suspects);
   }
 
   #createQuery(service: string): PlacementQuery {
@@ -441,7 +460,7 @@
       options: this.#request.options,
       model: this.#model,
       usedUpstreams: this.#usedUpstreams,
-      suspectDigest: this.#blame === 0 ? undefined : this.digest,
+      suspectDigest: this.#mainSuspect?.digest,
     };
   }
 
--- a/packages/forwarding/src/runs/refusals.ts
+++ b/packages/forwarding/src/runs/refusals.ts
@@ -48,12 +48,13 @@
   deadline: { status: 504, message: 'no answer in time' },
   held: {
     status: 503,
-    message: 'not run: held back because several upstreams crashed while running the same request',
+    message:
+      'not run: held back because several upstreams crashed while running it or the same part of a prompt',
   },
   heldAfterRun: {
     status: 502,
     message:
-      'held back because several upstreams crashed while running the same request; it may have run',
+      'held back because several upstreams crashed while running it or the same part of a prompt; it may have run',
   },
   upstreamFailed: { status: 502, message: 'the upstream failed; the request may have run' },
 };
--- a/packages/forwarding/src/upstreams/exitDetector.test.ts
+++ b/packages/forwarding/src/upstreams/exitDetector.test.ts
@@ -10,6 +10,7 @@
 const send = (attemptId: string): InFlightRequest => ({
   attemptId,
   digest: asId<RequestDigest>(`digest-of-${attemptId}`),
+  partDigests: [],
   sentAtMs: 0,
   beganAtMs: undefined,
   onHeld: () => {},
--- a/packages/forwarding/src/upstreams/exitDetector.ts
+++ b/packages/forwarding/src/upstreams/exitDetector.ts
@@ -10,8 +10,10 @@
 export interface InFlightRequest {
   readonly attemptId: string;
   readonly digest: RequestDigest;
+  /** Digests of the parts of its prompt that other requests may share. */
+  readonly partDigests: readonly RequestDigest[];
   readonly sentAtMs: number;
-  /** When its response began; undefined before. */
+  /** When the first bytes of its response's body arrived; undefined before. */
   readonly beganAtMs: number | undefined;
   /** Called when requests of this digest are held back. */
   onHeld(): void;
--- a/packages/forwarding/src/upstreams/upstreamDirectory.ts
+++ b/packages/forwarding/src/upstreams/upstreamDirectory.ts
@@ -92,14 +92,16 @@
   }
 
   /**
-   * Notifies in-flight requests of this digest whose response has not begun that they are held
-   * back.
+   * Notifies in-flight requests of this digest, or with a part of this digest, whose response has
+   * not begun that they are held back.
    */
   holdBack(digest: RequestDigest): void {
     const sent = [...this.#entries.values()].flatMap(({ exitDetector }) => [
       ...exitDetector.inFlight,
     ]);
-    sent.filter((one) => one.digest === digest).forEach((one) => one.onHeld());
+    sent
+      .filter((one) => one.digest === digest || one.partDigests.includes(digest))
+      .forEach((one) => one.onHeld());
   }
 
   /**
--- a/packages/policy/src/crashes/crashCounter.ts
+++ b/packages/policy/src/crashes/crashCounter.ts
@@ -71,6 +71,15 @@
    */
   readonly #cleared = new Map<RequestDigest, ReadonlySet<string>>();
 
+  /**
+   * Crashes that are put down to one suspect, by incarnation; the most recent ones come last. Others
+   * that ran there are not blamed, whenever their reports arrive.
+   */
+  readonly #explainedBy = new Map<string, RequestDigest>();
+
+  /** Suspects all of whose crashes were put down to others; the most recent ones come last. */
+  readonly #explained = new Set<RequestDigest>();
+
   /** Number of tracked requests. */
   get size(): number {
     return this.#crashes.size;
@@ -145,6 +154,26 @@
     }
   }
 
+  /** Puts the crashes of these incarnations down to one suspect and withdraws them from all others. */
+  explain(lives: readonly string[], suspect: RequestDigest): void {
+    lives.forEach((lifeId) => this.#explainedBy.set(lifeId, suspect));
+    forgetOldest(this.#explainedBy, MAX_TRACKED_REQUESTS);
+    for (const [digest, crashes] of this.#crashes) {
+      const isOther = digest !== suspect;
+      const isChanged = isOther && lives.filter((lifeId) => crashes.delete(lifeId)).length > 0;
+      if (isChanged && crashes.size === 0) {
+        this.#crashes.delete(digest);
+        this.#explained.add(digest);
+      }
+    }
+    forgetOldest(this.#explained, MAX_TRACKED_REQUESTS);
+  }
+
+  /** Whether crashes were counted for it and all of them were put down to other suspects. */
+  isExplained(digest: RequestDigest): boolean {
+    return this.#explained.has(digest) && !this.#crashes.has(digest);
+  }
+
   #rememberCleared(digest: RequestDigest, crashes: CrashesByIncarnation): void {
     const instanceIds = new Set([...(this.#cleared.get(digest) ?? []), ...crashes.keys()]);
     this.#cleared.delete(digest);
@@ -153,7 +182,8 @@
   }
 
   #recordCrash(digest: RequestDigest, lifeId: string, crash: RecordedCrash): void {
-    if (this.#cleared.get(digest)?.has(lifeId)) {
+    const isExplained = (this.#explainedBy.get(lifeId) ?? digest) !== digest;
+    if (isExplained || this.#cleared.get(digest)?.has(lifeId)) {
       return;
     }
     const crashes = this.#crashes.get(digest) ?? new Map<string, RecordedCrash>();
