A stream that ends inside an event with its connection is resumed or broken off

A stream of that kind whose connection ended inside an event was passed on to its last byte and ended as if it were complete: its caller could not tell that the rest was missing.

Cause: the relay flushed what stood after the last blank line whenever the connection ended, whatever the framing. A stream without a framed end that ends inside an event now counts as lost on the way, as one that is reset: it is resumed after the last complete event where the route allows it, and the caller's connection is reset otherwise. A stream with a framed end passes on what it ends with, as before.

Answers without a length that are reset were handled and tested already.

--- a/packages/forwarding/src/runs/attempt.ts
+++ b/packages/forwarding/src/runs/attempt.ts
@@ -52,6 +52,8 @@
   readonly digest: RequestDigest;
   /** Digests of the parts of its prompt that other requests may share; computed on first use. */
   readonly partDigests: readonly RequestDigest[];
+  /** Whether the response is cut off if its connection ends now. */
+  readonly isInsideEvent: boolean;
   /** Called once when the response has gone on past its beginning. */
   onUnderWay(): void;
   /** Called when the request is held back and this attempt's response has not begun. */
@@ -303,6 +305,10 @@
   }
 
   #onEnd(): void {
+    if (this.#isListening && this.#listener.isInsideEvent) {
+      this.#onFailure({ verdict: 'broken', cause: 'connection ended inside an event' });
+      return;
+    }
     this.#reporter.onResponseComplete();
     this.#releaseLoad();
     clearTimeout(this.#silenceTimer);
--- a/packages/forwarding/src/runs/eventSplitter.ts
+++ b/packages/forwarding/src/runs/eventSplitter.ts
@@ -47,6 +47,11 @@
 export class EventSplitter {
   #partial: Buffer = Buffer.alloc(0);
 
+  /** Whether the last event is incomplete. */
+  get hasRest(): boolean {
+    return this.#partial.length > 0;
+  }
+
   /** Returns the events that these bytes complete. */
   push(bytes: Buffer): CompleteEvents {
     const all = this.#partial.length > 0 ? Buffer.concat([this.#partial, bytes]) : bytes;
--- a/packages/forwarding/src/runs/forwardRun.ts
+++ b/packages/forwarding/src/runs/forwardRun.ts
@@ -177,6 +177,10 @@
     }
   }
 
+  get isInsideEvent(): boolean {
+    return this.#relay.isInsideEvent;
+  }
+
   onEnd(): void {
     this.#relay.finish();
     this.#reportSuccess();
--- a/packages/forwarding/src/runs/relays.ts
+++ b/packages/forwarding/src/runs/relays.ts
@@ -9,6 +9,8 @@
   /** Whether the caller has received part of the response. */
   readonly hasBegun: boolean;
   readonly lastEventId: number | undefined;
+  /** Whether the response would be cut off if its connection ended now. */
+  readonly isInsideEvent: boolean;
   /**
    * A response starts. When a stream is resumed, only the events of the new response are relayed.
    */
@@ -31,6 +33,8 @@
 
   readonly lastEventId = undefined;
 
+  readonly isInsideEvent = false;
+
   #head: ResponseHead | undefined;
 
   #buffered: Buffer[] = [];
@@ -116,6 +120,11 @@
     return this.#lastEventId;
   }
 
+  /** A response with a framed end is complete whatever it ends with. */
+  get isInsideEvent(): boolean {
+    return this.#framing === 'untilClose' && this.#splitter.hasRest;
+  }
+
   begin(head: ResponseHead): void {
     this.#head ??= head;
     this.#framing = head.framing;
