Keep below what brittle upstreams can turn away

The gate of limits and back-offs has a further limit: while an upstream is brittle, a daemon has at most so many requests in flight there as the others leave of its slots, less a quarter for what is not known yet, or an equal share. A daemon that is turned away sends nothing there for as long as keeps all daemons together within N in any second, and then tries with one request. Where all upstreams are full or paused, requests are refused at once as not run, with when to come back. Invalid values are logged and change nothing.

--- a/packages/forwarding/src/daemon/forwardDaemon.ts
+++ b/packages/forwarding/src/daemon/forwardDaemon.ts
@@ -11,6 +11,7 @@
 import type { RowStore, TableWatcher } from '../store/index.js';
 import {
   BackOffTracker,
+  BrittleTracker,
   LeavingTracker,
   RateLimitTracker,
   UpstreamDirectory,
@@ -209,6 +210,7 @@
       rateLimits: this.#rateLimits,
       leavings: this.#leavings,
       backOffs: new BackOffTracker(logger),
+      brittle: new BrittleTracker(logger, this.#exchange),
       dialect: adapter.dialect,
       rollouts: this.#rollouts,
       crashes: this.#crashes.tracker,
--- a/packages/forwarding/src/runs/attempt.ts
+++ b/packages/forwarding/src/runs/attempt.ts
@@ -355,9 +355,14 @@
       return;
     }
     const { entry } = this.#plan;
-    const { rateLimits, leavings, backOffs } = this.#dependencies;
+    const { rateLimits, leavings, backOffs, brittle } = this.#dependencies;
     rateLimits.recordAnswer(entry, facts.rateLimit, this.#startedAtMs);
     backOffs.recordAnswer(entry, facts.backOff, this.#startedAtMs);
+    brittle.recordAnswer(entry, {
+      stated: facts.brittleness,
+      isTurnedAway: facts.isNotRun,
+      sentAtMs: this.#startedAtMs,
+    });
     if (facts.isLeaving) {
       leavings.recordAnswer(entry);
     }
--- a/packages/forwarding/src/runs/dependencies.ts
+++ b/packages/forwarding/src/runs/dependencies.ts
@@ -9,6 +9,7 @@
 import type { HeaderDialect } from '../types.js';
 import type {
   BackOffTracker,
+  BrittleTracker,
   LeavingTracker,
   RateLimitTracker,
   UpstreamDirectory,
@@ -26,6 +27,8 @@
   readonly leavings: LeavingTracker;
   /** Upstreams that want no requests from this daemon for a while. */
   readonly backOffs: BackOffTracker;
+  /** Upstreams that fall over when they have to turn many requests away. */
+  readonly brittle: BrittleTracker;
   readonly dialect: HeaderDialect;
   readonly rollouts: RolloutTracker;
   /** Upstreams whose process exited, and requests held back as the suspected cause. */
--- a/packages/forwarding/src/runs/forwardRun.ts
+++ b/packages/forwarding/src/runs/forwardRun.ts
@@ -45,6 +45,7 @@
 const waitSpread: Readonly<Partial<Record<RefusalReason, number>>> = {
   upstreamsLimited: 0.25,
   upstreamsBackedOff: 0.25,
+  upstreamsFull: 0.25,
 };
 
 const getSecondsLeft = ({ untilMs }: Hold): number =>
--- a/packages/forwarding/src/runs/refusals.ts
+++ b/packages/forwarding/src/runs/refusals.ts
@@ -39,6 +39,10 @@
     status: 503,
     message: 'upstreams have turned requests away and accept none at present',
   },
+  upstreamsFull: {
+    status: 503,
+    message: 'upstreams have no free place and cannot turn more requests away',
+  },
   versionEvacuated: { status: 503, message: 'upstreams of the session’s version are evacuated' },
   upstreamsBusy: { status: 503, message: 'upstreams are full' },
   deadlineNotRun: {
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -162,6 +162,15 @@
   | { readonly kind: 'backOff'; readonly delayMs: number }
   | { readonly kind: 'invalid'; readonly text: string };
 
+/**
+ * How many requests an upstream can turn away in a second for want of room before it falls over.
+ * `invalid`: the value is not a plausible number and changes nothing.
+ */
+export type StatedBrittleness =
+  | { readonly kind: 'none' }
+  | { readonly kind: 'brittle'; readonly rejectionsPerS: number }
+  | { readonly kind: 'invalid'; readonly text: string };
+
 /** Metadata from an upstream's answer headers. */
 export interface AnswerMetadata {
   /** The attempt that the answer belongs to, as echoed by the upstream. */
@@ -174,6 +183,7 @@
   readonly confidence?: number;
   readonly rateLimit: StatedRateLimit;
   readonly backOff: StatedBackOff;
+  readonly brittleness: StatedBrittleness;
   /** The upstream states that it is leaving. */
   readonly isLeaving: boolean;
 }
--- a/packages/forwarding/src/upstreams/index.ts
+++ b/packages/forwarding/src/upstreams/index.ts
@@ -1,5 +1,6 @@
 export type { ExitVerdict, InFlightRequest } from './exitDetector.js';
 export { BackOffTracker } from './backOffTracker.js';
+export { BrittleTracker } from './brittleTracker.js';
 export { LeavingTracker } from './leavingTracker.js';
 export { RateLimitTracker } from './rateLimitTracker.js';
 export { UpstreamDirectory } from './upstreamDirectory.js';
--- a/packages/forwarding/src/upstreams/types.ts
+++ b/packages/forwarding/src/upstreams/types.ts
@@ -14,7 +14,8 @@
 }
 
 /** Why an upstream gets no request for now. */
-export type HoldOffReason = 'warmingUp' | 'upstreamsLimited' | 'upstreamsBackedOff';
+export type HoldOffReason =
+  'warmingUp' | 'upstreamsLimited' | 'upstreamsBackedOff' | 'upstreamsFull';
 
 /** How long an upstream gets no request from this daemon, and why. */
 export interface HoldOff {
--- a/packages/forwarding/src/upstreams/upstreamGate.ts
+++ b/packages/forwarding/src/upstreams/upstreamGate.ts
@@ -2,6 +2,7 @@
  * Decides whether an upstream may be sent a request now. Every attempt passes it: first ones,
  * repeats and resumed streams.
  */
+import { getBrittlePlaces } from '@snipehaven/policy';
 import type { WarmUpFacts } from '../types.js';
 import { ColdRateLimiter } from './coldRateLimiter.js';
 import { RateLimiter } from './rateLimiter.js';
@@ -17,6 +18,22 @@
 /** Returns the time in ms until the upstream may be sent a request; 0 if it may now. */
 type GetWaitMs = (entry: UpstreamEntry, context: GateContext) => number;
 
+/** About the time in which a busy upstream ends a request and its daemons hear of it. */
+const FULL_WAIT_MS = 200;
+
+/** A brittle upstream without a free place for this daemon would turn its request away. */
+const getRoomWaitMs = (
+  { statements, requests, ownLoad, upstream: { slots } }: UpstreamEntry,
+  daemons: number,
+): number => {
+  if (statements.brittle.rejectionsPerS === undefined) {
+    return 0;
+  }
+  const others = requests - ownLoad.requests;
+  const isFull = ownLoad.requests >= getBrittlePlaces({ slots, daemons, others });
+  return isFull ? FULL_WAIT_MS : 0;
+};
+
 const getLonger = (a: HoldOff, b: HoldOff): HoldOff => (b.waitMs > a.waitMs ? b : a);
 
 export class UpstreamGate {
@@ -29,6 +46,7 @@
       warmingUp: (entry, { warmUp, nowMs }) => cold.getWaitMs(entry, warmUp, nowMs),
       upstreamsLimited: (entry, { nowMs }) => rate.getWaitMs(entry, nowMs),
       upstreamsBackedOff: ({ statements }, { nowMs }) => statements.backOff.getWaitMs(nowMs),
+      upstreamsFull: (entry) => getRoomWaitMs(entry, fleet.daemons),
     };
     this.#limits = Object.entries(limits) as [HoldOffReason, GetWaitMs][];
   }
--- a/packages/policy/src/forward/index.ts
+++ b/packages/policy/src/forward/index.ts
@@ -1,3 +1,4 @@
+export * from './brittleShare.js';
 export * from './chooseModelStep.js';
 export * from './choosePlacement.js';
 export * from './coldShare.js';
