Soak: daemons lose their paths to all upstreams and to nothing else

Such VMs count as disturbed at the beginning and at the end alone: in between, from the contact time on, all promises that hold for calm VMs are judged on them.

--- a/packages/proofs/src/platformSoak/faults/index.ts
+++ b/packages/proofs/src/platformSoak/faults/index.ts
@@ -8,7 +8,15 @@
 
 /** A lane strikes one after the other; lanes overlap. A lane for roll-outs: there is one at a time. */
 export const lanes: readonly (readonly Fault[])[] = [
-  Object.values(processes),
+  [
+    processes.kill,
+    processes.killHerd,
+    processes.pause,
+    processes.reload,
+    processes.restartAndReload,
+    processes.restartInTurn,
+    processes.stepClock,
+  ],
   Object.values(network).concat(Object.values(stores)),
   [
     operators.stormConfiguration,
@@ -23,6 +31,7 @@
   [deadlyQuestion],
   [operators.limitRate],
   [operators.shed, operators.replaceUnannounced],
+  [processes.losePaths],
 ];
 
 /** Work that an operator plans; nothing fails by itself. */
--- a/packages/proofs/src/platformSoak/faults/processFaults.ts
+++ b/packages/proofs/src/platformSoak/faults/processFaults.ts
@@ -1,5 +1,5 @@
 /** Daemons killed, paused, restarted, told to read their settings, and their time of day stepped. */
-import { sleep } from '@snipehaven/common';
+import { pickRandom, sleep } from '@snipehaven/common';
 import { GRACE_S } from '../constants.js';
 import { handlesSignal } from '../handlesSignal.js';
 import type { VmState } from '../types.js';
@@ -14,6 +14,11 @@
 const SOON_MS = 150;
 const SIGNAL_POLL_MS = 2;
 
+/** Long enough that a part of it lies beyond the contact time. */
+const MIN_LOST_PATHS_MS = 2_000;
+const LOST_PATHS_SPREAD_MS = 6_000;
+const LOST_PATHS_SHARES = [0, 0.5, 0.8];
+
 const killOne = ({ fleet, faultLog }: SoakWorld, vm: VmState): Promise<void> =>
   faultLog.during(vm.name, 'kill', () => fleet.restart(vm, 'SIGKILL'));
 
@@ -110,3 +115,23 @@
     await sendClockStep(vm);
   });
 };
+
+const signalPaths = ({ faultLog }: SoakWorld, vm: VmState, signal: 'SIGWINCH' | 'SIGURG'): void => {
+  vm.process?.signal(signal);
+  faultLog.begin(vm.name, 'signalPaths')();
+};
+
+/**
+ * One VM or many lose their paths to all upstreams. They count as disturbed at the beginning and at the
+ * end alone: in between they must serve by way of other VMs.
+ */
+export const losePaths: Fault = async (world, random) => {
+  const share = pickRandom(LOST_PATHS_SHARES, random) ?? 0;
+  const one = pickVm(world, random);
+  const vms = world.fleet.vms.filter((vm) => vm === one || random.next() < share);
+  const ends = vms.map((vm) => world.faultLog.begin(`${vm.name} cut off`, 'losePaths'));
+  vms.forEach((vm) => signalPaths(world, vm, 'SIGWINCH'));
+  await sleep(MIN_LOST_PATHS_MS + random.nextInt(LOST_PATHS_SPREAD_MS));
+  vms.forEach((vm) => signalPaths(world, vm, 'SIGURG'));
+  ends.forEach((end) => end());
+};
--- a/packages/proofs/src/platformSoak/fleet.ts
+++ b/packages/proofs/src/platformSoak/fleet.ts
@@ -32,6 +32,9 @@
 /** Runs in each daemon, so that a signal steps its time of day. */
 const CLOCK_SCRIPT = fileURLToPath(new URL('stepClock.js', import.meta.url));
 
+/** Runs in each daemon, so that a signal cuts it off from all upstreams. */
+const PATHS_SCRIPT = fileURLToPath(new URL('losePaths.js', import.meta.url));
+
 export class Fleet {
   readonly vms: readonly VmState[];
 
@@ -68,7 +71,9 @@
   async start(storeAddress: string): Promise<void> {
     await promisify(execFile)('npm', ['run', '-s', 'bundle', '--', this.#program], { cwd: ROOT });
     // After the daemon's own statements: a preloaded script would delay its signal handlers.
-    appendFileSync(this.#startFile, `require(${JSON.stringify(CLOCK_SCRIPT)});\n`);
+    [PATHS_SCRIPT, CLOCK_SCRIPT].forEach((script) =>
+      appendFileSync(this.#startFile, `require(${JSON.stringify(script)});\n`),
+    );
     const [targetAddress = '', port] = storeAddress.split(':');
     for (const vm of this.vms) {
       const path = await startSilentForwarder({ targetAddress, targetPort: Number(port) });
