Ask one of the daemons that could not relay a moment ago, not all

A VM that reaches neither upstreams nor other daemons would have waited for up to eight of them with each connection, a second in all, where a direct one fails after 300 ms.

--- a/packages/forwarding/src/relay/constants.ts
+++ b/packages/forwarding/src/relay/constants.ts
@@ -21,8 +21,9 @@
 /** Number of daemons that are asked for one connection. */
 export const MAX_RELAYS_ASKED = 8;
 
-/** How long a daemon that could not relay is asked last. */
+/** How long a daemon that could not relay is asked last, and how many such daemons are asked. */
 export const UNAVAILABLE_MS = 1_500;
+export const MAX_UNAVAILABLE = 1;
 
 /** Connections that a daemon relays at a time: for all others, and for one of them. */
 export const MAX_RELAYED = 512;
--- a/packages/forwarding/src/relay/relayClient.test.ts
+++ b/packages/forwarding/src/relay/relayClient.test.ts
@@ -151,6 +151,17 @@
   assert.is(fleet.asked.length, 1);
 });
 
+// Guards against waiting for daemons that are out of reach with each connection anew.
+test('daemons that could not relay a moment ago are not all asked again', async ({ clock }) => {
+  const fleet = createFleet(9, () => ['unavailable', ANSWER_MS]);
+  assert.is((await openAfterMs(fleet, clock))[0].outcome, 'unavailable');
+  assert.is(fleet.asked.length, 8);
+  fleet.asked.splice(0);
+  const [{ outcome }] = await openAfterMs(fleet, clock);
+  assert.is(outcome, 'unavailable');
+  assert.is(fleet.asked.length, 1);
+});
+
 test('without other daemons the result is known at once', async ({ clock }) => {
   const fleet = createFleet(1, () => undefined);
   assert.is((await openAfterMs(fleet, clock))[0].outcome, 'unavailable');
--- a/packages/forwarding/src/relay/relayRanking.ts
+++ b/packages/forwarding/src/relay/relayRanking.ts
@@ -1,7 +1,7 @@
 /** The order in which other daemons are asked to relay connections. */
 import { pickRandom, type Random } from '@snipehaven/common';
 import type { Peer, PeerDirectory } from '../peers/index.js';
-import { UNAVAILABLE_MS } from './constants.js';
+import { MAX_UNAVAILABLE, UNAVAILABLE_MS } from './constants.js';
 
 const shuffle = <Item>(items: readonly Item[], random: Random): Item[] => {
   const rest = [...items];
@@ -44,13 +44,16 @@
 
   /**
    * Begins in this data centre, then in that of the upstream, where relaying takes no longer way;
-   * alternates between data centres, as all daemons of one may have lost the same paths.
+   * alternates between data centres, as all daemons of one may have lost the same paths. Ends with few of
+   * those that could not relay a moment ago: a VM that reaches nobody would wait for all of them.
    */
   list(upstreamDataCentre: string, nowMs: number): readonly Peer[] {
     const isAvailable = ({ vm }: Peer): boolean =>
       nowMs >= (this.#unavailableUntilMs.get(vm) ?? -Infinity);
     const all = this.#order(upstreamDataCentre);
-    return [...all.filter(isAvailable), ...all.filter((peer) => !isAvailable(peer))];
+    const available = all.filter(isAvailable);
+    const unavailable = all.filter((peer) => !isAvailable(peer));
+    return [...available, ...unavailable.slice(0, MAX_UNAVAILABLE)];
   }
 
   #order(upstreamDataCentre: string): readonly Peer[] {
