Bytes on relayed connections are no sign that the direct path works

While a daemon had no direct path to an upstream, each answer that came by way of another daemon counted as a sign of life, so that the failure of the direct connection beside it was put down to packet loss: the path was not taken for lost, its idle connections stayed, and each connection waited 100 ms before it was relayed.

Only bytes and connects on direct connections count now. The new case of cutFromUpstreams.test (lost paths are known as such, and direct connections are used again once the network is back) failed before, with no path known as lost after 3 s, and passes; 8 of 8.

--- a/packages/forwarding/src/exchange/types.ts
+++ b/packages/forwarding/src/exchange/types.ts
@@ -90,7 +90,7 @@
   probe(): Promise<ProbeOutcome>;
   /** Reports to the listener when the direct path to the upstream is lost. */
   watchPath(listener: PathListener): void;
-  /** Called when the upstream sent something. */
+  /** Called when the upstream sent something on a direct connection. */
   recordActivity(): void;
   /** Called when a request has got no answer for a while: the direct path may be lost. */
   checkPath(): void;
--- a/packages/forwarding/src/relay/upstreamPath.ts
+++ b/packages/forwarding/src/relay/upstreamPath.ts
@@ -58,7 +58,7 @@
     return this.#isRefusing;
   }
 
-  /** When the upstream last sent something or accepted a direct connection. */
+  /** When the upstream last accepted a direct connection or sent something on one. */
   get lastHeardAtMs(): number {
     return this.#lastHeardAtMs;
   }
--- a/packages/forwarding/src/runs/attempt.ts
+++ b/packages/forwarding/src/runs/attempt.ts
@@ -371,7 +371,7 @@
   #recordActivity(): void {
     const nowMs = performance.now();
     this.#lastHeardAtMs = nowMs;
-    this.#plan.entry.recordActivity(nowMs);
+    this.#plan.entry.recordActivity(nowMs, this.#exchange.path);
   }
 
   #armSilenceTimer(): void {
--- a/packages/forwarding/src/upstreams/upstreamEntry.ts
+++ b/packages/forwarding/src/upstreams/upstreamEntry.ts
@@ -1,5 +1,10 @@
 /** One incarnation of an upstream as this daemon sees it: its load, outcomes and suspicion. */
-import { ConnectionPool, DirectConnector, type Connector } from '../exchange/index.js';
+import {
+  ConnectionPool,
+  DirectConnector,
+  type ConnectionPath,
+  type Connector,
+} from '../exchange/index.js';
 import type { PeerLoads, UpstreamLoad } from '../peers/index.js';
 import type { Upstream } from '../types.js';
 import { ColdState } from './coldState.js';
@@ -203,8 +208,11 @@
     this.#connector.checkPath();
   }
 
-  recordActivity(nowMs: number): void {
-    this.#connector.recordActivity();
+  /** `path`: of the connection on which something was received. */
+  recordActivity(nowMs: number, path: ConnectionPath = 'direct'): void {
+    if (path === 'direct') {
+      this.#connector.recordActivity();
+    }
     this.#lastBytesAtMs = nowMs;
     this.#dataCentreMonitor.recordActivity(this.#upstream.dataCentre);
     this.#suspectUntilMs = 0;
