Correct a comment on the upstreams that a daemon relays to

It said that a leaving upstream gets no connection whatever the asking daemon knows; the code checks that its row is ready, and leaves statements and evacuations to the asking daemon. Found in reading the diff; only the comment changes.

--- a/packages/forwarding/src/daemon/relayCoordinator.ts
+++ b/packages/forwarding/src/daemon/relayCoordinator.ts
@@ -111,7 +111,7 @@
     });
   }
 
-  /** An upstream that leaves gets no further connections, whatever the asking daemon knows. */
+  /** The asking daemon decides what else keeps requests from an upstream, as for its own connections. */
   #findUpstream(lifeId: string): RelayedUpstream | undefined {
     const entry = this.#options.findEntry(lifeId);
     const path = this.#monitor.find(lifeId);
