Show at which state of the store a daemon knows each table

Full reads are logged (tableRead) with era, version and what was held; tableTaken names what was held. Gauges: snipehaven_store_era, snipehaven_table_era, snipehaven_table_version by table. No decision uses any of it yet.

The in-memory store of the tests can come back from a copy: rows, history and version as they were, an era later, 410 for what it does not have yet.

--- a/packages/forwarding/src/daemon/addGauges.ts
+++ b/packages/forwarding/src/daemon/addGauges.ts
@@ -2,6 +2,7 @@
 import type { ConfigurationHolder } from '../configuration/configurationHolder.js';
 import type { ForwardMetrics, FrontServer } from '../edge/index.js';
 import type { PeerExchange } from '../peers/index.js';
+import type { StoreEra, TableWatcher } from '../store/index.js';
 import type { UpstreamDirectory } from '../upstreams/index.js';
 
 export interface GaugeSources {
@@ -9,11 +10,13 @@
   readonly directory: UpstreamDirectory;
   readonly front: FrontServer;
   readonly configuration: ConfigurationHolder;
+  readonly storeEra: StoreEra;
+  readonly watchers: readonly TableWatcher[];
 }
 
 export const addGauges = (
   metrics: ForwardMetrics,
-  { exchange, directory, front, configuration }: GaugeSources,
+  { exchange, directory, front, configuration, storeEra, watchers }: GaugeSources,
 ): void => {
   metrics.addGauge(
     'snipehaven_daemons_known',
@@ -49,4 +52,19 @@
     'Time since the configuration was confirmed.',
     () => configuration.freshness.ageMs,
   );
+  metrics.addGauge(
+    'snipehaven_store_era',
+    'Newest era of the store that this daemon knows of.',
+    () => storeEra.newest,
+  );
+  metrics.addGaugeByTable(
+    'snipehaven_table_era',
+    'Era of the store at which this daemon knows the table.',
+    () => watchers.map(({ table, revision }) => ({ table, value: revision.era })),
+  );
+  metrics.addGaugeByTable(
+    'snipehaven_table_version',
+    'Version of the store at which this daemon knows the table.',
+    () => watchers.map(({ table, revision }) => ({ table, value: revision.version })),
+  );
 };
--- a/packages/forwarding/src/daemon/forwardDaemon.ts
+++ b/packages/forwarding/src/daemon/forwardDaemon.ts
@@ -8,7 +8,7 @@
 import { ForwardMetrics, FrontServer, StatusServer, type CallerListener } from '../edge/index.js';
 import type { OpenSocket } from '../exchange/index.js';
 import { RolloutTracker, RolloutKeeper } from '../rollouts/index.js';
-import type { RowStore, TableWatcher } from '../store/index.js';
+import { StoreEra, type RowStore, type TableWatcher } from '../store/index.js';
 import {
   BackOffTracker,
   BrittleTracker,
@@ -95,6 +95,8 @@
 
   readonly #storeClock = new StoreClock();
 
+  readonly #storeEra = new StoreEra();
+
   readonly #statusFreshness = new Freshness(this.#storeClock);
 
   readonly #rateLimits: RateLimitTracker;
@@ -149,6 +151,12 @@
     this.#adapter = adapter;
     this.#logger = logger;
     this.#settings = adapter.settings;
+    this.#storeEra.onRise((era, before, source) =>
+      logger.warn(
+        { event: 'storeEra', era, before, source },
+        'the store has come back from a copy, or is known for the first time',
+      ),
+    );
     this.#configuration = new ConfigurationHolder(logger, this.#storeClock);
     this.#peerDirectory = new PeerDirectory(this.#getSelf(), this.#random);
     this.#relays = new RelayCoordinator({
@@ -235,6 +243,8 @@
       directory: this.#directory,
       front: this.#front,
       configuration: this.#configuration,
+      storeEra: this.#storeEra,
+      watchers: this.#watchers,
     });
   }
 
@@ -329,7 +339,7 @@
   }
 
   #createStore(purpose: string): RowStore {
-    const client = this.#adapter.createStore();
+    const client = this.#adapter.createStore((era) => this.#storeEra.observe(era, purpose));
     const store = new MeteredStore(client, this.#metrics, this.#logger, purpose);
     this.#stores.push(store);
     return store;
--- a/packages/forwarding/src/daemon/types.ts
+++ b/packages/forwarding/src/daemon/types.ts
@@ -5,7 +5,7 @@
 import type { RequestDigest } from '@snipehaven/common';
 import type { RepeatBudgetSettings } from '@snipehaven/policy';
 import type { StatusDocument } from './statusDocument.js';
-import type { RowStore, StoreRow } from '../store/index.js';
+import type { EraObserver, RowStore, StoreRow } from '../store/index.js';
 import type { HoldRecord } from '../crashes/index.js';
 import type { Peer } from '../peers/index.js';
 import type { RolloutEvidence, RolloutStatus } from '../rollouts/index.js';
@@ -65,7 +65,7 @@
   readonly dialect: HeaderDialect;
   readonly tables: TableNames;
   /** Creates one client per feed, so that a held call never delays another. */
-  createStore(): RowStore;
+  createStore(onEra?: EraObserver): RowStore;
   /** Undefined for rows that are not relevant. */
   restoreOperatorRow(row: Pick<StoreRow, 'key' | 'value'>): OperatorDocument | undefined;
   /** The service to whose roll-out order the key belongs. */
--- a/packages/forwarding/src/edge/forwardMetrics.ts
+++ b/packages/forwarding/src/edge/forwardMetrics.ts
@@ -94,6 +94,21 @@
     });
   }
 
+  /** Adds a gauge with a value for each table, read on each scrape. */
+  addGaugeByTable(
+    name: string,
+    help: string,
+    read: () => readonly { readonly table: string; readonly value: number }[],
+  ): void {
+    const gauge: Gauge<'table'> = new Gauge({
+      name,
+      help,
+      labelNames: ['table'],
+      registers: [this.#registry],
+      collect: () => read().forEach(({ table, value }) => gauge.set({ table }, value)),
+    });
+  }
+
   countRequest(kind: RouteKind, outcome: string, tookMs: number): void {
     this.#requests.inc({ kind, outcome });
     if (outcome === 'answered') {
--- a/packages/forwarding/src/store/peerFeed.ts
+++ b/packages/forwarding/src/store/peerFeed.ts
@@ -60,12 +60,13 @@
   applySnapshot(snapshot: TableSnapshot): void {
     const { listener, freshness, logger } = this.#options;
     const { rows, version, serverTimeMs, table } = snapshot;
+    const held = this.#replica.revision;
     this.#beforeRows();
     this.#replica.replace(snapshot);
     listener.onSnapshot(rows, serverTimeMs);
     const isConfirmed = freshness.confirmByPeer(serverTimeMs);
     logger.info(
-      { event: 'tableTaken', table, version, rows: rows.length, serverTimeMs, isConfirmed },
+      { event: 'tableTaken', table, version, held, rows: rows.length, serverTimeMs, isConfirmed },
       'table received from another daemon',
     );
   }
--- /dev/null
+++ b/packages/forwarding/src/store/storeEra.ts
@@ -0,0 +1,32 @@
+/**
+ * The newest era of the store that this daemon knows of. A new era begins each time the store comes
+ * back from a copy: it has lost its last changes, and gives their versions out again.
+ */
+
+/** Called with the new era and the one before it. */
+export type EraListener = (era: number, before: number, source: string) => void;
+
+export class StoreEra {
+  /** Undefined before the first answer or message. */
+  #newest: number | undefined;
+
+  readonly #listeners: EraListener[] = [];
+
+  /** 0 before the first answer or message, as for a store that names no era. */
+  get newest(): number {
+    return this.#newest ?? 0;
+  }
+
+  onRise(listener: EraListener): void {
+    this.#listeners.push(listener);
+  }
+
+  /** `source`: the client or daemon that the era was learned from. */
+  observe(era: number, source: string): void {
+    const before = this.#newest;
+    if (before === undefined || era > before) {
+      this.#newest = era;
+      this.#listeners.forEach((listener) => listener(era, before ?? 0, source));
+    }
+  }
+}
--- a/packages/forwarding/src/store/tableReplica.ts
+++ b/packages/forwarding/src/store/tableReplica.ts
@@ -1,4 +1,5 @@
 /** This daemon's replica of a table, with the versions up to which it is complete. */
+import type { StoreRevision } from './storeRevision.js';
 import type { StoreChange, StoreRow, TableSnapshot } from './types.js';
 
 /** The newest version among the items, but at least the given one. */
@@ -10,6 +11,9 @@
 
   readonly #rows = new Map<string, StoreRow>();
 
+  /** Era of the store's last answer that was applied. */
+  #era = 0;
+
   /** Undefined if the table must be read completely. */
   #version: number | undefined;
 
@@ -37,6 +41,11 @@
     return this.#version;
   }
 
+  /** The newest state of the store ever held. */
+  get revision(): StoreRevision {
+    return { era: this.#era, version: this.#newestVersion };
+  }
+
   get lastChange(): number {
     return this.#lastChange;
   }
@@ -120,6 +129,11 @@
     return newChanges;
   }
 
+  /** Records the era of an answer whose rows are applied. */
+  noteEra(era: number): void {
+    this.#era = era;
+  }
+
   /** Records that the table was unchanged at that time. */
   confirm(serverTimeMs: number): void {
     this.#serverTimeMs = Math.max(this.#serverTimeMs, serverTimeMs);
--- a/packages/forwarding/src/store/tableWatcher.ts
+++ b/packages/forwarding/src/store/tableWatcher.ts
@@ -11,6 +11,7 @@
 import { PeerFeed } from './peerFeed.js';
 import { ReaderRole } from './readerRole.js';
 import { TableReplica, findNewestVersion } from './tableReplica.js';
+import type { StoreRevision } from './storeRevision.js';
 import type { TableWatcherOptions } from './tableWatcherOptions.js';
 import type { StoreChange, StorePage, StoreRow, TableSnapshot } from './types.js';
 
@@ -76,6 +77,15 @@
     this.#isStopped = true;
   }
 
+  get table(): string {
+    return this.#options.table;
+  }
+
+  /** The state of the store at which the table is known. */
+  get revision(): StoreRevision {
+    return this.#replica.revision;
+  }
+
   /** The table as known here; undefined until it is first known. */
   get snapshot(): TableSnapshot | undefined {
     return this.#replica.snapshot;
@@ -215,10 +225,14 @@
 
   /** Resolves with the store's clock at its answer. */
   async #readAll(): Promise<number> {
-    const { store, table, listener } = this.#options;
+    const { store, table, listener, logger } = this.#options;
     const page = await this.#peerFeed.applyDuring(() => store.readRows(table));
     this.#noteAnswer();
-    const { items: rows, version, serverTimeMs } = page;
+    const { items: rows, era, version, serverTimeMs } = page;
+    logger.info(
+      { event: 'tableRead', table, era, version, rows: rows.length, held: this.#replica.revision },
+      'table read from the store',
+    );
     if (version < (this.#replica.version ?? 0)) {
       // A newer table came from another daemon in the meantime.
       return serverTimeMs;
@@ -226,6 +240,7 @@
     const isCovered = this.#readerRole.checkEnoughReaders();
     const lastChange = this.#findLastChange(page, isCovered);
     this.#replica.replace({ rows, version, serverTimeMs, lastChange });
+    this.#replica.noteEra(era);
     listener.onSnapshot(rows, serverTimeMs);
     if (!isCovered && lastChange === version) {
       this.#publishTable();
@@ -265,9 +280,10 @@
     // Starts at the last change instead of the version of the request, because a follower's version
     // may be that of the last change.
     const after = this.#replica.changesKnownFrom;
-    const { items, version: upTo, serverTimeMs } = await this.#requestChanges(waitMs);
+    const { items, era, version: upTo, serverTimeMs } = await this.#requestChanges(waitMs);
     this.#noteAnswer();
     const newChanges = this.#replica.apply(items, upTo);
+    this.#replica.noteEra(era);
     this.#replica.confirm(serverTimeMs);
     newChanges.forEach((change) => listener.onChange(change, serverTimeMs));
     if (items.length > 0) {
--- a/packages/forwarding/src/store/testSupport/memoryStore.ts
+++ b/packages/forwarding/src/store/testSupport/memoryStore.ts
@@ -1,7 +1,17 @@
-/** In-memory store with tables, feeds that wait, outages, and call counts per daemon. */
+/**
+ * In-memory store with tables, feeds that wait, outages, returns from a copy, and call counts per
+ * daemon.
+ */
 import { sleep } from '@snipehaven/common';
 import { HistoryGoneError, StoreUnavailableError } from '../../errors.js';
-import type { RowStore, StoreChange, StorePage, StoreRow, WriteResult } from '../types.js';
+import type {
+  EraObserver,
+  RowStore,
+  StoreChange,
+  StorePage,
+  StoreRow,
+  WriteResult,
+} from '../types.js';
 
 const POLL_MS = 5;
 const LATENCY_MS = 4;
@@ -10,12 +20,23 @@
 /** Time-out of a client's call, after the wait that it asked for. */
 const CALL_TIMEOUT_MS = 900;
 
+type TableChange = StoreChange & { readonly table: string };
+
+/** The store's state at one moment. */
+export interface StoreCopy {
+  readonly version: number;
+  readonly rows: ReadonlyMap<string, ReadonlyMap<string, StoreRow>>;
+  readonly history: readonly TableChange[];
+}
+
 export class MemoryStore {
   #version = 100;
 
+  #era = 1;
+
   readonly #rows = new Map<string, Map<string, StoreRow>>();
 
-  readonly #history: (StoreChange & { readonly table: string })[] = [];
+  readonly #history: TableChange[] = [];
 
   /** Feeds that ask for changes after an older version are refused. */
   #oldestVersion = 0;
@@ -57,6 +78,24 @@
     this.#oldestVersion = this.#version;
   }
 
+  takeCopy(): StoreCopy {
+    const rows = new Map([...this.#rows].map(([table, byKey]) => [table, new Map(byKey)]));
+    return { version: this.#version, rows, history: [...this.#history] };
+  }
+
+  /** Comes back from a copy: later changes are lost, and calls that are held fail. */
+  restore({ version, rows, history }: StoreCopy): void {
+    this.#era += 1;
+    this.#version = version;
+    this.#rows.clear();
+    rows.forEach((byKey, table) => this.#rows.set(table, new Map(byKey)));
+    this.#history.splice(0, Infinity, ...history);
+  }
+
+  listRows(table: string): ReadonlyMap<string, string> {
+    return new Map([...this.#getRows(table).values()].map(({ key, value }) => [key, value]));
+  }
+
   getCalls(vm: string): number {
     return this.calls.get(vm) ?? 0;
   }
@@ -65,12 +104,13 @@
     return [...this.calls.values()].reduce((sum, calls) => sum + calls, 0);
   }
 
-  createClient(vm: string): RowStore {
+  createClient(vm: string, onEra: EraObserver = () => {}): RowStore {
     const call = async (): Promise<void> => {
       this.calls.set(vm, this.getCalls(vm) + 1);
       await sleep(LATENCY_MS);
       await this.#loseIfCutOff(vm, CALL_TIMEOUT_MS);
       this.#check(vm);
+      onEra(this.#era);
     };
     return {
       readRows: async (table) => {
@@ -80,6 +120,7 @@
       readChanges: async (table, after, waitMs) => {
         await call();
         const endAtMs = performance.now() + waitMs;
+        const era = this.#era;
         let items = this.#listChanges(table, after);
         while (
           this.unresponsiveVms.has(vm) ||
@@ -88,6 +129,9 @@
           await sleep(POLL_MS);
           await this.#loseIfCutOff(vm, endAtMs + CALL_TIMEOUT_MS - performance.now());
           this.#check(vm);
+          if (era !== this.#era) {
+            throw new StoreUnavailableError('connection reset');
+          }
           items = this.#listChanges(table, after);
         }
         return this.#page(items);
@@ -118,14 +162,14 @@
   }
 
   #listChanges(table: string, after: number): StoreChange[] {
-    if (after < this.#oldestVersion) {
-      throw new HistoryGoneError('history dropped by the store');
+    if (after < this.#oldestVersion || after > this.#version) {
+      throw new HistoryGoneError('the store has no history after this version');
     }
     const changes = this.#history.filter((one) => one.table === table && one.version > after);
     return changes.map(({ table: _table, ...change }) => change);
   }
 
   #page<Item>(items: readonly Item[]): StorePage<Item> {
-    return { items, version: this.#version, serverTimeMs: performance.now() };
+    return { items, era: this.#era, version: this.#version, serverTimeMs: performance.now() };
   }
 }
--- a/packages/forwarding/src/store/types.ts
+++ b/packages/forwarding/src/store/types.ts
@@ -16,6 +16,8 @@
 
 export interface StorePage<Item> {
   readonly items: readonly Item[];
+  /** Rises each time the store comes back from a copy; 0 if it names none. */
+  readonly era: number;
   /** The newest version of the store that the page reflects. */
   readonly version: number;
   /** The store's monotonic clock when it answered. */
@@ -37,6 +39,9 @@
   readonly isWritten: boolean;
 }
 
+/** Called with the era that an answer of the store names, whatever its status. */
+export type EraObserver = (era: number) => void;
+
 /**
  * Calls throw `HistoryGoneError` if the store no longer has a feed's history, otherwise
  * `StoreUnavailableError`; after the latter, a write may still take effect.
