--- a/packages/standins/src/published/standinStore.ts
+++ b/packages/standins/src/published/standinStore.ts
@@ -1,9 +1,12 @@
-/** A stand-in of the platform's store, over HTTP: rows, transactions, feeds, and its failures. */
+/**
+ * A stand-in of the platform's store, over HTTP: rows, transactions, feeds, its failures, and its
+ * returns from a copy.
+ */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { sleep } from '@snipehaven/common';
 
-interface Row {
+export interface Row {
   readonly table: string;
   readonly part: string;
   readonly key: string;
@@ -30,6 +33,16 @@
  */
 export type StoreFault = 'none' | 'busy' | 'silent' | 'reset' | 'slow' | 'lost';
 
+/** The store's state at one moment. */
+export interface StoreCopy {
+  readonly rows: ReadonlyMap<string, Row>;
+  readonly history: readonly Row[];
+  readonly oldestVersion: number;
+  readonly version: number;
+  /** Number of transactions of the operator and the upstreams until then. */
+  readonly outsideWrites: number;
+}
+
 /** How late a slow store answers. */
 const SLOW_MS = 250;
 
@@ -39,6 +52,9 @@
   response.writeHead(status, { 'Content-Type': 'application/json' }).end(JSON.stringify(body));
 };
 
+/** Number of the outside transactions that are remembered in order to write them again. */
+const MAX_OUTSIDE_WRITES = 2_000;
+
 const readBody = async (request: IncomingMessage): Promise<string> => {
   const chunks: Buffer[] = [];
   for await (const chunk of request) {
@@ -58,6 +74,17 @@
 
   #version = 0;
 
+  #era = 1;
+
+  /** Transactions of the operator and the upstreams, newest last. */
+  readonly #outsideWrites: Transaction[] = [];
+
+  /** Number of transactions that were dropped from the start of that list. */
+  #droppedWrites = 0;
+
+  /** Transactions that the last copy lacked, to be written again. */
+  #lostWrites: readonly Transaction[] = [];
+
   #waiting: (() => void)[] = [];
 
   #calls = 0;
@@ -97,11 +124,13 @@
   /** Writes as the operator or an upstream does. */
   put(table: string, key: string, value: unknown): void {
     const text = typeof value === 'string' ? value : JSON.stringify(value);
-    this.#apply({ puts: [{ table, key, value: Buffer.from(text).toString('base64') }] });
+    this.#writeFromOutside({
+      puts: [{ table, key, value: Buffer.from(text).toString('base64') }],
+    });
   }
 
   remove(table: string, key: string): void {
-    this.#apply({ remove: [{ table, key }] });
+    this.#writeFromOutside({ remove: [{ table, key }] });
   }
 
   read(table: string, key: string): unknown {
@@ -120,10 +149,49 @@
     this.#wake();
   }
 
+  takeCopy(): StoreCopy {
+    return {
+      rows: new Map(this.#rows),
+      history: [...this.#history],
+      oldestVersion: this.#oldestVersion,
+      version: this.#version,
+      outsideWrites: this.#droppedWrites + this.#outsideWrites.length,
+    };
+  }
+
+  /** Comes back from a copy in a new era; calls that are held are cut. */
+  restore({ rows, history, oldestVersion, version, outsideWrites }: StoreCopy): void {
+    this.#era += 1;
+    this.#rows.clear();
+    rows.forEach((row, id) => this.#rows.set(id, row));
+    this.#history = [...history];
+    this.#oldestVersion = oldestVersion;
+    this.#version = version;
+    this.#lostWrites = this.#outsideWrites.slice(Math.max(0, outsideWrites - this.#droppedWrites));
+    this.#wake();
+  }
+
+  /** The operator and the upstreams write again, in order, what the copy lacked. */
+  rewrite(): void {
+    const lost = this.#lostWrites;
+    this.#lostWrites = [];
+    lost.forEach((transaction) => this.#apply(transaction));
+  }
+
+  #writeFromOutside(transaction: Transaction): void {
+    this.#outsideWrites.push(transaction);
+    if (this.#outsideWrites.length > MAX_OUTSIDE_WRITES) {
+      this.#outsideWrites.shift();
+      this.#droppedWrites += 1;
+    }
+    this.#apply(transaction);
+  }
+
   async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     this.#calls += 1;
     const url = new URL(request.url ?? '/', 'http://store');
     const body = await readBody(request);
+    response.setHeader('Store-Era', String(this.#era));
     if (await this.#isSpoiled(response)) {
       return;
     }
@@ -178,8 +246,13 @@
     const table = query.get('table');
     const after = Number(query.get('after'));
     const endAtMs = performance.now() + Number(query.get('wait-timeout-ms'));
+    const era = this.#era;
     for (;;) {
-      if (after < this.#oldestVersion) {
+      if (era !== this.#era) {
+        response.destroy();
+        return;
+      }
+      if (after < this.#oldestVersion || after > this.#version) {
         send(response, 410, {});
         return;
       }
