--- a/packages/forwarding/src/daemon/createWatchers.ts
+++ b/packages/forwarding/src/daemon/createWatchers.ts
@@ -5,7 +5,7 @@
 import type { StoreClock } from '../configuration/storeClock.js';
 import type { ReaderRegistry, PeerExchange } from '../peers/index.js';
 import type { RolloutTracker } from '../rollouts/index.js';
-import { TableWatcher, type RowStore } from '../store/index.js';
+import { TableWatcher, type RowStore, type StoreEra } from '../store/index.js';
 import type { UpstreamDirectory } from '../upstreams/index.js';
 import { OperatorListener, UpstreamListener, type StatusListener } from './tableListeners.js';
 import type { ForwardSettings, PlatformAdapter } from './types.js';
@@ -43,6 +43,7 @@
   readonly directory: UpstreamDirectory;
   readonly rollouts: RolloutTracker;
   readonly storeClock: StoreClock;
+  readonly storeEra: StoreEra;
   readonly statusListener: StatusListener;
   readonly statusFreshness: Freshness;
   createStore(purpose: string): RowStore;
@@ -58,6 +59,7 @@
   logger: dependencies.logger,
   random: dependencies.random,
   readerRegistry: dependencies.readerRegistry,
+  storeEra: dependencies.storeEra,
   countDaemons: () => dependencies.exchange.daemons,
   getReaderRank: (lostReaders?: ReadonlySet<string>) =>
     dependencies.exchange.getReaderRank(lostReaders),
--- a/packages/forwarding/src/daemon/forwardDaemon.ts
+++ b/packages/forwarding/src/daemon/forwardDaemon.ts
@@ -186,7 +186,7 @@
       broadcast: (news) => this.#exchange.broadcastLeavings(news),
     });
     const { vmName, sessionTtlMs, allowedExposure } = adapter.settings;
-    this.#readerRegistry = new ReaderRegistry(vmName, adapter.settings.dataCentre);
+    this.#readerRegistry = new ReaderRegistry(vmName, adapter.settings.dataCentre, this.#storeEra);
     this.#rollouts = new RolloutTracker({
       logger,
       vm: vmName,
@@ -365,6 +365,7 @@
       directory: this.#directory,
       rollouts: this.#rollouts,
       storeClock: this.#storeClock,
+      storeEra: this.#storeEra,
       statusListener: this.#statusListener,
       statusFreshness: this.#statusFreshness,
       createStore: (purpose) => this.#createStore(purpose),
@@ -381,6 +382,7 @@
       directory: this.#peerDirectory,
       port: createUdpPort(this.#peerDirectory.self, this.#logger),
       clock: this.#storeClock,
+      storeEra: this.#storeEra,
       seeds: this.#settings.seedAddresses,
       listSnapshots: () => this.#watchers.flatMap(({ snapshot }) => snapshot ?? []),
       loads: this.#peerLoads,
--- a/packages/forwarding/src/daemon/tableListeners.ts
+++ b/packages/forwarding/src/daemon/tableListeners.ts
@@ -59,9 +59,9 @@
     );
   }
 
-  onChange({ key, value, version }: StoreChange): void {
+  onChange({ key, value, ...revision }: StoreChange): void {
     if (value !== undefined) {
-      this.#apply({ key, value, version }, 0);
+      this.#apply({ key, value, ...revision }, 0);
       return;
     }
     const service = this.#adapter.getRolloutService(key);
@@ -198,9 +198,9 @@
     this.#holds.retainOnly(rows.flatMap(({ key }) => this.#adapter.getHeldDigest(key) ?? []));
   }
 
-  onChange({ key, value, version }: StoreChange): void {
+  onChange({ key, value, ...revision }: StoreChange): void {
     if (value !== undefined) {
-      const row = { key, value, version };
+      const row = { key, value, ...revision };
       this.#apply(row, this.#decode(row));
       return;
     }
--- a/packages/forwarding/src/peers/changesMessage.ts
+++ b/packages/forwarding/src/peers/changesMessage.ts
@@ -2,9 +2,13 @@
 import { compressDatagram, readMessageParts } from './datagram.js';
 import type { StoreChange } from '../store/types.js';
 
-/** All changes of a table after the store version `after`, up to and including `upTo`. */
+/**
+ * All changes of a table after the store version `after`, up to and including `upTo`; both are
+ * versions of the era.
+ */
 export interface TableChanges {
   readonly table: string;
+  readonly era: number;
   readonly after: number;
   readonly upTo: number;
   /** The store's monotonic clock when it returned the changes. */
@@ -25,6 +29,7 @@
   upTo: number,
   serverTimeMs: number,
   rows: readonly WireRow[],
+  era: number,
 ];
 
 interface WireMessage {
@@ -33,9 +38,9 @@
 
 /** Undefined if the changes are too large to be relayed. */
 export const encodeChanges = (changes: TableChanges): Buffer | undefined => {
-  const { table, after, upTo, serverTimeMs, items } = changes;
+  const { table, era, after, upTo, serverTimeMs, items } = changes;
   const rows = items.map(({ key, version, value }): WireRow => [key, version, value ?? null]);
-  const message: WireMessage = { changes: [table, after, upTo, serverTimeMs, rows] };
+  const message: WireMessage = { changes: [table, after, upTo, serverTimeMs, rows, era] };
   const bytes = compressDatagram(JSON.stringify(message));
   return bytes.length <= MAX_MESSAGE_BYTES ? bytes : undefined;
 };
@@ -46,18 +51,25 @@
   typeof value[1] === 'number' &&
   (value[2] === null || typeof value[2] === 'string');
 
-const toChange = ([key, version, value]: WireRow): StoreChange =>
-  value === null ? { key, version } : { key, version, value };
+const toChange = ([key, version, value]: WireRow, era: number): StoreChange =>
+  value === null ? { key, era, version } : { key, era, version, value };
 
-/** Undefined if the decoded datagram contains no valid changes. */
+/**
+ * Undefined if the decoded datagram contains no valid changes. Daemons that do not know eras name
+ * none, so that their versions cannot be placed in a later one.
+ */
 export const decodeChanges = (message: unknown): TableChanges | undefined => {
-  const [table, after, upTo, serverTimeMs, rows] = readMessageParts(message, 'changes') ?? [];
+  const [table, after, upTo, serverTimeMs, rows, era = 0] =
+    readMessageParts(message, 'changes') ?? [];
   const isValid =
     typeof table === 'string' &&
     typeof after === 'number' &&
     typeof upTo === 'number' &&
     typeof serverTimeMs === 'number' &&
+    typeof era === 'number' &&
     Array.isArray(rows) &&
     rows.every(isWireRow);
-  return isValid ? { table, after, upTo, serverTimeMs, items: rows.map(toChange) } : undefined;
+  return isValid
+    ? { table, era, after, upTo, serverTimeMs, items: rows.map((row) => toChange(row, era)) }
+    : undefined;
 };
--- a/packages/forwarding/src/peers/joinMessages.ts
+++ b/packages/forwarding/src/peers/joinMessages.ts
@@ -73,20 +73,29 @@
 const isRosterEntry = (value: unknown): value is RosterEntry =>
   isObject(value) && isPeer(value.peer) && isNumber(value.ageMs) && value.ageMs >= 0;
 
+/** Daemons that do not know eras name none. */
+const isEra = (value: unknown): boolean => value === undefined || isNumber(value);
+
 const isRow = (value: unknown): value is StoreRow =>
-  isObject(value) && isString(value.key) && isString(value.value) && isNumber(value.version);
+  isObject(value) &&
+  isString(value.key) &&
+  isString(value.value) &&
+  isEra(value.era) &&
+  isNumber(value.version);
 
 const isReaderReport = (value: unknown): value is ReaderReport =>
   isObject(value) &&
   isString(value.table) &&
   isString(value.vm) &&
   isString(value.dataCentre) &&
+  isEra(value.era) &&
   isNumber(value.lastChange) &&
   isNumber(value.serverTimeMs);
 
 const isTable = (value: unknown): value is TableSnapshot =>
   isObject(value) &&
   isString(value.table) &&
+  isEra(value.era) &&
   isNumber(value.version) &&
   isNumber(value.lastChange) &&
   isNumber(value.serverTimeMs) &&
@@ -111,6 +120,20 @@
 const isJoinMessageKind = (kind: unknown): kind is JoinMessage['kind'] =>
   isString(kind) && Object.hasOwn(VALIDATORS, kind);
 
+/** Sets the era 0 where a message names none. */
+const addEras = (message: JoinMessage): JoinMessage => {
+  if (message.kind === 'readers') {
+    return { ...message, readers: message.readers.map((one) => ({ ...one, era: one.era ?? 0 })) };
+  }
+  if (message.kind === 'table') {
+    const { table } = message;
+    const era = table.era ?? 0;
+    const rows = table.rows.map((row) => ({ ...row, era: row.era ?? era }));
+    return { ...message, table: { ...table, era, rows } };
+  }
+  return message;
+};
+
 /** Undefined if the message is too large. */
 export const encodeJoinMessage = (message: JoinMessage): Buffer | undefined => {
   const bytes = compressDatagram(JSON.stringify(message));
@@ -123,5 +146,5 @@
     return undefined;
   }
   const { kind } = value;
-  return VALIDATORS[kind](value[kind]) ? (value as unknown as JoinMessage) : undefined;
+  return VALIDATORS[kind](value[kind]) ? addEras(value as unknown as JoinMessage) : undefined;
 };
--- a/packages/forwarding/src/peers/joinProtocol.test.ts
+++ b/packages/forwarding/src/peers/joinProtocol.test.ts
@@ -257,9 +257,16 @@
 
 test('join messages decode to what was encoded, and stray ones are ignored', () => {
   const peer = { vm: 'vm-1', dataCentre: 'a', host: '10.0.0.1', port: 7_000 };
-  const report = { table: 'status', lastChange: 3, serverTimeMs: 9, vm: 'vm-1', dataCentre: 'a' };
-  const rows = [{ key: 'k', value: '{}', version: 3 }];
-  const snapshot = { table: 'status', version: 4, lastChange: 3, serverTimeMs: 9, rows };
+  const report = {
+    table: 'status',
+    era: 2,
+    lastChange: 3,
+    serverTimeMs: 9,
+    vm: 'vm-1',
+    dataCentre: 'a',
+  };
+  const rows = [{ key: 'k', value: '{}', era: 2, version: 3 }];
+  const snapshot = { table: 'status', era: 2, version: 4, lastChange: 3, serverTimeMs: 9, rows };
   const messages: readonly JoinMessage[] = [
     { kind: 'hello', hello: { peer, asks: 'all', questionId: 1 } },
     { kind: 'clock', clock: { questionId: 1, storeNowAtMostMs: 12.5 } },
--- a/packages/forwarding/src/peers/joinProtocol.ts
+++ b/packages/forwarding/src/peers/joinProtocol.ts
@@ -6,6 +6,7 @@
  */
 import type { Logger, Random } from '@snipehaven/common';
 import type { StoreClock } from '../configuration/storeClock.js';
+import { isNewer } from '../store/storeRevision.js';
 import type { TableSnapshot } from '../store/types.js';
 import type { SocketAddress } from '../types.js';
 import {
@@ -321,8 +322,9 @@
   }
 
   #handleTable(snapshot: TableSnapshot): void {
-    const { table, version } = snapshot;
-    if (this.#hasEnded || version < (this.#snapshots.get(table)?.version ?? 0)) {
+    const { table } = snapshot;
+    const known = this.#snapshots.get(table);
+    if (this.#hasEnded || (known !== undefined && isNewer(known, snapshot))) {
       return;
     }
     this.#snapshots.set(table, snapshot);
--- a/packages/forwarding/src/peers/loadMessage.ts
+++ b/packages/forwarding/src/peers/loadMessage.ts
@@ -20,7 +20,8 @@
 /** A reader's own observation of a table. */
 export interface TableReport {
   readonly table: string;
-  /** The store version of the last change of the table. */
+  readonly era: number;
+  /** The store version of the last change of the table, in that era. */
   readonly lastChange: number;
   /** The store's monotonic clock at its last answer. */
   readonly serverTimeMs: number;
@@ -58,8 +59,15 @@
 }
 
 type WireLoad = readonly [upstream: string, work: number, requests: number];
-type WireReport = readonly [table: string, lastChange: number, serverTimeMs: number];
-type WireReader = readonly [...WireReport, vm: string, dataCentre: string];
+type WireReport = readonly [table: string, lastChange: number, serverTimeMs: number, era?: number];
+type WireReader = readonly [
+  table: string,
+  lastChange: number,
+  serverTimeMs: number,
+  vm: string,
+  dataCentre: string,
+  era: number,
+];
 type WirePace = readonly [
   service: string,
   work: number,
@@ -96,10 +104,11 @@
 /** The index of a scope is its number on the wire. */
 const SCOPES: readonly LoadScope[] = ['own', 'dataCentre', 'fleet'];
 
-const toWireReport = ({ table, lastChange, serverTimeMs }: TableReport): WireReport => [
+const toWireReport = ({ table, era, lastChange, serverTimeMs }: TableReport): WireReport => [
   table,
   lastChange,
   serverTimeMs,
+  era,
 ];
 
 const toWirePace = ({ service, ...sum }: ServicePace): WirePace => [
@@ -140,9 +149,12 @@
   ]);
   const { vm, dataCentre, process, sequence, scope } = message;
   const readers = message.readers.map((one): WireReader => [
-    ...toWireReport(one),
+    one.table,
+    one.lastChange,
+    one.serverTimeMs,
     one.vm,
     one.dataCentre,
+    one.era,
   ]);
   const wire: WireMessage = [
     vm,
@@ -235,8 +247,12 @@
   work,
 });
 
-const toReport = ([table, lastChange, serverTimeMs]: WireReport): TableReport => ({
+/** Daemons that do not know eras name none. */
+const toEra = (value: unknown): number => (isNonNegative(value) ? (value as number) : 0);
+
+const toReport = ([table, lastChange, serverTimeMs, era]: WireReport): TableReport => ({
   table,
+  era: toEra(era),
   lastChange,
   serverTimeMs,
 });
@@ -247,8 +263,9 @@
   serverTimeMs,
   vm,
   dataCentre,
+  era,
 ]: WireReader): ReaderReport => ({
-  ...toReport([table, lastChange, serverTimeMs]),
+  ...toReport([table, lastChange, serverTimeMs, era]),
   vm,
   dataCentre,
 });
--- a/packages/forwarding/src/peers/peerExchange.ts
+++ b/packages/forwarding/src/peers/peerExchange.ts
@@ -1,6 +1,7 @@
 /** Communication of a daemon with the other daemons, over datagrams. */
 import type { Logger, Random } from '@snipehaven/common';
 import type { StoreClock } from '../configuration/storeClock.js';
+import type { StoreEra } from '../store/storeEra.js';
 import type { SnapshotSource, TableSnapshot } from '../store/types.js';
 import type { SocketAddress } from '../types.js';
 import { encodeCrashMessage, type CrashMessage } from './crashMessage.js';
@@ -35,6 +36,7 @@
   readonly directory: PeerDirectory;
   readonly loads: PeerLoads;
   readonly readerRegistry: ReaderRegistry;
+  readonly storeEra: StoreEra;
   readonly port: DatagramPort;
   readonly clock: StoreClock;
   readonly logger: Logger;
--- a/packages/forwarding/src/peers/readerRegistry.test.ts
+++ b/packages/forwarding/src/peers/readerRegistry.test.ts
@@ -19,7 +19,7 @@
   process: 1,
   sequence: 1,
   loads: new Map(),
-  news: [{ table: TABLE, lastChange: 5, serverTimeMs: 100 }],
+  news: [{ table: TABLE, era: 1, lastChange: 5, serverTimeMs: 100 }],
   scope: 'own',
   readers: [],
   members: 0,
@@ -49,7 +49,11 @@
   [...registries]
     .filter(
       ([, readerRegistry]) =>
-        !readerRegistry.hasEnoughReaders(TABLE, VMS.length, { nowMs, maxAgeMs: MAX_AGE_MS }),
+        !readerRegistry.hasEnoughReaders(TABLE, VMS.length, {
+          nowMs,
+          maxAgeMs: MAX_AGE_MS,
+          era: 1,
+        }),
     )
     .map(([vm]) => vm);
 
@@ -86,7 +90,7 @@
 test('a large fleet has two readers in two data centres', () => {
   const many = Array.from({ length: 60 }, (_, index) => `vm-${index}`);
   const getDataCentre = (vm: string): string => `dc-${many.indexOf(vm) % 3}`;
-  const query = { nowMs: 10, maxAgeMs: MAX_AGE_MS };
+  const query = { nowMs: 10, maxAgeMs: MAX_AGE_MS, era: 1 };
   const readers = many.filter((vm) => {
     const readerRegistry = new ReaderRegistry(vm, getDataCentre(vm));
     const others = many.filter((other) => other !== vm);
@@ -116,7 +120,7 @@
 // seconds. It is among the first in the reader order, so no other reader takes precedence over it.
 test('a reader that lost the store relies on any other readers', () => {
   const readerRegistry = new ReaderRegistry('vm-0', 'a');
-  const query = { nowMs: 10, maxAgeMs: MAX_AGE_MS };
+  const query = { nowMs: 10, maxAgeMs: MAX_AGE_MS, era: 1 };
   assert.not(readerRegistry.canRelyOnReaders(TABLE, 60, query));
   readerRegistry.receiveReports(createMessage('vm-1'), 0);
   readerRegistry.receiveReports(createMessage('vm-2', { dataCentre: 'b' }), 0);
@@ -130,6 +134,7 @@
   const readerRegistry = new ReaderRegistry('vm-0', 'a');
   const toReader = (vm: string, dataCentre: string, serverTimeMs = 100) => ({
     table: TABLE,
+    era: 1,
     lastChange: 5,
     serverTimeMs,
     vm,
@@ -141,7 +146,7 @@
   assert.equal(listVms(20), ['vm-1', 'vm-3']);
   readerRegistry.receiveReaders([toReader('vm-0', 'a'), toReader('vm-3', 'b')], 30);
   assert.equal(listVms(40), ['vm-3']);
-  const query = { nowMs: 10 + MAX_AGE_MS, maxAgeMs: MAX_AGE_MS };
+  const query = { nowMs: 10 + MAX_AGE_MS, maxAgeMs: MAX_AGE_MS, era: 1 };
   assert.is(readerRegistry.getLatestReport(TABLE, query), undefined);
   readerRegistry.receiveReaders([toReader('vm-3', 'b', 200)], 50);
   assert.is(readerRegistry.getLatestReport(TABLE, query)?.serverTimeMs, 200);
@@ -149,22 +154,25 @@
 
 const CHANGES: TableChanges = {
   table: TABLE,
+  era: 1,
   after: 5,
   upTo: 9,
   serverTimeMs: 200,
   items: [
-    { key: 'u-1', value: '{}', version: 7 },
-    { key: 'u-2', version: 9 },
+    { key: 'u-1', value: '{}', era: 1, version: 7 },
+    { key: 'u-2', era: 1, version: 9 },
   ],
 };
 
+const at = (version: number, era = 1) => ({ era, version });
+
 test('changes that leave a gap are not returned, and repeated ones are dropped', () => {
   const readerRegistry = new ReaderRegistry('vm-0', 'a');
   readerRegistry.receiveChanges(CHANGES);
-  assert.is(readerRegistry.findChanges(TABLE, 4), undefined);
-  assert.equal(readerRegistry.findChanges(TABLE, 6), CHANGES);
-  assert.is(readerRegistry.findChanges(TABLE, 9), undefined);
-  assert.is(readerRegistry.findChanges(TABLE, 5), undefined);
+  assert.is(readerRegistry.findChanges(TABLE, at(4)), undefined);
+  assert.equal(readerRegistry.findChanges(TABLE, at(6)), CHANGES);
+  assert.is(readerRegistry.findChanges(TABLE, at(9)), undefined);
+  assert.is(readerRegistry.findChanges(TABLE, at(5)), undefined);
 });
 
 test('changes that were relayed before are not new', () => {
@@ -180,7 +188,9 @@
   assert.equal(decodeChanges(parseDatagram(bytes)), CHANGES);
   const message = createMessage('vm-1', { loads: new Map([['u-1', { work: 12, requests: 2 }]]) });
   assert.equal(decodeLoadMessage(parseDatagram(encodeLoadMessage(message))), message);
-  const readers = [{ table: TABLE, lastChange: 5, serverTimeMs: 100, vm: 'vm-3', dataCentre: 'c' }];
+  const readers = [
+    { table: TABLE, era: 2, lastChange: 5, serverTimeMs: 100, vm: 'vm-3', dataCentre: 'c' },
+  ];
   const learned = {
     paces: [
       { service: 's', work: 500, tookMs: 20, answers: 3, workSquares: 90_000, workTimes: 4_000 },
@@ -197,7 +207,7 @@
   assert.is(parseDatagram(bytes.subarray(0, 9)), undefined);
   const random = createRandom(1);
   const value = Array.from({ length: 40_000 }, () => random.nextInt(36).toString(36)).join('');
-  const large = { ...CHANGES, items: [{ key: 'u', value, version: 9 }] };
+  const large = { ...CHANGES, items: [{ key: 'u', value, era: 1, version: 9 }] };
   assert.is(encodeChanges(large), undefined);
 });
 
--- a/packages/forwarding/src/peers/readerRegistry.ts
+++ b/packages/forwarding/src/peers/readerRegistry.ts
@@ -5,6 +5,13 @@
  * daemon that the store rejects still knows whether its configuration is current.
  */
 import { forgetOldest } from '@snipehaven/common';
+import { StoreEra } from '../store/storeEra.js';
+import {
+  INITIAL_REVISION,
+  findNewestRevision,
+  isNewer,
+  type StoreRevision,
+} from '../store/storeRevision.js';
 import type { TableChanges } from './changesMessage.js';
 import type { LoadMessage, ReaderReport, TableReport } from './loadMessage.js';
 import { READER_TIMEOUT_MS, ReaderSilence, type ReaderContact } from './readerSilence.js';
@@ -17,10 +24,12 @@
   readonly advancedAtMs: number;
 }
 
-/** The current time, and the maximum time since a reader last reported a newer store time. */
 export interface ReportQuery {
   readonly nowMs: number;
+  /** Maximum time since a reader last reported a newer store time. */
   readonly maxAgeMs: number;
+  /** Readers of earlier eras do not know what the store has now. */
+  readonly era: number;
 }
 
 /** The place of a reader in the order of all active readers of a table. */
@@ -32,7 +41,7 @@
 
 /** The newest values over all readers of a table. */
 export interface LatestReport {
-  readonly lastChange: number;
+  readonly lastChange: StoreRevision;
   readonly serverTimeMs: number;
 }
 
@@ -75,6 +84,14 @@
 /** How long a report is relayed although it does not advance; longer than the wait of any table. */
 const MAX_RELAY_AGE_MS = 11_500;
 
+/** The revision up to which the changes lead. */
+const getEnd = ({ era, upTo }: TableChanges): StoreRevision => ({ era, version: upTo });
+
+const getLastChange = ({ era, lastChange }: TableReport): StoreRevision => ({
+  era,
+  version: lastChange,
+});
+
 const hasReportedRecently = ({ heardAtMs }: ReaderState, nowMs: number): boolean =>
   nowMs - heardAtMs < READER_TIMEOUT_MS;
 
@@ -92,11 +109,13 @@
   /** Readers that an update no longer listed, until they report again, keyed by table. */
   readonly #lostReaders = new Map<string, Set<string>>();
 
-  /** The newest store version up to which changes were read or relayed, keyed by table. */
-  readonly #newestVersions = new Map<string, number>();
+  /** The newest revision up to which changes were read or relayed, keyed by table. */
+  readonly #newestRevisions = new Map<string, StoreRevision>();
 
   readonly #dataCentre: string;
 
+  readonly #storeEra: StoreEra;
+
   readonly #silence: ReaderSilence;
 
   #waiters: (() => void)[] = [];
@@ -106,8 +125,10 @@
   /** Keyed by table. */
   readonly #updateListeners = new Map<string, () => void>();
 
-  constructor(vm: string, dataCentre: string) {
+  /** `storeEra` is raised by what readers report and relay. */
+  constructor(vm: string, dataCentre: string, storeEra: StoreEra = new StoreEra()) {
     this.#vm = vm;
+    this.#storeEra = storeEra;
     this.#dataCentre = dataCentre;
     this.#silence = new ReaderSilence(dataCentre);
   }
@@ -142,34 +163,38 @@
 
   /** Passes changes that this daemon read to the listener of `onOwnChanges`. */
   publishChanges(changes: TableChanges): void {
-    this.#advanceVersion(changes.table, changes.upTo);
+    this.#advanceRevision(changes);
     this.#onOwnChanges(changes);
   }
 
-  /** Returns false if changes up to the same version were known before. */
+  /** Returns false if changes up to the same revision were known before. */
   receiveChanges(changes: TableChanges): boolean {
-    const { table, upTo } = changes;
+    const { table, era } = changes;
+    this.#observeEra(era, 'relayed changes');
     const pending = this.#pendingChanges.get(table) ?? [];
     pending.push(changes);
     this.#pendingChanges.set(table, pending.slice(-MAX_PENDING_CHANGES));
     this.notifyUpdate(table);
-    return this.#advanceVersion(table, upTo);
+    return this.#advanceRevision(changes);
   }
 
-  /** Relayed changes that continue from the version without a gap, if any. */
-  findChanges(table: string, version: number): TableChanges | undefined {
-    const pending = (this.#pendingChanges.get(table) ?? []).filter(({ upTo }) => upTo > version);
+  /** Relayed changes that continue from the revision without a gap, if any. */
+  findChanges(table: string, revision: StoreRevision): TableChanges | undefined {
+    const pending = (this.#pendingChanges.get(table) ?? []).filter((changes) =>
+      isNewer(getEnd(changes), revision),
+    );
     this.#pendingChanges.set(table, pending);
-    return pending.find(({ after }) => after <= version);
+    return pending.find(({ era, after }) => era === revision.era && after <= revision.version);
   }
 
   /**
-   * Whether changes after the version were relayed, but none that continue from it without a gap.
+   * Whether changes after the revision were relayed, but none that continue from it without a gap.
    */
-  hasGap(table: string, version: number): boolean {
+  hasGap(table: string, revision: StoreRevision): boolean {
     const pending = this.#pendingChanges.get(table) ?? [];
     return (
-      this.findChanges(table, version) === undefined && pending.some(({ upTo }) => upTo > version)
+      this.findChanges(table, revision) === undefined &&
+      pending.some((changes) => isNewer(getEnd(changes), revision))
     );
   }
 
@@ -277,8 +302,9 @@
     if (fresh.length === 0) {
       return undefined;
     }
+    const changes = fresh.map(({ report }) => getLastChange(report));
     return {
-      lastChange: Math.max(...fresh.map(({ report }) => report.lastChange)),
+      lastChange: findNewestRevision(INITIAL_REVISION, changes),
       serverTimeMs: Math.max(...fresh.map(({ report }) => report.serverTimeMs)),
     };
   }
@@ -299,15 +325,25 @@
     return readers.filter(({ dataCentre }) => dataCentre === this.#dataCentre).length;
   }
 
-  /** Returns true if the version is newer than all before. */
-  #advanceVersion(table: string, version: number): boolean {
-    const isNew = version > (this.#newestVersions.get(table) ?? 0);
+  /** Returns true if the changes reach a newer revision than all before. */
+  #advanceRevision(changes: TableChanges): boolean {
+    const { table } = changes;
+    const end = getEnd(changes);
+    const isNew = isNewer(end, this.#newestRevisions.get(table) ?? INITIAL_REVISION);
     if (isNew) {
-      this.#newestVersions.set(table, version);
+      this.#newestRevisions.set(table, end);
     }
     return isNew;
   }
 
+  /** Daemons that wait for an update must read the tables again in a new era. */
+  #observeEra(era: number, source: string): void {
+    if (era > this.#storeEra.newest) {
+      this.#storeEra.observe(era, source);
+      this.#wakeWaiters();
+    }
+  }
+
   /**
    * Replaces all known reports that are in scope; readers that are no longer listed become lost
    * readers.
@@ -336,9 +372,10 @@
 
   /** Returns true if the reader reports a newer store time. */
   #recordReport(
-    { vm, dataCentre, table, lastChange, serverTimeMs }: ReaderReport,
+    { vm, dataCentre, table, era, lastChange, serverTimeMs }: ReaderReport,
     nowMs: number,
   ): boolean {
+    this.#observeEra(era, vm);
     const readers = this.#readersByTable.get(table) ?? new Map<string, ReaderState>();
     const known = readers.get(vm);
     const isAdvanced = known === undefined || known.report.serverTimeMs < serverTimeMs;
@@ -346,7 +383,7 @@
     readers.set(vm, {
       vm,
       dataCentre,
-      report: { table, lastChange, serverTimeMs },
+      report: { table, era, lastChange, serverTimeMs },
       advancedAtMs,
       heardAtMs: nowMs,
     });
@@ -395,8 +432,10 @@
     return this.#listActive(table, query).filter(({ vm }) => READER_ORDER.isBefore(vm, this.#vm));
   }
 
-  #listFresh(table: string, { nowMs, maxAgeMs }: ReportQuery): readonly ReaderState[] {
-    return this.#listKnown(table).filter(({ advancedAtMs }) => nowMs - advancedAtMs < maxAgeMs);
+  #listFresh(table: string, { nowMs, maxAgeMs, era }: ReportQuery): readonly ReaderState[] {
+    return this.#listKnown(table).filter(
+      ({ report, advancedAtMs }) => report.era >= era && nowMs - advancedAtMs < maxAgeMs,
+    );
   }
 
   #listKnown(table: string): readonly ReaderState[] {
--- a/packages/forwarding/src/peers/readerSilence.test.ts
+++ b/packages/forwarding/src/peers/readerSilence.test.ts
@@ -12,6 +12,7 @@
   vm,
   dataCentre,
   table: TABLE,
+  era: 1,
   lastChange: 5,
   serverTimeMs: 100,
 });
--- a/packages/forwarding/src/peers/tableExchange.ts
+++ b/packages/forwarding/src/peers/tableExchange.ts
@@ -5,6 +5,8 @@
  */
 import type { Logger, Random } from '@snipehaven/common';
 import { pickRandom } from '@snipehaven/common';
+import type { StoreEra } from '../store/storeEra.js';
+import { INITIAL_REVISION, isNewer, type StoreRevision } from '../store/storeRevision.js';
 import type { SnapshotRequest, SnapshotSource, TableSnapshot } from '../store/types.js';
 import type { ReceivedDatagram } from './datagramDispatch.js';
 import { encodeJoinMessage } from './joinMessages.js';
@@ -22,6 +24,7 @@
 export interface TableExchangeOptions {
   readonly directory: PeerDirectory;
   readonly readerRegistry: ReaderRegistry;
+  readonly storeEra: StoreEra;
   readonly messenger: PeerMessenger;
   readonly random: Random;
   readonly logger: Logger;
@@ -61,7 +64,7 @@
 const MAX_ANSWER_BYTES_PER_PERIOD = 100_000;
 
 interface Answer {
-  readonly version: number;
+  readonly revision: StoreRevision;
   readonly madeAtMs: number;
   readonly datagrams: readonly Buffer[];
 }
@@ -127,15 +130,17 @@
 
   /** Takes a table sent by another daemon and relays it if it is news in this data centre. */
   receiveTable(snapshot: TableSnapshot, { bytes, host }: ReceivedDatagram): void {
-    const { directory, readerRegistry } = this.#options;
-    const { table, version, lastChange } = snapshot;
-    if (version <= (this.#received.get(table)?.version ?? 0)) {
+    const { directory, readerRegistry, storeEra } = this.#options;
+    const { table, era, lastChange } = snapshot;
+    if (!isNewer(snapshot, this.#received.get(table) ?? INITIAL_REVISION)) {
       return;
     }
-    const ownVersion = this.#findOwn(table)?.version ?? Infinity;
+    const own = this.#findOwn(table);
+    const isNews = own !== undefined && isNewer({ era, version: lastChange }, own);
     this.#received.set(table, snapshot);
+    storeEra.observe(era, host);
     readerRegistry.notifyUpdate(table);
-    if (lastChange > ownVersion && !this.#isSmallFleet && directory.isRemote(host)) {
+    if (isNews && !this.#isSmallFleet && directory.isRemote(host)) {
       this.#broadcast(directory.local, bytes);
     }
   }
@@ -174,7 +179,7 @@
 
   /** `sent`: the number of requests sent before. */
   #send(request: SnapshotRequest, sent: number): void {
-    const { table, atLeastVersion } = request;
+    const { table, atLeast } = request;
     if (sent === MAX_REQUESTS || !request.isNeeded()) {
       this.#timers.delete(table);
       return;
@@ -184,10 +189,10 @@
     const peer = this.#pickHolder(request, sent);
     if (peer !== undefined) {
       logger.info(
-        { event: 'tableRequested', table, atLeastVersion, from: peer.vm, request: sent + 1 },
+        { event: 'tableRequested', table, atLeast, from: peer.vm, request: sent + 1 },
         'changes are missing; asking another daemon for the table',
       );
-      messenger.sendTo([peer], encodeTableRequest({ peer: directory.self, table, atLeastVersion }));
+      messenger.sendTo([peer], encodeTableRequest({ peer: directory.self, table, atLeast }));
     }
   }
 
@@ -195,20 +200,23 @@
    * A reader first; then any daemon, as most have a table soon that was too large to be sent to all;
    * then one of the data centre, which may be cut off from the others.
    */
-  #pickHolder({ table, atLeastVersion }: SnapshotRequest, sent: number): Peer | undefined {
+  #pickHolder({ table, atLeast }: SnapshotRequest, sent: number): Peer | undefined {
     const { directory, readerRegistry, random } = this.#options;
     const readers = readerRegistry
       .listReaders(performance.now())
-      .filter((one) => one.table === table && one.lastChange >= atLeastVersion)
+      .filter(
+        ({ table: read, era, lastChange }) =>
+          read === table && !isNewer(atLeast, { era, version: lastChange }),
+      )
       .flatMap(({ vm }) => directory.find(vm) ?? []);
     const groups = [readers, directory.all, directory.local];
     const group = groups[sent % groups.length] ?? [];
     return pickRandom(group.length > 0 ? group : directory.all, random);
   }
 
-  #answer({ peer, table, atLeastVersion }: TableRequest): void {
+  #answer({ peer, table, atLeast }: TableRequest): void {
     const nowMs = performance.now();
-    const answer = this.#getAnswer(table, atLeastVersion, nowMs);
+    const answer = this.#getAnswer(table, atLeast, nowMs);
     if (nowMs >= this.#answerPeriodEndsAtMs) {
       this.#answerPeriodEndsAtMs = nowMs + ANSWER_PERIOD_MS;
       this.#answerBytes = 0;
@@ -221,19 +229,23 @@
     }
   }
 
-  /** Empty if this daemon does not know the table up to that version. */
-  #getAnswer(table: string, atLeastVersion: number, nowMs: number): readonly Buffer[] {
+  /** Empty if this daemon does not know the table up to that revision. */
+  #getAnswer(table: string, atLeast: StoreRevision, nowMs: number): readonly Buffer[] {
     const known = this.#answers.get(table);
     const isRecent = known !== undefined && nowMs - known.madeAtMs < ANSWER_CACHE_MS;
-    if (isRecent && known.version >= atLeastVersion) {
+    if (isRecent && !isNewer(atLeast, known.revision)) {
       return known.datagrams;
     }
     const own = this.#findOwn(table);
-    if (own === undefined || own.version < atLeastVersion) {
+    if (own === undefined || isNewer(atLeast, own)) {
       return [];
     }
     const datagrams = encodeTable(own);
-    this.#answers.set(table, { version: own.version, madeAtMs: nowMs, datagrams });
+    this.#answers.set(table, {
+      revision: { era: own.era, version: own.version },
+      madeAtMs: nowMs,
+      datagrams,
+    });
     return datagrams;
   }
 }
--- a/packages/forwarding/src/peers/tableMessages.test.ts
+++ b/packages/forwarding/src/peers/tableMessages.test.ts
@@ -17,8 +17,8 @@
 const createTable = (version: number, characters: number): TableSnapshot => {
   const random = createRandom(version);
   const value = Array.from({ length: characters }, () => random.nextInt(36).toString(36)).join('');
-  const rows = [{ key: 'row', value, version }];
-  return { table: 'operator', version, lastChange: version, serverTimeMs: 1, rows };
+  const rows = [{ key: 'row', value, era: 1, version }];
+  return { table: 'operator', era: 1, version, lastChange: version, serverTimeMs: 1, rows };
 };
 
 const decodeParts = (table: TableSnapshot): readonly TablePart[] =>
@@ -28,7 +28,7 @@
   });
 
 test('a request is decoded as it was encoded', () => {
-  const request = { peer: PEER, table: 'operator', atLeastVersion: 7 };
+  const request = { peer: PEER, table: 'operator', atLeast: { era: 2, version: 7 } };
   assert.equal(decodeTableMessage(parseDatagram(encodeTableRequest(request))), {
     kind: 'tableRequest',
     tableRequest: request,
--- a/packages/forwarding/src/peers/tableMessages.ts
+++ b/packages/forwarding/src/peers/tableMessages.ts
@@ -4,16 +4,17 @@
  */
 import { createHash } from 'node:crypto';
 import { forgetOldest } from '@snipehaven/common';
+import type { StoreRevision } from '../store/storeRevision.js';
 import type { TableSnapshot } from '../store/types.js';
 import { compressDatagram, parseDatagram } from './datagram.js';
 import { decodeJoinMessage, encodeJoinMessage, isPeer } from './joinMessages.js';
 import type { Peer } from './peerDirectory.js';
 
-/** Asks for a table that includes all changes up to a version of the store. */
+/** Asks for a table that includes all changes up to a revision of the store. */
 export interface TableRequest {
   readonly peer: Peer;
   readonly table: string;
-  readonly atLeastVersion: number;
+  readonly atLeast: StoreRevision;
 }
 
 export interface TablePart {
@@ -76,7 +77,9 @@
   isObject(value) &&
   isPeer(value.peer) &&
   typeof value.table === 'string' &&
-  Number.isFinite(value.atLeastVersion);
+  isObject(value.atLeast) &&
+  Number.isFinite(value.atLeast.era) &&
+  Number.isFinite(value.atLeast.version);
 
 const isTablePart = (value: unknown): value is TablePart =>
   isObject(value) &&
--- a/packages/forwarding/src/peers/testSupport/daemonFleet.ts
+++ b/packages/forwarding/src/peers/testSupport/daemonFleet.ts
@@ -4,6 +4,7 @@
 import { Freshness } from '../../configuration/freshness.js';
 import { StoreClock } from '../../configuration/storeClock.js';
 import { TableWatcher } from '../../store/tableWatcher.js';
+import { StoreEra } from '../../store/storeEra.js';
 import { MemoryStore } from '../../store/testSupport/memoryStore.js';
 import type { SharedStatistics, RolloutCounts } from '../sharedStatistics.js';
 import type { UpstreamLoad } from '../loadMessage.js';
@@ -38,6 +39,12 @@
   readonly tables: readonly WatchedTable[];
 }
 
+interface WatcherContext {
+  readonly clock: StoreClock;
+  readonly storeEra: StoreEra;
+  readonly seed: number;
+}
+
 export interface FleetOptions {
   readonly daemons: number;
   readonly dataCentres: number;
@@ -186,7 +193,8 @@
     const random = createRandom(seed);
     const directory = new PeerDirectory(self, random);
     const loads = new PeerLoads();
-    const readerRegistry = new ReaderRegistry(self.vm, self.dataCentre);
+    const storeEra = new StoreEra();
+    const readerRegistry = new ReaderRegistry(self.vm, self.dataCentre, storeEra);
     const ownLoads = new Map<string, UpstreamLoad>();
     const clock = new StoreClock();
     const learned: SharedStatistics = {
@@ -208,6 +216,7 @@
       directory,
       loads,
       readerRegistry,
+      storeEra,
       clock,
       port: this.network.createPort(self),
       seeds: this.#selves.slice(0, this.#options.seeds ?? 0),
@@ -225,15 +234,16 @@
     });
     const member = { self, directory, loads, readerRegistry, exchange, ownLoads, tables };
     const names = this.#options.tables ?? [];
-    tables.push(...names.map((table) => this.#createWatchedTable(table, member, clock, seed)));
+    tables.push(
+      ...names.map((table) => this.#createWatchedTable(table, member, { clock, storeEra, seed })),
+    );
     return member;
   }
 
   #createWatchedTable(
     table: string,
     { self, readerRegistry, exchange }: FleetMember,
-    clock: StoreClock,
-    seed: number,
+    { clock, storeEra, seed }: WatcherContext,
   ): WatchedTable {
     const { maxUnconfirmedMs } = this.#options;
     const freshness = new Freshness(clock);
@@ -246,7 +256,8 @@
         ? { maxUnconfirmedMs }
         : {}),
       batchDelayMs: 0,
-      store: this.store.createClient(self.vm),
+      storeEra,
+      store: this.store.createClient(self.vm, (era) => storeEra.observe(era, 'store')),
       listener: {
         onSnapshot: (rows) => {
           known.clear();
--- a/packages/forwarding/src/peers/testSupport/fleetSuite.ts
+++ b/packages/forwarding/src/peers/testSupport/fleetSuite.ts
@@ -11,10 +11,13 @@
 
 const NOON_MS = 1_700_000_000_000;
 
+/** Hundreds of daemons may each queue several jobs in one step of the clock. */
+const MAX_JOBS_PER_STEP = 100_000;
+
 export const createFleetSuite = (name: string): Test<FleetContext> => {
   const test = suite<FleetContext>(name, {} as FleetContext);
   test.before.each((context) => {
-    context.clock = FakeTimers.install({ now: NOON_MS });
+    context.clock = FakeTimers.install({ now: NOON_MS, loopLimit: MAX_JOBS_PER_STEP });
     context.fleet = undefined;
   });
   test.after.each(({ clock, fleet }) => {
--- a/packages/forwarding/src/store/index.ts
+++ b/packages/forwarding/src/store/index.ts
@@ -1,5 +1,5 @@
 export { StoreEra } from './storeEra.js';
-export type { StoreRevision } from './storeRevision.js';
+export * from './storeRevision.js';
 export { TableWatcher } from './tableWatcher.js';
 export type { TableListener } from './tableWatcherOptions.js';
 export type * from './types.js';
--- a/packages/forwarding/src/store/peerFeed.ts
+++ b/packages/forwarding/src/store/peerFeed.ts
@@ -3,6 +3,7 @@
  * tables, and the reports of readers that confirm them.
  */
 import { MAX_MESH_DAEMONS } from '../peers/index.js';
+import { isNewer, type StoreRevision } from './storeRevision.js';
 import type { ReaderRole } from './readerRole.js';
 import type { TableReplica } from './tableReplica.js';
 import type { TableWatcherOptions } from './tableWatcherOptions.js';
@@ -59,20 +60,29 @@
 
   applySnapshot(snapshot: TableSnapshot): void {
     const { listener, freshness, logger } = this.#options;
-    const { rows, version, serverTimeMs, table } = snapshot;
-    const held = this.#replica.revision;
+    const { rows, era, version, serverTimeMs, table } = snapshot;
+    const held = this.#replica.newestRevision;
     this.#beforeRows();
     this.#replica.replace(snapshot);
     listener.onSnapshot(rows, serverTimeMs);
     const isConfirmed = freshness.confirmByPeer(serverTimeMs);
     logger.info(
-      { event: 'tableTaken', table, version, held, rows: rows.length, serverTimeMs, isConfirmed },
+      {
+        event: 'tableTaken',
+        table,
+        era,
+        version,
+        held,
+        rows: rows.length,
+        serverTimeMs,
+        isConfirmed,
+      },
       'table received from another daemon',
     );
   }
 
   /**
-   * Returns false if readers know of a change that is not applied here, or if their reports cannot
+   * Returns false if a change that is not applied here is known, or if the readers' reports cannot
    * confirm this daemon's state.
    */
   confirm(): boolean {
@@ -88,10 +98,17 @@
     return this.#options.freshness.confirmByPeer(latestReport.serverTimeMs);
   }
 
-  /** Whether readers know of a change that is not applied here. */
+  /** Whether the store or readers are known to be at a state that is not applied here. */
   get isBehind(): boolean {
     const { latestReport } = this.#readerRole;
-    return latestReport !== undefined && latestReport.lastChange > (this.#replica.version ?? -1);
+    const { revision } = this.#replica;
+    if (revision === undefined) {
+      return latestReport !== undefined;
+    }
+    return (
+      revision.era < this.#options.storeEra.newest ||
+      (latestReport !== undefined && isNewer(latestReport.lastChange, revision))
+    );
   }
 
   /** Waits a limited time for relayed changes up to the readers' version. */
@@ -101,7 +118,7 @@
     const startedAtMs = performance.now();
     const getLeftMs = (): number => {
       // Changes missing before later ones were probably lost; the store is asked for them sooner.
-      const hasGap = readerRegistry.hasGap(table, this.#replica.version ?? 0);
+      const hasGap = readerRegistry.hasGap(table, this.#replica.newestRevision);
       const waitMs = isSmallFleet || hasGap ? RELAY_WAIT_MS : LARGE_FLEET_RELAY_WAIT_MS;
       return startedAtMs + waitMs - performance.now();
     };
@@ -129,25 +146,22 @@
 
   /** Asks other daemons for the table if this one stays behind; the store may be faster. */
   requestTable(): void {
-    const { source, table } = this.#options;
+    const { source, table, storeEra } = this.#options;
     const { latestReport } = this.#readerRole;
-    if (latestReport === undefined || !this.isBehind) {
+    if (!this.isBehind) {
       return;
     }
-    this.#noteBehind(latestReport.lastChange);
-    source?.requestSnapshot({
-      table,
-      atLeastVersion: latestReport.lastChange,
-      isNeeded: () => this.isBehind,
-    });
+    const atLeast = latestReport?.lastChange ?? { era: storeEra.newest, version: 0 };
+    this.#noteBehind(atLeast);
+    source?.requestSnapshot({ table, atLeast, isNeeded: () => this.isBehind });
   }
 
   #applyChanges(): void {
     const { readerRegistry, table, listener } = this.#options;
     for (;;) {
-      const { version } = this.#replica;
+      const { revision } = this.#replica;
       const changes =
-        version === undefined ? undefined : readerRegistry.findChanges(table, version);
+        revision === undefined ? undefined : readerRegistry.findChanges(table, revision);
       if (changes === undefined) {
         return;
       }
@@ -157,17 +171,17 @@
     }
   }
 
-  #noteBehind(reportedVersion: number): void {
+  #noteBehind(reported: StoreRevision): void {
     const { table, logger, freshness } = this.#options;
     const nowMs = performance.now();
     this.#behindSinceMs ??= nowMs;
     const behindMs = Math.round(nowMs - this.#behindSinceMs);
     if (behindMs >= MIN_BEHIND_MS && nowMs - this.#behindLoggedAtMs >= BEHIND_LOG_INTERVAL_MS) {
       this.#behindLoggedAtMs = nowMs;
-      const { version } = this.#replica;
+      const held = this.#replica.newestRevision;
       const ageMs = Math.round(freshness.ageMs);
       logger.warn(
-        { event: 'tableBehind', table, version, reportedVersion, behindMs, ageMs },
+        { event: 'tableBehind', table, held, reported, behindMs, ageMs },
         'readers know of changes that neither the store nor other daemons have brought',
       );
     }
--- a/packages/forwarding/src/store/readerRole.ts
+++ b/packages/forwarding/src/store/readerRole.ts
@@ -1,5 +1,6 @@
 /** Decides whether this daemon reads a table itself or relies on other readers. */
 import type { Logger } from '@snipehaven/common';
+import type { StoreEra } from './storeEra.js';
 import type { LatestReport, ReaderRegistry, ReportQuery } from '../peers/index.js';
 
 export interface ReaderRoleOptions {
@@ -7,6 +8,8 @@
   readonly logger: Logger;
   /** Reports of the other daemons on the table. */
   readonly readerRegistry: ReaderRegistry;
+  /** Raised by the store's answers and by messages of other daemons. */
+  readonly storeEra: StoreEra;
   /** How long the store may hold a request; read anew for each. */
   readonly getWaitMs: () => number;
   /**
@@ -208,10 +211,11 @@
   #getReportQuery(): ReportQuery {
     const nowMs = performance.now();
     const waitMs = this.#options.getWaitMs();
+    const era = this.#options.storeEra.newest;
     if (waitMs >= this.#maxWaitMs || nowMs > this.#maxWaitEndsAtMs) {
       this.#maxWaitMs = waitMs;
       this.#maxWaitEndsAtMs = nowMs + waitMs;
     }
-    return { nowMs, maxAgeMs: this.#maxWaitMs + REPORT_AGE_MARGIN_MS };
+    return { nowMs, maxAgeMs: this.#maxWaitMs + REPORT_AGE_MARGIN_MS, era };
   }
 }
--- a/packages/forwarding/src/store/tableReplica.test.ts
+++ b/packages/forwarding/src/store/tableReplica.test.ts
@@ -5,6 +5,7 @@
 
 const createSnapshot = (version: number, lastChange: number): TableSnapshot => ({
   table: 'operator',
+  era: 1,
   version,
   lastChange,
   serverTimeMs: version,
--- a/packages/forwarding/src/store/tableReplica.ts
+++ b/packages/forwarding/src/store/tableReplica.ts
@@ -1,8 +1,8 @@
-/** This daemon's replica of a table, with the versions up to which it is complete. */
-import type { StoreRevision } from './storeRevision.js';
-import type { StoreChange, StoreRow, TableSnapshot } from './types.js';
+/** This daemon's replica of a table, with the revisions up to which it is complete. */
+import { INITIAL_REVISION, isNewer, type StoreRevision } from './storeRevision.js';
+import type { StoreChange, StorePage, StoreRow, TableSnapshot } from './types.js';
 
-/** The newest version among the items, but at least the given one. */
+/** The newest version among items of one era, but at least the given one. */
 export const findNewestVersion = (version: number, items: readonly StoreChange[]): number =>
   Math.max(version, ...items.map((item) => item.version));
 
@@ -11,15 +11,14 @@
 
   readonly #rows = new Map<string, StoreRow>();
 
-  /** Era of the store's last answer that was applied. */
-  #era = 0;
+  /** The newest revision ever held, also while the table must be read completely. */
+  #newest = INITIAL_REVISION;
 
-  /** Undefined if the table must be read completely. */
-  #version: number | undefined;
+  #mustRead = true;
 
   /**
    * Version of the last known change of the table. Versions count changes of all tables in the
-   * store, so changes elsewhere raise `#version` but not this.
+   * store, so changes elsewhere raise the revision but not this.
    */
   #lastChange = 0;
 
@@ -30,20 +29,18 @@
 
   #serverTimeMs = 0;
 
-  /** The newest version ever held, also while the table must be read completely. */
-  #newestVersion = 0;
-
   constructor(table: string) {
     this.#table = table;
   }
 
-  get version(): number | undefined {
-    return this.#version;
+  /** Undefined if the table must be read completely. */
+  get revision(): StoreRevision | undefined {
+    return this.#mustRead ? undefined : this.#newest;
   }
 
-  /** The newest state of the store ever held. */
-  get revision(): StoreRevision {
-    return { era: this.#era, version: this.#newestVersion };
+  /** The newest revision ever held, also while the table must be read completely. */
+  get newestRevision(): StoreRevision {
+    return this.#newest;
   }
 
   get lastChange(): number {
@@ -62,18 +59,19 @@
 
   /** Whether this daemon has never known the table. */
   get isNew(): boolean {
-    return this.#newestVersion === 0;
+    return this.#newest.version === 0;
   }
 
   /**
-   * Whether the rows are those held here, and no change of the table after the newest version held
+   * Whether the rows are those held here, and no change of the table after the newest revision held
    * is known.
    */
-  matches(rows: readonly StoreRow[], lastKnownChange: number): boolean {
+  matches({ era, items }: StorePage<StoreRow>, lastKnownChange: StoreRevision): boolean {
     return (
-      lastKnownChange <= this.#newestVersion &&
-      rows.length === this.#rows.size &&
-      rows.every(({ key, version }) => this.#rows.get(key)?.version === version)
+      era === this.#newest.era &&
+      !isNewer(lastKnownChange, this.#newest) &&
+      items.length === this.#rows.size &&
+      items.every(({ key, version }) => this.#rows.get(key)?.version === version)
     );
   }
 
@@ -81,20 +79,20 @@
    * Whether the snapshot has changes that are missing here. Its last change may be newer than its
    * rows, if its sender heard of the change while it read the table.
    */
-  lacks({ version, lastChange }: TableSnapshot): boolean {
-    return this.#version === undefined
-      ? version > this.#newestVersion
-      : Math.min(version, lastChange) > this.#version;
+  lacks({ era, version, lastChange }: TableSnapshot): boolean {
+    return this.#mustRead || era !== this.#newest.era
+      ? isNewer({ era, version }, this.#newest)
+      : Math.min(version, lastChange) > this.#newest.version;
   }
 
   /** Undefined until the table is first known. */
   get snapshot(): TableSnapshot | undefined {
-    if (this.#version === undefined) {
+    if (this.#mustRead) {
       return undefined;
     }
     return {
       table: this.#table,
-      version: this.#version,
+      ...this.#newest,
       lastChange: this.#lastChange,
       serverTimeMs: this.#serverTimeMs,
       rows: [...this.#rows.values()],
@@ -102,38 +100,33 @@
   }
 
   /** Replaces the replica by a complete table. */
-  replace({ rows, version, lastChange, serverTimeMs }: Omit<TableSnapshot, 'table'>): void {
+  replace(snapshot: Omit<TableSnapshot, 'table'>): void {
+    const { rows, era, version, lastChange, serverTimeMs } = snapshot;
     this.#rows.clear();
     rows.forEach((row) => this.#rows.set(row.key, row));
-    this.#version = version;
-    this.#newestVersion = version;
+    this.#newest = { era, version };
+    this.#mustRead = false;
     this.#fullReadVersion = version;
     this.#lastChange = lastChange;
     this.#serverTimeMs = serverTimeMs;
   }
 
-  /** Applies all changes up to a version of the store; returns those that were new. */
+  /** Applies all changes up to a version of the era that is held; returns those that were new. */
   apply(changes: readonly StoreChange[], upTo: number): readonly StoreChange[] {
-    const known = this.#version ?? 0;
+    const { era, version: known } = this.#newest;
     const newChanges = changes.filter(({ version }) => version > known);
     for (const { key, value, version } of newChanges) {
       if (value === undefined) {
         this.#rows.delete(key);
       } else {
-        this.#rows.set(key, { key, value, version });
+        this.#rows.set(key, { key, value, era, version });
       }
     }
-    this.#version = Math.max(known, upTo);
-    this.#newestVersion = this.#version;
+    this.#newest = { era, version: Math.max(known, upTo) };
     this.#lastChange = findNewestVersion(this.#lastChange, newChanges);
     return newChanges;
   }
 
-  /** Records the era of an answer whose rows are applied. */
-  noteEra(era: number): void {
-    this.#era = era;
-  }
-
   /** Records that the table was unchanged at that time. */
   confirm(serverTimeMs: number): void {
     this.#serverTimeMs = Math.max(this.#serverTimeMs, serverTimeMs);
@@ -141,6 +134,6 @@
 
   /** Changes may have been missed, so the table must be read completely. */
   invalidate(): void {
-    this.#version = undefined;
+    this.#mustRead = true;
   }
 }
--- a/packages/forwarding/src/store/tableWatcher.test.ts
+++ b/packages/forwarding/src/store/tableWatcher.test.ts
@@ -6,6 +6,7 @@
 import * as assert from 'uvu/assert';
 import { Freshness } from '../configuration/freshness.js';
 import { ReaderRegistry } from '../peers/index.js';
+import { StoreEra } from './storeEra.js';
 import { TableWatcher } from './tableWatcher.js';
 import { MemoryStore } from './testSupport/memoryStore.js';
 
@@ -25,14 +26,15 @@
 }
 
 const createDaemon = (vm: string, store: MemoryStore): Daemon => {
-  const readerRegistry = new ReaderRegistry(vm, 'a');
+  const storeEra = new StoreEra();
+  const readerRegistry = new ReaderRegistry(vm, 'a', storeEra);
   const known = new Set<string>();
   const freshness = new Freshness();
   const watcher = new TableWatcher({
     table: TABLE,
     getWaitMs: () => WAIT_MS,
     batchDelayMs: 0,
-    store: store.createClient(vm),
+    store: store.createClient(vm, (era) => storeEra.observe(era, 'store')),
     listener: {
       onSnapshot: (rows) => rows.forEach(({ key }) => known.add(key)),
       onChange: ({ key, value }) => {
@@ -47,6 +49,7 @@
     random: createRandom(1),
     freshness,
     readerRegistry,
+    storeEra,
     countDaemons: () => DAEMONS,
     getReaderRank: () => 0,
   });
--- a/packages/forwarding/src/store/tableWatcher.ts
+++ b/packages/forwarding/src/store/tableWatcher.ts
@@ -7,11 +7,11 @@
  */
 import { getErrorMessage, sleep } from '@snipehaven/common';
 import { readClocks, type ClockReading } from '../configuration/storeClock.js';
-import { HistoryGoneError } from '../errors.js';
+import { HistoryGoneError, StoreUnavailableError } from '../errors.js';
 import { PeerFeed } from './peerFeed.js';
 import { ReaderRole } from './readerRole.js';
 import { TableReplica, findNewestVersion } from './tableReplica.js';
-import type { StoreRevision } from './storeRevision.js';
+import { isNewer, type StoreRevision } from './storeRevision.js';
 import type { TableWatcherOptions } from './tableWatcherOptions.js';
 import type { StoreChange, StorePage, StoreRow, TableSnapshot } from './types.js';
 
@@ -83,7 +83,7 @@
 
   /** The state of the store at which the table is known. */
   get revision(): StoreRevision {
-    return this.#replica.revision;
+    return this.#replica.newestRevision;
   }
 
   /** The table as known here; undefined until it is first known. */
@@ -100,7 +100,7 @@
   }
 
   async #poll(requested: ClockReading): Promise<void> {
-    if (this.#replica.version === undefined) {
+    if (this.#replica.revision === undefined) {
       await this.#load(requested);
       return;
     }
@@ -118,8 +118,9 @@
     const waitMs = this.#readerRole.isReading
       ? this.#readerRole.getRequestWaitMs(this.#replica.serverTimeMs)
       : 0;
-    this.#confirm(requested, await this.#readChanges(waitMs));
-    this.#publish();
+    if (await this.#readUpdate(requested, waitMs)) {
+      this.#publish();
+    }
   }
 
   /**
@@ -129,7 +130,7 @@
   async #load(requested: ClockReading): Promise<void> {
     if (this.#hasRequestedSnapshot) {
       this.#peerFeed.requestTable();
-      this.#confirm(requested, await this.#readAll());
+      await this.#readAll(requested);
       return;
     }
     this.#hasRequestedSnapshot = true;
@@ -199,7 +200,7 @@
     }
     if (isOverdue || !this.#isConfirmedByReports()) {
       this.#peerFeed.requestTable();
-      this.#confirm(requested, await this.#readChanges(0));
+      await this.#readUpdate(requested, 0);
     }
   }
 
@@ -219,33 +220,52 @@
 
   #publish(): void {
     const { readerRegistry, table } = this.#options;
-    const { lastChange, serverTimeMs } = this.#replica;
-    readerRegistry.publishReport({ table, lastChange, serverTimeMs });
+    const { newestRevision, lastChange, serverTimeMs } = this.#replica;
+    const { era } = newestRevision;
+    readerRegistry.publishReport({ table, era, lastChange, serverTimeMs });
+  }
+
+  /**
+   * Reads what changed, or the whole table if the store has come back from a copy since. Returns
+   * false if the answer is of no use here.
+   */
+  async #readUpdate(requested: ClockReading, waitMs: number): Promise<boolean> {
+    if (this.revision.era === this.#options.storeEra.newest) {
+      return this.#readChanges(requested, waitMs);
+    }
+    await this.#readAll(requested);
+    return true;
   }
 
-  /** Resolves with the store's clock at its answer. */
-  async #readAll(): Promise<number> {
-    const { store, table, listener, logger } = this.#options;
+  async #readAll(requested: ClockReading): Promise<void> {
+    const { store, table, storeEra, logger } = this.#options;
     const page = await this.#peerFeed.applyDuring(() => store.readRows(table));
+    const { items, era, version, serverTimeMs } = page;
+    if (era < storeEra.newest) {
+      throw new StoreUnavailableError(`answer of era ${era} after era ${storeEra.newest}`);
+    }
     this.#noteAnswer();
-    const { items: rows, era, version, serverTimeMs } = page;
     logger.info(
-      { event: 'tableRead', table, era, version, rows: rows.length, held: this.#replica.revision },
+      { event: 'tableRead', table, era, version, rows: items.length, held: this.revision },
       'table read from the store',
     );
-    if (version < (this.#replica.version ?? 0)) {
-      // A newer table came from another daemon in the meantime.
-      return serverTimeMs;
+    // A newer table may have come from another daemon in the meantime.
+    const isUseful = this.#replica.revision === undefined || !isNewer(this.revision, page);
+    if (isUseful) {
+      this.#replaceReplica(page);
     }
+    this.#confirm(requested, serverTimeMs);
+  }
+
+  #replaceReplica(page: StorePage<StoreRow>): void {
+    const { items: rows, era, version, serverTimeMs } = page;
     const isCovered = this.#readerRole.checkEnoughReaders();
     const lastChange = this.#findLastChange(page, isCovered);
-    this.#replica.replace({ rows, version, serverTimeMs, lastChange });
-    this.#replica.noteEra(era);
-    listener.onSnapshot(rows, serverTimeMs);
+    this.#replica.replace({ rows, era, version, serverTimeMs, lastChange });
+    this.#options.listener.onSnapshot(rows, serverTimeMs);
     if (!isCovered && lastChange === version) {
       this.#publishTable();
     }
-    return serverTimeMs;
   }
 
   /**
@@ -253,16 +273,18 @@
    * store dropped its history: then it may have been at any moment until now, as it may without
    * readers.
    */
-  #findLastChange({ items, version }: StorePage<StoreRow>, isCovered: boolean): number {
+  #findLastChange(page: StorePage<StoreRow>, isCovered: boolean): number {
+    const { era, version, items } = page;
     const { latestReport } = this.#readerRole;
-    if (latestReport === undefined) {
+    if (latestReport?.lastChange.era !== era) {
       return version;
     }
     const { lastChange } = latestReport;
     const isKnownToReaders =
-      isCovered || this.#replica.isNew || this.#replica.matches(items, lastChange);
+      isCovered || this.#replica.isNew || this.#replica.matches(page, lastChange);
+    const ownLastChange = this.revision.era === era ? this.#replica.lastChange : 0;
     return isKnownToReaders
-      ? findNewestVersion(Math.max(lastChange, this.#replica.lastChange), items)
+      ? findNewestVersion(Math.max(lastChange.version, ownLastChange), items)
       : version;
   }
 
@@ -275,30 +297,35 @@
     }
   }
 
-  async #readChanges(waitMs: number): Promise<number> {
+  /** Returns false if the answer does not continue what is held here. */
+  async #readChanges(requested: ClockReading, waitMs: number): Promise<boolean> {
     const { table, batchDelayMs: gatherMs, listener, readerRegistry } = this.#options;
     // Starts at the last change instead of the version of the request, because a follower's version
     // may be that of the last change.
     const after = this.#replica.changesKnownFrom;
+    const asked = this.revision;
     const { items, era, version: upTo, serverTimeMs } = await this.#requestChanges(waitMs);
     this.#noteAnswer();
+    if (era !== asked.era || era !== this.revision.era) {
+      return false;
+    }
     const newChanges = this.#replica.apply(items, upTo);
-    this.#replica.noteEra(era);
     this.#replica.confirm(serverTimeMs);
+    this.#confirm(requested, serverTimeMs);
     newChanges.forEach((change) => listener.onChange(change, serverTimeMs));
     if (items.length > 0) {
       this.#publish();
-      readerRegistry.publishChanges({ table, after, upTo, serverTimeMs, items });
+      readerRegistry.publishChanges({ table, era, after, upTo, serverTimeMs, items });
       await sleep(gatherMs);
     }
-    return serverTimeMs;
+    return true;
   }
 
   /** Applies other readers' changes and confirmations while the store request is pending. */
   #requestChanges(waitMs: number): Promise<StorePage<StoreChange>> {
     const { store, table } = this.#options;
     return this.#peerFeed.applyDuring(() =>
-      store.readChanges(table, this.#replica.version ?? 0, waitMs),
+      store.readChanges(table, this.revision.version, waitMs),
     );
   }
 
@@ -370,7 +397,7 @@
       MAX_BACKOFF_MS,
       FIRST_BACKOFF_MS * 2 ** Math.min(6, this.#failures - 1),
     );
-    const rank = this.#replica.version === undefined ? 0 : (this.#options.getReaderRank() ?? 0);
+    const rank = this.#replica.revision === undefined ? 0 : (this.#options.getReaderRank() ?? 0);
     const rankedMs = Math.min(MAX_RANKED_BACKOFF_MS, baseMs * (1 + rank) ** 2);
     const waitMs = rankedMs * (0.5 + random.next());
     if (rank === 0) {
--- a/packages/forwarding/src/store/testSupport/memoryStore.ts
+++ b/packages/forwarding/src/store/testSupport/memoryStore.ts
@@ -57,7 +57,7 @@
 
   put(key: string, table = DEFAULT_TABLE, value = key): void {
     this.#version += 1;
-    const row = { key, value, version: this.#version };
+    const row = { key, value, era: this.#era, version: this.#version };
     this.#getRows(table).set(key, row);
     this.#history.push({ ...row, table });
   }
@@ -65,7 +65,7 @@
   remove(key: string, table = DEFAULT_TABLE): void {
     this.#version += 1;
     this.#getRows(table).delete(key);
-    this.#history.push({ key, version: this.#version, table });
+    this.#history.push({ key, era: this.#era, version: this.#version, table });
   }
 
   /** Raises the version as a heartbeat or a change in another table does. */
@@ -115,7 +115,7 @@
     return {
       readRows: async (table) => {
         await call();
-        return this.#page([...this.#getRows(table).values()]);
+        return this.#page([...this.#getRows(table).values()].map((row) => this.#stamp(row)));
       },
       readChanges: async (table, after, waitMs) => {
         await call();
@@ -166,7 +166,12 @@
       throw new HistoryGoneError('the store has no history after this version');
     }
     const changes = this.#history.filter((one) => one.table === table && one.version > after);
-    return changes.map(({ table: _table, ...change }) => change);
+    return changes.map(({ table: _table, ...change }) => this.#stamp(change));
+  }
+
+  /** A row that is read names the era of the answer, whenever it was written. */
+  #stamp<Item extends StoreChange>(item: Item): Item {
+    return { ...item, era: this.#era };
   }
 
   #page<Item>(items: readonly Item[]): StorePage<Item> {
--- a/packages/forwarding/src/store/types.ts
+++ b/packages/forwarding/src/store/types.ts
@@ -1,25 +1,22 @@
 /** Rows of the platform's store, as the forwarder reads them. */
+import type { StoreRevision } from './storeRevision.js';
 
-export interface StoreRow {
+/** The revision is that of the row's last change, in the era in which the row was read. */
+export interface StoreRow extends StoreRevision {
   readonly key: string;
   /** Decoded from the store's encoding: the text that was written, usually JSON. */
   readonly value: string;
-  readonly version: number;
 }
 
-export interface StoreChange {
+export interface StoreChange extends StoreRevision {
   readonly key: string;
   /** Absent if the row was removed. */
   readonly value?: string;
-  readonly version: number;
 }
 
-export interface StorePage<Item> {
+/** The revision is the newest of the store that the page reflects; era 0 if the store names none. */
+export interface StorePage<Item> extends StoreRevision {
   readonly items: readonly Item[];
-  /** Rises each time the store comes back from a copy; 0 if it names none. */
-  readonly era: number;
-  /** The newest version of the store that the page reflects. */
-  readonly version: number;
   /** The store's monotonic clock when it answered. */
   readonly serverTimeMs: number;
 }
@@ -56,12 +53,13 @@
   close(): void;
 }
 
-/** A complete table at one version of the store, as sent to a starting daemon by another one. */
-export interface TableSnapshot {
+/**
+ * A complete table, as sent to a starting daemon by another one. The rows include all changes up to
+ * the revision.
+ */
+export interface TableSnapshot extends StoreRevision {
   readonly table: string;
-  /** The rows include all changes up to this version of the store. */
-  readonly version: number;
-  /** The store version of the last change of this table. */
+  /** The store version of the last change of this table, in the same era. */
   readonly lastChange: number;
   /** The store's monotonic clock when it last confirmed this state. */
   readonly serverTimeMs: number;
@@ -71,8 +69,8 @@
 /** Asks other daemons for a table. */
 export interface SnapshotRequest {
   readonly table: string;
-  /** The store version up to which the table must include all changes. */
-  readonly atLeastVersion: number;
+  /** The revision of the store up to which the table must include all changes. */
+  readonly atLeast: StoreRevision;
   /** Asked before each message, because the changes may have arrived in another way. */
   isNeeded(): boolean;
 }
