Keep what a restored store lacks until it is written again

What callers saw in the failing tests: after the store came back from a copy, 255, 236 and 210 requests reached upstreams that were evacuated, drained or had left before, and an upstream newer than the copy was not used.

Cause: a row that is missing in a complete read counted as removed, and an older one as written. After a return from a copy neither is true: the operator and the upstreams write their rows again a moment later.

Change: at the first complete read of a new era a table retains the rows and removals known before that the copy lacks or has in an older form (RowRetention). What is older is shown by the rows themselves: a configuration's own version, an upstream's life, state and sequence, an order's row version against the one that it replaced. Retained rows go with the table to daemons that start or follow. An evacuation that only the copy still names is in force: sending nothing is safe.

--- a/packages/forwarding/src/daemon/createWatchers.ts
+++ b/packages/forwarding/src/daemon/createWatchers.ts
@@ -7,6 +7,7 @@
 import type { RolloutTracker } from '../rollouts/index.js';
 import { TableWatcher, type RowStore, type StoreEra } from '../store/index.js';
 import type { UpstreamDirectory } from '../upstreams/index.js';
+import { createOperatorRetention, createUpstreamRetention } from './rowRetention.js';
 import { OperatorListener, UpstreamListener, type StatusListener } from './tableListeners.js';
 import type { ForwardSettings, PlatformAdapter } from './types.js';
 
@@ -76,6 +77,7 @@
     maxUnconfirmedMs: getMaxUnconfirmedMs(dependencies.adapter.settings),
     batchDelayMs: OPERATOR_BATCH_DELAY_MS,
     listener: new OperatorListener(dependencies),
+    retention: createOperatorRetention(dependencies.adapter),
     freshness: dependencies.configuration.freshness,
     ...getCommonOptions(dependencies, dependencies.adapter.tables.operator),
   });
@@ -89,6 +91,7 @@
       dependencies.directory,
       dependencies.logger,
     ),
+    retention: createUpstreamRetention(dependencies.adapter),
     freshness: new Freshness(dependencies.storeClock),
     ...getCommonOptions(dependencies, dependencies.adapter.tables.upstreams),
   });
--- a/packages/forwarding/src/peers/joinMessages.ts
+++ b/packages/forwarding/src/peers/joinMessages.ts
@@ -1,4 +1,5 @@
 /** Messages that a starting daemon exchanges with the other daemons, as compressed JSON. */
+import type { RetainedRow } from '../store/rowRetention.js';
 import type { StoreRow, TableSnapshot } from '../store/types.js';
 import { compressDatagram } from './datagram.js';
 import type { ReaderReport } from './loadMessage.js';
@@ -92,6 +93,13 @@
   isNumber(value.lastChange) &&
   isNumber(value.serverTimeMs);
 
+const isRetainedRow = (value: unknown): value is RetainedRow =>
+  isObject(value) &&
+  isRow(value) &&
+  isNumber(value.era) &&
+  typeof (value as Record<string, unknown>).isRemoved === 'boolean' &&
+  isNumber((value as Record<string, unknown>).leftMs);
+
 const isTable = (value: unknown): value is TableSnapshot =>
   isObject(value) &&
   isString(value.table) &&
@@ -100,7 +108,9 @@
   isNumber(value.lastChange) &&
   isNumber(value.serverTimeMs) &&
   Array.isArray(value.rows) &&
-  value.rows.every(isRow);
+  value.rows.every(isRow) &&
+  (value.retained === undefined ||
+    (Array.isArray(value.retained) && value.retained.every(isRetainedRow)));
 
 const isListOf =
   (isItem: (value: unknown) => boolean) =>
--- a/packages/forwarding/src/peers/testSupport/daemonFleet.ts
+++ b/packages/forwarding/src/peers/testSupport/daemonFleet.ts
@@ -4,6 +4,7 @@
 import { Freshness } from '../../configuration/freshness.js';
 import { StoreClock } from '../../configuration/storeClock.js';
 import { TableWatcher } from '../../store/tableWatcher.js';
+import type { RetentionPolicy } from '../../store/rowRetention.js';
 import { StoreEra } from '../../store/storeEra.js';
 import { MemoryStore } from '../../store/testSupport/memoryStore.js';
 import type { SharedStatistics, RolloutCounts } from '../sharedStatistics.js';
@@ -61,6 +62,7 @@
   readonly tables?: readonly string[];
   /** Time after which followers ask the store about the table `operator` themselves. */
   readonly maxUnconfirmedMs?: number;
+  readonly retention?: RetentionPolicy;
 }
 
 /** Typical of a region with idle daemons. */
@@ -245,7 +247,7 @@
     { self, readerRegistry, exchange }: FleetMember,
     { clock, storeEra, seed }: WatcherContext,
   ): WatchedTable {
-    const { maxUnconfirmedMs } = this.#options;
+    const { maxUnconfirmedMs, retention } = this.#options;
     const freshness = new Freshness(clock);
     const known = new Map<string, string>();
     const watcher = new TableWatcher({
@@ -255,6 +257,7 @@
       ...(table === CONFIGURATION_TABLE && maxUnconfirmedMs !== undefined
         ? { maxUnconfirmedMs }
         : {}),
+      ...(retention === undefined ? {} : { retention }),
       batchDelayMs: 0,
       storeEra,
       store: this.store.createClient(self.vm, (era) => storeEra.observe(era, 'store')),
--- a/packages/forwarding/src/store/peerFeed.ts
+++ b/packages/forwarding/src/store/peerFeed.ts
@@ -35,27 +35,38 @@
 
   readonly #beforeRows: () => void;
 
-  /** `beforeRows` is called before rows of others are applied. */
+  readonly #afterRestore: () => void;
+
+  /**
+   * `beforeRows` is called before rows of others are applied, `afterRestore` when rows may be
+   * retained.
+   */
   constructor(
     options: TableWatcherOptions,
     replica: TableReplica,
     readerRole: ReaderRole,
     beforeRows: () => void,
+    afterRestore: () => void,
   ) {
     this.#options = options;
     this.#replica = replica;
     this.#readerRole = readerRole;
     this.#beforeRows = beforeRows;
+    this.#afterRestore = afterRestore;
   }
 
   /** Applies relayed changes, and a received table if it has a change that they do not bring. */
   apply(): void {
     this.#applyChanges();
     const snapshot = this.#options.source?.findReceived(this.#options.table);
-    if (snapshot !== undefined && this.#replica.lacks(snapshot)) {
+    if (snapshot === undefined) {
+      return;
+    }
+    if (this.#replica.lacks(snapshot)) {
       this.applySnapshot(snapshot);
       this.#applyChanges();
     }
+    this.#learnRetained(snapshot);
   }
 
   applySnapshot(snapshot: TableSnapshot): void {
@@ -64,7 +75,9 @@
     const held = this.#replica.newestRevision;
     this.#beforeRows();
     this.#replica.replace(snapshot);
-    listener.onSnapshot(rows, serverTimeMs);
+    this.#replica.learn(snapshot);
+    listener.onSnapshot(this.#replica.effectiveRows, serverTimeMs);
+    this.#afterRestore();
     const isConfirmed = freshness.confirmByPeer(serverTimeMs);
     logger.info(
       {
@@ -171,6 +184,18 @@
     }
   }
 
+  #learnRetained(snapshot: TableSnapshot): void {
+    const changes = this.#replica.learn(snapshot);
+    if (changes.length > 0) {
+      this.#options.logger.info(
+        { event: 'rowsRetained', table: snapshot.table, keys: changes.map(({ key }) => key) },
+        'other daemons know better than the store, which has come back from a copy',
+      );
+      changes.forEach((change) => this.#options.listener.onChange(change, snapshot.serverTimeMs));
+      this.#afterRestore();
+    }
+  }
+
   #noteBehind(reported: StoreRevision): void {
     const { table, logger, freshness } = this.#options;
     const nowMs = performance.now();
--- a/packages/forwarding/src/store/tableReplica.ts
+++ b/packages/forwarding/src/store/tableReplica.ts
@@ -1,4 +1,5 @@
 /** This daemon's replica of a table, with the revisions up to which it is complete. */
+import { NO_RETENTION, RowRetention, type RetentionPolicy } from './rowRetention.js';
 import { INITIAL_REVISION, isNewer, type StoreRevision } from './storeRevision.js';
 import type { StoreChange, StorePage, StoreRow, TableSnapshot } from './types.js';
 
@@ -9,7 +10,14 @@
 export class TableReplica {
   readonly #table: string;
 
-  readonly #rows = new Map<string, StoreRow>();
+  /** As the store has them. */
+  #rows: ReadonlyMap<string, StoreRow> = new Map();
+
+  /** What goes before these rows since the store came back from a copy. */
+  readonly #retention: RowRetention;
+
+  /** The snapshot whose retained rows were taken last. */
+  #learnedFrom: TableSnapshot | undefined;
 
   /** The newest revision ever held, also while the table must be read completely. */
   #newest = INITIAL_REVISION;
@@ -29,8 +37,9 @@
 
   #serverTimeMs = 0;
 
-  constructor(table: string) {
+  constructor(table: string, policy: RetentionPolicy = NO_RETENTION) {
     this.#table = table;
+    this.#retention = new RowRetention(policy);
   }
 
   /** Undefined if the table must be read completely. */
@@ -96,35 +105,100 @@
       lastChange: this.#lastChange,
       serverTimeMs: this.#serverTimeMs,
       rows: [...this.#rows.values()],
+      ...(this.#retention.isEmpty ? {} : { retained: this.#retention.list(performance.now()) }),
     };
   }
 
-  /** Replaces the replica by a complete table. */
+  /** The rows in force: the store's, but for those that it lost and has not got back yet. */
+  get effectiveRows(): readonly StoreRow[] {
+    return [...this.#retention.merge(this.#rows).values()];
+  }
+
+  /** When the next retained row gives way to the store's, on the monotonic clock; Infinity if none does. */
+  get nextReleaseMs(): number {
+    return this.#retention.nextEndMs;
+  }
+
+  /** Replaces the replica by a complete table; what is in force is in `effectiveRows`. */
   replace(snapshot: Omit<TableSnapshot, 'table'>): void {
     const { rows, era, version, lastChange, serverTimeMs } = snapshot;
-    this.#rows.clear();
-    rows.forEach((row) => this.#rows.set(row.key, row));
+    const held = this.#rows;
+    this.#rows = new Map(rows.map((row) => [row.key, row]));
+    if (era === this.#newest.era) {
+      this.#noteReplaced(held);
+    } else {
+      this.#retention.startEra(held, this.#rows, performance.now());
+    }
     this.#newest = { era, version };
     this.#mustRead = false;
     this.#fullReadVersion = version;
     this.#lastChange = lastChange;
     this.#serverTimeMs = serverTimeMs;
+    this.#learnedFrom = undefined;
   }
 
-  /** Applies all changes up to a version of the era that is held; returns those that were new. */
+  /**
+   * Applies all changes up to a version of the era that is held; returns those that were new and are
+   * in force.
+   */
   apply(changes: readonly StoreChange[], upTo: number): readonly StoreChange[] {
     const { era, version: known } = this.#newest;
     const newChanges = changes.filter(({ version }) => version > known);
+    const rows = new Map(this.#rows);
     for (const { key, value, version } of newChanges) {
-      if (value === undefined) {
-        this.#rows.delete(key);
-      } else {
-        this.#rows.set(key, { key, value, era, version });
+      const before = rows.get(key);
+      if (value !== undefined) {
+        rows.set(key, { key, value, era, version });
+        this.#retention.noteWritten(key);
+      } else if (before !== undefined) {
+        rows.delete(key);
+        this.#retention.noteRemoved(before);
       }
     }
+    this.#rows = rows;
     this.#newest = { era, version: Math.max(known, upTo) };
     this.#lastChange = findNewestVersion(this.#lastChange, newChanges);
-    return newChanges;
+    return newChanges.filter((change) => !this.#retention.isRetainedOver(change));
+  }
+
+  /** Takes what another daemon of the same state retains; returns what changes by it. */
+  learn(snapshot: TableSnapshot): readonly StoreChange[] {
+    const { era, version, retained = [] } = snapshot;
+    // A row that was written or removed after the snapshot is newer than what its sender retains.
+    const isUpToDate =
+      !this.#mustRead && era === this.#newest.era && version >= this.changesKnownFrom;
+    if (!isUpToDate || snapshot === this.#learnedFrom) {
+      return [];
+    }
+    this.#learnedFrom = snapshot;
+    const keys = this.#retention.learn(retained, this.#rows, performance.now());
+    return keys.map((key) => this.#toChange(key));
+  }
+
+  /** Gives way to the store where retentions have ended; returns what changes by it. */
+  release(): readonly StoreChange[] {
+    const keys = this.#retention.release(performance.now());
+    return keys.map((key) => this.#toChange(key));
+  }
+
+  #toChange(key: string): StoreChange {
+    return this.#retention.find(key, this.#rows.get(key)) ?? { key, ...this.#newest };
+  }
+
+  /** Rows that another read of the same era shows as written or removed are no longer retained. */
+  #noteReplaced(held: ReadonlyMap<string, StoreRow>): void {
+    for (const row of held.values()) {
+      if (!this.#rows.has(row.key)) {
+        this.#retention.noteRemoved(row);
+        this.#retention.isRetainedOver({ key: row.key, ...this.#newest });
+      }
+    }
+    for (const row of this.#rows.values()) {
+      if (held.get(row.key)?.version !== row.version) {
+        this.#retention.noteWritten(row.key);
+        this.#retention.isRetainedOver(row);
+      }
+    }
   }
 
   /** Records that the table was unchanged at that time. */
--- a/packages/forwarding/src/store/tableWatcher.ts
+++ b/packages/forwarding/src/store/tableWatcher.ts
@@ -58,12 +58,19 @@
 
   #isStopped = false;
 
+  /** Until the next retained row gives way to the store's. */
+  #releaseTimer: NodeJS.Timeout | undefined;
+
   constructor(options: TableWatcherOptions) {
     this.#options = options;
-    this.#replica = new TableReplica(options.table);
+    this.#replica = new TableReplica(options.table, options.retention);
     this.#readerRole = new ReaderRole(options);
-    this.#peerFeed = new PeerFeed(options, this.#replica, this.#readerRole, () =>
-      this.#noteRowsOfOthers(),
+    this.#peerFeed = new PeerFeed(
+      options,
+      this.#replica,
+      this.#readerRole,
+      () => this.#noteRowsOfOthers(),
+      () => this.#scheduleRelease(),
     );
   }
 
@@ -75,6 +82,7 @@
 
   stop(): void {
     this.#isStopped = true;
+    clearTimeout(this.#releaseTimer);
   }
 
   get table(): string {
@@ -259,15 +267,36 @@
 
   #replaceReplica(page: StorePage<StoreRow>): void {
     const { items: rows, era, version, serverTimeMs } = page;
+    const { listener } = this.#options;
     const isCovered = this.#readerRole.checkEnoughReaders();
     const lastChange = this.#findLastChange(page, isCovered);
     this.#replica.replace({ rows, era, version, serverTimeMs, lastChange });
-    this.#options.listener.onSnapshot(rows, serverTimeMs);
+    listener.onSnapshot(this.#replica.effectiveRows, serverTimeMs);
+    this.#scheduleRelease();
     if (!isCovered && lastChange === version) {
       this.#publishTable();
     }
   }
 
+  /** Gives way to the store's rows when the time is over in which they are written again. */
+  #scheduleRelease(): void {
+    clearTimeout(this.#releaseTimer);
+    const { nextReleaseMs } = this.#replica;
+    if (nextReleaseMs === Infinity) {
+      return;
+    }
+    this.#releaseTimer = setTimeout(() => {
+      const { listener, logger, table } = this.#options;
+      const changes = this.#replica.release();
+      logger.info(
+        { event: 'rowsReleased', table, keys: changes.map(({ key }) => key) },
+        'rows that were not written again after the store came back from a copy give way to it',
+      );
+      changes.forEach((change) => listener.onChange(change, this.#replica.serverTimeMs));
+      this.#scheduleRelease();
+    }, nextReleaseMs - performance.now()).unref();
+  }
+
   /**
    * A complete table does not show when its last row was removed. Existing readers know, unless the
    * store dropped its history: then it may have been at any moment until now, as it may without
--- a/packages/forwarding/src/store/tableWatcherOptions.ts
+++ b/packages/forwarding/src/store/tableWatcherOptions.ts
@@ -2,6 +2,7 @@
 import type { Logger, Random } from '@snipehaven/common';
 import type { Freshness } from '../configuration/freshness.js';
 import type { ReaderRoleOptions } from './readerRole.js';
+import type { RetentionPolicy } from './rowRetention.js';
 import type { RowStore, SnapshotSource, StoreChange, StoreRow } from './types.js';
 
 export interface TableListener {
@@ -26,6 +27,8 @@
    * readers report; by default it relies on them.
    */
   readonly maxUnconfirmedMs?: number;
+  /** What goes before the store's rows when it has come back from a copy; by default nothing. */
+  readonly retention?: RetentionPolicy;
   /** Asked once, before the table is first read. */
   readonly source?: SnapshotSource;
 }
--- a/packages/forwarding/src/store/types.ts
+++ b/packages/forwarding/src/store/types.ts
@@ -1,4 +1,5 @@
 /** Rows of the platform's store, as the forwarder reads them. */
+import type { RetainedRow } from './rowRetention.js';
 import type { StoreRevision } from './storeRevision.js';
 
 /** The revision is that of the row's last change, in the era in which the row was read. */
@@ -63,7 +64,10 @@
   readonly lastChange: number;
   /** The store's monotonic clock when it last confirmed this state. */
   readonly serverTimeMs: number;
+  /** As the store has them. */
   readonly rows: readonly StoreRow[];
+  /** What was known before the store came back from a copy, and goes before these rows. */
+  readonly retained?: readonly RetainedRow[];
 }
 
 /** Asks other daemons for a table. */
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -117,6 +117,8 @@
   readonly softwareVersion: string;
   readonly slots: number;
   readonly state: UpstreamState;
+  /** Rises with each row that this life of the upstream writes. */
+  readonly sequence?: number;
   /** How much longer it stays cold, counted from its statement; absent if it is not cold. */
   readonly coldMs?: number;
 }
