--- a/packages/forwarding/src/crashes/holdPersister.test.ts
+++ b/packages/forwarding/src/crashes/holdPersister.test.ts
@@ -8,6 +8,7 @@
 import * as assert from 'uvu/assert';
 import { StoreUnavailableError } from '../errors.js';
 import { EMPTY_CRASH_MESSAGE, type CrashMessage } from '../peers/index.js';
+import type { StoreRevision } from '../store/index.js';
 import type { Upstream } from '../types.js';
 import { CrashTracker } from './crashTracker.js';
 import { HoldPersister } from './holdPersister.js';
@@ -15,7 +16,7 @@
 
 interface WrittenHold {
   readonly hold: HoldRecord;
-  readonly expectedVersion: number;
+  readonly expected: StoreRevision;
 }
 
 interface Context {
@@ -31,6 +32,9 @@
 const test = suite<Context>('hold persister', {} as Context);
 
 const OFFSET_MS = 50_000;
+
+const at = (version: number, era = 1): StoreRevision => ({ era, version });
+
 const A = asId<RequestDigest>('a');
 
 test.before.each((context) => {
@@ -50,8 +54,8 @@
     getStoreOffsetMs: () => OFFSET_MS,
     getWriterRank: () => context.rank,
     writer: {
-      write: (hold, expectedVersion) => {
-        context.written.push({ hold, expectedVersion });
+      write: (hold, expected) => {
+        context.written.push({ hold, expected });
         return answer(true);
       },
       remove: (digest) => {
@@ -108,7 +112,7 @@
   observeEnds(tracker);
   await clock.tickAsync(1);
   assert.is(written.length, 1);
-  assert.is(written[0]?.expectedVersion, 0);
+  assert.is(written[0]?.expected.version, 0);
   assert.equal(written[0]?.hold.lives, LIVES);
   assert.is(written[0]?.hold.sinceStoreMs, OFFSET_MS + 1_000);
   assert.is(written[0]?.hold.untilStoreMs, OFFSET_MS + 1_000 + HOLD_MS);
@@ -122,7 +126,7 @@
   tracker.receiveReport(reportEnds(LIVES));
   await clock.tickAsync(2_000);
   assert.is(written.length, 0);
-  holdPersister.applyRecord(recordUntil(HOLD_MS), 7, OFFSET_MS);
+  holdPersister.applyRecord(recordUntil(HOLD_MS), at(7), OFFSET_MS);
   await clock.tickAsync(10_000);
   assert.is(written.length, 0);
   context.rank = 0;
@@ -147,13 +151,13 @@
 
 test('an expired row is overwritten, and one that has not expired is applied', async (context) => {
   const { tracker, holdPersister, clock, written } = context;
-  holdPersister.applyRecord(recordUntil(-1), 7, OFFSET_MS);
+  holdPersister.applyRecord(recordUntil(-1), at(7), OFFSET_MS);
   assert.is(tracker.findHold(A), undefined);
   observeEnds(tracker);
   await clock.tickAsync(1);
-  assert.is(written[0]?.expectedVersion, 7);
+  assert.equal(written[0]?.expected, at(7));
   tracker.applyStoredRelease(A);
-  holdPersister.applyRecord(recordUntil(5_000), 8, OFFSET_MS);
+  holdPersister.applyRecord(recordUntil(5_000), at(8), OFFSET_MS);
   assert.equal(tracker.findHold(A)?.lives, LIVES);
   await clock.tickAsync(5_000);
   assert.is(tracker.findHold(A), undefined);
@@ -163,30 +167,30 @@
   tracker,
   holdPersister,
 }) => {
-  holdPersister.applyRecord(recordUntil(HOLD_MS), 7, OFFSET_MS);
+  holdPersister.applyRecord(recordUntil(HOLD_MS), at(7), OFFSET_MS);
   holdPersister.applyRemoval(A);
   assert.is(tracker.findHold(A), undefined);
-  holdPersister.applyRecord(recordUntil(HOLD_MS), 9, OFFSET_MS);
-  holdPersister.retainOnly([A]);
+  holdPersister.applyRecord(recordUntil(HOLD_MS), at(9), OFFSET_MS);
+  holdPersister.retainOnly([A], 1);
   assert.ok(tracker.findHold(A));
-  holdPersister.retainOnly([]);
+  holdPersister.retainOnly([], 1);
   assert.is(tracker.findHold(A), undefined);
 });
 
 test('the row is removed by the daemon that observed the answer, or by its writer on expiry', async (context) => {
   const { tracker, holdPersister, clock, removed } = context;
-  holdPersister.applyRecord(recordUntil(HOLD_MS), 7, OFFSET_MS);
+  holdPersister.applyRecord(recordUntil(HOLD_MS), at(7), OFFSET_MS);
   tracker.receiveReport({ ...EMPTY_CRASH_MESSAGE, cleared: [A] });
   await clock.tickAsync(1);
   assert.equal(removed, [], 'observed by another daemon');
-  holdPersister.applyRecord(recordUntil(HOLD_MS), 8, OFFSET_MS);
+  holdPersister.applyRecord(recordUntil(HOLD_MS), at(8), OFFSET_MS);
   tracker.recordSuccess([A]);
   await clock.tickAsync(1);
   assert.equal(removed, [A]);
   holdPersister.applyRemoval(A);
   observeEnds(tracker);
   await clock.tickAsync(1);
-  holdPersister.applyRecord({ ...recordUntil(HOLD_MS), vm: 'vm-1' }, 9, OFFSET_MS);
+  holdPersister.applyRecord({ ...recordUntil(HOLD_MS), vm: 'vm-1' }, at(9), OFFSET_MS);
   await clock.tickAsync(HOLD_MS);
   assert.equal(removed, [A, A]);
 });
--- a/packages/forwarding/src/crashes/holdPersister.ts
+++ b/packages/forwarding/src/crashes/holdPersister.ts
@@ -4,6 +4,7 @@
  * others wait for their turn and write if there is no row by then, because that daemon may be gone.
  */
 import { getErrorMessage, type Logger, type Random, type RequestDigest } from '@snipehaven/common';
+import type { StoreRevision } from '../store/index.js';
 import type { CrashTracker } from './crashTracker.js';
 import type { Hold, HoldRecord, HoldWriter } from './types.js';
 
@@ -29,7 +30,7 @@
 }
 
 interface KnownRow {
-  readonly version: number;
+  readonly revision: StoreRevision;
   readonly untilMs: number;
 }
 
@@ -39,6 +40,9 @@
   /** Rows known to be in the store. */
   readonly #rows = new Map<RequestDigest, KnownRow>();
 
+  /** Of the last row or complete read of the store. */
+  #era = 0;
+
   readonly #timers = new Set<NodeJS.Timeout>();
 
   constructor(options: HoldPersisterOptions) {
@@ -59,10 +63,11 @@
   }
 
   /** Applies a row of the store. */
-  applyRecord(record: HoldRecord, version: number, storeOffsetMs: number): void {
+  applyRecord(record: HoldRecord, revision: StoreRevision, storeOffsetMs: number): void {
     const { digest, lives } = record;
     const untilMs = record.untilStoreMs - storeOffsetMs;
-    this.#rows.set(digest, { version, untilMs });
+    this.#era = revision.era;
+    this.#rows.set(digest, { revision, untilMs });
     if (untilMs > performance.now()) {
       this.#options.tracker.applyStoredHold({
         digest,
@@ -83,7 +88,8 @@
   /**
    * Applies a complete read of the table: known rows that are missing from it have been removed.
    */
-  retainOnly(digests: readonly RequestDigest[]): void {
+  retainOnly(digests: readonly RequestDigest[], era: number): void {
+    this.#era = era;
     const present = new Set(digests);
     [...this.#rows.keys()]
       .filter((digest) => !present.has(digest))
@@ -131,7 +137,10 @@
       untilStoreMs: Math.round(untilMs + offsetMs),
     };
     try {
-      const isWritten = await writer.write(record, known?.version ?? 0);
+      const isWritten = await writer.write(
+        record,
+        known?.revision ?? { era: this.#era, version: 0 },
+      );
       logger.info({ event: 'holdWritten', digest, isWritten });
       if (isWritten) {
         this.#runLater(untilMs - performance.now(), () => this.#remove(digest));
--- a/packages/forwarding/src/crashes/types.ts
+++ b/packages/forwarding/src/crashes/types.ts
@@ -1,5 +1,6 @@
 /** Requests that are held back because upstreams crashed while running them. */
 import type { RequestDigest } from '@snipehaven/common';
+import type { StoreRevision } from '../store/index.js';
 
 export interface Hold {
   readonly digest: RequestDigest;
@@ -24,8 +25,8 @@
 
 /** Writes holds to the store; throws `StoreUnavailableError` if the outcome is unknown. */
 export interface HoldWriter {
-  /** Returns false if the row has another version; `expectedVersion` 0 stands for no row. */
-  write(hold: HoldRecord, expectedVersion: number): Promise<boolean>;
+  /** Returns false if the row has another revision; version 0 stands for no row. */
+  write(hold: HoldRecord, expected: StoreRevision): Promise<boolean>;
   remove(digest: RequestDigest): Promise<void>;
 }
 
--- a/packages/forwarding/src/daemon/announcePeer.ts
+++ b/packages/forwarding/src/daemon/announcePeer.ts
@@ -19,9 +19,11 @@
   readonly signal: AbortSignal;
   /** Whether this daemon is currently a reader of the store. */
   isReading(): boolean;
+  /** The value that the store has for the key, as far as known. */
+  findStored(key: string): string | undefined;
 }
 
-/** Resolves when the row has been written or the daemon stops. */
+/** Resolves when the store has the row or the daemon stops. */
 export const announcePeer = async ({
   adapter,
   store,
@@ -29,10 +31,14 @@
   logger,
   signal,
   isReading,
+  findStored,
 }: AnnouncementOptions): Promise<void> => {
   const row = { table: adapter.tables.status, ...adapter.renderPeer(self) };
   while (!signal.aborted) {
     await sleep(CHECK_INTERVAL_MS, signal);
+    if (findStored(row.key) === row.value) {
+      return;
+    }
     if (!signal.aborted && isReading()) {
       try {
         await store.write(row);
--- a/packages/forwarding/src/daemon/forwardDaemon.ts
+++ b/packages/forwarding/src/daemon/forwardDaemon.ts
@@ -135,6 +135,12 @@
 
   readonly #watchers: readonly TableWatcher[];
 
+  /** For the row with this daemon's own address. */
+  readonly #addressStore: RowStore;
+
+  /** Pending while that row is to be written. */
+  #announcement: Promise<void> | undefined;
+
   readonly #stores: RowStore[] = [];
 
   readonly #stopping = new AbortController();
@@ -154,7 +160,9 @@
     this.#storeEra.onRise((era, before, source) =>
       logger.warn(
         { event: 'storeEra', era, before, source },
-        'the store has come back from a copy, or is known for the first time',
+        before === undefined
+          ? 'era of the store known for the first time'
+          : 'the store has come back from a copy',
       ),
     );
     this.#configuration = new ConfigurationHolder(logger, this.#storeClock);
@@ -195,8 +203,9 @@
       sessionTtlMs,
       allowedExposure,
       countSessionMove: (stage) => this.#metrics.countSessionMove(stage),
-      findPeerCounts: (service, orderVersion) =>
-        this.#peerLoads.findRolloutCounts(service, orderVersion),
+      storeEra: this.#storeEra,
+      findPeerCounts: (service, orderRevision) =>
+        this.#peerLoads.findRolloutCounts(service, orderRevision),
       countUpstreams: (service, version) => this.#directory.countUpstreams(service, version),
       hasEvacuatedUpstreams: (service, version) =>
         this.#directory.hasEvacuatedUpstreams(service, version),
@@ -237,6 +246,7 @@
       maxKeyAgeMs: adapter.settings.revokeDeadlineMs - REVOKE_MARGIN_MS,
     });
     this.#watchers = this.#createWatchers();
+    this.#addressStore = this.#createStore('address');
     this.#createKeeper().start();
     addGauges(this.#metrics, {
       exchange: this.#exchange,
@@ -258,13 +268,12 @@
     this.#watchers.forEach((watcher) => {
       void watcher.run();
     });
-    void announcePeer({
-      adapter: this.#adapter,
-      store: this.#createStore('address'),
-      self: this.#getSelf(),
-      logger: this.#logger,
-      signal: this.#stopping.signal,
-      isReading: () => this.#readerRegistry.ownReports.length > 0,
+    this.#announce();
+    this.#storeEra.onRise((_era, before) => {
+      // The copy may lack this daemon's row.
+      if (before !== undefined) {
+        this.#announce();
+      }
     });
     setInterval(() => this.reload('check'), SETTINGS_CHECK_MS).unref();
     this.#logger.info({ event: 'started', settings: this.#settings }, 'started');
@@ -340,7 +349,7 @@
 
   #createStore(purpose: string): RowStore {
     const client = this.#adapter.createStore((era) => this.#storeEra.observe(era, purpose));
-    const store = new MeteredStore(client, this.#metrics, this.#logger, purpose);
+    const store = new MeteredStore(client, this.#metrics, this.#logger, purpose, this.#storeEra);
     this.#stores.push(store);
     return store;
   }
@@ -354,6 +363,24 @@
     };
   }
 
+  #announce(): void {
+    const { status } = this.#adapter.tables;
+    this.#announcement ??= announcePeer({
+      adapter: this.#adapter,
+      store: this.#addressStore,
+      self: this.#getSelf(),
+      logger: this.#logger,
+      signal: this.#stopping.signal,
+      isReading: () => this.#readerRegistry.ownReports.length > 0,
+      findStored: (key) => {
+        const snapshot = this.#watchers.find(({ table }) => table === status)?.snapshot;
+        return snapshot?.rows.find((row) => row.key === key)?.value;
+      },
+    }).finally(() => {
+      this.#announcement = undefined;
+    });
+  }
+
   #createWatchers(): readonly TableWatcher[] {
     return createWatchers({
       adapter: this.#adapter,
--- a/packages/forwarding/src/daemon/meteredStore.ts
+++ b/packages/forwarding/src/daemon/meteredStore.ts
@@ -3,6 +3,7 @@
 import type {
   ConditionalWrite,
   RowStore,
+  StoreEra,
   StoreChange,
   StorePage,
   StoreRow,
@@ -31,7 +32,16 @@
   /** The table that this client follows, or the rows that it writes. */
   readonly #purpose: string;
 
-  constructor(store: RowStore, meter: StoreMeter, logger: Logger, purpose: string) {
+  readonly #storeEra: Pick<StoreEra, 'newest'>;
+
+  constructor(
+    store: RowStore,
+    meter: StoreMeter,
+    logger: Logger,
+    purpose: string,
+    storeEra: Pick<StoreEra, 'newest'>,
+  ) {
+    this.#storeEra = storeEra;
     this.#store = store;
     this.#meter = meter;
     this.#logger = logger;
@@ -55,11 +65,28 @@
     return this.#call(() => this.#store.readChanges(table, after, waitMs), getOutcome);
   }
 
-  write(write: ConditionalWrite): Promise<WriteResult> {
-    return this.#call(
+  /**
+   * A condition of an earlier era may hold by chance for another row, so it is not sent; the caller
+   * decides anew by what the store has now.
+   */
+  async write(write: ConditionalWrite): Promise<WriteResult> {
+    const { newest } = this.#storeEra;
+    const { expected } = write;
+    if (expected !== undefined && expected.era !== newest) {
+      return { isWritten: false, era: newest };
+    }
+    const result = await this.#call(
       () => this.#store.write(write),
       ({ isWritten }) => (isWritten ? 'write' : 'writeRefused'),
     );
+    if (expected !== undefined && result.era !== expected.era) {
+      const { table, key } = write;
+      this.#logger.warn(
+        { event: 'writtenInLaterEra', table, key, expected, ...result },
+        'the store came back from a copy before a write under a condition',
+      );
+    }
+    return result;
   }
 
   remove(table: string, key: string): Promise<void> {
--- a/packages/forwarding/src/daemon/storeHoldWriter.ts
+++ b/packages/forwarding/src/daemon/storeHoldWriter.ts
@@ -1,7 +1,7 @@
 /** Writes the rows of held requests to the platform's store. */
 import type { RequestDigest } from '@snipehaven/common';
 import type { HoldRecord, HoldWriter } from '../crashes/index.js';
-import type { RowStore } from '../store/index.js';
+import type { RowStore, StoreRevision } from '../store/index.js';
 import type { PlatformAdapter } from './types.js';
 
 export class StoreHoldWriter implements HoldWriter {
@@ -14,13 +14,13 @@
     this.#store = store;
   }
 
-  async write(hold: HoldRecord, expectedVersion: number): Promise<boolean> {
+  async write(hold: HoldRecord, expected: StoreRevision): Promise<boolean> {
     const { tables, renderHold } = this.#adapter;
     const row = renderHold(hold);
     const { isWritten } = await this.#store.write({
       table: tables.status,
       ...row,
-      expectedVersion,
+      expected,
     });
     return isWritten;
   }
--- a/packages/forwarding/src/daemon/storeRolloutWriter.ts
+++ b/packages/forwarding/src/daemon/storeRolloutWriter.ts
@@ -1,6 +1,6 @@
 /** Writes the rows of roll-outs to the platform's store. */
 import type { RolloutEvidence, RolloutStatus, RolloutWriter } from '../rollouts/index.js';
-import type { RowStore } from '../store/index.js';
+import type { RowStore, StoreRevision } from '../store/index.js';
 import type { PlatformAdapter } from './types.js';
 
 export class StoreRolloutWriter implements RolloutWriter {
@@ -13,9 +13,9 @@
     this.#store = store;
   }
 
-  async writeStatus(status: RolloutStatus, expectedVersion: number): Promise<boolean> {
+  async writeStatus(status: RolloutStatus, expected: StoreRevision): Promise<boolean> {
     const row = this.#adapter.renderRolloutStatus(status);
-    const { isWritten } = await this.#store.write({ ...this.#toWrite(row), expectedVersion });
+    const { isWritten } = await this.#store.write({ ...this.#toWrite(row), expected });
     return isWritten;
   }
 
--- a/packages/forwarding/src/daemon/tableListeners.ts
+++ b/packages/forwarding/src/daemon/tableListeners.ts
@@ -84,7 +84,8 @@
       this.#configuration.apply(document.configuration);
     }
     if (document?.kind === 'rollout') {
-      this.#rollouts.applyOrder(document.order, row.version, givenWithinMs);
+      const { era, version } = row;
+      this.#rollouts.applyOrder(document.order, { era, version }, givenWithinMs);
     }
     if (document?.kind === 'evacuation') {
       this.#directory.evacuate(document.dataCentre);
@@ -168,6 +169,9 @@
   /** Used until the clock is synchronized: estimated from the first answer. */
   #firstOffsetMs: number | undefined;
 
+  /** Of the last complete read. */
+  #era: number | undefined;
+
   readonly #holds: HoldPersister;
 
   readonly #onPeer: (peer: Peer) => void;
@@ -186,7 +190,9 @@
     return this.#clock.lastOffsetMs ?? this.#firstOffsetMs;
   }
 
-  onSnapshot(rows: readonly StoreRow[], serverTimeMs: number): void {
+  onSnapshot(rows: readonly StoreRow[], serverTimeMs: number, era: number): void {
+    const isRestored = this.#era !== undefined && era > this.#era;
+    this.#era = era;
     this.#firstOffsetMs = serverTimeMs - performance.now();
     // States first: evidence of a finished roll-out must not be judged again, for example by a
     // starting daemon.
@@ -194,8 +200,13 @@
     const isState = ({ document }: (typeof documents)[number]) => document?.kind === 'rollout';
     const ordered = [...documents.filter(isState), ...documents.filter((one) => !isState(one))];
     ordered.forEach(({ row, document }) => this.#apply(row, document));
+    if (isRestored) {
+      const services = rows.flatMap(({ key }) => this.#adapter.getRolloutService(key) ?? []);
+      this.#rollouts.retainStatuses(services, era);
+    }
     this.#rollouts.noteStatusesRead();
-    this.#holds.retainOnly(rows.flatMap(({ key }) => this.#adapter.getHeldDigest(key) ?? []));
+    const digests = rows.flatMap(({ key }) => this.#adapter.getHeldDigest(key) ?? []);
+    this.#holds.retainOnly(digests, era);
   }
 
   onChange({ key, value, ...revision }: StoreChange): void {
@@ -216,13 +227,15 @@
 
   #apply(row: StoreRow, document: StatusDocument | undefined): void {
     if (document?.kind === 'rollout') {
-      this.#rollouts.applyStatus(document.status, row.version);
+      const { era, version } = row;
+      this.#rollouts.applyStatus(document.status, { era, version });
     }
     if (document?.kind === 'evidence') {
       this.#rollouts.addEvidence(document.evidence);
     }
     if (document?.kind === 'hold') {
-      this.#holds.applyRecord(document.hold, row.version, this.storeOffsetMs ?? 0);
+      const { era, version } = row;
+      this.#holds.applyRecord(document.hold, { era, version }, this.storeOffsetMs ?? 0);
     }
     if (document?.kind === 'peer') {
       this.#onPeer(document.peer);
--- a/packages/forwarding/src/peers/largeFleet.test.ts
+++ b/packages/forwarding/src/peers/largeFleet.test.ts
@@ -82,7 +82,7 @@
     const { members } = await startFleet(context, { daemons, dataCentres });
     const others = daemons - 1;
     const mismatched = members.filter(({ loads }) => {
-      const counts = loads.findRolloutCounts('s', 1);
+      const counts = loads.findRolloutCounts('s', { era: 1, version: 1 });
       const isSum =
         counts?.candidate.answers === 3 * others &&
         counts.candidate.bad === others &&
--- a/packages/forwarding/src/peers/loadMessage.ts
+++ b/packages/forwarding/src/peers/loadMessage.ts
@@ -85,6 +85,7 @@
   candidate: WireCounts,
   present: WireCounts,
   candidateAtFullShare: readonly WireDataCentreCounts[],
+  era?: number,
 ];
 type WireMessage = readonly [
   vm: string,
@@ -132,13 +133,14 @@
 
 const toWireRollout = (counts: ServiceRolloutCounts): WireRollout => [
   counts.service,
-  counts.orderVersion,
+  counts.orderRevision.version,
   toWireCounts(counts.candidate),
   toWireCounts(counts.present),
   [...counts.candidateAtFullShare].map(([dataCentre, dataCentreCounts]) => [
     dataCentre,
     ...toWireCounts(dataCentreCounts),
   ]),
+  counts.orderRevision.era,
 ];
 
 export const encodeLoadMessage = (message: LoadMessage): Buffer => {
@@ -207,17 +209,21 @@
   Array.isArray(value[4]) &&
   value[4].every(isWireEntry);
 
+/** Daemons that do not know eras name none. */
+const toEra = (value: unknown): number => (isNonNegative(value) ? (value as number) : 0);
+
 const toCounts = ([answers, bad]: WireCounts): VersionCounts => ({ answers, bad });
 
 const toRollout = ([
   service,
-  orderVersion,
+  version,
   candidate,
   present,
   candidateAtFullShare,
+  era,
 ]: WireRollout): ServiceRolloutCounts => ({
   service,
-  orderVersion,
+  orderRevision: { era: toEra(era), version },
   candidate: toCounts(candidate),
   present: toCounts(present),
   candidateAtFullShare: new Map(
@@ -247,9 +253,6 @@
   work,
 });
 
-/** Daemons that do not know eras name none. */
-const toEra = (value: unknown): number => (isNonNegative(value) ? (value as number) : 0);
-
 const toReport = ([table, lastChange, serverTimeMs, era]: WireReport): TableReport => ({
   table,
   era: toEra(era),
--- a/packages/forwarding/src/peers/peerLoads.ts
+++ b/packages/forwarding/src/peers/peerLoads.ts
@@ -2,6 +2,7 @@
  * Loads of the other daemons at the upstreams. Without them a daemon sees only its own requests, a
  * ninth of an upstream's queue or less, and long prompts of several daemons meet at one engine.
  */
+import { isSameRevision, type StoreRevision } from '../store/storeRevision.js';
 import type { ModelWork, PaceSum } from '@snipehaven/policy';
 import {
   sumStatistics,
@@ -135,9 +136,12 @@
   }
 
   /** The roll-out's answer counts, summed over the reachable peers. */
-  findRolloutCounts(service: string, orderVersion: number): ServiceRolloutCounts | undefined {
+  findRolloutCounts(
+    service: string,
+    orderRevision: StoreRevision,
+  ): ServiceRolloutCounts | undefined {
     return this.statistics.rollouts.find(
-      (one) => one.service === service && one.orderVersion === orderVersion,
+      (one) => one.service === service && isSameRevision(one.orderRevision, orderRevision),
     );
   }
 
--- a/packages/forwarding/src/peers/sharedStatistics.ts
+++ b/packages/forwarding/src/peers/sharedStatistics.ts
@@ -11,6 +11,7 @@
   type PaceSum,
   type VersionCounts,
 } from '@snipehaven/policy';
+import type { StoreRevision } from '../store/storeRevision.js';
 
 /** Throughput of a service's upstreams. */
 export interface ServicePace extends PaceSum {
@@ -33,7 +34,7 @@
 export interface ServiceRolloutCounts extends RolloutCounts {
   readonly service: string;
   /** Distinguishes successive orders of a service. */
-  readonly orderVersion: number;
+  readonly orderRevision: StoreRevision;
 }
 
 export const NO_ROLLOUT_COUNTS: RolloutCounts = {
@@ -65,8 +66,8 @@
   return [...sums.values()];
 };
 
-const getRolloutKey = ({ service, orderVersion }: ServiceRolloutCounts): string =>
-  `${service}/${orderVersion}`;
+const getRolloutKey = ({ service, orderRevision }: ServiceRolloutCounts): string =>
+  `${service}/${orderRevision.era}/${orderRevision.version}`;
 
 export const combineRolloutCounts = (
   a: RolloutCounts,
--- a/packages/forwarding/src/peers/testSupport/daemonFleet.ts
+++ b/packages/forwarding/src/peers/testSupport/daemonFleet.ts
@@ -211,7 +211,7 @@
         },
       ],
       demands: [{ service: 's', model: 'm', work: 10 }],
-      rollouts: [{ service: 's', orderVersion: 1, ...OWN_ROLLOUT_COUNTS }],
+      rollouts: [{ service: 's', orderRevision: { era: 1, version: 1 }, ...OWN_ROLLOUT_COUNTS }],
     };
     const tables: WatchedTable[] = [];
     const exchange = new PeerExchange({
--- a/packages/forwarding/src/rollouts/rolloutKeeper.test.ts
+++ b/packages/forwarding/src/rollouts/rolloutKeeper.test.ts
@@ -8,6 +8,7 @@
 import { Freshness } from '../configuration/freshness.js';
 import { StoreClock, readClocks } from '../configuration/storeClock.js';
 import { NO_ROLLOUT_COUNTS, type RolloutCounts } from '../peers/index.js';
+import { isSameRevision, type StoreRevision } from '../store/index.js';
 import { RolloutTracker } from './rolloutTracker.js';
 import { RolloutKeeper } from './rolloutKeeper.js';
 import type { RolloutAnswer, RolloutStatus, RolloutWriter } from './types.js';
@@ -27,9 +28,11 @@
 const DAEMONS = 195;
 const PROPAGATION_MS = 500;
 
+const at = (version: number, era = 1): StoreRevision => ({ era, version });
+
 /** A status row written conditionally; each write reaches all daemons half a second later. */
 class StatusRow {
-  #version = 0;
+  #revision = at(0);
 
   writes = 0;
 
@@ -42,24 +45,24 @@
 
   createWriter(): RolloutWriter {
     return {
-      writeStatus: (status, expectedVersion) => this.#write(status, expectedVersion),
+      writeStatus: (status, expected) => this.#write(status, expected),
       writeEvidence: () => Promise.resolve(),
     };
   }
 
-  #write(status: RolloutStatus, expectedVersion: number): Promise<boolean> {
+  #write(status: RolloutStatus, expected: StoreRevision): Promise<boolean> {
     this.writes += 1;
     if (this.isDown) {
       return Promise.reject(new Error('down'));
     }
-    if (expectedVersion !== this.#version) {
+    if (!isSameRevision(expected, this.#revision)) {
       return Promise.resolve(false);
     }
-    this.#version += 1;
+    const revision = at(this.#revision.version + 1, this.#revision.era);
+    this.#revision = revision;
     this.state = status.state;
-    const version = this.#version;
     setTimeout(() => {
-      this.trackers.forEach((tracker) => tracker.applyStatus(status, version));
+      this.trackers.forEach((tracker) => tracker.applyStatus(status, revision));
     }, PROPAGATION_MS);
     return Promise.resolve(true);
   }
@@ -112,7 +115,7 @@
       getWriterRank: () => rank,
       tellBadVersion: () => {},
     }).start();
-    tracker.applyOrder(ORDER, 7, 0);
+    tracker.applyOrder(ORDER, at(7), 0);
   });
 };
 
@@ -198,7 +201,7 @@
       others[random.nextInt(Math.max(1, others.length))]?.tracker.receiveBadVersion(news);
     },
   }).start();
-  tracker.applyOrder(ORDER, 7, givenWithinMs);
+  tracker.applyOrder(ORDER, at(7), givenWithinMs);
   fleet.push(daemon);
   if (canWrite) {
     row.trackers.push(tracker);
@@ -229,12 +232,12 @@
     const judge = startDaemon(row, fleet, { vm: 'judge', givenWithinMs: 0, canWrite: false });
     const startedAtMs = performance.now();
     const start = { afterStoreMs: startedAtMs, beforeStoreMs: startedAtMs };
-    const status = { service: 's', toVersion: 'v2', orderVersion: 7, ...start };
+    const status = { service: 's', toVersion: 'v2', orderRevision: at(7), ...start };
     clock.tick(10_000);
     recordBadAnswers(judge.tracker);
     clock.tick(restartAtMs - 10_000);
     const late = ['late-1', 'late-2'].map((vm) => startDaemon(row, fleet, { vm, canWrite: true }));
-    late.forEach(({ tracker }) => tracker.applyStatus({ ...status, state: 'running' }, 0));
+    late.forEach(({ tracker }) => tracker.applyStatus({ ...status, state: 'running' }, at(0)));
     clock.tick(8_000);
     const states = late.flatMap(({ tracker }) => [...tracker.rollouts].map(({ state }) => state));
     assert.equal(states, ['rolledBack', 'rolledBack']);
@@ -261,7 +264,7 @@
     getWriterRank: () => undefined,
     tellBadVersion: () => {},
   }).start();
-  tracker.applyOrder(ORDER, 7, 0);
+  tracker.applyOrder(ORDER, at(7), 0);
   clock.tick(19_000);
   confirm();
   clock.tick(1_500);
--- a/packages/forwarding/src/rollouts/rolloutKeeper.ts
+++ b/packages/forwarding/src/rollouts/rolloutKeeper.ts
@@ -122,7 +122,7 @@
   /** Returns the state to be written, if it differs from the row. */
   #findStateToWrite(rollout: ServiceRollout): RolloutState | undefined {
     if (!rollout.isStatusKnown) {
-      return rollout.state === 'running' ? 'running' : undefined;
+      return rollout.state === 'running' || rollout.isStatusLost ? rollout.state : undefined;
     }
     if (rollout.isStoredStateFinal) {
       return undefined;
@@ -149,10 +149,10 @@
       return;
     }
     this.#loggedUnproven.add(rollout);
-    const { order, orderVersion } = rollout;
+    const { order, orderRevision } = rollout;
     const fleet = describeCounts(rollout.fleetCounts);
     this.#logger.warn(
-      { event: 'rolloutUnproven', service: order.service, orderVersion, fleet },
+      { event: 'rolloutUnproven', service: order.service, orderRevision, fleet },
       'roll-out is due, but the answers do not yet prove the new version good',
     );
   }
@@ -161,16 +161,18 @@
    * Repeated until the store holds the verdict, as the daemon that found the version bad may not
    * reach the store.
    */
-  #announceBadVersion({ state, isStoredStateFinal, order, orderVersion }: ServiceRollout): void {
+  #announceBadVersion({ state, isStoredStateFinal, order, orderRevision }: ServiceRollout): void {
     if (state === 'rolledBack' && !isStoredStateFinal) {
-      this.#tellBadVersion({ service: order.service, orderVersion });
+      this.#tellBadVersion({ service: order.service, orderRevision });
     }
   }
 
   #scheduleWrite(rollout: ServiceRollout, state: RolloutState): void {
     const known = this.#pendingWrites.get(rollout);
     const pending =
-      known?.state === state ? known : { state, ticksLeft: this.#getInitialWaitTicks(state) };
+      known?.state === state
+        ? known
+        : { state, ticksLeft: this.#getInitialWaitTicks(rollout, state) };
     this.#pendingWrites.set(rollout, pending);
     pending.ticksLeft -= 1;
     if (pending.ticksLeft < 0) {
@@ -179,17 +181,20 @@
     }
   }
 
-  /** In a small fleet a roll-back is written without a wait. */
-  #getInitialWaitTicks(state: RolloutState): number {
+  /**
+   * In a small fleet a roll-back is written without a wait, unless the store has lost it: then all
+   * daemons know it.
+   */
+  #getInitialWaitTicks({ isStatusLost }: ServiceRollout, state: RolloutState): number {
     const rank = this.#getWriterRank();
     if (rank !== undefined) {
       return rank * TICKS_PER_RANK;
     }
-    return state === 'rolledBack' ? 0 : this.#random.nextInt(MAX_WAIT_TICKS);
+    return state === 'rolledBack' && !isStatusLost ? 0 : this.#random.nextInt(MAX_WAIT_TICKS);
   }
 
   async #write(rollout: ServiceRollout, state: RolloutState): Promise<void> {
-    const { order, orderVersion, statusRowVersion, storedStart, fromVersion } = rollout;
+    const { order, orderRevision, statusRevision, storedStart, fromVersion } = rollout;
     if (storedStart === undefined) {
       return;
     }
@@ -199,11 +204,11 @@
           service: order.service,
           toVersion: order.toVersion,
           state,
-          orderVersion,
+          orderRevision,
           ...storedStart,
           ...(fromVersion === undefined ? {} : { fromVersion }),
         },
-        statusRowVersion,
+        statusRevision,
       );
       this.#logger.info({
         event: 'rolloutStatusWritten',
@@ -233,12 +238,12 @@
   }
 
   async #writeEvidence(rollout: ServiceRollout): Promise<void> {
-    const { order, orderVersion, stats } = rollout;
+    const { order, orderRevision, stats } = rollout;
     try {
       await this.#writer.writeEvidence({
         service: order.service,
         vm: this.#vm,
-        orderVersion,
+        orderRevision,
         candidate: stats.candidate,
         present: stats.present,
       });
--- a/packages/forwarding/src/rollouts/rolloutTracker.test.ts
+++ b/packages/forwarding/src/rollouts/rolloutTracker.test.ts
@@ -10,24 +10,26 @@
 import type { RolloutStatus } from './types.js';
 
 const ORDER: RolloutOrder = { service: 's', toVersion: 'v2', durationMs: 20_000 };
-const ORDER_VERSION = 7;
+const at = (version: number, era = 1) => ({ era, version });
+
+const ORDER_REVISION = at(7);
 
 const OLD = createEntry('v1');
 const NEW = createEntry('v2');
 
 const createStatus = (
   state: RolloutStatus['state'],
-  orderVersion = ORDER_VERSION,
+  orderRevision = ORDER_REVISION,
 ): RolloutStatus => ({
   service: 's',
   toVersion: 'v2',
   state,
-  orderVersion,
+  orderRevision,
   afterStoreMs: 0,
   beforeStoreMs: 0,
 });
 
-const createTracker = (): RolloutTracker => {
+const createTracker = (eraAgeMs = Infinity): RolloutTracker => {
   const freshness = new Freshness();
   freshness.confirm({ asked: readClocks(), serverTimeMs: 0 });
   return new RolloutTracker({
@@ -35,6 +37,7 @@
     vm: 'vm',
     freshness,
     clock: new StoreClock(),
+    storeEra: { ageMs: eraAgeMs },
     sessionTtlMs: 5_000,
     allowedExposure: 0.15,
     countSessionMove: () => {},
@@ -60,26 +63,26 @@
 // row is read only once.
 test('a status that arrives before its order is applied', () => {
   const tracker = createTracker();
-  tracker.applyStatus(createStatus('completed'), 9);
-  tracker.applyOrder(ORDER, ORDER_VERSION, undefined);
+  tracker.applyStatus(createStatus('completed'), at(9));
+  tracker.applyOrder(ORDER, ORDER_REVISION, undefined);
   assert.equal(filterIds(tracker), ['v2']);
 });
 
 test('a status of an earlier order does not apply to this one', () => {
   const tracker = createTracker();
-  tracker.applyStatus(createStatus('completed', 3), 4);
-  tracker.applyOrder(ORDER, ORDER_VERSION, undefined);
+  tracker.applyStatus(createStatus('completed', at(3)), at(4));
+  tracker.applyOrder(ORDER, ORDER_REVISION, undefined);
   assert.equal(filterIds(tracker), ['v1']);
 });
 
 test('a starting daemon does not take a finished order for a new one', () => {
   const tracker = createTracker();
   assert.ok(tracker.isStateKnown);
-  tracker.applyOrder(ORDER, ORDER_VERSION, undefined);
+  tracker.applyOrder(ORDER, ORDER_REVISION, undefined);
   assert.not(tracker.isStateKnown);
   const names = Array.from({ length: 400 }, (_, index) => `name ${index}`);
   assert.ok(names.every((name) => filterIds(tracker, name)[0] === 'v1'));
-  tracker.applyStatus(createStatus('completed'), 9);
+  tracker.applyStatus(createStatus('completed'), at(9));
   tracker.noteStatusesRead();
   assert.ok(tracker.isStateKnown);
   assert.ok(names.every((name) => filterIds(tracker, name)[0] === 'v2'));
@@ -87,15 +90,15 @@
 
 test('after a roll-back no request goes to the new version, even if no other upstream is left', () => {
   const tracker = createTracker();
-  tracker.applyOrder(ORDER, ORDER_VERSION, 0);
-  tracker.applyStatus(createStatus('rolledBack'), 9);
+  tracker.applyOrder(ORDER, ORDER_REVISION, 0);
+  tracker.applyStatus(createStatus('rolledBack'), at(9));
   assert.equal(filterIds(tracker), ['v1']);
   assert.equal(tracker.filterUpstreams('s', createOptions('a'), [NEW]), []);
 });
 
 test('in the first phase a few requests go to the new version, but no session', () => {
   const tracker = createTracker();
-  tracker.applyOrder(ORDER, ORDER_VERSION, 0);
+  tracker.applyOrder(ORDER, ORDER_REVISION, 0);
   const names = Array.from({ length: 400 }, (_, index) => `name ${index}`);
   const share = names.filter((name) => filterIds(tracker, name)[0] === 'v2').length / names.length;
   assert.ok(share > 0.02 && share < 0.12, String(share));
@@ -107,4 +110,65 @@
   );
 });
 
+const getState = (tracker: RolloutTracker) => [...tracker.rollouts].map(({ state }) => state);
+
+// Guards against a bad version that gets its share once more because its order was written again.
+test('an order that is written again in a later era keeps its outcome', () => {
+  for (const status of [createStatus('rolledBack', at(7)), createStatus('rolledBack', at(7, 2))]) {
+    const tracker = createTracker(1_000);
+    tracker.applyOrder(ORDER, at(7), 0);
+    tracker.applyStatus(createStatus('rolledBack'), at(9));
+    tracker.applyOrder(ORDER, at(3, 2), 0);
+    tracker.retainStatuses([], 2);
+    tracker.applyOrder(ORDER, at(7, 2), 0);
+    assert.equal(getState(tracker), ['rolledBack']);
+    tracker.applyStatus(status, at(8, 2));
+    assert.equal(getState(tracker), ['rolledBack']);
+  }
+});
+
+// Guards against an order that inherits the outcome of another one with the same version.
+test('a version that was given out again does not make two orders one', () => {
+  const tracker = createTracker(1_000);
+  tracker.applyOrder(ORDER, at(7), 0);
+  tracker.applyStatus(createStatus('rolledBack'), at(9));
+  tracker.applyOrder({ ...ORDER, toVersion: 'v3' }, at(7, 2), 0);
+  assert.equal(getState(tracker), ['running']);
+  tracker.applyStatus(createStatus('rolledBack'), at(6, 2));
+  assert.equal(getState(tracker), ['running']);
+});
+
+test('the same version may be ordered again, and does not inherit the earlier outcome', () => {
+  const tracker = createTracker();
+  tracker.applyOrder(ORDER, at(7, 2), 0);
+  tracker.applyStatus(createStatus('rolledBack', at(5)), at(4, 2));
+  assert.equal(getState(tracker), ['rolledBack']);
+  tracker.applyOrder(ORDER, at(12, 2), 0);
+  assert.equal(getState(tracker), ['running']);
+});
+
+test('a daemon that starts after a return takes the status of the copy for that of the order', () => {
+  const tracker = createTracker(1_000);
+  tracker.applyStatus(createStatus('completed', at(7)), at(9, 2));
+  tracker.applyOrder(ORDER, at(7, 2), undefined);
+  assert.equal(getState(tracker), ['completed']);
+  tracker.applyOrder(ORDER, at(12, 2), undefined);
+  assert.equal(getState(tracker), ['completed']);
+});
+
+// Guards against conditions that never hold, as versions went back.
+test('a status that the store lost is expected to be missing at the next write', () => {
+  const tracker = createTracker(1_000);
+  tracker.applyOrder(ORDER, at(7), 0);
+  tracker.applyStatus(createStatus('completed'), at(9));
+  tracker.retainStatuses([], 2);
+  const [rollout] = tracker.rollouts;
+  assert.ok(rollout?.isStatusLost);
+  assert.equal(rollout?.statusRevision, at(0, 2));
+  tracker.applyStatus(createStatus('running'), at(5, 2));
+  assert.equal(rollout?.statusRevision, at(5, 2));
+  assert.is(rollout?.state, 'completed');
+  assert.not(rollout?.isStoredStateFinal);
+});
+
 test.run();
--- a/packages/forwarding/src/rollouts/rolloutTracker.ts
+++ b/packages/forwarding/src/rollouts/rolloutTracker.ts
@@ -6,6 +6,7 @@
 import type { Freshness } from '../configuration/freshness.js';
 import type { StoreClock } from '../configuration/storeClock.js';
 import type { BadVersionMessage, RolloutCounts, ServiceRolloutCounts } from '../peers/index.js';
+import { StoreEra, isSameRevision, type StoreRevision } from '../store/index.js';
 import type { RequestOptions, RolloutOrder } from '../types.js';
 import type { UpstreamEntry } from '../upstreams/index.js';
 import { describeCounts } from './describeCounts.js';
@@ -14,6 +15,7 @@
   filterByVersion,
   type VersionQuery,
 } from './filterByVersion.js';
+import { isStatusOf, isWrittenAgain } from './orderIdentity.js';
 import { ServiceRollout } from './serviceRollout.js';
 import { SessionVersions, type SessionRun } from './sessionVersions.js';
 import type {
@@ -29,7 +31,9 @@
 
 interface KnownStatus {
   readonly status: RolloutStatus;
-  readonly rowVersion: number;
+  readonly revision: StoreRevision;
+  /** Known to be of an order before the present one. */
+  readonly isPrevious: boolean;
 }
 
 export interface RolloutTrackerOptions {
@@ -38,12 +42,13 @@
   readonly freshness: Freshness;
   /** Clock offset by which the status row dates the start of a roll-out. */
   readonly clock: StoreClock;
+  readonly storeEra?: Pick<StoreEra, 'ageMs'>;
   readonly sessionTtlMs: number;
   /** Share of all requests during a roll-out that a version may get that turns out to be bad. */
   readonly allowedExposure: number;
   countSessionMove(stage: RolloutStage): void;
   /** The roll-out's answer counts, summed over the reachable peers. */
-  findPeerCounts(service: string, orderVersion: number): RolloutCounts | undefined;
+  findPeerCounts(service: string, orderRevision: StoreRevision): RolloutCounts | undefined;
   /** Number of ready upstreams of the version per data centre, including evacuated ones. */
   countUpstreams(service: string, softwareVersion: string): ReadonlyMap<string, number>;
   /** Whether any ready upstream of the version is in an evacuated data centre. */
@@ -60,6 +65,8 @@
 
   readonly #clock: StoreClock;
 
+  readonly #storeEra: Pick<StoreEra, 'ageMs'>;
+
   readonly #rollouts = new Map<string, ServiceRollout>();
 
   /**
@@ -91,13 +98,15 @@
     this.#vm = options.vm;
     this.#freshness = options.freshness;
     this.#clock = options.clock;
+    this.#storeEra = options.storeEra ?? new StoreEra();
     this.#sessionVersions = new SessionVersions(options.sessionTtlMs);
     this.#countSessionMove = options.countSessionMove;
     this.#allowedExposure = options.allowedExposure;
     this.#countUpstreams = (service, version) => options.countUpstreams(service, version);
     this.#hasEvacuatedUpstreams = (service, version) =>
       options.hasEvacuatedUpstreams(service, version);
-    this.#findPeerCounts = (service, orderVersion) => options.findPeerCounts(service, orderVersion);
+    this.#findPeerCounts = (service, orderRevision) =>
+      options.findPeerCounts(service, orderRevision);
   }
 
   get rollouts(): Iterable<ServiceRollout> {
@@ -127,25 +136,40 @@
   }
 
   /** `givenWithinMs`: upper bound of the order's age; undefined if this daemon cannot know it. */
-  applyOrder(order: RolloutOrder, orderVersion: number, givenWithinMs: number | undefined): void {
+  applyOrder(
+    order: RolloutOrder,
+    orderRevision: StoreRevision,
+    givenWithinMs: number | undefined,
+  ): void {
     const known = this.#rollouts.get(order.service);
-    if (known?.orderVersion === orderVersion) {
+    if (known !== undefined && isSameRevision(known.orderRevision, orderRevision)) {
+      return;
+    }
+    if (known !== undefined && this.#isWrittenAgain(known, order, orderRevision)) {
+      const before = known.orderRevision;
+      known.renew(orderRevision);
+      this.#updateRollout(order.service);
+      this.#logger.info(
+        { event: 'rolloutOrderRenewed', ...order, orderRevision, before, state: known.state },
+        'the operator has written a known roll-out order again',
+      );
       return;
     }
+    this.#markStatusPrevious(known);
     const rollout = new ServiceRollout({
       order,
-      orderVersion,
+      orderRevision,
       givenWithinMs,
       clock: this.#clock,
       allowedExposure: this.#allowedExposure,
-      findPeerCounts: () => this.#findPeerCounts(order.service, orderVersion),
+      findPeerCounts: (revision) => this.#findPeerCounts(order.service, revision),
       countUpstreams: () => this.#countUpstreams(order.service, order.toVersion),
     });
     this.#rollouts.set(order.service, rollout);
     this.#updateRollout(order.service);
     this.#onOrder();
     this.#logger.info(
-      { event: 'rolloutOrdered', ...order, orderVersion, givenWithinMs },
+      { event: 'rolloutOrdered', ...order, orderRevision, givenWithinMs },
       'roll-out ordered',
     );
   }
@@ -154,11 +178,30 @@
     this.#rollouts.delete(service);
   }
 
-  applyStatus(status: RolloutStatus, rowVersion: number): void {
-    this.#statuses.set(status.service, { status, rowVersion });
+  applyStatus(status: RolloutStatus, revision: StoreRevision): void {
+    this.#statuses.set(status.service, { status, revision, isPrevious: false });
     this.#updateRollout(status.service);
   }
 
+  /**
+   * The store has come back from a copy that has the statuses of these services only; the others,
+   * and this daemon's evidence, are to be written again. `era`: of the read that shows this.
+   */
+  retainStatuses(services: readonly string[], era: number): void {
+    [...this.#statuses.keys()]
+      .filter((service) => !services.includes(service))
+      .forEach((service) => this.#statuses.delete(service));
+    for (const [service, rollout] of this.#rollouts) {
+      if (!services.includes(service)) {
+        rollout.takeNoStatus(era);
+      }
+      if (rollout.state === 'running' && rollout.stats.candidate.bad > 0) {
+        this.#onBadAnswer(rollout);
+      }
+    }
+    this.#onOrder();
+  }
+
   /** Called after all statuses in the store have been applied. */
   noteStatusesRead(): void {
     this.#hasReadStatuses = true;
@@ -176,9 +219,10 @@
    * Applies the verdict of another daemon that an order's version is bad; that daemon may not reach
    * the store to write it.
    */
-  receiveBadVersion({ service, orderVersion }: BadVersionMessage): void {
+  receiveBadVersion({ service, orderRevision }: BadVersionMessage): void {
     const rollout = this.#rollouts.get(service);
-    if (rollout?.orderVersion === orderVersion && rollout.rollBack()) {
+    const isMeant = rollout !== undefined && isSameRevision(rollout.orderRevision, orderRevision);
+    if (isMeant && rollout.rollBack()) {
       this.#logState(rollout, 'daemon');
     }
   }
@@ -187,9 +231,9 @@
   get ownCounts(): readonly ServiceRolloutCounts[] {
     return [...this.#rollouts.values()]
       .filter(({ isStoredStateFinal }) => !isStoredStateFinal)
-      .map(({ order, orderVersion, stats }) => ({
+      .map(({ order, orderRevision, stats }) => ({
         service: order.service,
-        orderVersion,
+        orderRevision,
         candidate: stats.candidate,
         present: stats.present,
         candidateAtFullShare: stats.candidateAtFullShare,
@@ -242,10 +286,10 @@
     if (rollout === undefined) {
       return undefined;
     }
-    const { order, orderVersion, state, elapsed } = rollout;
+    const { order, orderRevision, state, elapsed } = rollout;
     const { phase, newShare, sessionShare } = rollout.getPlace(this.#freshness.ageMs);
     return {
-      orderVersion,
+      orderRevision,
       toVersion: order.toVersion,
       stage: state === 'running' ? phase : state,
       newShare,
@@ -332,13 +376,40 @@
     if (rollout === undefined || known === undefined) {
       return;
     }
-    const before = rollout.state;
-    rollout.takeStatus(known.status, known.rowVersion);
+    const { status, revision, isPrevious } = known;
+    const { order, orderRevision, state: before } = rollout;
+    if (isPrevious || !isStatusOf(status, { order, revision: orderRevision })) {
+      rollout.takePreviousStatus(status, revision);
+      return;
+    }
+    rollout.takeStatus(status, revision);
     if (before !== rollout.state) {
       this.#logState(rollout, 'store');
     }
   }
 
+  #isWrittenAgain(
+    { order, orderRevision }: ServiceRollout,
+    written: RolloutOrder,
+    revision: StoreRevision,
+  ): boolean {
+    const known = { order, revision: orderRevision };
+    return isWrittenAgain(known, { order: written, revision }, this.#storeEra.ageMs);
+  }
+
+  /** The known status may be of the order that a new one replaces, also if both name one version. */
+  #markStatusPrevious(replaced: ServiceRollout | undefined): void {
+    const service = replaced?.order.service ?? '';
+    const known = this.#statuses.get(service);
+    if (replaced === undefined || known === undefined) {
+      return;
+    }
+    const { order, orderRevision } = replaced;
+    if (isStatusOf(known.status, { order, revision: orderRevision })) {
+      this.#statuses.set(service, { ...known, isPrevious: true });
+    }
+  }
+
   #handleBadAnswer(rollout: ServiceRollout, answer: RolloutWork): void {
     this.#logger.info(
       { event: 'badCandidateAnswer', ...answer, candidate: rollout.stats.candidate },
--- a/packages/forwarding/src/rollouts/serviceRollout.ts
+++ b/packages/forwarding/src/rollouts/serviceRollout.ts
@@ -11,7 +11,9 @@
 } from '@snipehaven/policy';
 import type { StoreClock } from '../configuration/storeClock.js';
 import { NO_ROLLOUT_COUNTS, combineRolloutCounts, type RolloutCounts } from '../peers/index.js';
+import type { StoreRevision } from '../store/index.js';
 import type { RolloutOrder, RolloutState } from '../types.js';
+import { refersTo } from './orderIdentity.js';
 import type {
   BodyProgress,
   RolloutAnswer,
@@ -37,14 +39,14 @@
 
 export interface ServiceRolloutOptions {
   readonly order: RolloutOrder;
-  readonly orderVersion: number;
+  readonly orderRevision: StoreRevision;
   /** Upper bound of the order's age; undefined if this daemon cannot know it. */
   readonly givenWithinMs: number | undefined;
   readonly clock: StoreClock;
   /** Share of all requests during a roll-out that a version may get that turns out to be bad. */
   readonly allowedExposure: number;
   /** This roll-out's answer counts, summed over the reachable peers. */
-  findPeerCounts(): RolloutCounts | undefined;
+  findPeerCounts(orderRevision: StoreRevision): RolloutCounts | undefined;
   /** Number of ready upstreams of the new version per data centre, including evacuated ones. */
   countUpstreams(): ReadonlyMap<string, number>;
 }
@@ -52,10 +54,10 @@
 export class ServiceRollout {
   readonly order: RolloutOrder;
 
-  readonly orderVersion: number;
-
   readonly stats = new VersionStats();
 
+  #orderRevision: StoreRevision;
+
   readonly #peerEvidence = new Map<string, RolloutEvidence>();
 
   readonly #orderTakenAtMs = performance.now();
@@ -73,7 +75,11 @@
 
   #state: RolloutState = 'running';
 
-  #statusRowVersion = 0;
+  /** Of the status row; version 0 if there is none. */
+  #statusRevision: StoreRevision;
+
+  /** Whether the store has held a status of this order. */
+  #wasStored = false;
 
   #fromVersion: string | undefined;
 
@@ -82,20 +88,31 @@
 
   readonly #allowedExposure: number;
 
-  readonly #findPeerCounts: () => RolloutCounts | undefined;
+  readonly #findPeerCounts: (orderRevision: StoreRevision) => RolloutCounts | undefined;
 
   readonly #countUpstreams: () => ReadonlyMap<string, number>;
 
   constructor(facts: ServiceRolloutOptions) {
-    const { order, orderVersion, givenWithinMs, clock, allowedExposure } = facts;
+    const { order, orderRevision, givenWithinMs, clock, allowedExposure } = facts;
     this.order = order;
-    this.orderVersion = orderVersion;
-    this.#findPeerCounts = () => facts.findPeerCounts();
+    this.#orderRevision = orderRevision;
+    this.#statusRevision = { era: orderRevision.era, version: 0 };
+    this.#findPeerCounts = (revision) => facts.findPeerCounts(revision);
     this.#countUpstreams = () => facts.countUpstreams();
     this.#start = new RolloutStart(clock, givenWithinMs);
     this.#allowedExposure = allowedExposure;
   }
 
+  /** Revision of the order's row; another one when the operator has written the order again. */
+  get orderRevision(): StoreRevision {
+    return this.#orderRevision;
+  }
+
+  /** The operator has written the order again, as the store had lost it. */
+  renew(orderRevision: StoreRevision): void {
+    this.#orderRevision = orderRevision;
+  }
+
   get state(): RolloutState {
     return this.#state;
   }
@@ -109,9 +126,14 @@
     return this.#storedState !== undefined && this.#storedState !== 'running';
   }
 
-  /** Row version expected by the next write of the status row; 0 if there is no row. */
-  get statusRowVersion(): number {
-    return this.#statusRowVersion;
+  /** Whether the store has lost a status of this order, which is to be written again. */
+  get isStatusLost(): boolean {
+    return this.#wasStored && this.#storedState === undefined;
+  }
+
+  /** Revision expected by the next write of the status row; version 0 if there is no row. */
+  get statusRevision(): StoreRevision {
+    return this.#statusRevision;
   }
 
   /**
@@ -131,14 +153,22 @@
     return this.#start.elapsed;
   }
 
-  takeStatus(status: RolloutStatus, rowVersion: number): void {
-    this.#statusRowVersion = Math.max(this.#statusRowVersion, rowVersion);
-    if (status.orderVersion !== this.orderVersion) {
-      // The outcome of the previous order tells which version serves now.
-      this.#fromVersion ??= status.state === 'completed' ? status.toVersion : status.fromVersion;
-      return;
-    }
+  /** Takes the status of an earlier order: its outcome tells which version serves now. */
+  takePreviousStatus(status: RolloutStatus, revision: StoreRevision): void {
+    this.#statusRevision = revision;
+    this.#fromVersion ??= status.state === 'completed' ? status.toVersion : status.fromVersion;
+  }
+
+  /** The store holds no status; `era` is that of the read that shows this. */
+  takeNoStatus(era: number): void {
+    this.#statusRevision = { era, version: 0 };
+    this.#storedState = undefined;
+  }
+
+  takeStatus(status: RolloutStatus, revision: StoreRevision): void {
+    this.#statusRevision = revision;
     this.#fromVersion = status.fromVersion;
+    this.#wasStored = true;
     this.#storedState = status.state;
     this.#start.noteStored(status);
     if (status.state !== 'running') {
@@ -149,7 +179,7 @@
   }
 
   takeEvidence(evidence: RolloutEvidence): void {
-    if (evidence.orderVersion === this.orderVersion) {
+    if (refersTo(evidence.orderRevision, this.#orderRevision)) {
       this.#peerEvidence.set(evidence.vm, evidence);
     }
   }
@@ -257,7 +287,7 @@
 
   /** Answer counts of this daemon and its reachable peers. */
   get fleetCounts(): RolloutCounts {
-    const peers = this.#findPeerCounts() ?? NO_ROLLOUT_COUNTS;
+    const peers = this.#findPeerCounts(this.#orderRevision) ?? NO_ROLLOUT_COUNTS;
     return combineRolloutCounts(peers, this.stats, addVersionCounts);
   }
 
--- a/packages/forwarding/src/rollouts/sessionAffinity.test.ts
+++ b/packages/forwarding/src/rollouts/sessionAffinity.test.ts
@@ -11,7 +11,10 @@
 import { createEntry } from './testSupport/simulatedDaemon.js';
 
 const ORDER: RolloutOrder = { service: 's', toVersion: 'v2', durationMs: 20_000 };
-const ORDER_VERSION = 7;
+const at = (version: number) => ({ era: 1, version });
+
+const ORDER_REVISION = at(7);
+const NEXT_REVISION = at(8);
 const SESSION_TTL_MS = 5_000;
 const HALF_MS = ORDER.durationMs / 2;
 const SESSIONS = Array.from({ length: 500 }, (_, index) => `session ${index}`);
@@ -97,20 +100,20 @@
 
 test('a session that began before the order does not move at once', (context) => {
   const before = runAll(context.tracker, [V1]);
-  context.tracker.applyOrder(ORDER, ORDER_VERSION, 0);
+  context.tracker.applyOrder(ORDER, ORDER_REVISION, 0);
   advance(context, 500);
   assert.equal(listMoved(before, runAll(context.tracker, [V1, V2])), []);
 });
 
 test('a session does not move when upstreams of the new version are first listed', (context) => {
-  context.tracker.applyOrder(ORDER, ORDER_VERSION, 0);
+  context.tracker.applyOrder(ORDER, ORDER_REVISION, 0);
   const before = runAll(context.tracker, [V1]);
   advance(context, 1_000);
   assert.equal(listMoved(before, runAll(context.tracker, [V1, V2])), []);
 });
 
 test('a session does not move when upstreams of the new version are missing for a moment', (context) => {
-  context.tracker.applyOrder(ORDER, ORDER_VERSION, 0);
+  context.tracker.applyOrder(ORDER, ORDER_REVISION, 0);
   const before = runAll(context.tracker, [V1, V2]);
   advance(context, 1_000);
   const without = runAll(context.tracker, [V1]);
@@ -120,32 +123,32 @@
 });
 
 test('a session on the version of the last order does not move to that of the next at once', (context) => {
-  context.tracker.applyOrder(ORDER, ORDER_VERSION, 0);
+  context.tracker.applyOrder(ORDER, ORDER_REVISION, 0);
   advance(context, ORDER.durationMs * 0.95);
   const before = runAll(context.tracker, [V1, V2]);
-  context.tracker.applyOrder({ ...ORDER, toVersion: 'v3' }, ORDER_VERSION + 1, 0);
+  context.tracker.applyOrder({ ...ORDER, toVersion: 'v3' }, NEXT_REVISION, 0);
   advance(context, 500);
   assert.equal(listMoved(before, runAll(context.tracker, [V2, V3])), []);
 });
 
 test('a new order moves no session to a leftover upstream of the version before last', (context) => {
   const status = { service: 's', toVersion: 'v2', afterStoreMs: 0, beforeStoreMs: 0 };
-  const completed = { ...status, state: 'completed' as const, orderVersion: ORDER_VERSION };
-  context.tracker.applyOrder(ORDER, ORDER_VERSION, 0);
-  context.tracker.applyStatus(completed, 9);
+  const completed = { ...status, state: 'completed' as const, orderRevision: ORDER_REVISION };
+  context.tracker.applyOrder(ORDER, ORDER_REVISION, 0);
+  context.tracker.applyStatus(completed, at(9));
   const before = runAll(context.tracker, [V1, V2]);
   const next = { ...ORDER, toVersion: 'v3' };
-  context.tracker.applyOrder(next, ORDER_VERSION + 1, 0);
+  context.tracker.applyOrder(next, NEXT_REVISION, 0);
   assert.equal(listMoved(before, runAll(context.tracker, [V1, V2, V3])), []);
-  context.other.applyOrder(next, ORDER_VERSION + 1, undefined);
+  context.other.applyOrder(next, NEXT_REVISION, undefined);
   const running = { ...status, toVersion: 'v3', state: 'running' as const, fromVersion: 'v2' };
-  context.other.applyStatus({ ...running, orderVersion: ORDER_VERSION + 1 }, 10);
+  context.other.applyStatus({ ...running, orderRevision: NEXT_REVISION }, at(10));
   assert.equal(listMoved(before, runAll(context.other, [V1, V2, V3])), []);
 });
 
 test('sessions do not move in the first half when the order was learned late', (context) => {
   const learnedLateMs = 6_000;
-  context.tracker.applyOrder(ORDER, ORDER_VERSION, learnedLateMs);
+  context.tracker.applyOrder(ORDER, ORDER_REVISION, learnedLateMs);
   const first = runAll(context.tracker, [V1, V2]);
   for (let passedMs = 0; passedMs < HALF_MS - 2_000; passedMs += 2_000) {
     advance(context, 2_000);
@@ -154,7 +157,7 @@
 });
 
 test('sessions do not return to the old version while the upstreams of the new one are evacuated', (context) => {
-  context.tracker.applyOrder(ORDER, ORDER_VERSION, 0);
+  context.tracker.applyOrder(ORDER, ORDER_REVISION, 0);
   advance(context, ORDER.durationMs * 0.7);
   const before = runAll(context.tracker, [V1, V2]);
   context.evacuatedVersions.add('v2');
@@ -169,7 +172,7 @@
 });
 
 test('requests of expired sessions run on the old version while the upstreams of the new one are evacuated', (context) => {
-  context.tracker.applyOrder(ORDER, ORDER_VERSION, 0);
+  context.tracker.applyOrder(ORDER, ORDER_REVISION, 0);
   advance(context, ORDER.durationMs * 0.7);
   runAll(context.tracker, [V1, V2]);
   context.evacuatedVersions.add('v2');
@@ -179,8 +182,8 @@
 });
 
 test('a jump of the wall clock moves no session back', (context) => {
-  context.tracker.applyOrder(ORDER, ORDER_VERSION, 0);
-  context.other.applyOrder(ORDER, ORDER_VERSION, 0);
+  context.tracker.applyOrder(ORDER, ORDER_REVISION, 0);
+  context.other.applyOrder(ORDER, ORDER_REVISION, 0);
   advance(context, ORDER.durationMs * 0.7);
   const before = runAll(context.tracker, [V1, V2]);
   runAll(context.other, [V1, V2]);
--- a/packages/forwarding/src/rollouts/sessionMoves.test.ts
+++ b/packages/forwarding/src/rollouts/sessionMoves.test.ts
@@ -13,7 +13,8 @@
 import type { RolloutStatus } from './types.js';
 
 const ORDER: RolloutOrder = { service: 's', toVersion: 'v2', durationMs: 16_000 };
-const ORDER_VERSION = 7;
+const ORDER_REVISION = { era: 1, version: 7 };
+const STATUS_REVISION = { era: 1, version: 9 };
 const DAEMONS = 3;
 const SESSIONS = 40;
 const RUNS = 700;
@@ -146,12 +147,12 @@
     this.#plan.learning.forEach(({ afterMs, moreMs }, index) => {
       if (this.#elapsedMs >= afterMs && !this.#learned.has(index)) {
         this.#learned.add(index);
-        this.#daemons[index]?.learnOrder(ORDER, ORDER_VERSION, this.#elapsedMs + moreMs);
+        this.#daemons[index]?.learnOrder(ORDER, ORDER_REVISION, this.#elapsedMs + moreMs);
       }
     });
     if (this.#elapsedMs >= PROPAGATION_MS && this.#status === undefined) {
       this.#writeStatus();
-      this.#daemons.forEach((daemon) => daemon.learnStatus(this.#status, 9));
+      this.#daemons.forEach((daemon) => daemon.learnStatus(this.#status, STATUS_REVISION));
     }
   }
 
@@ -166,7 +167,7 @@
       service: 's',
       toVersion: 'v2',
       state: 'running',
-      orderVersion: ORDER_VERSION,
+      orderRevision: ORDER_REVISION,
       ...start,
     };
   }
@@ -193,9 +194,9 @@
     daemon?.confirmStore(delayMs);
     if (this.#elapsedMs >= 0) {
       this.#learned.add(index);
-      daemon?.learnOrder(ORDER, ORDER_VERSION, undefined);
+      daemon?.learnOrder(ORDER, ORDER_REVISION, undefined);
     }
-    daemon?.learnStatus(this.#status, 9);
+    daemon?.learnStatus(this.#status, STATUS_REVISION);
   }
 
   #isStoreFresh(index: number): boolean {
--- a/packages/forwarding/src/rollouts/testSupport/simulatedDaemon.ts
+++ b/packages/forwarding/src/rollouts/testSupport/simulatedDaemon.ts
@@ -6,6 +6,7 @@
 import { Freshness } from '../../configuration/freshness.js';
 import { StoreClock, readClocks } from '../../configuration/storeClock.js';
 import { PeerLoads } from '../../peers/index.js';
+import type { StoreRevision } from '../../store/index.js';
 import type { RolloutOrder } from '../../types.js';
 import { UpstreamEntry } from '../../upstreams/index.js';
 import { RolloutTracker } from '../rolloutTracker.js';
@@ -67,13 +68,17 @@
     });
   }
 
-  learnOrder(order: RolloutOrder, orderVersion: number, givenWithinMs: number | undefined): void {
-    this.#tracker.applyOrder(order, orderVersion, givenWithinMs);
+  learnOrder(
+    order: RolloutOrder,
+    orderRevision: StoreRevision,
+    givenWithinMs: number | undefined,
+  ): void {
+    this.#tracker.applyOrder(order, orderRevision, givenWithinMs);
   }
 
-  learnStatus(status: RolloutStatus | undefined, rowVersion: number): void {
+  learnStatus(status: RolloutStatus | undefined, revision: StoreRevision): void {
     if (status !== undefined) {
-      this.#tracker.applyStatus(status, rowVersion);
+      this.#tracker.applyStatus(status, revision);
     }
     this.#tracker.noteStatusesRead();
   }
--- a/packages/forwarding/src/rollouts/types.ts
+++ b/packages/forwarding/src/rollouts/types.ts
@@ -1,5 +1,6 @@
 /** State and evidence of a roll-out that daemons share through the store. */
 import type { SchedulePhase, VersionCounts } from '@snipehaven/policy';
+import type { StoreRevision } from '../store/index.js';
 import type { RolloutState } from '../types.js';
 
 /** Bounds of the time at which an order was given, on the store's monotonic clock. */
@@ -8,6 +9,15 @@
   readonly beforeStoreMs: number;
 }
 
+/**
+ * Revision of an order's row in the store, which distinguishes successive orders. Rows of an earlier
+ * release name no era.
+ */
+export interface OrderReference {
+  readonly version: number;
+  readonly era?: number;
+}
+
 /** State of a service's roll-out as the operator reads it, and when it started. */
 export interface RolloutStatus extends StoredStart {
   readonly service: string;
@@ -15,8 +25,7 @@
   readonly state: RolloutState;
   /** The version that served before the order; absent where that is not known. */
   readonly fromVersion?: string;
-  /** Row version of the order in the store, which distinguishes successive orders. */
-  readonly orderVersion: number;
+  readonly orderRevision: OrderReference;
 }
 
 /** Phase of a roll-out, or its final state. */
@@ -24,7 +33,7 @@
 
 /** Progress of a roll-out as one daemon sees it, and the data that it is based on. */
 export interface ObservedRollout {
-  readonly orderVersion: number;
+  readonly orderRevision: StoreRevision;
   readonly toVersion: string;
   readonly stage: RolloutStage;
   readonly newShare: number;
@@ -51,7 +60,7 @@
 export interface RolloutEvidence {
   readonly service: string;
   readonly vm: string;
-  readonly orderVersion: number;
+  readonly orderRevision: OrderReference;
   readonly candidate: VersionCounts;
   readonly present: VersionCounts;
 }
@@ -81,7 +90,7 @@
 
 /** Writes to the store; throws `StoreUnavailableError` when the outcome is unknown. */
 export interface RolloutWriter {
-  /** Returns false if the row had another version. */
-  writeStatus(status: RolloutStatus, expectedVersion: number): Promise<boolean>;
+  /** Returns false if the row had another revision; version 0 stands for no row. */
+  writeStatus(status: RolloutStatus, expected: StoreRevision): Promise<boolean>;
   writeEvidence(evidence: RolloutEvidence): Promise<void>;
 }
--- a/packages/forwarding/src/runs/versionReporter.test.ts
+++ b/packages/forwarding/src/runs/versionReporter.test.ts
@@ -40,7 +40,7 @@
     countUpstreams: () => new Map([['a', 1]]),
     hasEvacuatedUpstreams: () => false,
   });
-  context.guide.applyOrder(ORDER, 7, 0);
+  context.guide.applyOrder(ORDER, { era: 1, version: 7 }, 0);
 });
 
 test.after.each(({ clock }) => clock.uninstall());
--- a/packages/forwarding/src/store/peerFeed.ts
+++ b/packages/forwarding/src/store/peerFeed.ts
@@ -76,7 +76,7 @@
     this.#beforeRows();
     this.#replica.replace(snapshot);
     this.#replica.learn(snapshot);
-    listener.onSnapshot(this.#replica.effectiveRows, serverTimeMs);
+    listener.onSnapshot(this.#replica.effectiveRows, serverTimeMs, era);
     this.#afterRestore();
     const isConfirmed = freshness.confirmByPeer(serverTimeMs);
     logger.info(
--- a/packages/forwarding/src/store/storeEra.ts
+++ b/packages/forwarding/src/store/storeEra.ts
@@ -3,13 +3,15 @@
  * back from a copy: it has lost its last changes, and gives their versions out again.
  */
 
-/** Called with the new era and the one before it. */
-export type EraListener = (era: number, before: number, source: string) => void;
+/** `before` is undefined when an era is known for the first time. */
+export type EraListener = (era: number, before: number | undefined, source: string) => void;
 
 export class StoreEra {
   /** Undefined before the first answer or message. */
   #newest: number | undefined;
 
+  #sinceMs = -Infinity;
+
   readonly #listeners: EraListener[] = [];
 
   /** 0 before the first answer or message, as for a store that names no era. */
@@ -17,6 +19,11 @@
     return this.#newest ?? 0;
   }
 
+  /** Time in ms since this daemon first knew of the newest era. */
+  get ageMs(): number {
+    return performance.now() - this.#sinceMs;
+  }
+
   onRise(listener: EraListener): void {
     this.#listeners.push(listener);
   }
@@ -26,7 +33,8 @@
     const before = this.#newest;
     if (before === undefined || era > before) {
       this.#newest = era;
-      this.#listeners.forEach((listener) => listener(era, before ?? 0, source));
+      this.#sinceMs = performance.now();
+      this.#listeners.forEach((listener) => listener(era, before, source));
     }
   }
 }
--- a/packages/forwarding/src/store/tableWatcher.ts
+++ b/packages/forwarding/src/store/tableWatcher.ts
@@ -271,7 +271,7 @@
     const isCovered = this.#readerRole.checkEnoughReaders();
     const lastChange = this.#findLastChange(page, isCovered);
     this.#replica.replace({ rows, era, version, serverTimeMs, lastChange });
-    listener.onSnapshot(this.#replica.effectiveRows, serverTimeMs);
+    listener.onSnapshot(this.#replica.effectiveRows, serverTimeMs, era);
     this.#scheduleRelease();
     if (!isCovered && lastChange === version) {
       this.#publishTable();
--- a/packages/forwarding/src/store/tableWatcherOptions.ts
+++ b/packages/forwarding/src/store/tableWatcherOptions.ts
@@ -7,7 +7,7 @@
 
 export interface TableListener {
   /** `serverTimeMs`: the store's monotonic clock when it answered. */
-  onSnapshot(rows: readonly StoreRow[], serverTimeMs: number): void;
+  onSnapshot(rows: readonly StoreRow[], serverTimeMs: number, era: number): void;
   onChange(change: StoreChange, serverTimeMs: number): void;
   /** Called when the store's state is known again, before its rows are applied. */
   onStoreRecovered?(): void;
--- a/packages/forwarding/src/store/testSupport/memoryStore.ts
+++ b/packages/forwarding/src/store/testSupport/memoryStore.ts
@@ -136,7 +136,7 @@
         }
         return this.#page(items);
       },
-      write: (): Promise<WriteResult> => Promise.resolve({ isWritten: false }),
+      write: (): Promise<WriteResult> => Promise.resolve({ isWritten: false, era: this.#era }),
       remove: (): Promise<void> => Promise.resolve(),
       close: () => {},
     };
--- a/packages/forwarding/src/store/types.ts
+++ b/packages/forwarding/src/store/types.ts
@@ -27,14 +27,16 @@
   readonly key: string;
   readonly value: string;
   /**
-   * The version that the row must have; 0 if the row must not exist; absent for an unconditional
-   * write.
+   * The revision that the row must have, with version 0 if the row must not exist; absent for an
+   * unconditional write.
    */
-  readonly expectedVersion?: number;
+  readonly expected?: StoreRevision;
 }
 
 export interface WriteResult {
   readonly isWritten: boolean;
+  /** Era of the answer; another one than that of the condition was not meant. */
+  readonly era: number;
 }
 
 /** Called with the era that an answer of the store names, whatever its status. */
