Keep holds on requests that a restored store lacks

What callers would see: a request that ended several upstreams is held back; the store comes back from a copy without its row, and every daemon that reads the table releases the request, which ends the next upstream. A row of the copy that was removed before holds an answered request back again.

Cause: a row missing in a complete read counted as removed (retainOnly).

Change: at the first complete read of a new era the missing rows' holds stay and are written again by turns; a row that the copy still has, of the very revision that was removed before, is removed again by turns and holds nothing back. A refused write is repeated unless the row becomes known, as conditions of an earlier era are not sent. A daemon has one pending write per hold.

Evidence: three cases of holdPersister.test; startEra did not exist before, and retainOnly([]) released the hold at once, as the existing case for one era shows.

--- a/packages/forwarding/src/crashes/holdPersister.test.ts
+++ b/packages/forwarding/src/crashes/holdPersister.test.ts
@@ -195,4 +195,56 @@
   assert.equal(removed, [A, A]);
 });
 
+// Guards against a crashing request that is sent again because the copy lacks its row.
+test('a hold that a copy lacks stays and is written again', async ({
+  tracker,
+  holdPersister,
+  clock,
+  written,
+}) => {
+  holdPersister.applyRecord(recordUntil(HOLD_MS), at(7), OFFSET_MS);
+  holdPersister.startEra([], 2);
+  holdPersister.retainOnly([], 2);
+  assert.is(tracker.findHold(A)?.digest, A);
+  await clock.tickAsync(4_000);
+  assert.equal(
+    written.map(({ expected }) => expected),
+    [at(0, 2)],
+  );
+  holdPersister.applyRecord(recordUntil(HOLD_MS), at(3, 2), OFFSET_MS);
+  holdPersister.retainOnly([], 2);
+  assert.is(tracker.findHold(A), undefined);
+});
+
+test('a hold that another daemon has written again is not written once more', async ({
+  holdPersister,
+  clock,
+  written,
+}) => {
+  holdPersister.applyRecord(recordUntil(HOLD_MS), at(7), OFFSET_MS);
+  holdPersister.startEra([], 2);
+  holdPersister.applyRecord(recordUntil(HOLD_MS), at(3, 2), OFFSET_MS);
+  await clock.tickAsync(10_000);
+  assert.is(written.length, 0);
+});
+
+// Guards against an answered request that is held back because the copy still has its row.
+test('a hold of the copy that was released before is removed again', async ({
+  tracker,
+  holdPersister,
+  clock,
+  removed,
+}) => {
+  holdPersister.applyRecord(recordUntil(HOLD_MS), at(7), OFFSET_MS);
+  holdPersister.applyRemoval(A);
+  holdPersister.startEra([A], 2);
+  holdPersister.applyRecord(recordUntil(HOLD_MS), at(7, 2), OFFSET_MS);
+  assert.is(tracker.findHold(A), undefined);
+  await clock.tickAsync(4_000);
+  assert.equal(removed, [A]);
+  holdPersister.applyRemoval(A);
+  holdPersister.applyRecord(recordUntil(HOLD_MS), at(8, 2), OFFSET_MS);
+  assert.is(tracker.findHold(A)?.digest, A);
+});
+
 test.run();
--- a/packages/forwarding/src/crashes/holdPersister.ts
+++ b/packages/forwarding/src/crashes/holdPersister.ts
@@ -3,7 +3,13 @@
  * per held request, written once. The daemon that observed the decisive crash writes at once. The
  * others wait for their turn and write if there is no row by then, because that daemon may be gone.
  */
-import { getErrorMessage, type Logger, type Random, type RequestDigest } from '@snipehaven/common';
+import {
+  forgetOldest,
+  getErrorMessage,
+  type Logger,
+  type Random,
+  type RequestDigest,
+} from '@snipehaven/common';
 import type { StoreRevision } from '../store/index.js';
 import type { CrashTracker } from './crashTracker.js';
 import type { Hold, HoldRecord, HoldWriter } from './types.js';
@@ -14,6 +20,9 @@
 /** In a small fleet, each daemon picks one of this many turns at random. */
 const RANDOM_TURNS = 4;
 
+/** Limits the rows that are remembered after their removal. */
+const MAX_REMOVED_ROWS = 1_000;
+
 /** Delay before a failed write is retried, plus the delay of this daemon's turn. */
 const RETRY_MS = 2_000;
 
@@ -34,15 +43,27 @@
   readonly untilMs: number;
 }
 
+interface PendingWrite {
+  readonly hold: Hold;
+  readonly timer: NodeJS.Timeout;
+  readonly dueAtMs: number;
+}
+
 export class HoldPersister {
   readonly #options: HoldPersisterOptions;
 
   /** Rows known to be in the store. */
   readonly #rows = new Map<RequestDigest, KnownRow>();
 
+  /** Revisions of rows that were removed, which a copy may still have. */
+  readonly #removed = new Map<RequestDigest, StoreRevision>();
+
   /** Of the last row or complete read of the store. */
   #era = 0;
 
+  /** One for each request. */
+  readonly #pendingWrites = new Map<RequestDigest, PendingWrite>();
+
   readonly #timers = new Set<NodeJS.Timeout>();
 
   constructor(options: HoldPersisterOptions) {
@@ -68,6 +89,10 @@
     const untilMs = record.untilStoreMs - storeOffsetMs;
     this.#era = revision.era;
     this.#rows.set(digest, { revision, untilMs });
+    if (this.#wasRemoved(digest, revision)) {
+      this.#runLater(this.#pickTurnDelayMs(), () => this.#remove(digest));
+      return;
+    }
     if (untilMs > performance.now()) {
       this.#options.tracker.applyStoredHold({
         digest,
@@ -80,11 +105,32 @@
 
   /** Applies the removal of a row by an operator or by the daemon that observed the answer. */
   applyRemoval(digest: RequestDigest): void {
-    if (this.#rows.delete(digest)) {
+    const row = this.#rows.get(digest);
+    if (row !== undefined) {
+      this.#rows.delete(digest);
+      this.#removed.set(digest, row.revision);
+      forgetOldest(this.#removed, MAX_REMOVED_ROWS);
       this.#options.tracker.applyStoredRelease(digest);
     }
   }
 
+  /**
+   * The store has come back from a copy with the rows of these digests: the others have not been
+   * removed, but are to be written again.
+   */
+  startEra(digests: readonly RequestDigest[], era: number): void {
+    this.#era = era;
+    const present = new Set(digests);
+    const lost = [...this.#rows.keys()].filter((digest) => !present.has(digest));
+    for (const digest of lost) {
+      this.#rows.delete(digest);
+      const hold = this.#options.tracker.findHold(digest);
+      if (hold !== undefined) {
+        this.#schedule(hold, this.#pickTurnDelayMs());
+      }
+    }
+  }
+
   /**
    * Applies a complete read of the table: known rows that are missing from it have been removed.
    */
@@ -96,26 +142,46 @@
       .forEach((digest) => this.applyRemoval(digest));
   }
 
+  /** Whether the row is one of the copy that was removed before the store came back from it. */
+  #wasRemoved(digest: RequestDigest, { era, version }: StoreRevision): boolean {
+    const removed = this.#removed.get(digest);
+    return removed !== undefined && removed.era < era && removed.version === version;
+  }
+
   #pickTurnDelayMs(): number {
     const rank = this.#options.getWriterRank() ?? this.#options.random.nextInt(RANDOM_TURNS);
     return WRITE_TURN_MS * (1 + rank);
   }
 
-  #runLater(delayMs: number, act: () => void): void {
+  #runLater(delayMs: number, act: () => void): NodeJS.Timeout {
     const timer = setTimeout(() => {
       this.#timers.delete(timer);
       act();
     }, delayMs).unref();
     this.#timers.add(timer);
+    return timer;
   }
 
+  /** Replaces a later write of the same hold, and any of an earlier hold on the request. */
   #schedule(hold: Hold, delayMs: number): void {
-    this.#runLater(delayMs, () => {
+    const { digest } = hold;
+    const dueAtMs = performance.now() + delayMs;
+    const pending = this.#pendingWrites.get(digest);
+    if (pending?.hold === hold && pending.dueAtMs <= dueAtMs) {
+      return;
+    }
+    clearTimeout(pending?.timer);
+    const timer = this.#runLater(delayMs, () => {
+      this.#pendingWrites.delete(digest);
       void this.#write(hold);
     });
+    this.#pendingWrites.set(digest, { hold, timer, dueAtMs });
   }
 
-  /** Does nothing if another daemon has written the row, or if the request was released. */
+  /**
+   * Does nothing if another daemon has written the row, or if the request was released. A refused
+   * write is repeated unless the row becomes known, as its condition may be of an earlier era.
+   */
   async #write(hold: Hold): Promise<void> {
     const { tracker, writer, vm, logger, getStoreOffsetMs } = this.#options;
     const { digest, lives, sinceMs, untilMs } = hold;
@@ -144,6 +210,8 @@
       logger.info({ event: 'holdWritten', digest, isWritten });
       if (isWritten) {
         this.#runLater(untilMs - performance.now(), () => this.#remove(digest));
+      } else {
+        this.#schedule(hold, RETRY_MS + this.#pickTurnDelayMs());
       }
     } catch (error) {
       logger.warn({ event: 'holdNotWritten', digest, cause: getErrorMessage(error) });
--- a/packages/forwarding/src/daemon/tableListeners.ts
+++ b/packages/forwarding/src/daemon/tableListeners.ts
@@ -198,6 +198,10 @@
     // starting daemon.
     const documents = rows.map((row) => ({ row, document: this.#decode(row) }));
     const isState = ({ document }: (typeof documents)[number]) => document?.kind === 'rollout';
+    const digests = rows.flatMap(({ key }) => this.#adapter.getHeldDigest(key) ?? []);
+    if (isRestored) {
+      this.#holds.startEra(digests, era);
+    }
     const ordered = [...documents.filter(isState), ...documents.filter((one) => !isState(one))];
     ordered.forEach(({ row, document }) => this.#apply(row, document));
     if (isRestored) {
@@ -205,7 +209,6 @@
       this.#rollouts.retainStatuses(services, era);
     }
     this.#rollouts.noteStatusesRead();
-    const digests = rows.flatMap(({ key }) => this.#adapter.getHeldDigest(key) ?? []);
     this.#holds.retainOnly(digests, era);
   }
 
