Soak: the store comes back from a copy, once or twice in series

In a lane of its own beside all other faults, so that the draws of the other lanes stay as they were: a copy 0.5 to 4.5 s old, 0.2 to 0.7 s away (503, held calls are cut), then the copy's rows and versions an era later; what the operator and the upstreams had written is written again up to 1 s later, in order, except what they have written since.

--- a/packages/proofs/src/platformSoak/faults/index.ts
+++ b/packages/proofs/src/platformSoak/faults/index.ts
@@ -17,7 +17,7 @@
     processes.restartInTurn,
     processes.stepClock,
   ],
-  Object.values(network).concat(Object.values(stores)),
+  Object.values(network).concat([stores.dropHistory, stores.spoilStore]),
   [
     operators.stormConfiguration,
     operators.revokeKey,
@@ -32,6 +32,7 @@
   [operators.limitRate],
   [operators.shed, operators.replaceUnannounced],
   [processes.losePaths],
+  [stores.restoreStore],
 ];
 
 /** Work that an operator plans; nothing fails by itself. */
--- a/packages/standins/src/published/standinStore.ts
+++ b/packages/standins/src/published/standinStore.ts
@@ -91,6 +91,12 @@
 
   #fault: StoreFault = 'none';
 
+  /** Between a copy's loss and the return. */
+  #isAway = false;
+
+  /** Rows that were written from outside since the last return. */
+  readonly #writtenSince = new Set<string>();
+
   constructor() {
     this.#server = createServer((request, response) => {
       this.#handle(request, response).catch(() => response.destroy());
@@ -159,9 +165,16 @@
     };
   }
 
+  /** Refuses all calls until it comes back from a copy. */
+  goAway(): void {
+    this.#isAway = true;
+  }
+
   /** Comes back from a copy in a new era; calls that are held are cut. */
   restore({ rows, history, oldestVersion, version, outsideWrites }: StoreCopy): void {
     this.#era += 1;
+    this.#isAway = false;
+    this.#writtenSince.clear();
     this.#rows.clear();
     rows.forEach((row, id) => this.#rows.set(id, row));
     this.#history = [...history];
@@ -171,15 +184,26 @@
     this.#wake();
   }
 
-  /** The operator and the upstreams write again, in order, what the copy lacked. */
+  /**
+   * The operator and the upstreams write again, in order, what the copy lacked, except rows that they
+   * have written since.
+   */
   rewrite(): void {
     const lost = this.#lostWrites;
     this.#lostWrites = [];
-    lost.forEach((transaction) => this.#apply(transaction));
+    const isLost = (ref: RowRef): boolean => !this.#writtenSince.has(toId(ref));
+    lost.forEach(({ puts = [], remove = [] }) => {
+      const transaction = { puts: puts.filter(isLost), remove: remove.filter(isLost) };
+      if (transaction.puts.length + transaction.remove.length > 0) {
+        this.#apply(transaction);
+      }
+    });
   }
 
   #writeFromOutside(transaction: Transaction): void {
     this.#outsideWrites.push(transaction);
+    const { puts = [], remove = [] } = transaction;
+    [...puts, ...remove].forEach((ref) => this.#writtenSince.add(toId(ref)));
     if (this.#outsideWrites.length > MAX_OUTSIDE_WRITES) {
       this.#outsideWrites.shift();
       this.#droppedWrites += 1;
@@ -205,6 +229,10 @@
 
   /** True when the call is not to be done. */
   async #isSpoiled(response: ServerResponse): Promise<boolean> {
+    if (this.#isAway) {
+      send(response, 503, {});
+      return true;
+    }
     const handlers: Readonly<Record<StoreFault, () => Promise<boolean> | boolean>> = {
       none: () => false,
       busy: () => {
