Give up the offset to the store's clock when that clock is set

Should a return set it, bounds of the offset from before and after would contradict each other: states would never look old, or keyed requests be refused. An answer that the known bounds do not allow, beyond the drift that is allowed anyway, starts anew.

--- a/packages/forwarding/src/configuration/storeClock.ts
+++ b/packages/forwarding/src/configuration/storeClock.ts
@@ -43,6 +43,10 @@
   readonly clockOffsetMs: number;
 }
 
+/** False if the store's clock has been set since the offset was found. */
+const isPossible = (known: Offset, leastMs: number, mostMs: number): boolean =>
+  leastMs <= known.mostMs + MAX_DRIFT_MS && mostMs >= known.leastMs - MAX_DRIFT_MS;
+
 export class StoreClock {
   #offset: Offset | undefined;
 
@@ -109,7 +113,8 @@
   }
 
   #updateOffset(leastMs: number, mostMs: number): boolean {
-    const valid = this.#getValidOffset();
+    const known = this.#getValidOffset();
+    const valid = known !== undefined && isPossible(known, leastMs, mostMs) ? known : undefined;
     this.#offset = {
       leastMs: Math.max(leastMs, valid?.leastMs ?? -Infinity),
       mostMs: Math.min(mostMs, valid?.mostMs ?? Infinity),
