--- a/packages/forwarding/src/peers/joinProtocol.test.ts
+++ b/packages/forwarding/src/peers/joinProtocol.test.ts
@@ -278,6 +278,15 @@
     const bytes = encodeJoinMessage(message) ?? Buffer.of();
     assert.equal(decodeJoinMessage(parseDatagram(bytes)), message);
   }
+  const olderRows = [{ key: 'k', value: '{}', version: 3 }];
+  const older = {
+    kind: 'table',
+    table: { table: 'status', version: 4, lastChange: 3, serverTimeMs: 9, rows: olderRows },
+  };
+  const decoded = decodeJoinMessage(older);
+  assert.ok(
+    decoded?.kind === 'table' && decoded.table.era === 0 && decoded.table.rows[0]?.era === 0,
+  );
   for (const stray of [
     null,
     [],
--- a/packages/forwarding/src/peers/readerRegistry.test.ts
+++ b/packages/forwarding/src/peers/readerRegistry.test.ts
@@ -5,6 +5,7 @@
 import { encodeChanges, decodeChanges, type TableChanges } from './changesMessage.js';
 import { parseDatagram } from './datagram.js';
 import { encodeLoadMessage, decodeLoadMessage, type LoadMessage } from './loadMessage.js';
+import { StoreEra } from '../store/storeEra.js';
 import { ReaderRegistry } from './readerRegistry.js';
 import { PeerDirectory } from './peerDirectory.js';
 import { PeerLoads, subtractLoads } from './peerLoads.js';
@@ -211,6 +212,35 @@
   assert.is(encodeChanges(large), undefined);
 });
 
+// Guards against versions of a daemon that does not know eras which pass for those of a later one.
+test('messages without an era are of the era before the first', () => {
+  const changes = { changes: [TABLE, 5, 9, 200, [['u-1', 7, '{}']]] };
+  assert.is(decodeChanges(changes)?.era, 0);
+  assert.is(decodeChanges(changes)?.items[0]?.era, 0);
+  const rollout = ['s', 7, [9, 1], [9, 0], []];
+  const report = [TABLE, 5, 100];
+  const reader = [TABLE, 5, 100, 'vm-3', 'c'];
+  const wire = ['vm-1', 'a', 1, 1, [], [report], 1, [reader], 4, [], [], [rollout]];
+  const message = decodeLoadMessage(wire);
+  assert.is(message?.news[0]?.era, 0);
+  assert.is(message?.readers[0]?.era, 0);
+  assert.equal(message?.learned.rollouts[0]?.orderRevision, { era: 0, version: 7 });
+});
+
+test('changes and reports of an earlier era are older than any of a later one', () => {
+  const storeEra = new StoreEra();
+  const readerRegistry = new ReaderRegistry('vm-0', 'a', storeEra);
+  readerRegistry.receiveReports(createMessage('vm-1'), 0);
+  readerRegistry.receiveChanges({ ...CHANGES, era: 2, after: 2, upTo: 4 });
+  assert.is(storeEra.newest, 2);
+  assert.not(readerRegistry.receiveChanges(CHANGES));
+  assert.is(readerRegistry.findChanges(TABLE, at(3, 2))?.era, 2);
+  assert.is(readerRegistry.findChanges(TABLE, at(6)), undefined);
+  const query = { nowMs: 10, maxAgeMs: MAX_AGE_MS, era: 2 };
+  assert.is(readerRegistry.getLatestReport(TABLE, query), undefined);
+  assert.not(readerRegistry.canRelyOnReaders(TABLE, 60, query));
+});
+
 // Guards against loads that count for ever after their daemon was killed, or after an older
 // datagram arrived late: the upstream would look permanently busy.
 test('loads of a silent daemon expire, and late datagrams are ignored', () => {
--- a/packages/forwarding/src/peers/readerRegistry.ts
+++ b/packages/forwarding/src/peers/readerRegistry.ts
@@ -378,7 +378,8 @@
     this.#observeEra(era, vm);
     const readers = this.#readersByTable.get(table) ?? new Map<string, ReaderState>();
     const known = readers.get(vm);
-    const isAdvanced = known === undefined || known.report.serverTimeMs < serverTimeMs;
+    const isAdvanced =
+      known === undefined || known.report.era < era || known.report.serverTimeMs < serverTimeMs;
     const advancedAtMs = isAdvanced ? nowMs : known.advancedAtMs;
     readers.set(vm, {
       vm,
