--- a/packages/forwarding/src/store/tableReplica.ts
+++ b/packages/forwarding/src/store/tableReplica.ts
@@ -165,8 +165,7 @@
   learn(snapshot: TableSnapshot): readonly StoreChange[] {
     const { era, version, retained = [] } = snapshot;
     // A row that was written or removed after the snapshot is newer than what its sender retains.
-    const isUpToDate =
-      !this.#mustRead && era === this.#newest.era && version >= this.changesKnownFrom;
+    const isUpToDate = !this.#mustRead && era === this.#newest.era && version >= this.#lastChange;
     if (!isUpToDate || snapshot === this.#learnedFrom) {
       return [];
     }
--- a/packages/forwarding/src/store/tableWatcher.test.ts
+++ b/packages/forwarding/src/store/tableWatcher.test.ts
@@ -8,6 +8,7 @@
 import { ReaderRegistry } from '../peers/index.js';
 import { StoreEra } from './storeEra.js';
 import { TableWatcher } from './tableWatcher.js';
+import type { RowStore } from './types.js';
 import { MemoryStore } from './testSupport/memoryStore.js';
 
 const TABLE = 'upstreams';
@@ -255,4 +256,63 @@
   });
 });
 
+// Guards against changes that a request of before the store's return leaves out.
+test('an answer in a later era than that of its request is not applied', async () => {
+  const row = (key: string, era: number, version: number) => ({ key, value: key, era, version });
+  const asked: string[] = [];
+  let era = 1;
+  const store: RowStore = {
+    readRows: () => {
+      asked.push('rows');
+      const items = era === 1 ? [row('old', 1, 40)] : [row('missed', 2, 35), row('new', 2, 52)];
+      return Promise.resolve({ items, era, version: era === 1 ? 50 : 52, serverTimeMs: 1 });
+    },
+    readChanges: async (_table, after) => {
+      asked.push(`after ${after}`);
+      await sleep(POLL_MS);
+      const items = era === 1 || after >= 52 ? [] : [row('new', 2, 52)];
+      return { items, era, version: era === 1 ? 50 : 52, serverTimeMs: 1 };
+    },
+    write: () => Promise.resolve({ isWritten: false, era }),
+    remove: () => Promise.resolve(),
+    close: () => {},
+  };
+  const storeEra = new StoreEra();
+  const known = new Set<string>();
+  const watcher = new TableWatcher({
+    table: TABLE,
+    getWaitMs: () => WAIT_MS,
+    batchDelayMs: 0,
+    store: {
+      ...store,
+      readChanges: async (...call) => {
+        const page = await store.readChanges(...call);
+        storeEra.observe(page.era, 'store');
+        return page;
+      },
+    },
+    listener: {
+      onSnapshot: (rows) => {
+        known.clear();
+        rows.forEach(({ key }) => known.add(key));
+      },
+      onChange: ({ key }) => known.add(key),
+    },
+    logger: createSilentLogger(),
+    random: createRandom(1),
+    freshness: new Freshness(),
+    readerRegistry: new ReaderRegistry('vm-0', 'a', storeEra),
+    storeEra,
+    countDaemons: () => 1,
+    getReaderRank: () => 0,
+  });
+  void watcher.run();
+  await waitUntil(() => asked.includes('after 50'));
+  era = 2;
+  await waitUntil(() => known.has('missed'));
+  watcher.stop();
+  assert.equal([...known], ['missed', 'new']);
+  assert.is(asked.filter((call) => call === 'rows').length, 2);
+});
+
 test.run();
--- a/packages/forwarding/src/store/tableWatcher.ts
+++ b/packages/forwarding/src/store/tableWatcher.ts
@@ -238,7 +238,7 @@
    * false if the answer is of no use here.
    */
   async #readUpdate(requested: ClockReading, waitMs: number): Promise<boolean> {
-    if (this.revision.era === this.#options.storeEra.newest) {
+    if (this.revision.era >= this.#options.storeEra.newest) {
       return this.#readChanges(requested, waitMs);
     }
     await this.#readAll(requested);
@@ -334,6 +334,9 @@
     const after = this.#replica.changesKnownFrom;
     const asked = this.revision;
     const { items, era, version: upTo, serverTimeMs } = await this.#requestChanges(waitMs);
+    if (era < asked.era) {
+      throw new StoreUnavailableError(`answer of era ${era} after era ${asked.era}`);
+    }
     this.#noteAnswer();
     if (era !== asked.era || era !== this.revision.era) {
       return false;
