Accept only whole eras from other daemons; name what ends a retention

An era that another daemon names is believed, so a malformed one must not pass: isEra, used by all messages. RowRetention.admit in place of a predicate with an effect.

--- a/packages/forwarding/src/peers/badVersionMessage.ts
+++ b/packages/forwarding/src/peers/badVersionMessage.ts
@@ -1,4 +1,5 @@
 /** The message by which daemons spread that a version was judged bad, as compressed JSON. */
+import { isEra } from '../store/storeEra.js';
 import type { StoreRevision } from '../store/storeRevision.js';
 import { compressDatagram, readMessageParts } from './datagram.js';
 
@@ -22,7 +23,7 @@
 /** Undefined if the decoded datagram is not such a message. Without an era it is of era 0. */
 export const decodeBadVersion = (message: unknown): BadVersionMessage | undefined => {
   const [service, version, era = 0] = readMessageParts(message, 'badVersion') ?? [];
-  return typeof service === 'string' && typeof version === 'number' && typeof era === 'number'
+  return typeof service === 'string' && typeof version === 'number' && isEra(era)
     ? { service, orderRevision: { era, version } }
     : undefined;
 };
--- a/packages/forwarding/src/peers/changesMessage.ts
+++ b/packages/forwarding/src/peers/changesMessage.ts
@@ -1,5 +1,6 @@
 /** Changes of a table that a reader relays to other daemons, as compressed JSON. */
 import { compressDatagram, readMessageParts } from './datagram.js';
+import { isEra } from '../store/storeEra.js';
 import type { StoreChange } from '../store/types.js';
 
 /**
@@ -66,7 +67,7 @@
     typeof after === 'number' &&
     typeof upTo === 'number' &&
     typeof serverTimeMs === 'number' &&
-    typeof era === 'number' &&
+    isEra(era) &&
     Array.isArray(rows) &&
     rows.every(isWireRow);
   return isValid
--- a/packages/forwarding/src/peers/joinMessages.ts
+++ b/packages/forwarding/src/peers/joinMessages.ts
@@ -1,4 +1,5 @@
 /** Messages that a starting daemon exchanges with the other daemons, as compressed JSON. */
+import { isEra } from '../store/storeEra.js';
 import type { RetainedRow } from '../store/rowRetention.js';
 import type { StoreRow, TableSnapshot } from '../store/types.js';
 import { compressDatagram } from './datagram.js';
@@ -75,13 +76,13 @@
   isObject(value) && isPeer(value.peer) && isNumber(value.ageMs) && value.ageMs >= 0;
 
 /** Daemons that do not know eras name none. */
-const isEra = (value: unknown): boolean => value === undefined || isNumber(value);
+const isOptionalEra = (value: unknown): boolean => value === undefined || isEra(value);
 
 const isRow = (value: unknown): value is StoreRow =>
   isObject(value) &&
   isString(value.key) &&
   isString(value.value) &&
-  isEra(value.era) &&
+  isOptionalEra(value.era) &&
   isNumber(value.version);
 
 const isReaderReport = (value: unknown): value is ReaderReport =>
@@ -89,21 +90,21 @@
   isString(value.table) &&
   isString(value.vm) &&
   isString(value.dataCentre) &&
-  isEra(value.era) &&
+  isOptionalEra(value.era) &&
   isNumber(value.lastChange) &&
   isNumber(value.serverTimeMs);
 
 const isRetainedRow = (value: unknown): value is RetainedRow =>
   isObject(value) &&
-  isRow(value) &&
-  isNumber(value.era) &&
-  typeof (value as Record<string, unknown>).isRemoved === 'boolean' &&
-  isNumber((value as Record<string, unknown>).leftMs);
+  typeof value.isRemoved === 'boolean' &&
+  isNumber(value.leftMs) &&
+  isEra(value.era) &&
+  isRow(value);
 
 const isTable = (value: unknown): value is TableSnapshot =>
   isObject(value) &&
   isString(value.table) &&
-  isEra(value.era) &&
+  isOptionalEra(value.era) &&
   isNumber(value.version) &&
   isNumber(value.lastChange) &&
   isNumber(value.serverTimeMs) &&
--- a/packages/forwarding/src/peers/loadMessage.ts
+++ b/packages/forwarding/src/peers/loadMessage.ts
@@ -3,6 +3,7 @@
  * Encoded as JSON.
  */
 import type { VersionCounts } from '@snipehaven/policy';
+import { isEra } from '../store/storeEra.js';
 import { compressDatagram } from './datagram.js';
 import type {
   SharedStatistics,
@@ -210,7 +211,7 @@
   value[4].every(isWireEntry);
 
 /** Daemons that do not know eras name none. */
-const toEra = (value: unknown): number => (isNonNegative(value) ? (value as number) : 0);
+const toEra = (value: unknown): number => (isEra(value) ? value : 0);
 
 const toCounts = ([answers, bad]: WireCounts): VersionCounts => ({ answers, bad });
 
--- a/packages/forwarding/src/peers/readerRegistry.test.ts
+++ b/packages/forwarding/src/peers/readerRegistry.test.ts
@@ -222,6 +222,8 @@
   const reader = [TABLE, 5, 100, 'vm-3', 'c'];
   const wire = ['vm-1', 'a', 1, 1, [], [report], 1, [reader], 4, [], [], [rollout]];
   const message = decodeLoadMessage(wire);
+  assert.is(decodeChanges({ changes: [TABLE, 5, 9, 200, [], -1] }), undefined);
+  assert.is(decodeChanges({ changes: [TABLE, 5, 9, 200, [], 1.5] }), undefined);
   assert.is(message?.news[0]?.era, 0);
   assert.is(message?.readers[0]?.era, 0);
   assert.equal(message?.learned.rollouts[0]?.orderRevision, { era: 0, version: 7 });
--- a/packages/forwarding/src/peers/tableMessages.ts
+++ b/packages/forwarding/src/peers/tableMessages.ts
@@ -4,6 +4,7 @@
  */
 import { createHash } from 'node:crypto';
 import { forgetOldest } from '@snipehaven/common';
+import { isEra } from '../store/storeEra.js';
 import type { StoreRevision } from '../store/storeRevision.js';
 import type { TableSnapshot } from '../store/types.js';
 import { compressDatagram, parseDatagram } from './datagram.js';
@@ -78,7 +79,7 @@
   isPeer(value.peer) &&
   typeof value.table === 'string' &&
   isObject(value.atLeast) &&
-  Number.isFinite(value.atLeast.era) &&
+  isEra(value.atLeast.era) &&
   Number.isFinite(value.atLeast.version);
 
 const isTablePart = (value: unknown): value is TablePart =>
--- a/packages/forwarding/src/store/rowRetention.ts
+++ b/packages/forwarding/src/store/rowRetention.ts
@@ -102,20 +102,19 @@
   }
 
   /**
-   * Applies a change of the present era. Returns true if what is known goes before it, as it is an
-   * older value that is written again.
+   * Ends the retention of a row that is written or removed in the present era. Returns false if it
+   * is an older value that is written again, so that what is known still goes before it.
    */
-  isRetainedOver({ key, value, era, version }: StoreChange): boolean {
+  admit({ key, value, era, version }: StoreChange): boolean {
     const retained = this.#retained.get(key);
-    if (retained === undefined) {
-      return false;
-    }
     const isOlder =
-      value !== undefined && this.#policy.isOlder({ key, value, era, version }, retained.known);
+      retained !== undefined &&
+      value !== undefined &&
+      this.#policy.isOlder({ key, value, era, version }, retained.known);
     if (!isOlder) {
       this.#retained.delete(key);
     }
-    return isOlder;
+    return !isOlder;
   }
 
   /** The row that is in force; undefined if there is none. */
--- a/packages/forwarding/src/store/storeEra.ts
+++ b/packages/forwarding/src/store/storeEra.ts
@@ -3,6 +3,10 @@
  * back from a copy: it has lost its last changes, and gives their versions out again.
  */
 
+/** Daemons take an era for true that others name, so a malformed one must not pass. */
+export const isEra = (value: unknown): value is number =>
+  Number.isSafeInteger(value) && (value as number) >= 0;
+
 /** `before` is undefined when an era is known for the first time. */
 export type EraListener = (era: number, before: number | undefined, source: string) => void;
 
--- a/packages/forwarding/src/store/tableReplica.ts
+++ b/packages/forwarding/src/store/tableReplica.ts
@@ -158,7 +158,7 @@
     this.#rows = rows;
     this.#newest = { era, version: Math.max(known, upTo) };
     this.#lastChange = findNewestVersion(this.#lastChange, newChanges);
-    return newChanges.filter((change) => !this.#retention.isRetainedOver(change));
+    return newChanges.filter((change) => this.#retention.admit(change));
   }
 
   /** Takes what another daemon of the same state retains; returns what changes by it. */
@@ -189,13 +189,13 @@
     for (const row of held.values()) {
       if (!this.#rows.has(row.key)) {
         this.#retention.noteRemoved(row);
-        this.#retention.isRetainedOver({ key: row.key, ...this.#newest });
+        this.#retention.admit({ key: row.key, ...this.#newest });
       }
     }
     for (const row of this.#rows.values()) {
       if (held.get(row.key)?.version !== row.version) {
         this.#retention.noteWritten(row.key);
-        this.#retention.isRetainedOver(row);
+        this.#retention.admit(row);
       }
     }
   }
