Only a daemon that saw an era begin takes an equal order for the known one

A daemon that has just started knows its first era for some moments too: an order of the same content that the operator gives in that time is a new one, and taking it for the known one would write the earlier outcome over it. Found by reading; a case of rolloutTracker.test for each of the two.

--- a/packages/forwarding/src/rollouts/orderIdentity.ts
+++ b/packages/forwarding/src/rollouts/orderIdentity.ts
@@ -31,7 +31,10 @@
 const isSameContent = (a: RolloutOrder, b: RolloutOrder): boolean =>
   a.service === b.service && a.toVersion === b.toVersion && a.durationMs === b.durationMs;
 
-/** Whether the row is the known order, written again. `eraAgeMs`: time since the era began. */
+/**
+ * Whether the row is the known order, written again. `eraAgeMs`: time since this daemon saw the era
+ * begin.
+ */
 export const isWrittenAgain = (known: OrderRow, row: OrderRow, eraAgeMs: number): boolean =>
   isSameContent(known.order, row.order) &&
   (known.revision.era !== row.revision.era || eraAgeMs < REWRITE_MS);
--- a/packages/forwarding/src/rollouts/rolloutTracker.test.ts
+++ b/packages/forwarding/src/rollouts/rolloutTracker.test.ts
@@ -148,10 +148,16 @@
 });
 
 test('a daemon that starts after a return takes the status of the copy for that of the order', () => {
-  const tracker = createTracker(1_000);
+  const tracker = createTracker();
   tracker.applyStatus(createStatus('completed', at(7)), at(9, 2));
   tracker.applyOrder(ORDER, at(7, 2), undefined);
   assert.equal(getState(tracker), ['completed']);
+});
+
+test('an order of the copy that is written again all the same keeps its outcome', () => {
+  const tracker = createTracker(1_000);
+  tracker.applyStatus(createStatus('completed', at(7)), at(9, 2));
+  tracker.applyOrder(ORDER, at(7, 2), undefined);
   tracker.applyOrder(ORDER, at(12, 2), undefined);
   assert.equal(getState(tracker), ['completed']);
 });
--- a/packages/forwarding/src/store/storeEra.ts
+++ b/packages/forwarding/src/store/storeEra.ts
@@ -23,7 +23,7 @@
     return this.#newest ?? 0;
   }
 
-  /** Time in ms since this daemon first knew of the newest era. */
+  /** Time in ms since this daemon saw the newest era begin; Infinity if it did not. */
   get ageMs(): number {
     return performance.now() - this.#sinceMs;
   }
@@ -37,7 +37,7 @@
     const before = this.#newest;
     if (before === undefined || era > before) {
       this.#newest = era;
-      this.#sinceMs = performance.now();
+      this.#sinceMs = before === undefined ? -Infinity : performance.now();
       this.#listeners.forEach((listener) => listener(era, before, source));
     }
   }
