Write a roll-back that comes before the first status

What the operator sees: a roll-out without any status.

Once the verdict had spread before the first status was written, which waits for up to 1.5 s, nobody had anything to write.

Change: the state that the daemon knows is written. The write is still under the condition that there is no status, so it cannot replace one that a daemon has not read yet. The case of rolloutKeeper.test fails without the change (undefined instead of rolledBack).

--- a/packages/forwarding/src/rollouts/rolloutKeeper.test.ts
+++ b/packages/forwarding/src/rollouts/rolloutKeeper.test.ts
@@ -245,6 +245,17 @@
   }
 });
 
+// Guards against a roll-back that the operator never reads.
+test('a version found bad before the first status is written is rolled back in the store', ({
+  clock,
+}) => {
+  const row = new StatusRow();
+  startPublishers(row, [0, 1, 2]);
+  row.trackers.forEach((tracker) => recordBadAnswers(tracker));
+  clock.tick(3_000);
+  assert.is(row.state, 'rolledBack');
+});
+
 test('a version with hardly any requests is not completed after a store outage', ({ clock }) => {
   const row = new StatusRow();
   const freshness = new Freshness();
--- a/packages/forwarding/src/rollouts/rolloutKeeper.ts
+++ b/packages/forwarding/src/rollouts/rolloutKeeper.ts
@@ -122,7 +122,7 @@
   /** Returns the state to be written, if it differs from the row. */
   #findStateToWrite(rollout: ServiceRollout): RolloutState | undefined {
     if (!rollout.isStatusKnown) {
-      return rollout.state === 'running' || rollout.isStatusLost ? rollout.state : undefined;
+      return rollout.state;
     }
     if (rollout.isStoredStateFinal) {
       return undefined;
