--- a/packages/forwarding/src/rollouts/rolloutTracker.ts
+++ b/packages/forwarding/src/rollouts/rolloutTracker.ts
@@ -130,7 +130,7 @@
     this.#onBadAnswer = listener;
   }
 
-  /** Registers a listener for new orders. */
+  /** Registers a listener for new orders, and for statuses that the store may have lost. */
   onOrder(listener: () => void): void {
     this.#onOrder = listener;
   }
--- a/packages/forwarding/src/store/rowRetention.ts
+++ b/packages/forwarding/src/store/rowRetention.ts
@@ -3,6 +3,7 @@
  * the upstreams write their rows again, which takes a moment: until then a missing row has not been
  * removed, and an older value has not been written.
  */
+import { forgetOldest } from '@snipehaven/common';
 import type { StoreRevision } from './storeRevision.js';
 import type { StoreChange, StoreRow } from './types.js';
 
@@ -71,10 +72,7 @@
   noteRemoved({ key, value, era, version }: StoreRow): void {
     this.#removed.delete(key);
     this.#removed.set(key, { key, value, era, version, isRemoved: true });
-    const [oldest = key] = this.#removed.keys();
-    if (this.#removed.size > MAX_REMOVED_ROWS) {
-      this.#removed.delete(oldest);
-    }
+    forgetOldest(this.#removed, MAX_REMOVED_ROWS);
   }
 
   noteWritten(key: string): void {
@@ -154,11 +152,8 @@
   #retain(row: KnownRow, restored: RowsByKey, retentionMs: number, nowMs: number): boolean {
     const { key, value, era, version, isRemoved } = row;
     const written = restored.get(key);
-    const isNewer =
-      written === undefined
-        ? !isRemoved
-        : this.#policy.isOlder(written, row) && value !== undefined;
-    if (!isNewer || retentionMs <= 0) {
+    const isKnownBetter = written === undefined ? !isRemoved : this.#policy.isOlder(written, row);
+    if (!isKnownBetter || retentionMs <= 0) {
       return false;
     }
     const known = { key, value, era, version, isRemoved };
