A status of an earlier order stays one when the table is read again

What the operator would see: a roll-out ordered once more after its roll-back ends at once with the earlier outcome. A daemon that knows a status for that of an earlier order forgot this at the next whole read of the table, and across eras the status then passes for that of the new order, as both name one software version. It is now kept for a status that names the same order. The new case of rolloutTracker.test failed before (rolledBack instead of running).

--- a/packages/forwarding/src/rollouts/orderIdentity.ts
+++ b/packages/forwarding/src/rollouts/orderIdentity.ts
@@ -17,6 +17,12 @@
 export const refersTo = ({ era, version }: OrderReference, revision: StoreRevision): boolean =>
   version === revision.version && (era ?? revision.era) === revision.era;
 
+/** Whether two statuses name the same order. */
+export const isOfSameOrder = (a: RolloutStatus, b: RolloutStatus): boolean =>
+  a.toVersion === b.toVersion &&
+  a.orderRevision.era === b.orderRevision.era &&
+  a.orderRevision.version === b.orderRevision.version;
+
 /** Versions of different eras cannot be compared; there the software version tells. */
 export const isStatusOf = (
   { toVersion, orderRevision }: RolloutStatus,
--- a/packages/forwarding/src/rollouts/rolloutTracker.test.ts
+++ b/packages/forwarding/src/rollouts/rolloutTracker.test.ts
@@ -147,6 +147,17 @@
   assert.equal(getState(tracker), ['running']);
 });
 
+// Guards against an outcome that a whole read of the table brings back to a later order.
+test('a status of an earlier order stays one when the store reports it once more', () => {
+  const tracker = createTracker();
+  const status = createStatus('rolledBack', at(5));
+  tracker.applyOrder(ORDER, at(7, 2), 0);
+  tracker.applyStatus(status, at(4, 2));
+  tracker.applyOrder(ORDER, at(12, 2), 0);
+  tracker.applyStatus(status, at(4, 2));
+  assert.equal(getState(tracker), ['running']);
+});
+
 test('a daemon that starts after a return takes the status of the copy for that of the order', () => {
   const tracker = createTracker();
   tracker.applyStatus(createStatus('completed', at(7)), at(9, 2));
--- a/packages/forwarding/src/rollouts/rolloutTracker.ts
+++ b/packages/forwarding/src/rollouts/rolloutTracker.ts
@@ -15,7 +15,7 @@
   filterByVersion,
   type VersionQuery,
 } from './filterByVersion.js';
-import { isStatusOf, isWrittenAgain } from './orderIdentity.js';
+import { isOfSameOrder, isStatusOf, isWrittenAgain } from './orderIdentity.js';
 import { ServiceRollout } from './serviceRollout.js';
 import { SessionVersions, type SessionRun } from './sessionVersions.js';
 import type {
@@ -179,7 +179,9 @@
   }
 
   applyStatus(status: RolloutStatus, revision: StoreRevision): void {
-    this.#statuses.set(status.service, { status, revision, isPrevious: false });
+    const known = this.#statuses.get(status.service);
+    const isPrevious = known?.isPrevious === true && isOfSameOrder(known.status, status);
+    this.#statuses.set(status.service, { status, revision, isPrevious });
     this.#updateRollout(status.service);
   }
 
