Do not remove a copy's hold row when the request is held again

What callers would see: a request that ended upstreams anew, just after the store came back from a copy, is sent again. The copy still has the row of an earlier hold, which is removed after a turn; if the request was held again in that time, the row stood for the new hold, and its removal released it on all daemons. Found by reading; the new case of holdPersister.test failed before. A replaced timer is also forgotten.

--- a/packages/forwarding/src/crashes/holdPersister.test.ts
+++ b/packages/forwarding/src/crashes/holdPersister.test.ts
@@ -247,4 +247,21 @@
   assert.is(tracker.findHold(A)?.digest, A);
 });
 
+// Guards against a new hold that ends with the removal of an older row of the copy.
+test('a row of the copy is not removed when the request is held again', async ({
+  tracker,
+  holdPersister,
+  clock,
+  removed,
+}) => {
+  holdPersister.applyRecord(recordUntil(HOLD_MS), at(7), OFFSET_MS);
+  holdPersister.applyRemoval(A);
+  holdPersister.startEra([A], 2);
+  holdPersister.applyRecord(recordUntil(HOLD_MS), at(7, 2), OFFSET_MS);
+  observeEnds(tracker);
+  await clock.tickAsync(4_000);
+  assert.equal(removed, []);
+  assert.is(tracker.findHold(A)?.digest, A);
+});
+
 test.run();
--- a/packages/forwarding/src/crashes/holdPersister.ts
+++ b/packages/forwarding/src/crashes/holdPersister.ts
@@ -90,7 +90,11 @@
     this.#era = revision.era;
     this.#rows.set(digest, { revision, untilMs });
     if (this.#wasRemoved(digest, revision)) {
-      this.#runLater(this.#pickTurnDelayMs(), () => this.#remove(digest));
+      this.#runLater(this.#pickTurnDelayMs(), () => {
+        if (this.#options.tracker.findHold(digest) === undefined) {
+          this.#remove(digest);
+        }
+      });
       return;
     }
     if (untilMs > performance.now()) {
@@ -170,7 +174,10 @@
     if (pending?.hold === hold && pending.dueAtMs <= dueAtMs) {
       return;
     }
-    clearTimeout(pending?.timer);
+    if (pending !== undefined) {
+      clearTimeout(pending.timer);
+      this.#timers.delete(pending.timer);
+    }
     const timer = this.#runLater(delayMs, () => {
       this.#pendingWrites.delete(digest);
       void this.#write(hold);
