Take a table that brings retained rows to a known revision

What callers would see: a daemon that starts just after the store came back from a copy serves the copy's configuration, though a daemon that knows better sent it the table. Tables of a revision that was received before were dropped, also when the earlier one came from a daemon that had started after the return itself and retains nothing. Found by reading; the new case of tableExchange.test failed before.

--- a/packages/forwarding/src/peers/tableExchange.ts
+++ b/packages/forwarding/src/peers/tableExchange.ts
@@ -6,7 +6,7 @@
 import type { Logger, Random } from '@snipehaven/common';
 import { pickRandom } from '@snipehaven/common';
 import type { StoreEra } from '../store/storeEra.js';
-import { INITIAL_REVISION, isNewer, type StoreRevision } from '../store/storeRevision.js';
+import { isNewer, isSameRevision, type StoreRevision } from '../store/storeRevision.js';
 import type { SnapshotRequest, SnapshotSource, TableSnapshot } from '../store/types.js';
 import type { ReceivedDatagram } from './datagramDispatch.js';
 import { encodeJoinMessage } from './joinMessages.js';
@@ -69,6 +69,12 @@
   readonly datagrams: readonly Buffer[];
 }
 
+/** A table of the same revision may bring more rows that its sender retains. */
+const hasMore = (snapshot: TableSnapshot, received: TableSnapshot): boolean =>
+  isNewer(snapshot, received) ||
+  (isSameRevision(snapshot, received) &&
+    (snapshot.retained?.length ?? 0) > (received.retained?.length ?? 0));
+
 export class TableExchange implements SnapshotSource {
   readonly #options: TableExchangeOptions;
 
@@ -132,7 +138,8 @@
   receiveTable(snapshot: TableSnapshot, { bytes, host }: ReceivedDatagram): void {
     const { directory, readerRegistry, storeEra } = this.#options;
     const { table, era, lastChange } = snapshot;
-    if (!isNewer(snapshot, this.#received.get(table) ?? INITIAL_REVISION)) {
+    const received = this.#received.get(table);
+    if (received !== undefined && !hasMore(snapshot, received)) {
       return;
     }
     const own = this.#findOwn(table);
