Tell other daemons how long an era of the store has lasted

What callers would see: a data centre that is cut off while the store comes back from a copy applies what the operator has taken back or the upstreams have removed meanwhile up to 5 s later than after any other cut (10 s for upstreams): evacuations and roll-out orders that are no more, upstreams that are gone.

Cause: a daemon counted the time in which rows are written again from when it learned of the return itself, however long that had been over elsewhere.

Change: reports of readers and whole tables name the age of the era, as far as their sender knows it; the difference to when a daemon learned of the era shortens what it retains, also when it hears of it after its own read. Before the first return no age is known, so messages are as long as before.

--- a/packages/forwarding/src/peers/joinMessages.ts
+++ b/packages/forwarding/src/peers/joinMessages.ts
@@ -1,5 +1,5 @@
 /** Messages that a starting daemon exchanges with the other daemons, as compressed JSON. */
-import { isEra } from '../store/storeEra.js';
+import { isEra, isEraAge } from '../store/storeEra.js';
 import type { RetainedRow } from '../store/rowRetention.js';
 import type { StoreRow, TableSnapshot } from '../store/types.js';
 import { compressDatagram } from './datagram.js';
@@ -78,6 +78,8 @@
 /** Daemons that do not know eras name none. */
 const isOptionalEra = (value: unknown): boolean => value === undefined || isEra(value);
 
+const isOptionalEraAge = (value: unknown): boolean => value === undefined || isEraAge(value);
+
 const isRow = (value: unknown): value is StoreRow =>
   isObject(value) &&
   isString(value.key) &&
@@ -91,6 +93,7 @@
   isString(value.vm) &&
   isString(value.dataCentre) &&
   isOptionalEra(value.era) &&
+  isOptionalEraAge(value.eraAgeMs) &&
   isNumber(value.lastChange) &&
   isNumber(value.serverTimeMs);
 
@@ -105,6 +108,7 @@
   isObject(value) &&
   isString(value.table) &&
   isOptionalEra(value.era) &&
+  isOptionalEraAge(value.eraAgeMs) &&
   isNumber(value.version) &&
   isNumber(value.lastChange) &&
   isNumber(value.serverTimeMs) &&
--- a/packages/forwarding/src/peers/joinProtocol.test.ts
+++ b/packages/forwarding/src/peers/joinProtocol.test.ts
@@ -260,6 +260,7 @@
   const report = {
     table: 'status',
     era: 2,
+    eraAgeMs: 70,
     lastChange: 3,
     serverTimeMs: 9,
     vm: 'vm-1',
@@ -296,6 +297,7 @@
     { kind: 'hello', hello: { peer, asks: 'more', questionId: 1 } },
     { kind: 'roster', roster: [{ peer }] },
     { kind: 'table', table: { ...snapshot, rows: [{ key: 1 }] } },
+    { kind: 'table', table: { ...snapshot, eraAgeMs: -1 } },
   ]) {
     assert.is(decodeJoinMessage(stray), undefined);
   }
--- a/packages/forwarding/src/peers/loadMessage.ts
+++ b/packages/forwarding/src/peers/loadMessage.ts
@@ -3,7 +3,7 @@
  * Encoded as JSON.
  */
 import type { VersionCounts } from '@snipehaven/policy';
-import { isEra } from '../store/storeEra.js';
+import { isEra, isEraAge } from '../store/storeEra.js';
 import { compressDatagram } from './datagram.js';
 import type {
   SharedStatistics,
@@ -22,6 +22,8 @@
 export interface TableReport {
   readonly table: string;
   readonly era: number;
+  /** Time for which the era has lasted at least; absent if unknown. */
+  readonly eraAgeMs?: number;
   /** The store version of the last change of the table, in that era. */
   readonly lastChange: number;
   /** The store's monotonic clock at its last answer. */
@@ -60,7 +62,13 @@
 }
 
 type WireLoad = readonly [upstream: string, work: number, requests: number];
-type WireReport = readonly [table: string, lastChange: number, serverTimeMs: number, era?: number];
+type WireReport = readonly [
+  table: string,
+  lastChange: number,
+  serverTimeMs: number,
+  era?: number,
+  eraAgeMs?: number | undefined,
+];
 type WireReader = readonly [
   table: string,
   lastChange: number,
@@ -68,6 +76,7 @@
   vm: string,
   dataCentre: string,
   era: number,
+  eraAgeMs?: number,
 ];
 type WirePace = readonly [
   service: string,
@@ -106,11 +115,15 @@
 /** The index of a scope is its number on the wire. */
 const SCOPES: readonly LoadScope[] = ['own', 'dataCentre', 'fleet'];
 
-const toWireReport = ({ table, era, lastChange, serverTimeMs }: TableReport): WireReport => [
-  table,
-  lastChange,
-  serverTimeMs,
-  era,
+/** The age of an era is left out where it is unknown. */
+const toWireEra = ({ era, eraAgeMs }: TableReport): [era: number, eraAgeMs?: number] =>
+  eraAgeMs === undefined ? [era] : [era, eraAgeMs];
+
+const toWireReport = (report: TableReport): WireReport => [
+  report.table,
+  report.lastChange,
+  report.serverTimeMs,
+  ...toWireEra(report),
 ];
 
 const toWirePace = ({ service, ...sum }: ServicePace): WirePace => [
@@ -157,7 +170,7 @@
     one.serverTimeMs,
     one.vm,
     one.dataCentre,
-    one.era,
+    ...toWireEra(one),
   ]);
   const wire: WireMessage = [
     vm,
@@ -254,9 +267,10 @@
   work,
 });
 
-const toReport = ([table, lastChange, serverTimeMs, era]: WireReport): TableReport => ({
+const toReport = ([table, lastChange, serverTimeMs, era, eraAgeMs]: WireReport): TableReport => ({
   table,
   era: toEra(era),
+  ...(isEraAge(eraAgeMs) ? { eraAgeMs } : {}),
   lastChange,
   serverTimeMs,
 });
@@ -268,8 +282,9 @@
   vm,
   dataCentre,
   era,
+  eraAgeMs,
 ]: WireReader): ReaderReport => ({
-  ...toReport([table, lastChange, serverTimeMs, era]),
+  ...toReport([table, lastChange, serverTimeMs, era, eraAgeMs]),
   vm,
   dataCentre,
 });
--- a/packages/forwarding/src/peers/readerRegistry.test.ts
+++ b/packages/forwarding/src/peers/readerRegistry.test.ts
@@ -189,9 +189,8 @@
   assert.equal(decodeChanges(parseDatagram(bytes)), CHANGES);
   const message = createMessage('vm-1', { loads: new Map([['u-1', { work: 12, requests: 2 }]]) });
   assert.equal(decodeLoadMessage(parseDatagram(encodeLoadMessage(message))), message);
-  const readers = [
-    { table: TABLE, era: 2, lastChange: 5, serverTimeMs: 100, vm: 'vm-3', dataCentre: 'c' },
-  ];
+  const report = { table: TABLE, era: 2, eraAgeMs: 30, lastChange: 5, serverTimeMs: 100 };
+  const readers = [{ ...report, vm: 'vm-3', dataCentre: 'c' }];
   const learned = {
     paces: [
       { service: 's', work: 500, tookMs: 20, answers: 3, workSquares: 90_000, workTimes: 4_000 },
@@ -199,7 +198,8 @@
     demands: [{ service: 's', model: 'm', work: 9 }],
     rollouts: [],
   };
-  const sum = { ...message, scope: 'dataCentre' as const, readers, members: 4, learned };
+  const news = [report];
+  const sum = { ...message, scope: 'dataCentre' as const, news, readers, members: 4, learned };
   assert.equal(decodeLoadMessage(parseDatagram(encodeLoadMessage(sum))), sum);
   for (const stray of [null, 7, {}, [], ['x'], { changes: [1] }]) {
     assert.is(decodeChanges(stray), undefined);
--- a/packages/forwarding/src/peers/readerRegistry.ts
+++ b/packages/forwarding/src/peers/readerRegistry.ts
@@ -337,9 +337,8 @@
   }
 
   /** Daemons that wait for an update must read the tables again in a new era. */
-  #observeEra(era: number, source: string): void {
-    if (era > this.#storeEra.newest) {
-      this.#storeEra.observe(era, source);
+  #observeEra(era: number, source: string, eraAgeMs?: number): void {
+    if (this.#storeEra.observe(era, source, eraAgeMs)) {
       this.#wakeWaiters();
     }
   }
@@ -371,11 +370,9 @@
   }
 
   /** Returns true if the reader reports a newer store time. */
-  #recordReport(
-    { vm, dataCentre, table, era, lastChange, serverTimeMs }: ReaderReport,
-    nowMs: number,
-  ): boolean {
-    this.#observeEra(era, vm);
+  #recordReport({ vm, dataCentre, ...report }: ReaderReport, nowMs: number): boolean {
+    const { table, era, eraAgeMs, serverTimeMs } = report;
+    this.#observeEra(era, vm, eraAgeMs);
     const readers = this.#readersByTable.get(table) ?? new Map<string, ReaderState>();
     const known = readers.get(vm);
     const isAdvanced =
@@ -384,7 +381,7 @@
     readers.set(vm, {
       vm,
       dataCentre,
-      report: { table, era, lastChange, serverTimeMs },
+      report,
       advancedAtMs,
       heardAtMs: nowMs,
     });
--- a/packages/forwarding/src/peers/retainedRows.test.ts
+++ b/packages/forwarding/src/peers/retainedRows.test.ts
@@ -1,6 +1,7 @@
 /** What daemons know better than a store that has come back from a copy. */
 import * as assert from 'uvu/assert';
 import type { RetentionPolicy } from '../store/rowRetention.js';
+import type { StoreCopy } from '../store/testSupport/memoryStore.js';
 import type { DaemonFleet, FleetMember, FleetOptions } from './testSupport/daemonFleet.js';
 import { createFleet, createFleetSuite, type FleetContext } from './testSupport/fleetSuite.js';
 
@@ -11,6 +12,10 @@
 const AWAY_MS = 600;
 const REWRITE_MS = 800;
 const RETENTION_MS = 4_000;
+const CUT_DATA_CENTRE = 'dc-1';
+
+/** Time in which a change must take effect in a fleet of any of these sizes. */
+const MAX_DELAY_MS = 2_000;
 
 /** The greater of two numbers is the newer value; a removed row is newer than its last value. */
 const RETENTION: RetentionPolicy = {
@@ -41,13 +46,19 @@
 const KNOWN_BEFORE = { counter: '2', added: '1' };
 const COPY = { counter: '1', gone: '1' };
 
-const restoreStore = async (fleet: DaemonFleet): Promise<void> => {
+/** Returns a copy that lacks the changes. */
+const changeRows = async (fleet: DaemonFleet): Promise<StoreCopy> => {
   const { store } = fleet;
   const copy = store.takeCopy();
   store.put('counter', TABLE, '2');
   store.put('added', TABLE, '1');
   store.remove('gone', TABLE);
   await fleet.advance(1_000);
+  return copy;
+};
+
+const comeBackFrom = async (copy: StoreCopy, fleet: DaemonFleet): Promise<void> => {
+  const { store } = fleet;
   store.isDown = true;
   await fleet.advance(AWAY_MS);
   store.restore(copy);
@@ -55,6 +66,9 @@
   await fleet.advance(REWRITE_MS);
 };
 
+const restoreStore = async (fleet: DaemonFleet): Promise<void> =>
+  comeBackFrom(await changeRows(fleet), fleet);
+
 const getKnown = ({ tables }: FleetMember): ReadonlyMap<string, string> =>
   tables[0]?.known ?? new Map<string, string>();
 
@@ -136,6 +150,21 @@
     await fleet.advance(RETENTION_MS + SETTLE_MS);
     assertAllKnow(fleet, COPY);
   });
+
+  // Guards against rows that daemons keep although the time to write them again has passed elsewhere.
+  test(`${daemons} daemons give way at once when they learn of a return late`, async (context) => {
+    const fleet = await startFleet(context, options);
+    const copy = await changeRows(fleet);
+    const cut = fleet.members.filter(({ self }) => self.dataCentre === CUT_DATA_CENTRE);
+    fleet.network.setCut(CUT_DATA_CENTRE, true);
+    cut.forEach(({ self }) => fleet.store.cutOffVms.add(self.vm));
+    await comeBackFrom(copy, fleet);
+    await fleet.advance(RETENTION_MS + SETTLE_MS);
+    fleet.network.setCut(CUT_DATA_CENTRE, false);
+    cut.forEach(({ self }) => fleet.store.cutOffVms.delete(self.vm));
+    await fleet.advance(MAX_DELAY_MS);
+    assertAllKnow(fleet, COPY);
+  });
 }
 
 test.run();
--- a/packages/forwarding/src/peers/tableExchange.ts
+++ b/packages/forwarding/src/peers/tableExchange.ts
@@ -137,7 +137,7 @@
   /** Takes a table sent by another daemon and relays it if it is news in this data centre. */
   receiveTable(snapshot: TableSnapshot, { bytes, host }: ReceivedDatagram): void {
     const { directory, readerRegistry, storeEra } = this.#options;
-    const { table, era, lastChange } = snapshot;
+    const { table, era, eraAgeMs, lastChange } = snapshot;
     const received = this.#received.get(table);
     if (received !== undefined && !hasMore(snapshot, received)) {
       return;
@@ -145,7 +145,7 @@
     const own = this.#findOwn(table);
     const isNews = own !== undefined && isNewer({ era, version: lastChange }, own);
     this.#received.set(table, snapshot);
-    storeEra.observe(era, host);
+    storeEra.observe(era, host, eraAgeMs);
     readerRegistry.notifyUpdate(table);
     if (isNews && !this.#isSmallFleet && directory.isRemote(host)) {
       this.#broadcast(directory.local, bytes);
--- a/packages/forwarding/src/store/index.ts
+++ b/packages/forwarding/src/store/index.ts
@@ -1,4 +1,4 @@
-export { StoreEra, isEra } from './storeEra.js';
+export { StoreEra, isEra, isEraAge } from './storeEra.js';
 export * from './storeRevision.js';
 export type { KnownRow, RetainedRow, RetentionPolicy } from './rowRetention.js';
 export { TableWatcher } from './tableWatcher.js';
--- a/packages/forwarding/src/store/peerFeed.ts
+++ b/packages/forwarding/src/store/peerFeed.ts
@@ -70,9 +70,10 @@
   }
 
   applySnapshot(snapshot: TableSnapshot): void {
-    const { listener, freshness, logger } = this.#options;
+    const { listener, freshness, logger, storeEra } = this.#options;
     const { rows, era, version, serverTimeMs, table } = snapshot;
     const held = this.#replica.newestRevision;
+    storeEra.observe(era, 'table of another daemon', snapshot.eraAgeMs);
     this.#beforeRows();
     this.#replica.replace(snapshot);
     this.#replica.learn(snapshot);
--- a/packages/forwarding/src/store/rowRetention.ts
+++ b/packages/forwarding/src/store/rowRetention.ts
@@ -4,6 +4,7 @@
  * removed, and an older value has not been written.
  */
 import { forgetOldest } from '@snipehaven/common';
+import type { StoreEra } from './storeEra.js';
 import type { StoreRevision } from './storeRevision.js';
 import type { StoreChange, StoreRow } from './types.js';
 
@@ -35,7 +36,10 @@
 
 interface Retention {
   readonly known: KnownRow;
+  /** When it ends, on the monotonic clock, unless this daemon learned of the era late. */
   readonly untilMs: number;
+  /** Whether another daemon told for how long. */
+  readonly isLearned: boolean;
 }
 
 export type RowsByKey = ReadonlyMap<string, StoreRow>;
@@ -43,13 +47,17 @@
 export class RowRetention {
   readonly #policy: RetentionPolicy;
 
+  /** The time to write rows again began earlier for a daemon that learned of it late. */
+  readonly #era: Pick<StoreEra, 'lateMs'>;
+
   /** Rows that were removed lately; oldest first. */
   readonly #removed = new Map<string, KnownRow>();
 
   readonly #retained = new Map<string, Retention>();
 
-  constructor(policy: RetentionPolicy) {
+  constructor(policy: RetentionPolicy, era: Pick<StoreEra, 'lateMs'>) {
     this.#policy = policy;
+    this.#era = era;
   }
 
   get isEmpty(): boolean {
@@ -58,13 +66,13 @@
 
   /** When the next retention ends, on the monotonic clock; Infinity if there is none. */
   get nextEndMs(): number {
-    return Math.min(Infinity, ...[...this.#retained.values()].map(({ untilMs }) => untilMs));
+    return Math.min(Infinity, ...[...this.#retained.values()].map((one) => this.#getEndMs(one)));
   }
 
   list(nowMs: number): readonly RetainedRow[] {
-    return [...this.#retained.values()].map(({ known, untilMs }) => ({
-      ...known,
-      leftMs: Math.max(0, Math.round(untilMs - nowMs)),
+    return [...this.#retained.values()].map((one) => ({
+      ...one.known,
+      leftMs: Math.max(0, Math.round(this.#getEndMs(one) - nowMs)),
     }));
   }
 
@@ -83,7 +91,10 @@
   startEra(held: RowsByKey, restored: RowsByKey, nowMs: number): void {
     const known = this.#listKnown(held);
     this.#retained.clear();
-    known.forEach((row) => this.#retain(row, restored, this.#policy.getRetentionMs(row), nowMs));
+    known.forEach((row) => {
+      const untilMs = nowMs + this.#policy.getRetentionMs(row);
+      this.#retain(row, restored, { untilMs, isLearned: false }, nowMs);
+    });
   }
 
   /**
@@ -93,8 +104,9 @@
     const learned = rows.filter((row) => {
       const own = this.#retained.get(row.key)?.known;
       const isKnown = own !== undefined && !this.#policy.isOlder(own, row);
-      const maxMs = this.#policy.getRetentionMs(row);
-      return !isKnown && this.#retain(row, current, Math.min(maxMs, row.leftMs), nowMs);
+      const leftMs = Math.min(this.#policy.getRetentionMs(row), row.leftMs);
+      const term = { untilMs: nowMs + leftMs, isLearned: true };
+      return !isKnown && this.#retain(row, current, term, nowMs);
     });
     return learned.map(({ key }) => key);
   }
@@ -137,7 +149,7 @@
 
   /** Ends retentions that are over, and returns the keys of their rows. */
   release(nowMs: number): readonly string[] {
-    const ended = [...this.#retained].filter(([, { untilMs }]) => untilMs <= nowMs);
+    const ended = [...this.#retained].filter(([, one]) => this.#getEndMs(one) <= nowMs);
     ended.forEach(([key]) => this.#retained.delete(key));
     return ended.map(([key]) => key);
   }
@@ -149,15 +161,24 @@
     return [...present, ...removed];
   }
 
-  #retain(row: KnownRow, restored: RowsByKey, retentionMs: number, nowMs: number): boolean {
+  #getEndMs({ untilMs, isLearned }: Omit<Retention, 'known'>): number {
+    return isLearned ? untilMs : untilMs - this.#era.lateMs;
+  }
+
+  #retain(
+    row: KnownRow,
+    restored: RowsByKey,
+    term: Omit<Retention, 'known'>,
+    nowMs: number,
+  ): boolean {
     const { key, value, era, version, isRemoved } = row;
     const written = restored.get(key);
     const isKnownBetter = written === undefined ? !isRemoved : this.#policy.isOlder(written, row);
-    if (!isKnownBetter || retentionMs <= 0) {
+    if (!isKnownBetter || this.#getEndMs(term) <= nowMs) {
       return false;
     }
     const known = { key, value, era, version, isRemoved };
-    this.#retained.set(key, { known, untilMs: nowMs + retentionMs });
+    this.#retained.set(key, { known, ...term });
     return true;
   }
 }
--- a/packages/forwarding/src/store/storeEra.ts
+++ b/packages/forwarding/src/store/storeEra.ts
@@ -3,10 +3,16 @@
  * back from a copy: it has lost its last changes, and gives their versions out again.
  */
 
+/** Longer than any time that is counted from the beginning of an era. */
+const MAX_TOLD_AGE_MS = 60_000;
+
 /** Daemons take an era for true that others name, so a malformed one must not pass. */
 export const isEra = (value: unknown): value is number =>
   Number.isSafeInteger(value) && (value as number) >= 0;
 
+export const isEraAge = (value: unknown): value is number =>
+  Number.isFinite(value) && (value as number) >= 0;
+
 /** `before` is undefined when an era is known for the first time. */
 export type EraListener = (era: number, before: number | undefined, source: string) => void;
 
@@ -14,31 +20,72 @@
   /** Undefined before the first answer or message. */
   #newest: number | undefined;
 
-  #sinceMs = -Infinity;
+  /** When this daemon learned of the newest era; unknown if it did not know an earlier one. */
+  #learnedAtMs = -Infinity;
+
+  /** The earliest time at which any daemon is known to have seen the newest era. */
+  #beganAtMs = -Infinity;
+
+  readonly #riseListeners: EraListener[] = [];
 
-  readonly #listeners: EraListener[] = [];
+  readonly #latenessListeners: (() => void)[] = [];
 
   /** 0 before the first answer or message, as for a store that names no era. */
   get newest(): number {
     return this.#newest ?? 0;
   }
 
-  /** Time in ms since this daemon saw the newest era begin; Infinity if it did not. */
+  /** Time in ms since the newest era began; Infinity if no daemon is known to have seen that. */
   get ageMs(): number {
-    return performance.now() - this.#sinceMs;
+    return performance.now() - this.#beganAtMs;
+  }
+
+  /** How much later than others this daemon learned of the newest era, in ms. */
+  get lateMs(): number {
+    return this.#learnedAtMs === -Infinity ? 0 : this.#learnedAtMs - this.#beganAtMs;
   }
 
   onRise(listener: EraListener): void {
-    this.#listeners.push(listener);
+    this.#riseListeners.push(listener);
+  }
+
+  /** Registers a listener for each rise of `lateMs` within an era. */
+  onLateness(listener: () => void): void {
+    this.#latenessListeners.push(listener);
   }
 
-  /** `source`: the client or daemon that the era was learned from. */
-  observe(era: number, source: string): void {
+  /** The age of an era as told to others; undefined if it is unknown. */
+  getToldAgeMs(era: number): number | undefined {
+    const isKnown = era === this.#newest && this.#beganAtMs > -Infinity;
+    return isKnown ? Math.min(MAX_TOLD_AGE_MS, Math.round(this.ageMs)) : undefined;
+  }
+
+  /**
+   * `source`: the client or daemon that the era was learned from; `atLeastMs`: age of the era that
+   * it told. Returns true if the era is newer than all before.
+   */
+  observe(era: number, source: string, atLeastMs?: number): boolean {
     const before = this.#newest;
-    if (before === undefined || era > before) {
+    const isRise = before === undefined || era > before;
+    if (isRise) {
       this.#newest = era;
-      this.#sinceMs = before === undefined ? -Infinity : performance.now();
-      this.#listeners.forEach((listener) => listener(era, before, source));
+      this.#learnedAtMs = before === undefined ? -Infinity : performance.now();
+      this.#beganAtMs = this.#learnedAtMs;
+    }
+    if (era === this.#newest && atLeastMs !== undefined) {
+      this.#noteBeginning(performance.now() - atLeastMs);
+    }
+    if (isRise) {
+      this.#riseListeners.forEach((listener) => listener(era, before, source));
+    }
+    return isRise;
+  }
+
+  #noteBeginning(beganAtMs: number): void {
+    const isUnknown = this.#beganAtMs === -Infinity;
+    if (isUnknown || beganAtMs < this.#beganAtMs) {
+      this.#beganAtMs = beganAtMs;
+      this.#latenessListeners.forEach((listener) => listener());
     }
   }
 }
--- a/packages/forwarding/src/store/tableReplica.ts
+++ b/packages/forwarding/src/store/tableReplica.ts
@@ -1,5 +1,6 @@
 /** This daemon's replica of a table, with the revisions up to which it is complete. */
 import { NO_RETENTION, RowRetention, type RetentionPolicy } from './rowRetention.js';
+import { StoreEra } from './storeEra.js';
 import { INITIAL_REVISION, isNewer, type StoreRevision } from './storeRevision.js';
 import type { StoreChange, StorePage, StoreRow, TableSnapshot } from './types.js';
 
@@ -10,6 +11,8 @@
 export class TableReplica {
   readonly #table: string;
 
+  readonly #storeEra: StoreEra;
+
   /** As the store has them. */
   #rows: ReadonlyMap<string, StoreRow> = new Map();
 
@@ -37,9 +40,14 @@
 
   #serverTimeMs = 0;
 
-  constructor(table: string, policy: RetentionPolicy = NO_RETENTION) {
+  constructor(
+    table: string,
+    policy: RetentionPolicy = NO_RETENTION,
+    storeEra: StoreEra = new StoreEra(),
+  ) {
     this.#table = table;
-    this.#retention = new RowRetention(policy);
+    this.#storeEra = storeEra;
+    this.#retention = new RowRetention(policy, storeEra);
   }
 
   /** Undefined if the table must be read completely. */
@@ -99,9 +107,11 @@
     if (this.#mustRead) {
       return undefined;
     }
+    const eraAgeMs = this.#storeEra.getToldAgeMs(this.#newest.era);
     return {
       table: this.#table,
       ...this.#newest,
+      ...(eraAgeMs === undefined ? {} : { eraAgeMs }),
       lastChange: this.#lastChange,
       serverTimeMs: this.#serverTimeMs,
       rows: [...this.#rows.values()],
--- a/packages/forwarding/src/store/tableWatcher.ts
+++ b/packages/forwarding/src/store/tableWatcher.ts
@@ -63,7 +63,7 @@
 
   constructor(options: TableWatcherOptions) {
     this.#options = options;
-    this.#replica = new TableReplica(options.table, options.retention);
+    this.#replica = new TableReplica(options.table, options.retention, options.storeEra);
     this.#readerRole = new ReaderRole(options);
     this.#peerFeed = new PeerFeed(
       options,
@@ -72,6 +72,7 @@
       () => this.#noteRowsOfOthers(),
       () => this.#scheduleRelease(),
     );
+    options.storeEra.onLateness(() => this.#scheduleRelease());
   }
 
   async run(): Promise<void> {
@@ -227,10 +228,17 @@
   }
 
   #publish(): void {
-    const { readerRegistry, table } = this.#options;
+    const { readerRegistry, table, storeEra } = this.#options;
     const { newestRevision, lastChange, serverTimeMs } = this.#replica;
     const { era } = newestRevision;
-    readerRegistry.publishReport({ table, era, lastChange, serverTimeMs });
+    const eraAgeMs = storeEra.getToldAgeMs(era);
+    readerRegistry.publishReport({
+      table,
+      era,
+      ...(eraAgeMs === undefined ? {} : { eraAgeMs }),
+      lastChange,
+      serverTimeMs,
+    });
   }
 
   /**
@@ -286,10 +294,12 @@
       return;
     }
     this.#releaseTimer = setTimeout(() => {
-      const { listener, logger, table } = this.#options;
+      const { listener, logger, table, storeEra } = this.#options;
       const changes = this.#replica.release();
+      const keys = changes.map(({ key }) => key);
+      const lateMs = Math.round(storeEra.lateMs);
       logger.info(
-        { event: 'rowsReleased', table, keys: changes.map(({ key }) => key) },
+        { event: 'rowsReleased', table, keys, lateMs },
         'rows that were not written again after the store came back from a copy give way to it',
       );
       changes.forEach((change) => listener.onChange(change, this.#replica.serverTimeMs));
--- a/packages/forwarding/src/store/types.ts
+++ b/packages/forwarding/src/store/types.ts
@@ -62,6 +62,8 @@
  */
 export interface TableSnapshot extends StoreRevision {
   readonly table: string;
+  /** Time for which the era has lasted at least; absent if unknown. */
+  readonly eraAgeMs?: number;
   /** The store version of the last change of this table, in the same era. */
   readonly lastChange: number;
   /** The store's monotonic clock when it last confirmed this state. */
