Do not write a hold again whose removal a daemon has missed

What callers would see: a data centre is cut off while the store comes back from a copy, and a request that was held back is answered elsewhere, so that its hold's row is removed. When the cut heals, a daemon that still knows the hold takes the missing row for one that the copy lacks, and writes it again: all daemons hold the request back until the hold ends.

Cause: at the first complete read of a new era a missing row counted as lost, however long others had had the time to write it again.

Change: at its turn to write, a daemon that learned of the era 5 s later than others, or more, releases the request instead.

Evidence: the new case of holdPersister.test failed (still held), and holds.

--- a/packages/forwarding/src/crashes/holdPersister.test.ts
+++ b/packages/forwarding/src/crashes/holdPersister.test.ts
@@ -26,6 +26,7 @@
   written: WrittenHold[];
   removed: RequestDigest[];
   isStoreDown: boolean;
+  eraLateMs: number;
   rank: number | undefined;
 }
 
@@ -39,7 +40,7 @@
 
 test.before.each((context) => {
   const logger = createSilentLogger();
-  const fresh = { written: [], removed: [], isStoreDown: false, rank: undefined };
+  const fresh = { written: [], removed: [], isStoreDown: false, eraLateMs: 0, rank: undefined };
   Object.assign(context, fresh, { clock: FakeTimers.install() });
   context.tracker = new CrashTracker({ logger, random: createRandom(1), broadcast: () => {} });
   const answer = <Value>(value: Value): Promise<Value> =>
@@ -53,6 +54,7 @@
     random: createRandom(1),
     getStoreOffsetMs: () => OFFSET_MS,
     getWriterRank: () => context.rank,
+    getEraLateMs: () => context.eraLateMs,
     writer: {
       write: (hold, expected) => {
         context.written.push({ hold, expected });
@@ -216,6 +218,18 @@
   assert.is(tracker.findHold(A), undefined);
 });
 
+// Guards against an answered request that is held back again by a daemon that was cut off meanwhile.
+test('a hold that is missing when a return is learned of late was removed', async (context) => {
+  const { tracker, holdPersister, clock, written } = context;
+  holdPersister.applyRecord(recordUntil(HOLD_MS), at(7), OFFSET_MS);
+  holdPersister.startEra([], 2);
+  holdPersister.retainOnly([], 2);
+  context.eraLateMs = 30_000;
+  await clock.tickAsync(4_000);
+  assert.is(tracker.findHold(A), undefined);
+  assert.is(written.length, 0);
+});
+
 test('a hold that another daemon has written again is not written once more', async ({
   holdPersister,
   clock,
--- a/packages/forwarding/src/crashes/holdPersister.ts
+++ b/packages/forwarding/src/crashes/holdPersister.ts
@@ -26,6 +26,9 @@
 /** Delay before a failed write is retried, plus the delay of this daemon's turn. */
 const RETRY_MS = 2_000;
 
+/** Time in which rows that a copy lacks have been written again by daemons that know them. */
+const REWRITE_MS = 5_000;
+
 export interface HoldPersisterOptions {
   readonly tracker: CrashTracker;
   readonly writer: HoldWriter;
@@ -36,6 +39,8 @@
   getStoreOffsetMs(): number | undefined;
   /** Number of daemons that precede this one as writer; undefined in a small fleet. */
   getWriterRank(): number | undefined;
+  /** How much later than others this daemon learned that the store came back from a copy, in ms. */
+  getEraLateMs(): number;
 }
 
 interface KnownRow {
@@ -58,6 +63,9 @@
   /** Revisions of rows that were removed, which a copy may still have. */
   readonly #removed = new Map<RequestDigest, StoreRevision>();
 
+  /** Requests whose rows the copy lacks, until they are written again. */
+  readonly #lost = new Set<RequestDigest>();
+
   /** Of the last row or complete read of the store. */
   #era = 0;
 
@@ -69,9 +77,12 @@
   constructor(options: HoldPersisterOptions) {
     this.#options = options;
     options.tracker.addListener({
-      onHeld: (hold, source) =>
-        this.#schedule(hold, source === 'own' ? 0 : this.#pickTurnDelayMs()),
+      onHeld: (hold, source) => {
+        this.#lost.delete(hold.digest);
+        this.#schedule(hold, source === 'own' ? 0 : this.#pickTurnDelayMs());
+      },
       onReleased: (digest, source) => {
+        this.#lost.delete(digest);
         if (source === 'own') {
           this.#remove(digest);
         }
@@ -89,6 +100,7 @@
     const untilMs = record.untilStoreMs - storeOffsetMs;
     this.#era = revision.era;
     this.#rows.set(digest, { revision, untilMs });
+    this.#lost.delete(digest);
     if (this.#wasRemoved(digest, revision)) {
       this.#runLater(this.#pickTurnDelayMs(), () => {
         if (this.#options.tracker.findHold(digest) === undefined) {
@@ -130,6 +142,7 @@
       this.#rows.delete(digest);
       const hold = this.#options.tracker.findHold(digest);
       if (hold !== undefined) {
+        this.#lost.add(digest);
         this.#schedule(hold, this.#pickTurnDelayMs());
       }
     }
@@ -190,7 +203,7 @@
    * write is repeated unless the row becomes known, as its condition may be of an earlier era.
    */
   async #write(hold: Hold): Promise<void> {
-    const { tracker, writer, vm, logger, getStoreOffsetMs } = this.#options;
+    const { tracker, writer, vm, logger, getStoreOffsetMs, getEraLateMs } = this.#options;
     const { digest, lives, sinceMs, untilMs } = hold;
     const offsetMs = getStoreOffsetMs();
     const known = this.#rows.get(digest);
@@ -198,6 +211,11 @@
     if (isStored || tracker.findHold(digest) !== hold) {
       return;
     }
+    if (this.#lost.has(digest) && getEraLateMs() >= REWRITE_MS) {
+      // Others have had the time to write it again, so it has been removed.
+      tracker.applyStoredRelease(digest);
+      return;
+    }
     if (offsetMs === undefined) {
       this.#schedule(hold, RETRY_MS);
       return;
--- a/packages/forwarding/src/daemon/crashCoordinator.ts
+++ b/packages/forwarding/src/daemon/crashCoordinator.ts
@@ -25,6 +25,8 @@
   getExchange(): PeerExchange;
   /** The store's monotonic clock minus ours in ms; undefined until it is known. */
   getStoreOffsetMs(): number | undefined;
+  /** How much later than others this daemon learned that the store came back from a copy, in ms. */
+  getEraLateMs(): number;
 }
 
 export class CrashCoordinator {
@@ -35,7 +37,8 @@
   readonly #options: CrashCoordinatorOptions;
 
   constructor(options: CrashCoordinatorOptions) {
-    const { adapter, logger, random, store, metrics, getExchange, getStoreOffsetMs } = options;
+    const { adapter, logger, random, store, metrics } = options;
+    const { getExchange, getStoreOffsetMs, getEraLateMs } = options;
     this.#options = options;
     this.tracker = new CrashTracker({
       logger,
@@ -49,6 +52,7 @@
       logger,
       random,
       getStoreOffsetMs,
+      getEraLateMs,
       getWriterRank: () => getExchange().writerRank,
     });
     this.#connect();
--- a/packages/forwarding/src/daemon/forwardDaemon.ts
+++ b/packages/forwarding/src/daemon/forwardDaemon.ts
@@ -456,6 +456,7 @@
       store: this.#createStore('holds'),
       getExchange: () => this.#exchange,
       getStoreOffsetMs: () => this.#statusListener.storeOffsetMs,
+      getEraLateMs: () => this.#storeEra.lateMs,
     });
   }
 
