--- a/packages/forwarding/src/peers/tableExchange.ts
+++ b/packages/forwarding/src/peers/tableExchange.ts
@@ -197,7 +197,7 @@
     if (peer !== undefined) {
       logger.info(
         { event: 'tableRequested', table, atLeast, from: peer.vm, request: sent + 1 },
-        'changes are missing; asking another daemon for the table',
+        'changes or retained rows may be missing; asking another daemon for the table',
       );
       messenger.sendTo([peer], encodeTableRequest({ peer: directory.self, table, atLeast }));
     }
