--- a/packages/forwarding/src/crashes/holdPersister.ts
+++ b/packages/forwarding/src/crashes/holdPersister.ts
@@ -63,7 +63,7 @@
   /** Revisions of rows that were removed, which a copy may still have. */
   readonly #removed = new Map<RequestDigest, StoreRevision>();
 
-  /** Requests whose rows the copy lacks, until they are written again. */
+  /** Held requests whose rows the copy lacks, until they are written again. */
   readonly #lost = new Set<RequestDigest>();
 
   /** Of the last row or complete read of the store. */
--- a/packages/forwarding/src/store/peerFeed.ts
+++ b/packages/forwarding/src/store/peerFeed.ts
@@ -33,8 +33,8 @@
 
   #behindLoggedAtMs = -Infinity;
 
-  /** Of the last request for what other daemons retain. */
-  #retainedEra: number | undefined;
+  /** Era of the last request for what other daemons retain. */
+  #askedEra: number | undefined;
 
   readonly #beforeRows: () => void;
 
@@ -175,9 +175,9 @@
   /** Asks other daemons, once an era, what they know that the store lost before this one started. */
   requestRetained(): void {
     const { retention, storeEra } = this.#options;
-    const isAsked = this.#retainedEra === storeEra.newest;
+    const isAsked = this.#askedEra === storeEra.newest;
     if (retention !== undefined && !isAsked && this.#replica.mayLackRetained) {
-      this.#retainedEra = storeEra.newest;
+      this.#askedEra = storeEra.newest;
       this.#requestTable(this.#eraBeginning);
     }
   }
--- a/packages/forwarding/src/store/storeEra.ts
+++ b/packages/forwarding/src/store/storeEra.ts
@@ -34,7 +34,7 @@
 
   readonly #riseListeners: EraListener[] = [];
 
-  readonly #latenessListeners: (() => void)[] = [];
+  readonly #beginningListeners: (() => void)[] = [];
 
   /** 0 before the first answer or message, as for a store that names no era. */
   get newest(): number {
@@ -55,9 +55,9 @@
     this.#riseListeners.push(listener);
   }
 
-  /** Registers a listener for each rise of `lateMs` within an era. */
-  onLateness(listener: () => void): void {
-    this.#latenessListeners.push(listener);
+  /** Registers a listener for the news that the newest era began earlier than known. */
+  onEarlierBeginning(listener: () => void): void {
+    this.#beginningListeners.push(listener);
   }
 
   /** The newest era as told to others; undefined if its age is unknown. */
@@ -91,7 +91,7 @@
     const isUnknown = this.#beganAtMs === -Infinity;
     if (isUnknown || beganAtMs < this.#beganAtMs) {
       this.#beganAtMs = beganAtMs;
-      this.#latenessListeners.forEach((listener) => listener());
+      this.#beginningListeners.forEach((listener) => listener());
     }
   }
 }
--- a/packages/forwarding/src/store/tableWatcher.ts
+++ b/packages/forwarding/src/store/tableWatcher.ts
@@ -72,7 +72,7 @@
       () => this.#noteRowsOfOthers(),
       () => this.#scheduleRelease(),
     );
-    options.storeEra.onLateness(() => {
+    options.storeEra.onEarlierBeginning(() => {
       this.#scheduleRelease();
       this.#peerFeed.requestRetained();
     });
