Place what others retain by row, whatever the revision of their table

What callers would see: a daemon that starts after the store came back from a copy reads the table itself, and serves the copy's configuration until the operator has written again, although others answer its requests: a revoked key is accepted, a route is unknown.

Cause: a table with retained rows was taken only if it was as new as the last change known here. Heartbeats raise the store's version, followers hold the version of the table's last change, and a daemon that read the whole table without a reader's report takes the read's version for the last change. So tables of daemons that know better always looked older, in the exchange of tables as in the replica.

Change: the exchange keeps the last table whose sender knows what the store lost beside the newest one, and each retained row is taken if the row itself has the same version here as in the sender's table. The first case of tableExchange.test asks for that table now, in both orders and also beside a later revision.

Evidence: with versions that rise, the new case of retainedRows.test failed at 18 daemons, and that of tableReplica.test; both hold.

--- a/packages/forwarding/src/peers/retainedRows.test.ts
+++ b/packages/forwarding/src/peers/retainedRows.test.ts
@@ -172,6 +172,19 @@
     await fleet.advance(MAX_DELAY_MS);
     assertAllKnow(fleet, COPY);
   });
+
+  // Guards against a starting daemon that cannot place what others retain, as it read a later version.
+  test(`${daemons} daemons tell starting ones while the store's version rises`, async (context) => {
+    const fleet = await startFleet(context, options);
+    const stopped = [...fleet.members.slice(0, SEEDS), ...fleet.members.slice(-2)];
+    await restoreStore(fleet);
+    stopped.forEach((member) => fleet.stopMember(member));
+    const heartbeats = setInterval(() => fleet.store.raiseVersion(), 50);
+    const started = await fleet.restart(stopped);
+    await fleet.advance(MAX_DELAY_MS);
+    clearInterval(heartbeats);
+    assertAllKnow({ members: started }, KNOWN_BEFORE);
+  });
 }
 
 test.run();
--- a/packages/forwarding/src/peers/tableExchange.test.ts
+++ b/packages/forwarding/src/peers/tableExchange.test.ts
@@ -42,13 +42,16 @@
 };
 
 // Guards against retained rows that are lost because a daemon without them answered first.
-test('a table with retained rows is taken after one of the same revision without', () => {
-  const exchange = createExchange(new StoreEra());
-  exchange.receiveTable(PLAIN, DATAGRAM);
-  exchange.receiveTable(RETAINED, DATAGRAM);
-  assert.is(exchange.findReceived('operator'), RETAINED);
-  exchange.receiveTable(PLAIN, DATAGRAM);
-  assert.is(exchange.findReceived('operator'), RETAINED);
+test('a table with retained rows is taken beside those of the same and later revisions', () => {
+  for (const plain of [PLAIN, { ...PLAIN, version: 12 }]) {
+    const exchange = createExchange(new StoreEra());
+    exchange.receiveTable(plain, DATAGRAM);
+    exchange.receiveTable(RETAINED, DATAGRAM);
+    assert.is(exchange.findRetaining('operator'), RETAINED);
+    exchange.receiveTable(plain, DATAGRAM);
+    assert.is(exchange.findRetaining('operator'), RETAINED);
+    assert.is(exchange.findReceived('operator'), plain);
+  }
 });
 
 test('a table of an earlier era is not taken, and a later one raises the era', () => {
--- a/packages/forwarding/src/peers/tableExchange.ts
+++ b/packages/forwarding/src/peers/tableExchange.ts
@@ -6,7 +6,7 @@
 import type { Logger, Random } from '@snipehaven/common';
 import { pickRandom } from '@snipehaven/common';
 import type { StoreEra } from '../store/storeEra.js';
-import { isNewer, isSameRevision, type StoreRevision } from '../store/storeRevision.js';
+import { isNewer, type StoreRevision } from '../store/storeRevision.js';
 import type { SnapshotRequest, SnapshotSource, TableSnapshot } from '../store/types.js';
 import type { ReceivedDatagram } from './datagramDispatch.js';
 import { encodeJoinMessage } from './joinMessages.js';
@@ -69,11 +69,12 @@
   readonly datagrams: readonly Buffer[];
 }
 
-/** A table of the same revision may bring more rows that its sender retains. */
-const hasMore = (snapshot: TableSnapshot, received: TableSnapshot): boolean =>
-  isNewer(snapshot, received) ||
-  (isSameRevision(snapshot, received) &&
-    (snapshot.retained?.length ?? -1) > (received.retained?.length ?? -1));
+/** Whether the sender knows what the store lost, and `known` is older or retains fewer rows. */
+const isBetterRetaining = (snapshot: TableSnapshot, known: TableSnapshot | undefined): boolean =>
+  snapshot.retained !== undefined &&
+  (known === undefined ||
+    isNewer(snapshot, known) ||
+    (snapshot.era === known.era && snapshot.retained.length > (known.retained?.length ?? 0)));
 
 export class TableExchange implements SnapshotSource {
   readonly #options: TableExchangeOptions;
@@ -81,6 +82,9 @@
   /** The newest tables that other daemons sent. */
   readonly #received = new Map<string, TableSnapshot>();
 
+  /** Tables whose senders know what the store lost; a later one may come from a daemon that does not. */
+  readonly #retaining = new Map<string, TableSnapshot>();
+
   /** Timers of the pending requests, keyed by table. */
   readonly #timers = new Map<string, NodeJS.Timeout>();
 
@@ -112,6 +116,10 @@
     return this.#received.get(table);
   }
 
+  findRetaining(table: string): TableSnapshot | undefined {
+    return this.#retaining.get(table);
+  }
+
   publishSnapshot(snapshot: TableSnapshot): void {
     const { directory, readerRegistry, sendReports } = this.#options;
     if (this.#isStopped) {
@@ -139,12 +147,19 @@
     const { directory, readerRegistry, storeEra } = this.#options;
     const { table, era, eraAgeMs, lastChange } = snapshot;
     const received = this.#received.get(table);
-    if (received !== undefined && !hasMore(snapshot, received)) {
+    const isNewest = received === undefined || isNewer(snapshot, received);
+    const isRetaining = isBetterRetaining(snapshot, this.#retaining.get(table));
+    if (!isNewest && !isRetaining) {
       return;
     }
     const own = this.#findOwn(table);
-    const isNews = own !== undefined && isNewer({ era, version: lastChange }, own);
-    this.#received.set(table, snapshot);
+    const isNews = isNewest && own !== undefined && isNewer({ era, version: lastChange }, own);
+    if (isNewest) {
+      this.#received.set(table, snapshot);
+    }
+    if (isRetaining) {
+      this.#retaining.set(table, snapshot);
+    }
     storeEra.observe(era, host, eraAgeMs);
     readerRegistry.notifyUpdate(table);
     if (isNews && !this.#isSmallFleet && directory.isRemote(host)) {
--- a/packages/forwarding/src/store/peerFeed.ts
+++ b/packages/forwarding/src/store/peerFeed.ts
@@ -61,15 +61,16 @@
   /** Applies relayed changes, and a received table if it has a change that they do not bring. */
   apply(): void {
     this.#applyChanges();
-    const snapshot = this.#options.source?.findReceived(this.#options.table);
-    if (snapshot === undefined) {
-      return;
-    }
-    if (this.#replica.lacks(snapshot)) {
+    const { source, table } = this.#options;
+    const snapshot = source?.findReceived(table);
+    if (snapshot !== undefined && this.#replica.lacks(snapshot)) {
       this.applySnapshot(snapshot);
       this.#applyChanges();
     }
-    this.#learnRetained(snapshot);
+    const retaining = source?.findRetaining(table);
+    if (retaining !== undefined) {
+      this.#learnRetained(retaining);
+    }
   }
 
   applySnapshot(snapshot: TableSnapshot): void {
--- a/packages/forwarding/src/store/tableReplica.test.ts
+++ b/packages/forwarding/src/store/tableReplica.test.ts
@@ -64,4 +64,14 @@
   assert.equal(getKeys(replica), []);
 });
 
+// Guards against a daemon that read the store itself and cannot place what others retain.
+test('retained rows are learned unless the store has changed them since', () => {
+  const replica = new TableReplica('operator', POLICY);
+  const rows = [{ key: 'changed', value: '2', era: 2, version: 45 }];
+  replica.replace({ ...createSnapshot(50, 50, 2), rows });
+  replica.learn(createRetaining([LOST, { ...LOST, key: 'changed' }]));
+  assert.equal(getKeys(replica), ['changed', 'lost']);
+  assert.is(replica.effectiveRows[0]?.value, '2');
+});
+
 test.run();
--- a/packages/forwarding/src/store/tableReplica.ts
+++ b/packages/forwarding/src/store/tableReplica.ts
@@ -28,8 +28,8 @@
   /** Whether it is known which rows the store lost when the present era began. */
   #isLossKnown = false;
 
-  /** The snapshot whose retained rows were taken last; none is taken twice, as their time goes on. */
-  #learnedFrom: TableSnapshot | undefined;
+  /** Snapshots whose retained rows were taken; none is taken twice, as their time goes on. */
+  readonly #learnedFrom = new WeakSet<TableSnapshot>();
 
   /** The newest revision ever held, also while the table must be read completely. */
   #newest = INITIAL_REVISION;
@@ -186,17 +186,20 @@
     return newChanges.filter((change) => this.#retention.admit(change));
   }
 
-  /** Takes what another daemon of the same state retains; returns what changes by it. */
+  /** Takes what another daemon retains in the same era; returns what changes by it. */
   learn(snapshot: TableSnapshot): readonly StoreChange[] {
-    const { era, version, retained = [] } = snapshot;
-    // A row that was written or removed after the snapshot is newer than what its sender retains.
-    const isUpToDate = !this.#mustRead && era === this.#newest.era && version >= this.#lastChange;
-    if (!isUpToDate || snapshot === this.#learnedFrom) {
+    const { era, rows, retained = [] } = snapshot;
+    if (this.#mustRead || era !== this.#newest.era || this.#learnedFrom.has(snapshot)) {
       return [];
     }
-    this.#learnedFrom = snapshot;
+    this.#learnedFrom.add(snapshot);
     this.#isLossKnown ||= snapshot.retained !== undefined;
-    const keys = this.#retention.learn(retained, this.#rows, performance.now());
+    const sentVersions = new Map(rows.map(({ key, version }) => [key, version]));
+    // A row that was written or removed after the snapshot is newer than what its sender retains.
+    const unchanged = retained.filter(
+      ({ key }) => sentVersions.get(key) === this.#rows.get(key)?.version,
+    );
+    const keys = this.#retention.learn(unchanged, this.#rows, performance.now());
     return keys.map((key) => this.#toChange(key));
   }
 
--- a/packages/forwarding/src/store/types.ts
+++ b/packages/forwarding/src/store/types.ts
@@ -92,6 +92,8 @@
   waitForSnapshot(table: string): Promise<TableSnapshot | undefined>;
   /** The newest table that another daemon has sent, if any. */
   findReceived(table: string): TableSnapshot | undefined;
+  /** A table of the newest era whose sender knows what the store lost, maybe older than others. */
+  findRetaining(table: string): TableSnapshot | undefined;
   /** Asks a limited number of times, one daemon at a time. */
   requestSnapshot(request: SnapshotRequest): void;
   /** Sends a table that this daemon read to the others. */
