--- a/packages/forwarding/src/crashes/holdPersister.test.ts
+++ b/packages/forwarding/src/crashes/holdPersister.test.ts
@@ -242,6 +242,14 @@
   assert.is(written.length, 0);
 });
 
+/** The store comes back from a copy that still has a row that was removed. */
+const restoreRemovedRow = (holdPersister: HoldPersister): void => {
+  holdPersister.applyRecord(recordUntil(HOLD_MS), at(7), OFFSET_MS);
+  holdPersister.applyRemoval(A);
+  holdPersister.startEra([A], 2);
+  holdPersister.applyRecord(recordUntil(HOLD_MS), at(7, 2), OFFSET_MS);
+};
+
 // Guards against an answered request that is held back because the copy still has its row.
 test('a hold of the copy that was released before is removed again', async ({
   tracker,
@@ -249,10 +257,7 @@
   clock,
   removed,
 }) => {
-  holdPersister.applyRecord(recordUntil(HOLD_MS), at(7), OFFSET_MS);
-  holdPersister.applyRemoval(A);
-  holdPersister.startEra([A], 2);
-  holdPersister.applyRecord(recordUntil(HOLD_MS), at(7, 2), OFFSET_MS);
+  restoreRemovedRow(holdPersister);
   assert.is(tracker.findHold(A), undefined);
   await clock.tickAsync(4_000);
   assert.equal(removed, [A]);
@@ -268,10 +273,7 @@
   clock,
   removed,
 }) => {
-  holdPersister.applyRecord(recordUntil(HOLD_MS), at(7), OFFSET_MS);
-  holdPersister.applyRemoval(A);
-  holdPersister.startEra([A], 2);
-  holdPersister.applyRecord(recordUntil(HOLD_MS), at(7, 2), OFFSET_MS);
+  restoreRemovedRow(holdPersister);
   observeEnds(tracker);
   await clock.tickAsync(4_000);
   assert.equal(removed, []);
