--- a/packages/forwarding/src/runs/describePlacement.ts
+++ b/packages/forwarding/src/runs/describePlacement.ts
@@ -4,10 +4,30 @@
 import { countHeldOff } from './listCandidates.js';
 import type { PlacementQuery } from './placementQuery.js';
 import { roundMs } from './responseTiming.js';
+import type { UpstreamEntry } from '../upstreams/index.js';
 
 const getAgeMs = (sinceMs: number | undefined): number | undefined =>
   sinceMs === undefined ? undefined : performance.now() - sinceMs;
 
+/** What is known of brittle upstreams of the service; undefined while none says that it is brittle. */
+const describeBrittleness = (
+  { directory }: ForwardDependencies,
+  { statements, ownLoad, requests, upstream: { slots, service } }: UpstreamEntry,
+) => {
+  const brittle = directory
+    .listReady(service)
+    .filter((one) => one.statements.brittle.rejectionsPerS !== undefined);
+  return brittle.length === 0
+    ? undefined
+    : {
+        rejectionsPerS: statements.brittle.rejectionsPerS,
+        slots,
+        own: ownLoad.requests,
+        others: requests - ownLoad.requests,
+        brittleUpstreams: brittle.length,
+      };
+};
+
 export const describePlacement = (
   dependencies: ForwardDependencies,
   { entry, startWork, workAhead, heldOffCount }: RequestPlacement,
@@ -22,6 +42,7 @@
     isCold: entry.cold.isCold(performance.now()) || undefined,
     leavingForMs: roundMs(getAgeMs(entry.statements.leavingSinceMs)),
     rateLimitPerS: entry.rateLimit.requestsPerS,
+    brittle: describeBrittleness(dependencies, entry),
     heldOff: heldOffCount > 0 ? countHeldOff(dependencies, query) : undefined,
     requests: entry.requests,
     startWork: Math.round(startWork),
