--- a/packages/forwarding/src/daemon/forwardDaemon.ts
+++ b/packages/forwarding/src/daemon/forwardDaemon.ts
@@ -11,7 +11,6 @@
 import { StoreEra, type RowStore, type TableWatcher } from '../store/index.js';
 import {
   BackOffTracker,
-  BrittleTracker,
   LeavingTracker,
   RateLimitTracker,
   UpstreamDirectory,
@@ -33,6 +32,7 @@
 import { CrashCoordinator } from './crashCoordinator.js';
 import { MeteredStore } from './meteredStore.js';
 import { PerService } from './perService.js';
+import { PlaceCoordinator } from './placeCoordinator.js';
 import { RelayCoordinator } from './relayCoordinator.js';
 import { StoreRolloutWriter } from './storeRolloutWriter.js';
 import { StatusListener } from './tableListeners.js';
@@ -80,6 +80,9 @@
 
   readonly #random: Random = createRandom(getEntropySeed());
 
+  /** Distinguishes this process from earlier ones of the VM. */
+  readonly #processId = getEntropySeed();
+
   readonly #configuration: ConfigurationHolder;
 
   readonly #peerDirectory: PeerDirectory;
@@ -103,6 +106,9 @@
 
   readonly #leavings: LeavingTracker;
 
+  /** Places at upstreams that fall over when they turn many requests away. */
+  readonly #places: PlaceCoordinator;
+
   readonly #statusListener: StatusListener;
 
   readonly #peerLoads = new PeerLoads();
@@ -193,6 +199,14 @@
       directory: this.#directory,
       broadcast: (news) => this.#exchange.broadcastLeavings(news),
     });
+    this.#places = new PlaceCoordinator({
+      logger,
+      metrics: this.#metrics,
+      directory: this.#directory,
+      peers: this.#peerDirectory,
+      processId: this.#processId,
+      getExchange: () => this.#exchange,
+    });
     const { vmName, sessionTtlMs, allowedExposure } = adapter.settings;
     this.#readerRegistry = new ReaderRegistry(vmName, adapter.settings.dataCentre, this.#storeEra);
     this.#rollouts = new RolloutTracker({
@@ -223,11 +237,12 @@
     this.#front = new FrontServer({
       configuration: this.#configuration,
       directory: this.#directory,
-      upstreamGate: new UpstreamGate(this.#exchange),
+      upstreamGate: new UpstreamGate(this.#exchange, this.#places.borrower),
       rateLimits: this.#rateLimits,
       leavings: this.#leavings,
       backOffs: new BackOffTracker(logger),
-      brittle: new BrittleTracker(logger, this.#exchange),
+      brittle: this.#places.brittle,
+      places: this.#places.borrower,
       dialect: adapter.dialect,
       rollouts: this.#rollouts,
       crashes: this.#crashes.tracker,
@@ -339,6 +354,7 @@
     this.#relays.stop();
     this.#readiness.close();
     this.#metricsServer.close();
+    this.#places.stop();
     this.#exchange.stop();
   }
 
@@ -416,13 +432,15 @@
       readerRegistry: this.#readerRegistry,
       logger: this.#logger,
       random: this.#random,
-      processId: getEntropySeed(),
+      processId: this.#processId,
       readOwnLoads: () => this.#readOwnLoads(),
       readOwnStatistics: () => this.#readOwnStatistics(),
       onCrashMessage: (report) => this.#crashes.tracker.receiveReport(report),
       onBadVersion: (report) => this.#rollouts.receiveBadVersion(report),
       onRateLimits: (news) => this.#rateLimits.receive(news),
       onLeavings: (news) => this.#leavings.receive(news),
+      onBrittle: (news) => this.#places.brittle.receive(news),
+      onPlaceMessage: (message) => this.#places.receive(message),
       meter: this.#metrics,
     });
   }
--- a/packages/forwarding/src/peers/datagramDispatch.ts
+++ b/packages/forwarding/src/peers/datagramDispatch.ts
@@ -1,12 +1,15 @@
 /** Decodes datagrams and dispatches them by message type. */
+import { decodeBrittle, type BrittleNews } from './brittleMessage.js';
 import { decodeChanges, type TableChanges } from './changesMessage.js';
 import { decodeCrashMessage, type CrashMessage } from './crashMessage.js';
 import { decodeJoinMessage, type JoinMessage } from './joinMessages.js';
+import type { PlaceMessage } from '../places/types.js';
 import { decodeLoadMessage } from './loadMessage.js';
 import type { LoadDatagram } from './loadSharingStrategy.js';
 import { decodeTableMessage, type TableMessage } from './tableMessages.js';
 import { decodeBadVersion, type BadVersionMessage } from './badVersionMessage.js';
 import { decodeLeavings, type LeavingNews } from './leavingMessage.js';
+import { decodePlaceMessage } from './placeMessage.js';
 import { decodeRateLimits, type RateLimitNews } from './rateLimitMessage.js';
 
 /** A decoded datagram with its raw bytes. */
@@ -26,6 +29,8 @@
   readonly badVersion: (report: BadVersionMessage) => void;
   readonly rateLimits: (news: readonly RateLimitNews[]) => void;
   readonly leavings: (news: readonly LeavingNews[]) => void;
+  readonly brittle: (news: readonly BrittleNews[]) => void;
+  readonly places: (message: PlaceMessage) => void;
 }
 
 /** Returns the message type, or undefined if the handler does not know the message. */
@@ -53,6 +58,7 @@
     (message, { bytes, host }) => handlers.loads({ message, bytes, host }),
     ({ scope }) => scope,
   ),
+  createHandler(decodePlaceMessage, handlers.places, () => 'places'),
   createHandler(decodeChanges, handlers.changes, () => 'changes'),
   createHandler(decodeJoinMessage, handlers.join, ({ kind }) => kind),
   createHandler(decodeTableMessage, handlers.tables, ({ kind }) => kind),
@@ -60,6 +66,7 @@
   createHandler(decodeBadVersion, handlers.badVersion, () => 'badVersion'),
   createHandler(decodeRateLimits, handlers.rateLimits, () => 'rateLimits'),
   createHandler(decodeLeavings, handlers.leavings, () => 'leavings'),
+  createHandler(decodeBrittle, handlers.brittle, () => 'brittle'),
 ];
 
 export const dispatchDatagram = (
--- a/packages/forwarding/src/peers/index.ts
+++ b/packages/forwarding/src/peers/index.ts
@@ -12,6 +12,7 @@
 } from './sharedStatistics.js';
 export type { UpstreamLoad } from './loadMessage.js';
 export type { BadVersionMessage } from './badVersionMessage.js';
+export type { BrittleNews } from './brittleMessage.js';
 export type { LeavingNews } from './leavingMessage.js';
 export type { RateLimitNews } from './rateLimitMessage.js';
 export {
--- a/packages/forwarding/src/peers/peerDirectory.ts
+++ b/packages/forwarding/src/peers/peerDirectory.ts
@@ -3,7 +3,7 @@
  * so they are cached until a daemon is added or removed.
  */
 import { forgetOldest, pickRandom, type Random } from '@snipehaven/common';
-import { countBefore, type RendezvousOrder } from './rendezvousOrder.js';
+import { countBefore, RendezvousOrder } from './rendezvousOrder.js';
 
 export interface Peer {
   readonly vm: string;
@@ -44,6 +44,9 @@
 
   readonly #countsBefore = new Map<string, number>();
 
+  /** By key and data centre. */
+  readonly #firsts = new Map<string, readonly string[]>();
+
   constructor(self: Peer, random: Random) {
     this.self = self;
     this.#random = random;
@@ -85,6 +88,22 @@
     return count;
   }
 
+  /**
+   * The first daemons in the rendezvous order of the key: of this data centre and of the others by turns,
+   * so that one is left when either cannot be reached. Fewer if there are no more.
+   */
+  listFirst(key: string, dataCentre: string, count: number): readonly string[] {
+    const cacheKey = `${key}|${dataCentre}|${count}`;
+    const known = this.#firsts.get(cacheKey);
+    if (known !== undefined) {
+      return known;
+    }
+    const first = this.#findFirst(key, dataCentre, count);
+    this.#firsts.set(cacheKey, first);
+    forgetOldest(this.#firsts, MAX_CACHED_KEYS);
+    return first;
+  }
+
   find(vm: string): Peer | undefined {
     return this.#peers.get(vm);
   }
@@ -135,6 +154,19 @@
     return pickRandom(this.all, this.#random);
   }
 
+  #findFirst(key: string, dataCentre: string, count: number): readonly string[] {
+    const order = new RendezvousOrder(key);
+    const daemons = [this.self, ...this.#peers.values()];
+    const rank = (isLocal: boolean): readonly string[] =>
+      order.rank(
+        daemons.filter((one) => (one.dataCentre === dataCentre) === isLocal).map(({ vm }) => vm),
+      );
+    const local = rank(true);
+    const remote = rank(false);
+    const byTurns = daemons.flatMap((_, turn) => [local[turn], remote[turn]]);
+    return byTurns.filter((vm) => vm !== undefined).slice(0, count);
+  }
+
   #forgetHost(peer: Peer | undefined): void {
     if (peer !== undefined && this.#byHost.get(peer.host)?.vm === peer.vm) {
       this.#byHost.delete(peer.host);
@@ -145,6 +177,7 @@
     this.#lists = undefined;
     this.#ranks.clear();
     this.#countsBefore.clear();
+    this.#firsts.clear();
   }
 
   #getRanks(order: RendezvousOrder): Ranks {
--- a/packages/forwarding/src/peers/peerExchange.ts
+++ b/packages/forwarding/src/peers/peerExchange.ts
@@ -1,5 +1,6 @@
 /** Communication of a daemon with the other daemons, over datagrams. */
 import type { Logger, Random } from '@snipehaven/common';
+import type { PlaceMessage } from '../places/types.js';
 import type { StoreClock } from '../configuration/storeClock.js';
 import type { StoreEra } from '../store/storeEra.js';
 import type { SnapshotSource, TableSnapshot } from '../store/types.js';
@@ -29,6 +30,8 @@
 import { AggregationStrategy } from './aggregationStrategy.js';
 import { TICK_MS, type LoadDatagram, type LoadSharingStrategy } from './loadSharingStrategy.js';
 import { encodeBadVersion, type BadVersionMessage } from './badVersionMessage.js';
+import { encodeBrittle, type BrittleNews } from './brittleMessage.js';
+import { encodePlaceMessage } from './placeMessage.js';
 import { encodeLeavings, type LeavingNews } from './leavingMessage.js';
 import { encodeRateLimits, type RateLimitNews } from './rateLimitMessage.js';
 
@@ -58,6 +61,10 @@
   onRateLimits(news: readonly RateLimitNews[]): void;
   /** Called when another daemon has heard that upstreams are leaving. */
   onLeavings(news: readonly LeavingNews[]): void;
+  /** Called when another daemon has heard that upstreams of services are brittle. */
+  onBrittle(news: readonly BrittleNews[]): void;
+  /** Called when another daemon asks for, lends or returns places at brittle upstreams. */
+  onPlaceMessage(message: PlaceMessage): void;
 }
 
 /**
@@ -105,6 +112,8 @@
     badVersion: (report) => this.#options.onBadVersion(report),
     rateLimits: (news) => this.#options.onRateLimits(news),
     leavings: (news) => this.#options.onLeavings(news),
+    brittle: (news) => this.#options.onBrittle(news),
+    places: (message) => this.#options.onPlaceMessage(message),
   });
 
   #timer: NodeJS.Timeout | undefined;
@@ -264,6 +273,21 @@
     }
   }
 
+  /** Sent directly to all daemons: until a daemon knows, it sends its usual requests. */
+  broadcastBrittle(news: readonly BrittleNews[]): void {
+    if (!this.#isStopped) {
+      this.#messenger.sendTo(this.#options.directory.all, encodeBrittle(news));
+    }
+  }
+
+  /** Not sent if the daemon is no longer known. */
+  sendPlaceMessage(vm: string, message: PlaceMessage): void {
+    const peer = this.#options.directory.find(vm);
+    if (peer !== undefined && !this.#isStopped) {
+      this.#messenger.sendTo([peer], encodePlaceMessage(message));
+    }
+  }
+
   /** Sends news of rate limits to one random daemon. */
   askAboutRateLimits(news: readonly RateLimitNews[]): void {
     const peer = this.#options.directory.pickAny();
--- a/packages/forwarding/src/peers/testSupport/daemonFleet.ts
+++ b/packages/forwarding/src/peers/testSupport/daemonFleet.ts
@@ -233,6 +233,8 @@
       onBadVersion: () => {},
       onRateLimits: () => {},
       onLeavings: () => {},
+      onBrittle: () => {},
+      onPlaceMessage: () => {},
     });
     const member = { self, directory, loads, readerRegistry, exchange, ownLoads, tables };
     const names = this.#options.tables ?? [];
--- /dev/null
+++ b/packages/forwarding/src/places/index.ts
@@ -0,0 +1,3 @@
+export { PlaceBorrower } from './placeBorrower.js';
+export { PlaceLender } from './placeLender.js';
+export type * from './types.js';
--- a/packages/forwarding/src/runs/attempt.ts
+++ b/packages/forwarding/src/runs/attempt.ts
@@ -12,6 +12,7 @@
   type ExchangeFailure,
   type ExchangeListener,
 } from '../exchange/index.js';
+import type { Place } from '../places/index.js';
 import type { ForwardRoute, UpstreamHeaderValues } from '../types.js';
 import type {
   ExitVerdict,
@@ -43,6 +44,8 @@
   readonly remainingMs: number;
   /** Resumes a response of which the caller has received a part. */
   readonly isResumed: boolean;
+  /** At an upstream that can turn few requests away. */
+  readonly place: Place | undefined;
 }
 
 export interface AttemptListener extends ExchangeListener {
@@ -238,6 +241,7 @@
   abort(): void {
     this.detach();
     this.#releaseLoad();
+    this.#plan.place?.release('abandoned');
     this.#exchange.abort();
   }
 
@@ -262,6 +266,9 @@
     this.#recordActivity();
     this.#mayHaveRun = !head.facts.isNotRun;
     this.#recordStatements(head);
+    if (head.facts.isNotRun) {
+      this.#plan.place?.release(head.facts.isMisdirected ? 'ended' : 'turnedAway');
+    }
     if (this.#mayHaveRun) {
       this.#plan.entry.exitDetector.onResponseStarted(this);
       this.#reporter.recordSessionRun();
@@ -311,6 +318,7 @@
     }
     this.#reporter.onResponseComplete();
     this.#releaseLoad();
+    this.#plan.place?.release('ended');
     clearTimeout(this.#silenceTimer);
     if (this.#isListening) {
       this.#isListening = false;
@@ -321,6 +329,7 @@
   #onFailure(failure: ExchangeFailure): void {
     this.#mayHaveRun &&= failure.verdict !== 'notSent';
     this.#releaseLoad();
+    this.#plan.place?.release(failure.verdict === 'notSent' ? 'unused' : 'abandoned');
     clearTimeout(this.#pathTimer);
     clearTimeout(this.#silenceTimer);
     if (this.#isListening) {
@@ -358,11 +367,7 @@
     const { rateLimits, leavings, backOffs, brittle } = this.#dependencies;
     rateLimits.recordAnswer(entry, facts.rateLimit, this.#startedAtMs);
     backOffs.recordAnswer(entry, facts.backOff, this.#startedAtMs);
-    brittle.recordAnswer(entry, {
-      stated: facts.brittleness,
-      isTurnedAway: facts.isNotRun,
-      sentAtMs: this.#startedAtMs,
-    });
+    brittle.recordAnswer(entry, facts.brittleness, this.#startedAtMs);
     if (facts.isLeaving) {
       leavings.recordAnswer(entry);
     }
--- a/packages/forwarding/src/runs/dependencies.ts
+++ b/packages/forwarding/src/runs/dependencies.ts
@@ -5,6 +5,7 @@
 import type { ConfigurationHolder } from '../configuration/configurationHolder.js';
 import type { CrashTracker } from '../crashes/index.js';
 import type { ForwardMetrics } from '../edge/forwardMetrics.js';
+import type { PlaceBorrower } from '../places/index.js';
 import type { RolloutTracker } from '../rollouts/rolloutTracker.js';
 import type { HeaderDialect } from '../types.js';
 import type {
@@ -29,6 +30,8 @@
   readonly backOffs: BackOffTracker;
   /** Upstreams that fall over when they have to turn many requests away. */
   readonly brittle: BrittleTracker;
+  /** Places for requests at such upstreams. */
+  readonly places: PlaceBorrower;
   readonly dialect: HeaderDialect;
   readonly rollouts: RolloutTracker;
   /** Upstreams whose process exited, and requests held back as the suspected cause. */
--- a/packages/forwarding/src/runs/describePlacement.ts
+++ b/packages/forwarding/src/runs/describePlacement.ts
@@ -9,22 +9,21 @@
 const getAgeMs = (sinceMs: number | undefined): number | undefined =>
   sinceMs === undefined ? undefined : performance.now() - sinceMs;
 
-/** What is known of brittle upstreams of the service; undefined while none says that it is brittle. */
+/** Undefined unless the upstream is known to turn few requests away. */
 const describeBrittleness = (
-  { directory }: ForwardDependencies,
-  { statements, ownLoad, requests, upstream: { slots, service } }: UpstreamEntry,
+  { brittle, places }: ForwardDependencies,
+  entry: UpstreamEntry,
+  { fullUpstreams }: PlacementQuery,
 ) => {
-  const brittle = directory
-    .listReady(service)
-    .filter((one) => one.statements.brittle.rejectionsPerS !== undefined);
-  return brittle.length === 0
+  const rejectionsPerS = brittle.getRejectionsPerS(entry);
+  return rejectionsPerS === undefined
     ? undefined
     : {
-        rejectionsPerS: statements.brittle.rejectionsPerS,
-        slots,
-        own: ownLoad.requests,
-        others: requests - ownLoad.requests,
-        brittleUpstreams: brittle.length,
+        rejectionsPerS,
+        slots: entry.upstream.slots,
+        held: places.countHeld(entry),
+        others: entry.requests - entry.ownLoad.requests,
+        full: fullUpstreams.size,
       };
 };
 
@@ -42,7 +41,7 @@
     isCold: entry.cold.isCold(performance.now()) || undefined,
     leavingForMs: roundMs(getAgeMs(entry.statements.leavingSinceMs)),
     rateLimitPerS: entry.rateLimit.requestsPerS,
-    brittle: describeBrittleness(dependencies, entry),
+    brittle: describeBrittleness(dependencies, entry, query),
     heldOff: heldOffCount > 0 ? countHeldOff(dependencies, query) : undefined,
     requests: entry.requests,
     startWork: Math.round(startWork),
--- a/packages/forwarding/src/runs/findLargerModel.ts
+++ b/packages/forwarding/src/runs/findLargerModel.ts
@@ -37,10 +37,12 @@
   dependencies: ForwardDependencies,
   { request: { options }, resolved: { route }, service, usedUpstreams }: EscalationInput,
 ): StartEstimate => {
-  const query = { service, route, options, model: route.models.at(-1), usedUpstreams };
+  const model = route.models.at(-1);
+  const query = { service, route, options, model, usedUpstreams, fullUpstreams: new Set<string>() };
   const placement = findPlacement(dependencies, query);
   const pace = dependencies.getWorkPace(service);
-  return placement === undefined
+  // Whether an upstream that turns few requests away has a place is known only once it is borrowed.
+  return placement === undefined || dependencies.places.isNeeded(placement.entry)
     ? { waitMs: Infinity, meanWaitMs: Infinity, expectedStartMs: Infinity }
     : {
         waitMs: pace.estimateMs(placement.entry.backlog),
--- a/packages/forwarding/src/runs/forwardRun.ts
+++ b/packages/forwarding/src/runs/forwardRun.ts
@@ -12,6 +12,7 @@
 import type { ResponseHead, ExchangeFailure } from '../exchange/index.js';
 import type { ForwardRoute } from '../types.js';
 import type { HoldOff } from '../upstreams/index.js';
+import type { Place } from '../places/index.js';
 import { Attempt, type AttemptListener } from './attempt.js';
 import type { ForwardDependencies } from './dependencies.js';
 import { buildRefusal } from './buildRefusal.js';
@@ -19,7 +20,12 @@
 import { describePlacement } from './describePlacement.js';
 import { findLargerModel, type LargerModel } from './findLargerModel.js';
 import { findPlacement, type RequestPlacement } from './findPlacement.js';
-import { findHoldOff, findSessionExpiryWait, listCandidates } from './listCandidates.js';
+import {
+  findHoldOff,
+  findSessionExpiryWait,
+  isStillOpen,
+  listCandidates,
+} from './listCandidates.js';
 import { toReasonAfterRun } from './refusals.js';
 import type { PlacementQuery } from './placementQuery.js';
 import { ResponseTiming, roundMs } from './responseTiming.js';
@@ -35,6 +41,13 @@
 
 const MS_PER_S = 1_000;
 
+/** About the time in which a busy upstream ends a request; places are free sooner, but others ask too. */
+const FULL_RETRY_MS = 200;
+
+/** How often and how long a repeat waits for a place at an upstream that can turn few requests away. */
+const MAX_WAITS_FOR_PLACE = 20;
+const PLACE_WAIT_MS = 50;
+
 /** Bounds the length of a log line. */
 const MAX_LOGGED_PARTS = 8;
 
@@ -77,6 +90,9 @@
 
   readonly #usedUpstreams = new Set<string>();
 
+  /** Incarnations of upstreams that have no free place for the next attempt. */
+  readonly #fullUpstreams = new Set<string>();
+
   #resolved: ResolvedRequest;
 
   #attempt: Attempt | undefined;
@@ -93,6 +109,8 @@
 
   #countedAttempts = 0;
 
+  #waitsForPlace = 0;
+
   #uncountedAttempts = 0;
 
   #mayHaveRun = false;
@@ -422,14 +440,39 @@
   }
 
   #send(service: string): void {
-    const { route, team } = this.#resolved;
     const query = this.#createQuery(service);
-    const suspect = this.#mainSuspect;
     const placement = findPlacement(this.#dependencies, query);
     if (placement === undefined) {
       this.#concludeUnplaced(query);
+    } else if (this.#dependencies.places.isNeeded(placement.entry)) {
+      void this.#sendWithPlace(query, placement);
+    } else {
+      this.#startAttempt(query, placement);
+    }
+  }
+
+  /** The wait for a place is short, but what allowed the placement may have changed meanwhile. */
+  async #sendWithPlace(query: PlacementQuery, placement: RequestPlacement): Promise<void> {
+    const { entry } = placement;
+    const place = await this.#dependencies.places.borrow(entry);
+    if (this.#isFinished || this.#hold !== undefined) {
+      place?.release('unused');
+      this.#concludeFailure('held');
       return;
     }
+    if (place !== undefined && isStillOpen(this.#dependencies, query, entry)) {
+      this.#startAttempt(query, placement, place);
+      return;
+    }
+    place?.release('unused');
+    this.#fullUpstreams.add(entry.lifeId);
+    this.#send(query.service);
+  }
+
+  #startAttempt(query: PlacementQuery, placement: RequestPlacement, place?: Place): void {
+    const { route, team } = this.#resolved;
+    const { service } = query;
+    const suspect = this.#mainSuspect;
     this.#recordDemand(service, placement);
     this.#usedUpstreams.add(placement.entry.lifeId);
     this.#countedAttempts += 1;
@@ -443,12 +486,14 @@
       lastEventId: this.#relay.lastEventId,
       remainingMs: this.#getRemainingMs(),
       isResumed: this.#relay.hasBegun,
+      place,
     });
     this.#log('sent', {
       ...describePlacement(this.#dependencies, placement, query),
       attempt: this.#countedAttempts,
       ...(suspect === undefined ? {} : { blame: suspect.weight, digest: suspect.digest }),
     });
+    this.#fullUpstreams.clear();
     this.#attempt.start();
   }
 
@@ -465,6 +510,7 @@
       options: this.#request.options,
       model: this.#model,
       usedUpstreams: this.#usedUpstreams,
+      fullUpstreams: this.#fullUpstreams,
       suspectDigest: this.#mainSuspect?.digest,
     };
   }
@@ -476,7 +522,14 @@
       return;
     }
     const holdOff = findHoldOff(this.#dependencies, query);
-    if (holdOff === undefined) {
+    const isFull = this.#fullUpstreams.size > 0 || holdOff?.reason === 'upstreamsFull';
+    if (isFull && this.#mayHaveRun && this.#waitsForPlace < MAX_WAITS_FOR_PLACE) {
+      this.#waitForPlace();
+      return;
+    }
+    if (isFull && (holdOff?.waitMs ?? 0) < FULL_RETRY_MS) {
+      this.#concludeHeldOff({ reason: 'upstreamsFull', waitMs: FULL_RETRY_MS });
+    } else if (holdOff === undefined) {
       this.#concludeFailure('noUpstream');
     } else {
       this.#concludeHeldOff(holdOff);
@@ -489,6 +542,17 @@
     this.#concludeFailure(reason, Math.max(MIN_RETRY_AFTER_S, waitS));
   }
 
+  /** A request that may have run can't be sent back with a time at which to come again. */
+  #waitForPlace(): void {
+    this.#waitsForPlace += 1;
+    this.#fullUpstreams.clear();
+    setTimeout(() => {
+      if (!this.#isFinished) {
+        this.#resend();
+      }
+    }, PLACE_WAIT_MS);
+  }
+
   #recordDemand(service: string, { startWork, runWork }: RequestPlacement): void {
     if (this.#model !== undefined) {
       this.#dependencies.getModelDemand(service).recordWork(this.#model, startWork + runWork);
--- a/packages/forwarding/src/runs/listCandidates.ts
+++ b/packages/forwarding/src/runs/listCandidates.ts
@@ -33,7 +33,10 @@
 ): Candidates => {
   const allowed = listAllowed(dependencies, query);
   const context = getGateContext(dependencies, query, nowMs);
-  const ready = allowed.filter((entry) => dependencies.upstreamGate.admits(entry, context));
+  const ready = allowed.filter(
+    (entry) =>
+      !query.fullUpstreams.has(entry.lifeId) && dependencies.upstreamGate.admits(entry, context),
+  );
   const heldOffCount = allowed.length - ready.length;
   const isSound = (entry: UpstreamEntry): boolean => !entry.isSuspect(nowMs);
   if (heldOffCount > 0 && allowed.some(isSound) && !ready.some(isSound)) {
@@ -43,6 +46,19 @@
   return { entries: unused.length > 0 ? unused : ready, heldOffCount };
 };
 
+/** Whether a request that has got a place at the upstream may be sent there. */
+export const isStillOpen = (
+  dependencies: ForwardDependencies,
+  query: PlacementQuery,
+  entry: UpstreamEntry,
+): boolean => {
+  const context = getGateContext(dependencies, query, performance.now());
+  return (
+    listAllowed(dependencies, query).includes(entry) &&
+    dependencies.upstreamGate.admitsWithPlace(entry, context)
+  );
+};
+
 /** Time in ms until the session expires, if its version is evacuated; undefined otherwise. */
 export const findSessionExpiryWait = (
   { directory, rollouts }: ForwardDependencies,
--- a/packages/forwarding/src/upstreams/index.ts
+++ b/packages/forwarding/src/upstreams/index.ts
@@ -12,4 +12,4 @@
   type UpstreamOutcome,
 } from './upstreamEntry.js';
 export { UpstreamGate, type GateContext } from './upstreamGate.js';
-export type { FleetMembership, HoldOff, HoldOffReason } from './types.js';
+export type { FleetMembership, HoldOff, HoldOffReason, PlaceSource } from './types.js';
--- a/packages/forwarding/src/upstreams/rateLimitFleet.test.ts
+++ b/packages/forwarding/src/upstreams/rateLimitFleet.test.ts
@@ -140,7 +140,7 @@
     return {
       directory,
       tracker,
-      gate: new UpstreamGate({ ...membership, countBefore: () => rank }),
+      gate: new UpstreamGate({ ...membership, countBefore: () => rank }, { getWaitMs: () => 0 }),
     };
   }
 }
--- a/packages/forwarding/src/upstreams/types.ts
+++ b/packages/forwarding/src/upstreams/types.ts
@@ -1,4 +1,5 @@
 /** Types shared by the limits on what may be sent to an upstream. */
+import type { UpstreamEntry } from './upstreamEntry.js';
 
 /** The other daemons, as far as this one knows them. */
 export interface FleetMembership {
@@ -13,6 +14,12 @@
   countBefore(key: string): number;
 }
 
+/** Places that daemons lend each other at upstreams that can turn few requests away. */
+export interface PlaceSource {
+  /** Time in ms until a place may be asked for; 0 if it may now, or none is needed. */
+  getWaitMs(upstream: UpstreamEntry, nowMs: number): number;
+}
+
 /** Why an upstream gets no request for now. */
 export type HoldOffReason =
   'warmingUp' | 'upstreamsLimited' | 'upstreamsBackedOff' | 'upstreamsFull';
--- a/packages/forwarding/src/upstreams/upstreamGate.ts
+++ b/packages/forwarding/src/upstreams/upstreamGate.ts
@@ -2,11 +2,10 @@
  * Decides whether an upstream may be sent a request now. Every attempt passes it: first ones,
  * repeats and resumed streams.
  */
-import { getBrittlePlaces } from '@snipehaven/policy';
 import type { WarmUpFacts } from '../types.js';
 import { ColdRateLimiter } from './coldRateLimiter.js';
 import { RateLimiter } from './rateLimiter.js';
-import type { FleetMembership, HoldOff, HoldOffReason } from './types.js';
+import type { FleetMembership, HoldOff, HoldOffReason, PlaceSource } from './types.js';
 import type { UpstreamEntry } from './upstreamEntry.js';
 
 /** The moment of a decision, and what the service declares. */
@@ -18,35 +17,19 @@
 /** Returns the time in ms until the upstream may be sent a request; 0 if it may now. */
 type GetWaitMs = (entry: UpstreamEntry, context: GateContext) => number;
 
-/** About the time in which a busy upstream ends a request and its daemons hear of it. */
-const FULL_WAIT_MS = 200;
-
-/** A brittle upstream without a free place for this daemon would turn its request away. */
-const getRoomWaitMs = (
-  { statements, requests, ownLoad, upstream: { slots } }: UpstreamEntry,
-  daemons: number,
-): number => {
-  if (statements.brittle.rejectionsPerS === undefined) {
-    return 0;
-  }
-  const others = requests - ownLoad.requests;
-  const isFull = ownLoad.requests >= getBrittlePlaces({ slots, daemons, others });
-  return isFull ? FULL_WAIT_MS : 0;
-};
-
 const getLonger = (a: HoldOff, b: HoldOff): HoldOff => (b.waitMs > a.waitMs ? b : a);
 
 export class UpstreamGate {
   readonly #limits: readonly (readonly [HoldOffReason, GetWaitMs])[];
 
-  constructor(fleet: FleetMembership) {
+  constructor(fleet: FleetMembership, places: PlaceSource) {
     const cold = new ColdRateLimiter(fleet);
     const rate = new RateLimiter(fleet);
     const limits: Readonly<Record<HoldOffReason, GetWaitMs>> = {
       warmingUp: (entry, { warmUp, nowMs }) => cold.getWaitMs(entry, warmUp, nowMs),
       upstreamsLimited: (entry, { nowMs }) => rate.getWaitMs(entry, nowMs),
       upstreamsBackedOff: ({ statements }, { nowMs }) => statements.backOff.getWaitMs(nowMs),
-      upstreamsFull: (entry) => getRoomWaitMs(entry, fleet.daemons),
+      upstreamsFull: (entry, { nowMs }) => places.getWaitMs(entry, nowMs),
     };
     this.#limits = Object.entries(limits) as [HoldOffReason, GetWaitMs][];
   }
@@ -55,6 +38,13 @@
     return this.#limits.every(([, getWaitMs]) => getWaitMs(entry, context) === 0);
   }
 
+  /** As `admits`, for a request that has got a place. */
+  admitsWithPlace(entry: UpstreamEntry, context: GateContext): boolean {
+    return this.#limits.every(
+      ([reason, getWaitMs]) => reason === 'upstreamsFull' || getWaitMs(entry, context) === 0,
+    );
+  }
+
   /** The shortest hold-off of the upstreams; undefined if none of them is held off. */
   findShortest(entries: readonly UpstreamEntry[], context: GateContext): HoldOff | undefined {
     const holdOffs = entries
--- a/packages/forwarding/src/upstreams/upstreamStatements.ts
+++ b/packages/forwarding/src/upstreams/upstreamStatements.ts
@@ -3,7 +3,6 @@
  * which is replaced when the list loses the upstream and names it again.
  */
 import { BackOffState } from './backOffState.js';
-import { BrittleState } from './brittleState.js';
 import { RateLimitState } from './rateLimitState.js';
 
 export class UpstreamStatements {
@@ -11,8 +10,6 @@
 
   readonly backOff = new BackOffState();
 
-  readonly brittle = new BrittleState();
-
   #leavingSinceMs: number | undefined;
 
   /** When any daemon first heard that it is leaving; undefined while it is not. */
