--- a/packages/forwarding/src/crashes/crashTracker.ts
+++ b/packages/forwarding/src/crashes/crashTracker.ts
@@ -48,6 +48,9 @@
   onReleased(digest: RequestDigest, source: CrashSource): void;
 }
 
+/** Bounds the length of a log line. */
+const MAX_LOGGED_SUSPECTS = 40;
+
 type ReleaseCause = 'answered' | 'explained' | 'lapsed' | 'removed' | 'tooMany' | 'upstreamsLive';
 
 export class CrashTracker {
@@ -123,9 +126,12 @@
   /** Records the exit of an upstream that was running requests of this daemon. */
   recordExit(end: UpstreamExit): void {
     const nowMs = performance.now();
-    const suspects = end.lost
-      .flatMap((one) => this.#toSuspects(one, end, nowMs))
-      .filter(({ digest }) => !this.#answered.has(digest, nowMs));
+    const all = end.lost.flatMap((one) => this.#toSuspects(one, end, nowMs));
+    const suspects = all.filter(({ digest }) => !this.#answered.has(digest, nowMs));
+    this.#logExcused(
+      end.lifeId,
+      all.filter((one) => !suspects.includes(one)),
+    );
     const report = { lifeId: end.lifeId, suspects };
     this.#options.broadcast({ ...EMPTY_CRASH_MESSAGE, ends: [report] });
     this.#recordEnd(report, 'own');
@@ -288,8 +294,25 @@
     }
   }
 
+  #logExcused(lifeId: string, suspects: readonly Suspect[]): void {
+    const digests = [...new Set(suspects.map(({ digest }) => digest))];
+    if (digests.length > 0) {
+      this.#options.logger.info(
+        { event: 'suspectsExcused', life: lifeId, digests: digests.slice(0, MAX_LOGGED_SUSPECTS) },
+        'not blamed for the end of an upstream, as other upstreams have answered lately',
+      );
+    }
+  }
+
   /** Returns false if nothing was known about the request. */
   #clear(digest: RequestDigest, source: CrashSource): boolean {
+    const lives = this.#counter.listCrashedIncarnations(digest);
+    if (lives.length > 0) {
+      this.#options.logger.info(
+        { event: 'suspectCleared', digest, lives, source },
+        'no longer suspected, as an upstream has answered',
+      );
+    }
     const isKnown = this.#counter.clear(digest);
     const isHeld = this.#holds.has(digest);
     if (isHeld) {
