--- a/packages/forwarding/src/crashes/constants.ts
+++ b/packages/forwarding/src/crashes/constants.ts
@@ -13,23 +13,25 @@
 export const MAX_ENDED_LIVES = 1_024;
 
 /**
- * How long a complete answer clears its request of suspicion. A request that crashes its upstreams
- * is never answered; one that begins to do so with a new version is blamed a minute later.
+ * For how long what was answered completely takes more crashes to be held. It may begin to crash upstreams
+ * at any time, so that it is not excused.
  */
 export const ANSWERED_FOR_MS = 60_000;
 
+/** Daemons tell the others that a suspect was answered if nobody has done so for this long. */
+export const ANSWERED_TOLD_MS = 20_000;
+
 /** Answered requests to remember: those of a minute at 60 requests a second, half a megabyte. */
 export const MAX_ANSWERED = 4_096;
 
 /**
- * Daemons that know a held request to have been answered report this after a random delay up to
- * this, unless another daemon has done so. Otherwise two hundred of them would send the same report
- * at once.
+ * Daemons that know a suspect to have been answered report this after a random delay up to this, unless
+ * another daemon has done so. Otherwise two hundred of them would send the same report at once.
  */
 export const MAX_OBJECTION_MS = 400;
 
-/** Requests answered within this time are reported as cleared in one datagram. */
-export const CLEARED_DELAY_MS = 150;
+/** Answers within this time are reported in one datagram. */
+export const ANSWERED_DELAY_MS = 150;
 
 /** Parts of prompts whose frequency is known, and the time in which it is halved. */
 export const MAX_SIGHTED_PARTS = 4_096;
@@ -40,3 +42,4 @@
  * holding it refuses most requests.
  */
 export const COMMON_PART_HOLD_THRESHOLD = 6;
+export const ANSWERED_COMMON_PART_HOLD_THRESHOLD = 8;
--- a/packages/forwarding/src/crashes/crashTracker.test.ts
+++ b/packages/forwarding/src/crashes/crashTracker.test.ts
@@ -1,7 +1,7 @@
 /** Holding back requests under suspicion, from own observations and reports of other daemons. */
 import FakeTimers, { type Clock } from '@sinonjs/fake-timers';
 import { asId, createRandom, createSilentLogger, type RequestDigest } from '@snipehaven/common';
-import { HOLD_MS } from '@snipehaven/policy';
+import { ANSWERED_HOLD_THRESHOLD, HOLD_MS } from '@snipehaven/policy';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { EMPTY_CRASH_MESSAGE, type CrashMessage } from '../peers/index.js';
@@ -62,6 +62,14 @@
   lost,
 });
 
+const recordAnswer = (tracker: CrashTracker, digest: RequestDigest): void =>
+  tracker.recordSuccess({ suspects: [digest], beganAtMs: performance.now() });
+
+const tellsAnswerTo =
+  (wanted: RequestDigest) =>
+  ({ answered }: CrashMessage): boolean =>
+    answered.some(({ digest }) => digest === wanted);
+
 const reportEnds = (digest: RequestDigest, ...lives: readonly string[]): CrashMessage => ({
   ...EMPTY_CRASH_MESSAGE,
   ends: lives.map((lifeId) => ({
@@ -91,7 +99,7 @@
   clock,
 }) => {
   tracker.receiveReport(reportEnds(A, 'u-1', 'u-2', 'u-3'));
-  tracker.receiveReport({ ...EMPTY_CRASH_MESSAGE, cleared: [A] });
+  tracker.receiveReport({ ...EMPTY_CRASH_MESSAGE, answered: [{ digest: A, beganAgoMs: 0 }] });
   assert.is(tracker.findHold(A), undefined);
   tracker.receiveReport(reportEnds(A, 'u-1', 'u-2', 'u-3'));
   assert.is(tracker.findHold(A), undefined, 'reported again after the answer');
@@ -115,37 +123,72 @@
 }) => {
   ['u-1', 'u-2', 'u-3', 'u-4'].forEach((life) => {
     tracker.recordExit(createEnd(life, [send(A)]));
-    tracker.recordSuccess([A]);
+    recordAnswer(tracker, A);
     clock.tick(ANSWERED_FOR_MS);
   });
   assert.is(tracker.findHold(A), undefined);
-  assert.is(sentReports.filter(({ cleared }) => cleared.includes(A)).length, 4);
+  assert.is(sentReports.filter(tellsAnswerTo(A)).length, 4);
   assert.ok(tracker.isEmpty);
 });
 
 // Guards against blaming a popular question for minutes. Two harmful requests crash six upstreams in
 // two seconds, with the question running on each of them; it was answered a hundred times in the
 // minute before, but no evidence between the crashes cleared it.
-test('a request answered shortly before is not blamed, and is cleared if others hold it back', ({
+test('a request answered shortly before is not held for crashes that came at once, and others are told', ({
   tracker,
   sentReports,
   clock,
 }) => {
   clock.tick(1_000);
-  tracker.recordSuccess([A]);
-  ['u-1', 'u-2', 'u-3'].forEach((life) => tracker.recordExit(createEnd(life, [send(A), send(B)])));
+  recordAnswer(tracker, A);
+  clock.tick(1);
+  ['u-1', 'u-2', 'u-3', 'u-4', 'u-5', 'u-6'].forEach((life) =>
+    tracker.recordExit(createEnd(life, [send(A), send(B)])),
+  );
   assert.is(tracker.findHold(A), undefined);
   assert.ok(tracker.findHold(B));
-  tracker.receiveReport(reportEnds(A, 'u-1', 'u-2', 'u-3'));
+  clock.tick(1_000);
+  assert.is(sentReports.filter(tellsAnswerTo(A)).length, 1);
+  const times = { sinceMs: performance.now(), untilMs: performance.now() + HOLD_MS };
+  tracker.applyStoredHold({ digest: A, lives: ['u-1', 'u-2', 'u-3'], ...times });
   assert.ok(tracker.findHold(A), 'held back by others');
   clock.tick(1_000);
   assert.is(tracker.findHold(A), undefined);
-  assert.is(sentReports.filter(({ cleared }) => cleared.includes(A)).length, 1);
   assert.ok(tracker.findHold(B));
 });
 
-test('an answer clears a request for a limited time only', ({ tracker, clock }) => {
-  tracker.recordSuccess([A]);
+// Guards against excusing for a minute what crashes upstreams since its last answer.
+test('a request answered shortly before is held once upstreams crash under it one after the other', ({
+  tracker,
+  clock,
+}) => {
+  recordAnswer(tracker, A);
+  for (let crashed = 1; crashed <= ANSWERED_HOLD_THRESHOLD; crashed += 1) {
+    assert.is(tracker.findHold(A), undefined);
+    clock.tick(200);
+    const request = { ...send(A), sentAtMs: performance.now() - 100 };
+    tracker.recordExit(createEnd(`u-${crashed}`, [request]));
+  }
+  assert.ok(tracker.findHold(A));
+});
+
+// Guards against daemons that take an answer of the time before the crashes for one since.
+test('an answer that began before the crashes does not release a request that a row holds', ({
+  tracker,
+  clock,
+}) => {
+  clock.tick(1_000);
+  const times = { sinceMs: 1_000, untilMs: HOLD_MS };
+  tracker.applyStoredHold({ digest: A, lives: ['u-1', 'u-2', 'u-3'], ...times });
+  const early = { digest: A, beganAgoMs: 900 };
+  tracker.receiveReport({ ...EMPTY_CRASH_MESSAGE, answered: [early] });
+  assert.ok(tracker.findHold(A));
+  tracker.receiveReport({ ...EMPTY_CRASH_MESSAGE, answered: [{ digest: A, beganAgoMs: 0 }] });
+  assert.is(tracker.findHold(A), undefined);
+});
+
+test('an answer makes a request harder to hold for a limited time only', ({ tracker, clock }) => {
+  recordAnswer(tracker, A);
   clock.tick(ANSWERED_FOR_MS);
   ['u-1', 'u-2', 'u-3'].forEach((life) => tracker.recordExit(createEnd(life, [send(A)])));
   assert.ok(tracker.findHold(A));
@@ -158,9 +201,9 @@
   sentReports,
   clock,
 }) => {
-  tracker.recordSuccess([A]);
+  recordAnswer(tracker, A);
   tracker.receiveReport(reportEnds(A, 'u-1', 'u-2', 'u-3'));
-  tracker.receiveReport({ ...EMPTY_CRASH_MESSAGE, cleared: [A] });
+  tracker.receiveReport({ ...EMPTY_CRASH_MESSAGE, answered: [{ digest: A, beganAgoMs: 0 }] });
   clock.tick(1_000);
   assert.equal(sentReports, []);
 });
@@ -170,7 +213,7 @@
   sentReports,
   clock,
 }) => {
-  tracker.recordSuccess([A]);
+  recordAnswer(tracker, A);
   clock.tick(1_000);
   assert.equal(sentReports, []);
 });
--- a/packages/forwarding/src/crashes/crashTracker.ts
+++ b/packages/forwarding/src/crashes/crashTracker.ts
@@ -7,8 +7,10 @@
  */
 import { forgetOldest, type Logger, type Random, type RequestDigest } from '@snipehaven/common';
 import {
+  ANSWERED_HOLD_THRESHOLD,
   CrashCounter,
   HOLD_MS,
+  HOLD_THRESHOLD,
   judgeSuspicion,
   type CrashReport,
   type Suspect,
@@ -17,15 +19,18 @@
 import type { InFlightRequest, UpstreamExit } from '../upstreams/index.js';
 import { AnsweredRequests } from './answeredRequests.js';
 import {
-  CLEARED_DELAY_MS,
+  ANSWERED_COMMON_PART_HOLD_THRESHOLD,
+  ANSWERED_DELAY_MS,
+  ANSWERED_TOLD_MS,
   COMMON_PART_HOLD_THRESHOLD,
+  MAX_ANSWERED,
   MAX_ENDED_LIVES,
   MAX_HELD,
   MAX_OBJECTION_MS,
 } from './constants.js';
 import { PartSightings } from './partSightings.js';
 import { isPartDigest } from './requestDigest.js';
-import type { Hold, MainSuspect } from './types.js';
+import type { CompleteAnswer, Hold, MainSuspect } from './types.js';
 
 export interface CrashTrackerOptions {
   readonly logger: Logger;
@@ -48,11 +53,14 @@
   onReleased(digest: RequestDigest, source: CrashSource): void;
 }
 
-/** Bounds the length of a log line. */
-const MAX_LOGGED_SUSPECTS = 40;
-
 type ReleaseCause = 'answered' | 'explained' | 'lapsed' | 'removed' | 'tooMany' | 'upstreamsLive';
 
+/** After these a suspect is held by new crashes only. */
+const causesThatForget: readonly ReleaseCause[] = ['lapsed', 'removed', 'tooMany', 'upstreamsLive'];
+
+/** Crashes, one after the other, from which what was answered lately goes its own way. */
+const MIN_SUCCESSIVE_CRASHES = 2;
+
 export class CrashTracker {
   readonly #options: CrashTrackerOptions;
 
@@ -64,7 +72,11 @@
 
   readonly #sightings = new PartSightings();
 
-  readonly #cleared = new Set<RequestDigest>();
+  /** Answers that are to be told to the other daemons. */
+  readonly #untold = new Set<RequestDigest>();
+
+  /** When any daemon last told the others of an answer, as far as known here. */
+  readonly #toldAtMs = new Map<RequestDigest, number>();
 
   readonly #listeners: Partial<CrashListener>[] = [];
 
@@ -110,7 +122,7 @@
   findMainSuspect(suspects: readonly RequestDigest[]): MainSuspect | undefined {
     const weighed = suspects
       .map((digest) => ({ digest, weight: this.#counter.getWeight(digest) }))
-      .filter(({ digest, weight }) => weight > 0 && !this.#sightings.isCommon(digest));
+      .filter(({ digest, weight }) => weight > 0 && !this.#isProbablySound(digest));
     // Of equal weights a part comes first: all requests with it then go to one upstream.
     return weighed.reduce<MainSuspect | undefined>(
       (most, one) => (one.weight >= (most?.weight ?? 0) ? one : most),
@@ -126,30 +138,30 @@
   /** Records the exit of an upstream that was running requests of this daemon. */
   recordExit(end: UpstreamExit): void {
     const nowMs = performance.now();
-    const all = end.lost.flatMap((one) => this.#toSuspects(one, end, nowMs));
-    const suspects = all.filter(({ digest }) => !this.#answered.has(digest, nowMs));
-    this.#logExcused(
-      end.lifeId,
-      all.filter((one) => !suspects.includes(one)),
-    );
+    const suspects = end.lost.flatMap((one) => this.#toSuspects(one, end, nowMs));
     const report = { lifeId: end.lifeId, suspects };
     this.#options.broadcast({ ...EMPTY_CRASH_MESSAGE, ends: [report] });
     this.#recordEnd(report, 'own');
   }
 
-  receiveReport({ ends, cleared, alive }: CrashMessage): void {
+  receiveReport({ ends, answered, alive }: CrashMessage): void {
+    const nowMs = performance.now();
     ends.forEach((report) => this.#recordEnd(report, 'peer'));
-    cleared.forEach((digest) => this.#clear(digest, 'peer'));
+    answered.forEach(({ digest, beganAgoMs }) => {
+      this.#noteTold(digest, nowMs);
+      this.#recordAnswer(digest, nowMs - beganAgoMs, 'peer');
+    });
     alive.forEach((lifeId) => this.#withdraw(lifeId, 'peer'));
   }
 
-  /** Records that an upstream survived a request of these suspects. */
-  recordSuccess(suspects: readonly RequestDigest[]): void {
-    const nowMs = performance.now();
+  /**
+   * Records that an upstream answered a request of these suspects completely. This speaks against crashes
+   * before the answer began, not against later ones.
+   */
+  recordSuccess({ suspects, beganAtMs }: CompleteAnswer): void {
     suspects.forEach((digest) => {
-      this.#answered.note(digest, nowMs);
-      if (this.#clear(digest, 'own')) {
-        this.#scheduleClearedReport(digest);
+      if (this.#recordAnswer(digest, beganAtMs, 'own')) {
+        this.#scheduleAnsweredReport(digest);
       }
     });
   }
@@ -180,49 +192,81 @@
   }
 
   #toSuspects(
-    { digest, partDigests, attemptId, beganAtMs }: InFlightRequest,
-    { isExpected }: UpstreamExit,
+    { digest, partDigests, attemptId, sentAtMs, beganAtMs }: InFlightRequest,
+    { isExpected: isEndExpected }: UpstreamExit,
     nowMs: number,
   ): readonly Suspect[] {
+    const sent = { attemptId, sentForMs: nowMs - sentAtMs };
     const answeredForMs = beganAtMs === undefined ? undefined : nowMs - beganAtMs;
-    const suspicion = judgeSuspicion({ answeredForMs, isEndExpected: isExpected });
-    return [digest, ...partDigests].map((one) => ({ digest: one, attemptId, suspicion }));
+    const suspicion = judgeSuspicion({ answeredForMs, isEndExpected });
+    // A part may crash its upstream late in the answer; the answers to other requests with it clear it.
+    const ofParts = judgeSuspicion({ answeredForMs: undefined, isEndExpected });
+    return [
+      { digest, suspicion, ...sent },
+      ...partDigests.map((part) => ({ digest: part, suspicion: ofParts, ...sent })),
+    ];
   }
 
   #recordEnd(report: CrashReport, source: CrashSource): void {
     const nowMs = performance.now();
     this.#recordEndedLife(report.lifeId);
-    const culprit = report.suspects.find(
-      ({ digest }) => isPartDigest(digest) && this.findHold(digest) !== undefined,
-    );
-    if (culprit !== undefined) {
-      this.#counter.explain([report.lifeId], culprit.digest);
-    }
     const suspected = this.#counter.recordReport(report, nowMs);
+    report.suspects
+      .filter(({ digest }) => isPartDigest(digest) && this.findHold(digest) !== undefined)
+      .forEach(({ digest }) => this.#counter.explain([report.lifeId], digest));
+    this.#releaseExplained(source);
     // One after the other: a hold explains crashes that were counted for other suspects too.
     for (const digest of this.#sortBySpecificity(suspected)) {
       if (this.#mustHold(digest)) {
         this.#hold(digest, source, nowMs);
       }
     }
+    this.#tellAnswered(report, nowMs);
   }
 
   #mustHold(digest: RequestDigest): boolean {
-    const isCertain =
-      !this.#sightings.isCommon(digest) ||
-      this.#counter.getWeight(digest) >= COMMON_PART_HOLD_THRESHOLD;
+    const isCommon = this.#sightings.isCommon(digest);
+    if (this.#answered.has(digest, performance.now())) {
+      const threshold = isCommon ? ANSWERED_COMMON_PART_HOLD_THRESHOLD : ANSWERED_HOLD_THRESHOLD;
+      return this.#counter.getSuccessiveWeight(digest) >= threshold;
+    }
+    const isCertain = !isCommon || this.#counter.getWeight(digest) >= COMMON_PART_HOLD_THRESHOLD;
     return isCertain && this.#counter.hasReachedThreshold(digest);
   }
 
+  /** What runs on most upstreams is on most that crash, and need not go its own way for that. */
+  #isProbablySound(digest: RequestDigest): boolean {
+    const isAnswered = this.#answered.has(digest, performance.now());
+    return (
+      this.#sightings.isCommon(digest) ||
+      (isAnswered && this.#counter.getSuccessiveWeight(digest) < MIN_SUCCESSIVE_CRASHES)
+    );
+  }
+
+  /** Whether the evidence for the hold is still there, as far as this daemon has had it. */
+  #isJustified({ digest, lives, sinceMs }: Hold): boolean {
+    const beganAtMs = this.#answered.find(digest, performance.now());
+    if (beganAtMs !== undefined) {
+      // Of a stored hold this daemon may know no crash, and cannot judge how they came about.
+      const isJudged = lives.some((lifeId) => this.#counter.hasRecorded(digest, lifeId));
+      return (!isJudged && beganAtMs < sinceMs) || this.#mustHold(digest);
+    }
+    const left = lives.filter((lifeId) => !this.#counter.isCleared(digest, lifeId));
+    return left.length >= HOLD_THRESHOLD;
+  }
+
   /**
-   * Parts that few requests have come first, then other parts, then single requests: a request that
-   * ran beside a crashing part on several upstreams is as suspect as the part.
+   * Parts that were not answered lately and that few requests have come first, then other parts, then single
+   * requests: a request that ran beside a crashing part on several upstreams is as suspect as the part.
    */
   #sortBySpecificity(suspects: readonly RequestDigest[]): readonly RequestDigest[] {
     const parts = suspects.filter((digest) => isPartDigest(digest));
     const requests = suspects.filter((digest) => !isPartDigest(digest));
+    const nowMs = performance.now();
+    const isAnswered = (part: RequestDigest): number => Number(this.#answered.has(part, nowMs));
     const getCount = (part: RequestDigest): number => this.#sightings.getCount(part);
-    return [...parts.sort((a, b) => getCount(a) - getCount(b)), ...requests];
+    parts.sort((a, b) => isAnswered(a) - isAnswered(b) || getCount(a) - getCount(b));
+    return [...parts, ...requests];
   }
 
   #recordEndedLife(lifeId: string): void {
@@ -255,7 +299,7 @@
     const { digest, lives, untilMs } = hold;
     this.#holds.set(digest, hold);
     if (isPartDigest(digest)) {
-      this.#counter.explain(lives, digest);
+      this.#counter.explain([...lives, ...this.#counter.listAllIncarnations(digest)], digest);
       this.#releaseExplained(source);
     }
     const forMs = Math.round(untilMs - performance.now());
@@ -283,47 +327,50 @@
     }
   }
 
-  /**
-   * Clears a held request that this daemon knows to have been answered, unless it was released
-   * meanwhile.
-   */
+  /** Releases what this daemon knows to have been answered, unless it was released meanwhile. */
   #objectToHold(hold: Hold): void {
     const { digest } = hold;
-    if (this.#holds.get(digest) === hold && this.#clear(digest, 'own')) {
-      this.#scheduleClearedReport(digest);
+    if (this.#holds.get(digest) === hold && !this.#isJustified(hold)) {
+      this.#release(digest, 'answered', 'own');
+      this.#scheduleAnsweredReport(digest);
     }
   }
 
-  #logExcused(lifeId: string, suspects: readonly Suspect[]): void {
-    const digests = [...new Set(suspects.map(({ digest }) => digest))];
-    if (digests.length > 0) {
-      this.#options.logger.info(
-        { event: 'suspectsExcused', life: lifeId, digests: digests.slice(0, MAX_LOGGED_SUSPECTS) },
-        'not blamed for the end of an upstream, as other upstreams have answered lately',
-      );
-    }
-  }
-
-  /** Returns false if nothing was known about the request. */
-  #clear(digest: RequestDigest, source: CrashSource): boolean {
-    const lives = this.#counter.listCrashedIncarnations(digest);
+  /** Returns whether it changes what is known of crashes. */
+  #recordAnswer(digest: RequestDigest, beganAtMs: number, source: CrashSource): boolean {
+    this.#answered.note(digest, beganAtMs);
+    const lives = this.#counter.clearUntil(digest, beganAtMs);
     if (lives.length > 0) {
       this.#options.logger.info(
         { event: 'suspectCleared', digest, lives, source },
-        'no longer suspected, as an upstream has answered',
+        'not suspected of these crashes, as an upstream has answered it since',
       );
     }
-    const isKnown = this.#counter.clear(digest);
-    const isHeld = this.#holds.has(digest);
-    if (isHeld) {
+    const hold = this.#holds.get(digest);
+    const isReleased = hold !== undefined && !this.#isJustified(hold);
+    if (isReleased) {
       this.#release(digest, 'answered', source);
+      this.#holdSuspects(source);
+    }
+    return lives.length > 0 || isReleased;
+  }
+
+  /** Holds what was not blamed while another suspect was held for the same crashes. */
+  #holdSuspects(source: CrashSource): void {
+    const suspected = this.#counter.listSuspects();
+    for (const digest of this.#sortBySpecificity(suspected)) {
+      if (this.#mustHold(digest)) {
+        this.#hold(digest, source, performance.now());
+      }
     }
-    return isKnown || isHeld;
   }
 
   #release(digest: RequestDigest, cause: ReleaseCause, source: CrashSource): void {
     this.#holds.delete(digest);
-    this.#counter.clear(digest);
+    this.#counter.withdrawExplanation(digest);
+    if (causesThatForget.includes(cause)) {
+      this.#counter.clear(digest);
+    }
     this.#options.logger.info(
       { event: 'requestReleased', digest, cause, source },
       'request no longer held back',
@@ -331,16 +378,47 @@
     this.#listeners.forEach((listener) => listener.onReleased?.(digest, source));
   }
 
-  #scheduleClearedReport(digest: RequestDigest): void {
-    if (this.#cleared.size === 0) {
-      setTimeout(() => this.#sendClearedReport(), CLEARED_DELAY_MS).unref();
+  /** Others may take what was answered here for unknown. */
+  #tellAnswered({ suspects }: CrashReport, nowMs: number): void {
+    const digests = suspects
+      .map(({ digest }) => digest)
+      .filter((digest) => this.#answered.has(digest, nowMs) && !this.#isTold(digest, nowMs));
+    if (digests.length === 0) {
+      return;
     }
-    this.#cleared.add(digest);
+    const waitMs = this.#options.random.next() * MAX_OBJECTION_MS;
+    setTimeout(() => {
+      digests
+        .filter((digest) => !this.#isTold(digest, performance.now()))
+        .forEach((digest) => this.#scheduleAnsweredReport(digest));
+    }, waitMs).unref();
+  }
+
+  #isTold(digest: RequestDigest, nowMs: number): boolean {
+    return nowMs - (this.#toldAtMs.get(digest) ?? -Infinity) < ANSWERED_TOLD_MS;
+  }
+
+  #noteTold(digest: RequestDigest, nowMs: number): void {
+    this.#toldAtMs.delete(digest);
+    this.#toldAtMs.set(digest, nowMs);
+    forgetOldest(this.#toldAtMs, MAX_ANSWERED);
   }
 
-  #sendClearedReport(): void {
-    const cleared = [...this.#cleared];
-    this.#cleared.clear();
-    this.#options.broadcast({ ...EMPTY_CRASH_MESSAGE, cleared });
+  #scheduleAnsweredReport(digest: RequestDigest): void {
+    if (this.#untold.size === 0) {
+      setTimeout(() => this.#sendAnsweredReport(), ANSWERED_DELAY_MS).unref();
+    }
+    this.#untold.add(digest);
+    this.#noteTold(digest, performance.now());
+  }
+
+  #sendAnsweredReport(): void {
+    const nowMs = performance.now();
+    const answered = [...this.#untold].flatMap((digest) => {
+      const beganAtMs = this.#answered.find(digest, nowMs);
+      return beganAtMs === undefined ? [] : [{ digest, beganAgoMs: nowMs - beganAtMs }];
+    });
+    this.#untold.clear();
+    this.#options.broadcast({ ...EMPTY_CRASH_MESSAGE, answered });
   }
 }
--- a/packages/forwarding/src/crashes/crashingParts.test.ts
+++ b/packages/forwarding/src/crashes/crashingParts.test.ts
@@ -1,12 +1,13 @@
 /** Telling the part of prompts that crashes upstreams from the parts and requests that run beside it. */
 import FakeTimers, { type Clock } from '@sinonjs/fake-timers';
 import { asId, createRandom, createSilentLogger, type RequestDigest } from '@snipehaven/common';
+import { ANSWERED_HOLD_THRESHOLD } from '@snipehaven/policy';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import type { CrashMessage } from '../peers/index.js';
 import type { PromptPart, Upstream } from '../types.js';
 import type { InFlightRequest } from '../upstreams/index.js';
-import { COMMON_PART_HOLD_THRESHOLD } from './constants.js';
+import { ANSWERED_FOR_MS, COMMON_PART_HOLD_THRESHOLD } from './constants.js';
 import { CrashTracker } from './crashTracker.js';
 import { digestSharedParts } from './requestDigest.js';
 
@@ -98,14 +99,77 @@
   assert.is(tracker.findHold(FIRST), undefined);
 });
 
-test('a part that was answered lately is not blamed, wherever in the prompt it stands', ({
+const recordAnswer = (tracker: CrashTracker, ...suspects: readonly RequestDigest[]): void =>
+  tracker.recordSuccess({ suspects, beganAtMs: performance.now() });
+
+// Guards against a part that turned bad, and is excused by answers from before.
+test('a part that was answered lately is held by crashes that come one after the other', ({
   tracker,
-  sent,
+  clock,
 }) => {
-  tracker.recordSuccess([BAD]);
+  sendSound(tracker, 20);
+  recordAnswer(tracker, FIRST, BAD);
+  for (let crashed = 1; crashed <= ANSWERED_HOLD_THRESHOLD; crashed += 1) {
+    assert.is(tracker.findHold(BAD), undefined);
+    clock.tick(100);
+    const sentAtMs = performance.now() - 50;
+    crash(tracker, `u-${crashed}`, [{ ...send(tracker, FIRST, BAD), sentAtMs }]);
+  }
+  assert.ok(tracker.findHold(BAD));
+  assert.is(tracker.findHold(FIRST), undefined);
+});
+
+// Guards against refusing sound requests after a rack was lost under them.
+test('a part that was answered lately is not held by crashes that come at once', ({
+  tracker,
+  clock,
+}) => {
+  sendSound(tracker, 20);
+  recordAnswer(tracker, FIRST, BAD);
+  clock.tick(100);
+  for (let crashed = 1; crashed <= 9; crashed += 1) {
+    crash(tracker, `u-${crashed}`, [send(tracker, FIRST, BAD)]);
+    clock.tick(5);
+  }
+  assert.is(tracker.findHold(BAD), undefined);
+  assert.is(tracker.findHold(FIRST), undefined);
+});
+
+// Guards against answers that end in a crash, and against those that began before the crashes.
+test('an answer clears a part of the crashes before it began, and of no later ones', ({
+  tracker,
+  clock,
+}) => {
+  sendSound(tracker, 20);
+  clock.tick(100);
   crash(tracker, 'u-1', [send(tracker, FIRST, BAD)]);
-  const [report] = sent.flatMap(({ ends }) => ends);
-  assert.not(report?.suspects.some(({ digest }) => digest === BAD));
+  clock.tick(100);
+  const beganAtMs = performance.now();
+  clock.tick(100);
+  crash(tracker, 'u-2', [send(tracker, FIRST, BAD)]);
+  tracker.recordSuccess({ suspects: [BAD], beganAtMs });
+  assert.is(tracker.findMainSuspect([BAD]), undefined);
+  clock.tick(ANSWERED_FOR_MS);
+  assert.is(tracker.findMainSuspect([BAD])?.weight, 1);
+});
+
+// Guards against a sound part that stays held for the crashes of another one.
+test('a part that is held first is released for one that more upstreams crashed under', ({
+  tracker,
+  clock,
+}) => {
+  const UNLUCKY = digestPart('unlucky');
+  sendSound(tracker, 20);
+  for (let sent = 0; sent < 3; sent += 1) {
+    send(tracker, FIRST, BAD);
+  }
+  for (let crashed = 1; crashed <= 6; crashed += 1) {
+    clock.tick(100);
+    const beside = crashed <= 3 ? [send(tracker, FIRST, UNLUCKY)] : [];
+    crash(tracker, `u-${crashed}`, [send(tracker, FIRST, BAD), ...beside]);
+  }
+  assert.ok(tracker.findHold(BAD));
+  assert.is(tracker.findHold(UNLUCKY), undefined);
 });
 
 // Guards against refusing requests that were lost beside the crashing part three times by chance.
--- a/packages/forwarding/src/crashes/holdPersister.test.ts
+++ b/packages/forwarding/src/crashes/holdPersister.test.ts
@@ -182,11 +182,11 @@
 test('the row is removed by the daemon that observed the answer, or by its writer on expiry', async (context) => {
   const { tracker, holdPersister, clock, removed } = context;
   holdPersister.applyRecord(recordUntil(HOLD_MS), at(7), OFFSET_MS);
-  tracker.receiveReport({ ...EMPTY_CRASH_MESSAGE, cleared: [A] });
+  tracker.receiveReport({ ...EMPTY_CRASH_MESSAGE, answered: [{ digest: A, beganAgoMs: 0 }] });
   await clock.tickAsync(1);
   assert.equal(removed, [], 'observed by another daemon');
   holdPersister.applyRecord(recordUntil(HOLD_MS), at(8), OFFSET_MS);
-  tracker.recordSuccess([A]);
+  tracker.recordSuccess({ suspects: [A], beganAtMs: performance.now() });
   await clock.tickAsync(1);
   assert.equal(removed, [A]);
   holdPersister.applyRemoval(A);
--- a/packages/forwarding/src/crashes/types.ts
+++ b/packages/forwarding/src/crashes/types.ts
@@ -30,6 +30,12 @@
   remove(digest: RequestDigest): Promise<void>;
 }
 
+/** What was answered completely, and when that answer began, on this daemon's monotonic clock. */
+export interface CompleteAnswer {
+  readonly suspects: readonly RequestDigest[];
+  readonly beganAtMs: number;
+}
+
 /** What of a request is suspected most, and by how many crashes. */
 export interface MainSuspect {
   readonly digest: RequestDigest;
--- a/packages/forwarding/src/peers/crashMessage.test.ts
+++ b/packages/forwarding/src/peers/crashMessage.test.ts
@@ -19,8 +19,13 @@
 
 test('decodes to what was encoded, the most suspect request first', () => {
   const report: CrashMessage = {
-    ends: [{ lifeId: 'u-1', suspects: [suspect('a', 'strong'), suspect('b', 'weak')] }],
-    cleared: [asId<RequestDigest>('c')],
+    ends: [
+      {
+        lifeId: 'u-1',
+        suspects: [{ ...suspect('a', 'strong'), sentForMs: 70 }, suspect('b', 'weak')],
+      },
+    ],
+    answered: [{ digest: asId<RequestDigest>('c'), beganAgoMs: 12 }],
     alive: ['u-2'],
   };
   assert.equal(roundTrip(report), report);
@@ -29,7 +34,7 @@
 test('contains a limited number of suspects and omits the least suspect', () => {
   const weak = Array.from({ length: 5_000 }, (_, index) => suspect(`w-${index}`, 'weak'));
   const suspects = [...weak, suspect('a', 'strong')];
-  const report = { ends: [{ lifeId: 'u-1', suspects }], cleared: [], alive: [] };
+  const report = { ends: [{ lifeId: 'u-1', suspects }], answered: [], alive: [] };
   const [end] = roundTrip(report)?.ends ?? [];
   assert.ok((end?.suspects.length ?? 0) < 1_000);
   assert.equal(end?.suspects[0], suspect('a', 'strong'));
@@ -44,6 +49,8 @@
     [[['u-1', [['a', 1]]]], [], []],
     [[['', []]], [], []],
     [[], [5], []],
+    [[], [['c', -1]], []],
+    [[['u-1', [['a', 1, 'x', -1]]]], [], []],
   ]) {
     assert.is(decodeCrashMessage({ crashes }), undefined);
   }
--- a/packages/forwarding/src/peers/crashMessage.ts
+++ b/packages/forwarding/src/peers/crashMessage.ts
@@ -1,25 +1,30 @@
-/**
- * Messages about upstreams that crashed and requests that were cleared of suspicion, as compressed
- * JSON.
- */
+/** Messages about upstreams that crashed and suspects that were answered, as compressed JSON. */
 import { asId, type RequestDigest } from '@snipehaven/common';
 import {
   fromSuspectTuple,
   toSuspectTuple,
   type CrashReport,
+  type Suspect,
   type SuspectTuple,
 } from '@snipehaven/policy';
 import { compressDatagram, readMessageParts } from './datagram.js';
 
+/** A request or a part of prompts that was answered completely. */
+export interface AnsweredSuspect {
+  readonly digest: RequestDigest;
+  /** Time in ms since its latest complete answer began, when the message is sent. */
+  readonly beganAgoMs: number;
+}
+
 export interface CrashMessage {
   readonly ends: readonly CrashReport[];
-  /** Requests that were answered completely after an upstream had crashed while running them. */
-  readonly cleared: readonly RequestDigest[];
+  /** Suspects that were answered completely. */
+  readonly answered: readonly AnsweredSuspect[];
   /** Incarnation ids of upstreams that were reported as crashed but are alive. */
   readonly alive: readonly string[];
 }
 
-export const EMPTY_CRASH_MESSAGE: CrashMessage = { ends: [], cleared: [], alive: [] };
+export const EMPTY_CRASH_MESSAGE: CrashMessage = { ends: [], answered: [], alive: [] };
 
 /**
  * Suspects reported per crashed upstream, most suspect first; more than an engine accepts from one
@@ -27,23 +32,46 @@
  */
 const MAX_SUSPECTS = 400;
 
-type WireEnd = readonly [lifeId: string, suspects: readonly SuspectTuple[]];
+/** The last field is missing where the time is not told. */
+type WireSuspect = readonly [...suspect: SuspectTuple, sentForMs?: number];
+
+type WireEnd = readonly [lifeId: string, suspects: readonly WireSuspect[]];
+
+type WireAnswered = readonly [digest: string, beganAgoMs: number];
 
 interface WireMessage {
   readonly crashes: readonly [
     ends: readonly WireEnd[],
-    cleared: readonly string[],
+    answered: readonly WireAnswered[],
     alive: readonly string[],
   ];
 }
 
+const toWireSuspect = (suspect: Suspect): WireSuspect => {
+  const { sentForMs } = suspect;
+  const tuple = toSuspectTuple(suspect);
+  return sentForMs === undefined ? tuple : [...tuple, Math.round(sentForMs)];
+};
+
+const fromWireSuspect = ([digest, mark, attemptId, sentForMs]: WireSuspect): Suspect => ({
+  ...fromSuspectTuple([digest, mark, attemptId]),
+  ...(sentForMs === undefined ? {} : { sentForMs }),
+});
+
 const toWireEnd = ({ lifeId, suspects }: CrashReport): WireEnd => {
-  const mostSuspectFirst = suspects.map(toSuspectTuple).sort(([, a], [, b]) => b - a);
+  const mostSuspectFirst = suspects.map(toWireSuspect).sort(([, a], [, b]) => b - a);
   return [lifeId, mostSuspectFirst.slice(0, MAX_SUSPECTS)];
 };
 
-export const encodeCrashMessage = ({ ends, cleared, alive }: CrashMessage): Buffer => {
-  const message: WireMessage = { crashes: [ends.map(toWireEnd), cleared, alive] };
+const toWireAnswered = ({ digest, beganAgoMs }: AnsweredSuspect): WireAnswered => [
+  digest,
+  Math.round(beganAgoMs),
+];
+
+export const encodeCrashMessage = ({ ends, answered, alive }: CrashMessage): Buffer => {
+  const message: WireMessage = {
+    crashes: [ends.map(toWireEnd), answered.map(toWireAnswered), alive],
+  };
   return compressDatagram(JSON.stringify(message));
 };
 
@@ -53,33 +81,43 @@
 const isNonEmptyStrings = (value: unknown): value is readonly string[] =>
   Array.isArray(value) && value.every(isNonEmptyString);
 
-const isSuspectTuple = (value: unknown): value is SuspectTuple =>
+const isNonNegative = (value: unknown): boolean => Number.isFinite(value) && (value as number) >= 0;
+
+const isWireSuspect = (value: unknown): value is WireSuspect =>
   Array.isArray(value) &&
   isNonEmptyString(value[0]) &&
   (value[1] === 0 || value[1] === 1) &&
-  typeof value[2] === 'string';
+  typeof value[2] === 'string' &&
+  (value[3] === undefined || isNonNegative(value[3]));
+
+const isWireAnswered = (value: unknown): value is WireAnswered =>
+  Array.isArray(value) && isNonEmptyString(value[0]) && isNonNegative(value[1]);
 
 const isWireEnd = (value: unknown): value is WireEnd =>
   Array.isArray(value) &&
   isNonEmptyString(value[0]) &&
   Array.isArray(value[1]) &&
-  value[1].every(isSuspectTuple);
+  value[1].every(isWireSuspect);
 
 /** Undefined if the decoded datagram is not a valid crash message. */
 export const decodeCrashMessage = (message: unknown): CrashMessage | undefined => {
-  const [ends, cleared, alive] = readMessageParts(message, 'crashes') ?? [];
+  const [ends, answered, alive] = readMessageParts(message, 'crashes') ?? [];
   const isValid =
     Array.isArray(ends) &&
     ends.every(isWireEnd) &&
-    isNonEmptyStrings(cleared) &&
+    Array.isArray(answered) &&
+    answered.every(isWireAnswered) &&
     isNonEmptyStrings(alive);
   return isValid
     ? {
         ends: ends.map(([lifeId, suspects]) => ({
           lifeId,
-          suspects: suspects.map(fromSuspectTuple),
+          suspects: suspects.map(fromWireSuspect),
+        })),
+        answered: answered.map(([digest, beganAgoMs]) => ({
+          digest: asId<RequestDigest>(digest),
+          beganAgoMs,
         })),
-        cleared: cleared.map((digest) => asId<RequestDigest>(digest)),
         alive,
       }
     : undefined;
--- a/packages/forwarding/src/runs/attempt.ts
+++ b/packages/forwarding/src/runs/attempt.ts
@@ -21,12 +21,7 @@
   UpstreamOutcome,
 } from '../upstreams/index.js';
 import type { CallerRequest } from './callerRequest.js';
-import {
-  MIN_LOST_SILENCE_MS,
-  PATH_CHECK_MS,
-  RECENT_ACTIVITY_MS,
-  UNDER_WAY_MS,
-} from './constants.js';
+import { MIN_LOST_SILENCE_MS, PATH_CHECK_MS, RECENT_ACTIVITY_MS } from './constants.js';
 import type { ForwardDependencies } from './dependencies.js';
 import { VersionReporter } from './versionReporter.js';
 
@@ -57,8 +52,6 @@
   readonly partDigests: readonly RequestDigest[];
   /** Whether the response is cut off if its connection ends now. */
   readonly isInsideEvent: boolean;
-  /** Called once when the response has gone on past its beginning. */
-  onUnderWay(): void;
   /** Called when the request is held back and this attempt's response has not begun. */
   onHeld(): void;
 }
@@ -101,8 +94,6 @@
 
   #isListening = true;
 
-  #isUnderWay = false;
-
   #isLoadCounted = false;
 
   /** Work still counted in the upstream's load. */
@@ -150,6 +141,11 @@
     return this.#request.options.attemptId;
   }
 
+  /** Whether it goes on with a response that another upstream began. */
+  get isResumed(): boolean {
+    return this.#plan.isResumed;
+  }
+
   get service(): string {
     return this.#plan.service;
   }
@@ -166,6 +162,7 @@
     return this.#startedAtMs;
   }
 
+  /** An engine may send the head of its answer long before it begins to run the request. */
   get beganAtMs(): number | undefined {
     return this.#beganAtMs;
   }
@@ -290,7 +287,7 @@
 
   #onData(bytes: Buffer): void {
     this.#recordActivity();
-    this.#recordProgress();
+    this.#beganAtMs ??= performance.now();
     this.#reporter.onBytes(bytes.length);
     this.#silenceMs =
       this.#plan.route.kind === 'stream'
@@ -301,16 +298,6 @@
     }
   }
 
-  /** An engine may send the head of its answer long before it begins to run the request. */
-  #recordProgress(): void {
-    const nowMs = performance.now();
-    this.#beganAtMs ??= nowMs;
-    if (!this.#isUnderWay && nowMs - this.#beganAtMs >= UNDER_WAY_MS) {
-      this.#isUnderWay = true;
-      this.#listener.onUnderWay();
-    }
-  }
-
   #onEnd(): void {
     if (this.#isListening && this.#listener.isInsideEvent) {
       this.#onFailure({ verdict: 'broken', cause: 'connection ended inside an event' });
--- a/packages/forwarding/src/runs/constants.ts
+++ b/packages/forwarding/src/runs/constants.ts
@@ -11,9 +11,3 @@
 
 /** A request that received bytes within this time is not moved when the path counts as lost. */
 export const MIN_LOST_SILENCE_MS = 500;
-
-/**
- * An answer that has brought bytes for this long is past its beginning. A prompt that crashes its
- * upstream does so within 150 ms of its start.
- */
-export const UNDER_WAY_MS = 300;
--- a/packages/forwarding/src/runs/forwardRun.ts
+++ b/packages/forwarding/src/runs/forwardRun.ts
@@ -415,18 +415,16 @@
 
   /**
    * Reports a success, which clears the request of suspicion. A failure status does not: an
-   * upstream may return one before it has started the request.
+   * upstream may return one before it has started the request. Nor does the rest of an answer clear the
+   * parts of the prompt: it may be too short for the upstream to exit before its end.
    */
   #reportSuccess(): void {
     if (isSuccess(this.#status ?? 0)) {
-      this.#dependencies.crashes.recordSuccess(this.#suspects);
-    }
-  }
-
-  /** An upstream survived the beginning of an answer on these parts; its end may take long. */
-  onUnderWay(): void {
-    if (isSuccess(this.#status ?? 0)) {
-      this.#dependencies.crashes.recordSuccess(this.partDigests);
+      const isRest =
+        this.#attempt?.isResumed === true || this.#request.options.lastEventId !== undefined;
+      const suspects = isRest ? [this.digest] : this.#suspects;
+      const beganAtMs = this.#attempt?.beganAtMs ?? performance.now();
+      this.#dependencies.crashes.recordSuccess({ suspects, beganAtMs });
     }
   }
 
--- a/packages/policy/src/crashes/crashCounter.ts
+++ b/packages/policy/src/crashes/crashCounter.ts
@@ -25,6 +25,13 @@
 
 const weights: Readonly<Record<Suspicion, number>> = { strong: 1, weak: 0.5 };
 
+/**
+ * Threshold for what was answered a short while before, by crashes that came one after the other: each under
+ * a request that was sent after the crash before. What was answered is on many upstreams that are lost at
+ * once for another reason, but then survives the next one.
+ */
+export const ANSWERED_HOLD_THRESHOLD = 5;
+
 /**
  * How long a request is held. Callers retry for a few minutes at most, and each release may cost as
  * many upstreams as it took to hold the request; a request that is held by mistake must be released
@@ -45,6 +52,8 @@
 interface RecordedCrash {
   readonly weight: number;
   readonly attemptIds: ReadonlySet<string>;
+  /** When the last of the requests that were lost in it was sent. */
+  readonly sentAtMs: number;
   readonly atMs: number;
 }
 
@@ -54,12 +63,27 @@
 const joinCrashes = (a: RecordedCrash, b: RecordedCrash): RecordedCrash => ({
   weight: Math.max(a.weight, b.weight),
   attemptIds: new Set([...a.attemptIds, ...b.attemptIds]),
+  sentAtMs: Math.max(a.sentAtMs, b.sentAtMs),
   atMs: Math.min(a.atMs, b.atMs),
 });
 
 const sumWeights = (crashes: CrashesByIncarnation): number =>
   [...crashes.values()].reduce((sum, { weight }) => sum + weight, 0);
 
+/** Weight of the most crashes of which each came under a request sent after the one before. */
+const sumSuccessiveWeights = (crashes: CrashesByIncarnation): number => {
+  const oldestFirst = [...crashes.values()].sort((a, b) => a.atMs - b.atMs);
+  let sum = 0;
+  let lastAtMs = -Infinity;
+  for (const { weight, sentAtMs, atMs } of oldestFirst) {
+    if (sentAtMs >= lastAtMs) {
+      sum += weight;
+      lastAtMs = atMs;
+    }
+  }
+  return sum;
+};
+
 export class CrashCounter {
   /** By request, then by the incarnation that crashed; the most recently recorded ones come last. */
   readonly #crashes = new Map<RequestDigest, CrashesByIncarnation>();
@@ -77,9 +101,6 @@
    */
   readonly #explainedBy = new Map<string, RequestDigest>();
 
-  /** Suspects all of whose crashes were put down to others; the most recent ones come last. */
-  readonly #explained = new Set<RequestDigest>();
-
   /** Number of tracked requests. */
   get size(): number {
     return this.#crashes.size;
@@ -88,9 +109,10 @@
   /** Records the crash for each suspect and returns those that have now reached their threshold. */
   recordReport({ lifeId, suspects }: CrashReport, nowMs: number): readonly RequestDigest[] {
     this.#dropExpired(nowMs);
-    for (const { digest, suspicion, attemptId } of suspects) {
+    for (const { digest, suspicion, attemptId, sentForMs = 0 } of suspects) {
       const attemptIds = new Set([attemptId]);
-      this.#recordCrash(digest, lifeId, { weight: weights[suspicion], attemptIds, atMs: nowMs });
+      const times = { sentAtMs: nowMs - sentForMs, atMs: nowMs };
+      this.#recordCrash(digest, lifeId, { weight: weights[suspicion], attemptIds, ...times });
     }
     this.#evictLeastSuspect();
     return suspects
@@ -102,7 +124,7 @@
    * Whether so many upstreams crashed under the request that it must not be sent to another one.
    */
   hasReachedThreshold(digest: RequestDigest): boolean {
-    const crashes = [...(this.#crashes.get(digest)?.values() ?? [])];
+    const crashes = [...this.#getBlamed(digest).values()];
     const attempts = new Set(crashes.flatMap(({ attemptIds }) => [...attemptIds]));
     const bound = attempts.size > 1 ? HOLD_THRESHOLD : SINGLE_ATTEMPT_HOLD_THRESHOLD;
     return this.getWeight(digest) >= bound;
@@ -110,13 +132,32 @@
 
   /** Total weight of the crashes under the request. */
   getWeight(digest: RequestDigest): number {
-    const crashes = this.#crashes.get(digest);
-    return crashes === undefined ? 0 : sumWeights(crashes);
+    return sumWeights(this.#getBlamed(digest));
+  }
+
+  /** Weight of crashes that came one after the other, each under a request sent after the one before. */
+  getSuccessiveWeight(digest: RequestDigest): number {
+    return sumSuccessiveWeights(this.#getBlamed(digest));
+  }
+
+  /** Requests with crashes that are not put down to others. */
+  listSuspects(): readonly RequestDigest[] {
+    return [...this.#crashes.keys()].filter((digest) => this.#getBlamed(digest).size > 0);
+  }
+
+  /** Whether the request was cleared of this crash. */
+  isCleared(digest: RequestDigest, lifeId: string): boolean {
+    return this.#cleared.get(digest)?.has(lifeId) === true;
+  }
+
+  /** As `listCrashedIncarnations`, also those put down to other suspects. */
+  listAllIncarnations(digest: RequestDigest): readonly string[] {
+    return [...(this.#crashes.get(digest)?.keys() ?? [])];
   }
 
   /** Ids of the incarnations that crashed under the request. */
   listCrashedIncarnations(digest: RequestDigest): readonly string[] {
-    return [...(this.#crashes.get(digest)?.keys() ?? [])];
+    return [...this.#getBlamed(digest).keys()];
   }
 
   /** Whether this crash was recorded for the request, even if it was cleared since. */
@@ -141,6 +182,23 @@
     return true;
   }
 
+  /**
+   * Clears a request of the crashes before an answer to it began, because another upstream ran it after
+   * them and is still alive. Returns the incarnations of these crashes.
+   */
+  clearUntil(digest: RequestDigest, beganAtMs: number): readonly string[] {
+    const crashes = this.#crashes.get(digest) ?? new Map<string, RecordedCrash>();
+    const earlier = new Map([...crashes].filter(([, { atMs }]) => atMs <= beganAtMs));
+    if (earlier.size > 0) {
+      earlier.forEach((_, lifeId) => crashes.delete(lifeId));
+      this.#rememberCleared(digest, earlier);
+    }
+    if (crashes.size === 0) {
+      this.#crashes.delete(digest);
+    }
+    return [...earlier.keys()];
+  }
+
   /**
    * Withdraws the crash of an upstream that turns out to be alive, for example after a network
    * partition.
@@ -154,24 +212,44 @@
     }
   }
 
-  /** Puts the crashes of these incarnations down to one suspect and withdraws them from all others. */
+  /**
+   * Puts the crashes of these incarnations down to one suspect, unless they are put down to one with as many
+   * crashes. Others are not blamed for them while that lasts, whenever their reports arrive.
+   */
   explain(lives: readonly string[], suspect: RequestDigest): void {
-    lives.forEach((lifeId) => this.#explainedBy.set(lifeId, suspect));
+    const weight = this.#getRawWeight(suspect);
+    lives
+      .filter((lifeId) => {
+        const other = this.#explainedBy.get(lifeId);
+        return other === undefined || this.#getRawWeight(other) < weight;
+      })
+      .forEach((lifeId) => this.#explainedBy.set(lifeId, suspect));
     forgetOldest(this.#explainedBy, MAX_TRACKED_REQUESTS);
-    for (const [digest, crashes] of this.#crashes) {
-      const isOther = digest !== suspect;
-      const isChanged = isOther && lives.filter((lifeId) => crashes.delete(lifeId)).length > 0;
-      if (isChanged && crashes.size === 0) {
-        this.#crashes.delete(digest);
-        this.#explained.add(digest);
-      }
-    }
-    forgetOldest(this.#explained, MAX_TRACKED_REQUESTS);
+  }
+
+  /** The crashes that were put down to the suspect count against the others again. */
+  withdrawExplanation(suspect: RequestDigest): void {
+    [...this.#explainedBy]
+      .filter(([, one]) => one === suspect)
+      .forEach(([lifeId]) => this.#explainedBy.delete(lifeId));
   }
 
   /** Whether crashes were counted for it and all of them were put down to other suspects. */
   isExplained(digest: RequestDigest): boolean {
-    return this.#explained.has(digest) && !this.#crashes.has(digest);
+    return this.#crashes.has(digest) && this.#getBlamed(digest).size === 0;
+  }
+
+  /** The crashes that are not put down to another suspect. */
+  #getBlamed(digest: RequestDigest): CrashesByIncarnation {
+    const crashes = this.#crashes.get(digest) ?? new Map<string, RecordedCrash>();
+    return new Map(
+      [...crashes].filter(([lifeId]) => (this.#explainedBy.get(lifeId) ?? digest) === digest),
+    );
+  }
+
+  #getRawWeight(digest: RequestDigest): number {
+    const crashes = this.#crashes.get(digest);
+    return crashes === undefined ? 0 : sumWeights(crashes);
   }
 
   #rememberCleared(digest: RequestDigest, crashes: CrashesByIncarnation): void {
@@ -182,8 +260,7 @@
   }
 
   #recordCrash(digest: RequestDigest, lifeId: string, crash: RecordedCrash): void {
-    const isExplained = (this.#explainedBy.get(lifeId) ?? digest) !== digest;
-    if (isExplained || this.#cleared.get(digest)?.has(lifeId)) {
+    if (this.#cleared.get(digest)?.has(lifeId)) {
       return;
     }
     const crashes = this.#crashes.get(digest) ?? new Map<string, RecordedCrash>();
--- a/packages/policy/src/crashes/types.ts
+++ b/packages/policy/src/crashes/types.ts
@@ -13,6 +13,8 @@
   /** The caller's attempt that sent the request to this upstream. */
   readonly attemptId: string;
   readonly suspicion: Suspicion;
+  /** Time in ms from the sending of the request until the crash was noticed; 0 if it is not told. */
+  readonly sentForMs?: number;
 }
 
 /** Crash of one incarnation of an upstream, with the requests that one daemon had there. */
