--- a/packages/forwarding/src/crashes/crashTracker.ts
+++ b/packages/forwarding/src/crashes/crashTracker.ts
@@ -64,7 +64,7 @@
 export class CrashTracker {
   readonly #options: CrashTrackerOptions;
 
-  readonly #counter = new CrashCounter();
+  readonly #counter = new CrashCounter((digest) => this.#sightings.isCommon(digest));
 
   readonly #holds = new Map<RequestDigest, Hold>();
 
--- a/packages/policy/src/crashes/crashCounter.ts
+++ b/packages/policy/src/crashes/crashCounter.ts
@@ -101,6 +101,12 @@
    */
   readonly #explainedBy = new Map<string, RequestDigest>();
 
+  readonly #isFrequent: (digest: RequestDigest) => boolean;
+
+  constructor(isFrequent: (digest: RequestDigest) => boolean = () => false) {
+    this.#isFrequent = isFrequent;
+  }
+
   /** Number of tracked requests. */
   get size(): number {
     return this.#crashes.size;
@@ -239,11 +245,19 @@
     return this.#crashes.has(digest) && this.#getBlamed(digest).size === 0;
   }
 
-  /** The crashes that are not put down to another suspect. */
+  /**
+   * The crashes that are not put down to another suspect. Those put down to one with fewer crashes count,
+   * as it may have been on these upstreams by chance; but not for what is frequent, and so on most upstreams.
+   */
   #getBlamed(digest: RequestDigest): CrashesByIncarnation {
     const crashes = this.#crashes.get(digest) ?? new Map<string, RecordedCrash>();
+    const weight = sumWeights(crashes);
     return new Map(
-      [...crashes].filter(([lifeId]) => (this.#explainedBy.get(lifeId) ?? digest) === digest),
+      [...crashes].filter(([lifeId]) => {
+        const other = this.#explainedBy.get(lifeId);
+        const isOpen = other === undefined || other === digest;
+        return isOpen || (!this.#isFrequent(digest) && this.#getRawWeight(other) < weight);
+      }),
     );
   }
 
