--- a/packages/forwarding/src/daemon/brittleFleet.test.ts
+++ b/packages/forwarding/src/daemon/brittleFleet.test.ts
@@ -89,6 +89,15 @@
   });
 }
 
+// Guards against messages and timers on days on which no upstream is brittle.
+test('nothing is told or scheduled while no upstream is brittle', async ({ clock }) => {
+  const fleet = new BrittleFleet(clock, { ...POOL, daemons: 9 });
+  await fleet.run(MS_PER_S, 100);
+  await clock.tickAsync(MS_PER_S);
+  assert.equal(fleet.network.traffic, []);
+  assert.is(clock.countTimers(), 0);
+});
+
 test('nobody falls over while datagrams are lost', async ({ clock }) => {
   const played = await play(clock, { daemons: 18, lossShare: 0.05 }, 1);
   assert.is(played.falls, 0, describe(played));
--- a/packages/forwarding/src/daemon/placeCoordinator.ts
+++ b/packages/forwarding/src/daemon/placeCoordinator.ts
@@ -49,6 +49,10 @@
     });
     this.#lender = new PlaceLender({
       findSlots: (lifeId) => directory.findIncarnation(lifeId)?.upstream.slots,
+      findRejectionsPerS: (lifeId) => {
+        const entry = directory.findIncarnation(lifeId);
+        return entry === undefined ? undefined : this.brittle.getRejectionsPerS(entry);
+      },
       findOwnerRank: (lifeId, owners) => this.#findOwnerRank(lifeId, owners),
       isAcquainted: () => getExchange().hasDiscoveredPeers,
     });
--- a/packages/forwarding/src/daemon/testSupport/brittleFleet.ts
+++ b/packages/forwarding/src/daemon/testSupport/brittleFleet.ts
@@ -196,8 +196,6 @@
     lost: [],
   };
 
-  readonly refusedAtMs: number[] = [];
-
   readonly #clock: Clock;
 
   readonly #random: Random;
@@ -291,8 +289,6 @@
       setTimeout(() => {
         void this.#request(false);
       }, afterMs);
-    } else if (!wasSent) {
-      this.refusedAtMs.push(performance.now());
     }
   }
 
--- a/packages/forwarding/src/peers/peerDirectory.ts
+++ b/packages/forwarding/src/peers/peerDirectory.ts
@@ -18,6 +18,9 @@
  */
 const MAX_CACHED_KEYS = 1_024;
 
+/** Limits the cached results of `listFirst`; more than the upstreams that are brittle at a time. */
+const MAX_CACHED_FIRSTS = 4_096;
+
 interface Lists {
   readonly all: readonly Peer[];
   readonly local: readonly Peer[];
@@ -100,7 +103,7 @@
     }
     const first = this.#findFirst(key, dataCentre, count);
     this.#firsts.set(cacheKey, first);
-    forgetOldest(this.#firsts, MAX_CACHED_KEYS);
+    forgetOldest(this.#firsts, MAX_CACHED_FIRSTS);
     return first;
   }
 
--- a/packages/forwarding/src/places/placeBorrower.ts
+++ b/packages/forwarding/src/places/placeBorrower.ts
@@ -75,16 +75,15 @@
    */
   readonly #askedLives = new Map<string, Set<string>>();
 
-  readonly #timer: NodeJS.Timeout;
+  /** Undefined while there is nothing to tell. */
+  #timer: NodeJS.Timeout | undefined;
 
   constructor(options: PlaceBorrowerOptions) {
     this.#options = options;
-    this.#timer = setInterval(() => this.tellHoldings(), HELD_INTERVAL_MS);
-    this.#timer.unref();
   }
 
   stop(): void {
-    clearInterval(this.#timer);
+    clearTimeout(this.#timer);
   }
 
   isNeeded(entry: UpstreamEntry): boolean {
@@ -96,6 +95,9 @@
     if (!this.isNeeded(entry)) {
       return 0;
     }
+    if (!this.#askAgainAtMs.has(entry)) {
+      return 0;
+    }
     const waits = this.#options
       .listOwners(entry)
       .map((owner) => this.#getAskAgainAtMs(entry, owner) - nowMs);
@@ -158,6 +160,15 @@
       }
       send(owner, { kind: 'held', from: self, holdings: [...ofOwner, ...ended] });
     }
+    clearTimeout(this.#timer);
+    this.#timer = undefined;
+    if (holdings.size > 0 || this.#askedLives.size > 0) {
+      this.#scheduleTelling();
+    }
+  }
+
+  #scheduleTelling(): void {
+    this.#timer ??= setTimeout(() => this.tellHoldings(), HELD_INTERVAL_MS).unref();
   }
 
   async #ask(entry: UpstreamEntry, owner: string): Promise<Place | undefined> {
@@ -173,6 +184,7 @@
     const { self, send } = this.#options;
     const asked = this.#askedLives.get(owner) ?? new Set();
     this.#askedLives.set(owner, asked.add(entry.lifeId));
+    this.#scheduleTelling();
     const request = { id, lifeId: entry.lifeId, rejectionsPerS };
     send(owner, { kind: 'ask', from: self, request });
     const isGranted = await Promise.race([answered, wait(REPLY_TIMEOUT_MS)]);
--- a/packages/forwarding/src/places/placeLender.ts
+++ b/packages/forwarding/src/places/placeLender.ts
@@ -7,6 +7,8 @@
 export interface PlaceLenderOptions {
   /** Undefined if the upstream is not listed. */
   findSlots(lifeId: string): number | undefined;
+  /** What this daemon knows that the upstream can turn away; undefined if it does not know of it. */
+  findRejectionsPerS(lifeId: string): number | undefined;
   /** Rank of this daemon among so many owners of the upstream; undefined if it is none of them. */
   findOwnerRank(lifeId: string, owners: number): number | undefined;
   /** A daemon that has just started does not know yet what others hold. */
@@ -74,9 +76,10 @@
   }
 
   /** Undefined if this daemon lends no places there, or none yet. */
-  #getShare({ lifeId, rejectionsPerS }: PlaceRequest): OwnedShare | undefined {
-    const { findSlots, findOwnerRank, isAcquainted } = this.#options;
+  #getShare({ lifeId, rejectionsPerS: told }: PlaceRequest): OwnedShare | undefined {
+    const { findSlots, findRejectionsPerS, findOwnerRank, isAcquainted } = this.#options;
     const slots = findSlots(lifeId);
+    const rejectionsPerS = Math.min(told, findRejectionsPerS(lifeId) ?? told);
     if (slots === undefined || !isAcquainted()) {
       return undefined;
     }
