--- a/packages/forwarding/src/crashes/constants.ts
+++ b/packages/forwarding/src/crashes/constants.ts
@@ -18,6 +18,12 @@
  */
 export const ANSWERED_FOR_MS = 60_000;
 
+/**
+ * Time since the first crash before what was answered is held: in it an answer that began after the crash
+ * would have ended, and cleared it.
+ */
+export const ANSWERED_HOLD_DELAY_MS = 2_000;
+
 /** Daemons tell the others that a suspect was answered if nobody has done so for this long. */
 export const ANSWERED_TOLD_MS = 20_000;
 
@@ -37,9 +43,12 @@
 export const MAX_SIGHTED_PARTS = 4_096;
 export const SIGHTING_HALF_LIFE_MS = 15_000;
 
+/** Callers' attempts that must have been lost under a part; fewer are doubtful evidence. */
+export const MIN_PART_ATTEMPTS = 3;
+
 /**
- * Crashes after which a part of most requests is held. It runs on every upstream that crashes, and
- * holding it refuses most requests.
+ * Crashes after which a part is held that another cause may explain. A part of most requests runs on every
+ * upstream that crashes, and holding it refuses most requests.
  */
-export const COMMON_PART_HOLD_THRESHOLD = 6;
+export const DOUBTFUL_PART_HOLD_THRESHOLD = 6;
 export const ANSWERED_COMMON_PART_HOLD_THRESHOLD = 8;
--- a/packages/forwarding/src/crashes/crashTracker.ts
+++ b/packages/forwarding/src/crashes/crashTracker.ts
@@ -12,6 +12,7 @@
   HOLD_MS,
   HOLD_THRESHOLD,
   judgeSuspicion,
+  PartPresence,
   type CrashReport,
   type Suspect,
 } from '@snipehaven/policy';
@@ -21,12 +22,14 @@
 import {
   ANSWERED_COMMON_PART_HOLD_THRESHOLD,
   ANSWERED_DELAY_MS,
+  ANSWERED_HOLD_DELAY_MS,
   ANSWERED_TOLD_MS,
-  COMMON_PART_HOLD_THRESHOLD,
+  DOUBTFUL_PART_HOLD_THRESHOLD,
   MAX_ANSWERED,
   MAX_ENDED_LIVES,
   MAX_HELD,
   MAX_OBJECTION_MS,
+  MIN_PART_ATTEMPTS,
 } from './constants.js';
 import { PartSightings } from './partSightings.js';
 import { isPartDigest } from './requestDigest.js';
@@ -35,6 +38,8 @@
 export interface CrashTrackerOptions {
   readonly logger: Logger;
   readonly random: Random;
+  /** This daemon's requests in flight, on all upstreams. */
+  listInFlight(): readonly InFlightRequest[];
   /** Sends the report to all other daemons. */
   broadcast(report: CrashMessage): void;
 }
@@ -61,10 +66,20 @@
 /** Crashes, one after the other, from which what was answered lately goes its own way. */
 const MIN_SUCCESSIVE_CRASHES = 2;
 
+const addElsewhere = (suspect: Suspect, others: readonly InFlightRequest[]): Suspect =>
+  isPartDigest(suspect.digest)
+    ? {
+        ...suspect,
+        elsewhere: others.filter(({ partDigests }) => partDigests.includes(suspect.digest)).length,
+      }
+    : suspect;
+
 export class CrashTracker {
   readonly #options: CrashTrackerOptions;
 
-  readonly #counter = new CrashCounter((digest) => this.#sightings.isCommon(digest));
+  readonly #counter = new CrashCounter((digest) => this.#isCommon(digest));
+
+  readonly #presence = new PartPresence();
 
   readonly #holds = new Map<RequestDigest, Hold>();
 
@@ -138,8 +153,14 @@
   /** Records the exit of an upstream that was running requests of this daemon. */
   recordExit(end: UpstreamExit): void {
     const nowMs = performance.now();
-    const suspects = end.lost.flatMap((one) => this.#toSuspects(one, end, nowMs));
-    const report = { lifeId: end.lifeId, suspects };
+    const lost = new Set(end.lost);
+    const others = this.#options
+      .listInFlight()
+      .filter((one) => one.partDigests.length > 0 && !lost.has(one));
+    const suspects = end.lost
+      .flatMap((one) => this.#toSuspects(one, end, nowMs))
+      .map((suspect) => addElsewhere(suspect, others));
+    const report = { lifeId: end.lifeId, suspects, inFlightElsewhere: others.length };
     this.#options.broadcast({ ...EMPTY_CRASH_MESSAGE, ends: [report] });
     this.#recordEnd(report, 'own');
   }
@@ -210,10 +231,11 @@
   #recordEnd(report: CrashReport, source: CrashSource): void {
     const nowMs = performance.now();
     this.#recordEndedLife(report.lifeId);
+    this.#presence.record(report);
     const suspected = this.#counter.recordReport(report, nowMs);
     report.suspects
       .filter(({ digest }) => isPartDigest(digest) && this.findHold(digest) !== undefined)
-      .forEach(({ digest }) => this.#counter.explain([report.lifeId], digest));
+      .forEach(({ digest }) => this.#counter.explain([report.lifeId], digest, nowMs));
     this.#releaseExplained(source);
     // One after the other: a hold explains crashes that were counted for other suspects too.
     for (const digest of this.#sortBySpecificity(suspected)) {
@@ -224,21 +246,51 @@
     this.#tellAnswered(report, nowMs);
   }
 
+  /** Whether the part runs on most upstreams, crashed or not. */
+  #isCommon(digest: RequestDigest): boolean {
+    return (
+      isPartDigest(digest) &&
+      (this.#presence.isOnMostUpstreams(digest) ?? this.#sightings.isCommon(digest))
+    );
+  }
+
   #mustHold(digest: RequestDigest): boolean {
-    const isCommon = this.#sightings.isCommon(digest);
+    const isCommon = this.#isCommon(digest);
     if (this.#answered.has(digest, performance.now())) {
       const threshold = isCommon ? ANSWERED_COMMON_PART_HOLD_THRESHOLD : ANSWERED_HOLD_THRESHOLD;
-      return this.#counter.getSuccessiveWeight(digest) >= threshold;
+      return this.#isOutlastingAnswers(digest, threshold);
     }
-    const isCertain = !isCommon || this.#counter.getWeight(digest) >= COMMON_PART_HOLD_THRESHOLD;
+    const weight = this.#counter.getWeight(digest);
+    const isDoubtful = isPartDigest(digest) && this.#isDoubtful(digest);
+    const isCertain = !(isCommon || isDoubtful) || weight >= DOUBTFUL_PART_HOLD_THRESHOLD;
     return isCertain && this.#counter.hasReachedThreshold(digest);
   }
 
+  /** Whether crashes went on one after the other for longer than answers take. */
+  #isOutlastingAnswers(digest: RequestDigest, threshold: number): boolean {
+    const sinceFirstMs = performance.now() - this.#counter.getFirstAtMs(digest);
+    const weight = this.#counter.getSuccessiveWeight(digest);
+    return weight >= threshold && sinceFirstMs >= ANSWERED_HOLD_DELAY_MS;
+  }
+
+  /**
+   * Whether the crashes may have another cause: few attempts may be unlucky ones, each repeated on several
+   * upstreams that crashed, and another part may be under the same crashes and more.
+   */
+  #isDoubtful(part: RequestDigest): boolean {
+    const isOtherCause = (other: RequestDigest): boolean =>
+      isPartDigest(other) && !this.#isCommon(other);
+    return (
+      this.#counter.countAttempts(part) < MIN_PART_ATTEMPTS ||
+      this.#counter.isOutweighed(part, isOtherCause)
+    );
+  }
+
   /** What runs on most upstreams is on most that crash, and need not go its own way for that. */
   #isProbablySound(digest: RequestDigest): boolean {
     const isAnswered = this.#answered.has(digest, performance.now());
     return (
-      this.#sightings.isCommon(digest) ||
+      this.#isCommon(digest) ||
       (isAnswered && this.#counter.getSuccessiveWeight(digest) < MIN_SUCCESSIVE_CRASHES)
     );
   }
@@ -299,7 +351,11 @@
     const { digest, lives, untilMs } = hold;
     this.#holds.set(digest, hold);
     if (isPartDigest(digest)) {
-      this.#counter.explain([...lives, ...this.#counter.listAllIncarnations(digest)], digest);
+      this.#counter.explain(
+        [...lives, ...this.#counter.listAllIncarnations(digest)],
+        digest,
+        performance.now(),
+      );
       this.#releaseExplained(source);
     }
     const forMs = Math.round(untilMs - performance.now());
@@ -419,6 +475,8 @@
       return beganAtMs === undefined ? [] : [{ digest, beganAgoMs: nowMs - beganAtMs }];
     });
     this.#untold.clear();
-    this.#options.broadcast({ ...EMPTY_CRASH_MESSAGE, answered });
+    if (answered.length > 0) {
+      this.#options.broadcast({ ...EMPTY_CRASH_MESSAGE, answered });
+    }
   }
 }
--- a/packages/forwarding/src/crashes/testSupport/crashFleet.ts
+++ b/packages/forwarding/src/crashes/testSupport/crashFleet.ts
@@ -106,6 +106,12 @@
       const tracker: CrashTracker = new CrashTracker({
         logger: createSilentLogger(),
         random: createRandom(options.seed + index),
+        listInFlight: () =>
+          this.#engines.flatMap(({ runs }) =>
+            [...runs.values()]
+              .filter((run) => run.tracker === tracker)
+              .map(({ request }) => request),
+          ),
         broadcast: (report) =>
           trackers
             .filter((other) => other !== tracker)
--- a/packages/forwarding/src/daemon/crashCoordinator.ts
+++ b/packages/forwarding/src/daemon/crashCoordinator.ts
@@ -43,6 +43,7 @@
     this.tracker = new CrashTracker({
       logger,
       random,
+      listInFlight: () => options.directory.listInFlight(),
       broadcast: (report) => getExchange().broadcastCrashMessage(report),
     });
     this.holdPersister = new HoldPersister({
--- a/packages/forwarding/src/peers/crashMessage.ts
+++ b/packages/forwarding/src/peers/crashMessage.ts
@@ -32,10 +32,14 @@
  */
 const MAX_SUSPECTS = 400;
 
-/** The last field is missing where the time is not told. */
-type WireSuspect = readonly [...suspect: SuspectTuple, sentForMs?: number];
+/** The last fields are missing where they are not told. */
+type WireSuspect = readonly [...suspect: SuspectTuple, sentForMs?: number, elsewhere?: number];
 
-type WireEnd = readonly [lifeId: string, suspects: readonly WireSuspect[]];
+type WireEnd = readonly [
+  lifeId: string,
+  suspects: readonly WireSuspect[],
+  inFlightElsewhere?: number,
+];
 
 type WireAnswered = readonly [digest: string, beganAgoMs: number];
 
@@ -48,21 +52,39 @@
 }
 
 const toWireSuspect = (suspect: Suspect): WireSuspect => {
-  const { sentForMs } = suspect;
+  const { sentForMs, elsewhere } = suspect;
   const tuple = toSuspectTuple(suspect);
-  return sentForMs === undefined ? tuple : [...tuple, Math.round(sentForMs)];
+  if (sentForMs === undefined) {
+    return tuple;
+  }
+  const sentFor = Math.round(sentForMs);
+  return elsewhere === undefined ? [...tuple, sentFor] : [...tuple, sentFor, elsewhere];
 };
 
-const fromWireSuspect = ([digest, mark, attemptId, sentForMs]: WireSuspect): Suspect => ({
+const fromWireSuspect = ([
+  digest,
+  mark,
+  attemptId,
+  sentForMs,
+  elsewhere,
+]: WireSuspect): Suspect => ({
   ...fromSuspectTuple([digest, mark, attemptId]),
   ...(sentForMs === undefined ? {} : { sentForMs }),
+  ...(elsewhere === undefined ? {} : { elsewhere }),
 });
 
-const toWireEnd = ({ lifeId, suspects }: CrashReport): WireEnd => {
+const toWireEnd = ({ lifeId, suspects, inFlightElsewhere }: CrashReport): WireEnd => {
   const mostSuspectFirst = suspects.map(toWireSuspect).sort(([, a], [, b]) => b - a);
-  return [lifeId, mostSuspectFirst.slice(0, MAX_SUSPECTS)];
+  const told = mostSuspectFirst.slice(0, MAX_SUSPECTS);
+  return inFlightElsewhere === undefined ? [lifeId, told] : [lifeId, told, inFlightElsewhere];
 };
 
+const fromWireEnd = ([lifeId, suspects, inFlightElsewhere]: WireEnd): CrashReport => ({
+  lifeId,
+  suspects: suspects.map(fromWireSuspect),
+  ...(inFlightElsewhere === undefined ? {} : { inFlightElsewhere }),
+});
+
 const toWireAnswered = ({ digest, beganAgoMs }: AnsweredSuspect): WireAnswered => [
   digest,
   Math.round(beganAgoMs),
@@ -88,7 +110,8 @@
   isNonEmptyString(value[0]) &&
   (value[1] === 0 || value[1] === 1) &&
   typeof value[2] === 'string' &&
-  (value[3] === undefined || isNonNegative(value[3]));
+  (value[3] === undefined || isNonNegative(value[3])) &&
+  (value[4] === undefined || isNonNegative(value[4]));
 
 const isWireAnswered = (value: unknown): value is WireAnswered =>
   Array.isArray(value) && isNonEmptyString(value[0]) && isNonNegative(value[1]);
@@ -97,7 +120,8 @@
   Array.isArray(value) &&
   isNonEmptyString(value[0]) &&
   Array.isArray(value[1]) &&
-  value[1].every(isWireSuspect);
+  value[1].every(isWireSuspect) &&
+  (value[2] === undefined || isNonNegative(value[2]));
 
 /** Undefined if the decoded datagram is not a valid crash message. */
 export const decodeCrashMessage = (message: unknown): CrashMessage | undefined => {
@@ -110,10 +134,7 @@
     isNonEmptyStrings(alive);
   return isValid
     ? {
-        ends: ends.map(([lifeId, suspects]) => ({
-          lifeId,
-          suspects: suspects.map(fromWireSuspect),
-        })),
+        ends: ends.map(fromWireEnd),
         answered: answered.map(([digest, beganAgoMs]) => ({
           digest: asId<RequestDigest>(digest),
           beganAgoMs,
--- a/packages/forwarding/src/upstreams/upstreamDirectory.ts
+++ b/packages/forwarding/src/upstreams/upstreamDirectory.ts
@@ -91,15 +91,17 @@
     this.#exitListener = listener;
   }
 
+  /** This daemon's requests in flight, on all upstreams. */
+  listInFlight(): readonly InFlightRequest[] {
+    return [...this.#entries.values()].flatMap(({ exitDetector }) => [...exitDetector.inFlight]);
+  }
+
   /**
    * Notifies in-flight requests of this digest, or with a part of this digest, whose response has
    * not begun that they are held back.
    */
   holdBack(digest: RequestDigest): void {
-    const sent = [...this.#entries.values()].flatMap(({ exitDetector }) => [
-      ...exitDetector.inFlight,
-    ]);
-    sent
+    this.listInFlight()
       .filter((one) => one.digest === digest || one.partDigests.includes(digest))
       .forEach((one) => one.onHeld());
   }
--- a/packages/policy/src/crashes/crashCounter.test.ts
+++ b/packages/policy/src/crashes/crashCounter.test.ts
@@ -114,6 +114,39 @@
   assert.is(counter.getWeight(A), 1);
 });
 
+// Guards against releasing a crashing part for another one that later crashes made more suspect.
+test('later crashes of another suspect do not explain those of a held one', () => {
+  const counter = new CrashCounter();
+  ['u-1', 'u-2', 'u-3'].forEach((lifeId) => counter.recordReport(reportEnd(lifeId, [A]), 0));
+  counter.recordReport(reportEnd('u-3', [B]), 0);
+  counter.explain(['u-1', 'u-2', 'u-3'], A, 1);
+  ['u-4', 'u-5', 'u-6'].forEach((lifeId) => counter.recordReport(reportEnd(lifeId, [B]), 2));
+  counter.explain(['u-1', 'u-2', 'u-3', 'u-4', 'u-5', 'u-6'], B, 3);
+  assert.not(counter.isExplained(A));
+});
+
+// Guards against keeping a suspect that was held by chance beside the cause.
+test('a suspect with more crashes by then explains those of a held one', () => {
+  const counter = new CrashCounter();
+  ['u-1', 'u-2', 'u-3'].forEach((lifeId) => counter.recordReport(reportEnd(lifeId, [A, B]), 0));
+  counter.recordReport(reportEnd('u-4', [B]), 0);
+  counter.explain(['u-1', 'u-2', 'u-3'], A, 1);
+  counter.explain(['u-1', 'u-2', 'u-3', 'u-4'], B, 2);
+  assert.ok(counter.isExplained(A));
+  assert.not(counter.isExplained(B));
+});
+
+test('a suspect is outweighed by one that is under all of its crashes and more', () => {
+  const counter = new CrashCounter();
+  counter.recordReport(reportEnd('u-1', [A, B]), 0);
+  assert.not(counter.isOutweighed(A, () => true));
+  counter.recordReport(reportEnd('u-2', [B]), 0);
+  assert.ok(counter.isOutweighed(A, () => true));
+  assert.not(counter.isOutweighed(A, () => false));
+  counter.recordReport(reportEnd('u-3', [A]), 0);
+  assert.not(counter.isOutweighed(A, () => true));
+});
+
 test('crashes expire', () => {
   const counter = new CrashCounter();
   counter.recordReport(reportEnd('u-1', [A]), 0);
--- a/packages/policy/src/crashes/crashCounter.ts
+++ b/packages/policy/src/crashes/crashCounter.ts
@@ -23,14 +23,16 @@
  */
 export const SINGLE_ATTEMPT_HOLD_THRESHOLD = 4;
 
+/** So many times the crashes of a held suspect show that another one caused them. */
+const FAR_MORE = 2;
+
 const weights: Readonly<Record<Suspicion, number>> = { strong: 1, weak: 0.5 };
 
 /**
- * Threshold for what was answered a short while before, by crashes that came one after the other: each under
- * a request that was sent after the crash before. What was answered is on many upstreams that are lost at
- * once for another reason, but then survives the next one.
+ * Threshold for what was answered a short while before, by crashes that came one after the other. What was
+ * answered is on many upstreams that are lost at once for another reason, but then survives the next one.
  */
-export const ANSWERED_HOLD_THRESHOLD = 5;
+export const ANSWERED_HOLD_THRESHOLD = 4;
 
 /**
  * How long a request is held. Callers retry for a few minutes at most, and each release may cost as
@@ -70,13 +72,19 @@
 const sumWeights = (crashes: CrashesByIncarnation): number =>
   [...crashes.values()].reduce((sum, { weight }) => sum + weight, 0);
 
-/** Weight of the most crashes of which each came under a request sent after the one before. */
+/**
+ * Weight of crashes that came one after the other: each under the attempt of another caller, sent after the
+ * crash before. One unlucky attempt is repeated, and may be on each upstream that crashes.
+ */
 const sumSuccessiveWeights = (crashes: CrashesByIncarnation): number => {
   const oldestFirst = [...crashes.values()].sort((a, b) => a.atMs - b.atMs);
+  const countedAttempts = new Set<string>();
   let sum = 0;
   let lastAtMs = -Infinity;
-  for (const { weight, sentAtMs, atMs } of oldestFirst) {
-    if (sentAtMs >= lastAtMs) {
+  for (const { weight, attemptIds, sentAtMs, atMs } of oldestFirst) {
+    const attemptId = [...attemptIds].find((one) => !countedAttempts.has(one));
+    if (sentAtMs >= lastAtMs && attemptId !== undefined) {
+      countedAttempts.add(attemptId);
       sum += weight;
       lastAtMs = atMs;
     }
@@ -101,6 +109,15 @@
    */
   readonly #explainedBy = new Map<string, RequestDigest>();
 
+  /**
+   * When crashes were first put down to a suspect. It is no longer sent from then on, so that later crashes
+   * under others say nothing of who caused the earlier ones.
+   */
+  readonly #explainedSinceMs = new Map<RequestDigest, number>();
+
+  /** No crash is older. */
+  #oldestAtMs = Infinity;
+
   readonly #isFrequent: (digest: RequestDigest) => boolean;
 
   constructor(isFrequent: (digest: RequestDigest) => boolean = () => false) {
@@ -130,22 +147,42 @@
    * Whether so many upstreams crashed under the request that it must not be sent to another one.
    */
   hasReachedThreshold(digest: RequestDigest): boolean {
-    const crashes = [...this.#getBlamed(digest).values()];
-    const attempts = new Set(crashes.flatMap(({ attemptIds }) => [...attemptIds]));
-    const bound = attempts.size > 1 ? HOLD_THRESHOLD : SINGLE_ATTEMPT_HOLD_THRESHOLD;
+    const bound = this.countAttempts(digest) > 1 ? HOLD_THRESHOLD : SINGLE_ATTEMPT_HOLD_THRESHOLD;
     return this.getWeight(digest) >= bound;
   }
 
+  /** Number of callers' attempts that were lost in the crashes. */
+  countAttempts(digest: RequestDigest): number {
+    const crashes = [...this.#getBlamed(digest).values()];
+    return new Set(crashes.flatMap(({ attemptIds }) => [...attemptIds])).size;
+  }
+
+  /** When the first of the crashes was reported; Infinity if there is none. */
+  getFirstAtMs(digest: RequestDigest): number {
+    return Math.min(...[...this.#getBlamed(digest).values()].map(({ atMs }) => atMs));
+  }
+
   /** Total weight of the crashes under the request. */
   getWeight(digest: RequestDigest): number {
     return sumWeights(this.#getBlamed(digest));
   }
 
-  /** Weight of crashes that came one after the other, each under a request sent after the one before. */
+  /** Weight of crashes that came one after the other, each under another attempt. */
   getSuccessiveWeight(digest: RequestDigest): number {
     return sumSuccessiveWeights(this.#getBlamed(digest));
   }
 
+  /** Whether one of these others is under all of its crashes, and under more. */
+  isOutweighed(digest: RequestDigest, isOther: (digest: RequestDigest) => boolean): boolean {
+    const lives = [...this.#getBlamed(digest).keys()];
+    return [...this.#crashes].some(
+      ([other, crashes]) =>
+        crashes.size > lives.length &&
+        lives.every((lifeId) => crashes.has(lifeId)) &&
+        isOther(other),
+    );
+  }
+
   /** Requests with crashes that are not put down to others. */
   listSuspects(): readonly RequestDigest[] {
     return [...this.#crashes.keys()].filter((digest) => this.#getBlamed(digest).size > 0);
@@ -222,27 +259,54 @@
    * Puts the crashes of these incarnations down to one suspect, unless they are put down to one with as many
    * crashes. Others are not blamed for them while that lasts, whenever their reports arrive.
    */
-  explain(lives: readonly string[], suspect: RequestDigest): void {
-    const weight = this.#getRawWeight(suspect);
+  explain(lives: readonly string[], suspect: RequestDigest, nowMs: number): void {
     lives
       .filter((lifeId) => {
         const other = this.#explainedBy.get(lifeId);
-        return other === undefined || this.#getRawWeight(other) < weight;
+        return other === undefined || this.#isLikelier(suspect, other);
       })
       .forEach((lifeId) => this.#explainedBy.set(lifeId, suspect));
+    if (!this.#explainedSinceMs.has(suspect)) {
+      this.#explainedSinceMs.set(suspect, nowMs);
+    }
     forgetOldest(this.#explainedBy, MAX_TRACKED_REQUESTS);
+    forgetOldest(this.#explainedSinceMs, MAX_TRACKED_REQUESTS);
   }
 
   /** The crashes that were put down to the suspect count against the others again. */
   withdrawExplanation(suspect: RequestDigest): void {
+    this.#explainedSinceMs.delete(suspect);
     [...this.#explainedBy]
       .filter(([, one]) => one === suspect)
       .forEach(([lifeId]) => this.#explainedBy.delete(lifeId));
   }
 
-  /** Whether crashes were counted for it and all of them were put down to other suspects. */
+  /** Whether crashes were counted for it and all of them are better explained by other suspects. */
   isExplained(digest: RequestDigest): boolean {
-    return this.#crashes.has(digest) && this.#getBlamed(digest).size === 0;
+    const crashes = this.#crashes.get(digest);
+    return (
+      crashes !== undefined &&
+      [...crashes.keys()].every((lifeId) => {
+        const other = this.#explainedBy.get(lifeId);
+        return other !== undefined && other !== digest && this.#isRefutedBy(other, digest);
+      })
+    );
+  }
+
+  /**
+   * What is held is under no later crashes, so that others with more crashes need not have caused the earlier
+   * ones: they had more by then, or have far more since.
+   */
+  #isRefutedBy(other: RequestDigest, digest: RequestDigest): boolean {
+    const weight = this.#getRawWeight(digest);
+    const heldSinceMs = this.#explainedSinceMs.get(digest);
+    if (heldSinceMs === undefined) {
+      return this.#isFrequent(digest) || this.#getRawWeight(other) >= weight;
+    }
+    return (
+      this.#getRawWeight(other, heldSinceMs) > this.#getRawWeight(digest, heldSinceMs) ||
+      this.#getRawWeight(other) >= FAR_MORE * weight
+    );
   }
 
   /**
@@ -251,19 +315,24 @@
    */
   #getBlamed(digest: RequestDigest): CrashesByIncarnation {
     const crashes = this.#crashes.get(digest) ?? new Map<string, RecordedCrash>();
-    const weight = sumWeights(crashes);
     return new Map(
       [...crashes].filter(([lifeId]) => {
         const other = this.#explainedBy.get(lifeId);
-        const isOpen = other === undefined || other === digest;
-        return isOpen || (!this.#isFrequent(digest) && this.#getRawWeight(other) < weight);
+        return other === undefined || other === digest || this.#isLikelier(digest, other);
       }),
     );
   }
 
-  #getRawWeight(digest: RequestDigest): number {
-    const crashes = this.#crashes.get(digest);
-    return crashes === undefined ? 0 : sumWeights(crashes);
+  /** Whether a suspect has more crashes than another one had when crashes were put down to that. */
+  #isLikelier(digest: RequestDigest, other: RequestDigest): boolean {
+    return !this.#isFrequent(digest) && this.#getRawWeight(other) < this.#getRawWeight(digest);
+  }
+
+  #getRawWeight(digest: RequestDigest, untilMs = Infinity): number {
+    const crashes = [...(this.#crashes.get(digest)?.values() ?? [])];
+    return crashes
+      .filter(({ atMs }) => atMs <= untilMs)
+      .reduce((sum, { weight }) => sum + weight, 0);
   }
 
   #rememberCleared(digest: RequestDigest, crashes: CrashesByIncarnation): void {
@@ -282,13 +351,20 @@
     crashes.set(lifeId, known === undefined ? crash : joinCrashes(known, crash));
     this.#crashes.delete(digest);
     this.#crashes.set(digest, crashes);
+    this.#oldestAtMs = Math.min(this.#oldestAtMs, crash.atMs);
   }
 
   #dropExpired(nowMs: number): void {
+    if (nowMs - this.#oldestAtMs <= CRASH_EXPIRY_MS) {
+      return;
+    }
+    this.#oldestAtMs = Infinity;
     for (const [digest, crashes] of this.#crashes) {
       for (const [lifeId, { atMs }] of crashes) {
         if (nowMs - atMs > CRASH_EXPIRY_MS) {
           crashes.delete(lifeId);
+        } else {
+          this.#oldestAtMs = Math.min(this.#oldestAtMs, atMs);
         }
       }
       if (crashes.size === 0) {
--- a/packages/policy/src/crashes/index.ts
+++ b/packages/policy/src/crashes/index.ts
@@ -1,5 +1,6 @@
 export * from './chooseSuspectUpstream.js';
 export * from './crashCounter.js';
 export * from './judgeSuspicion.js';
+export * from './partPresence.js';
 export * from './suspectTuple.js';
 export type * from './types.js';
--- a/packages/policy/src/crashes/types.ts
+++ b/packages/policy/src/crashes/types.ts
@@ -15,10 +15,14 @@
   readonly suspicion: Suspicion;
   /** Time in ms from the sending of the request until the crash was noticed; 0 if it is not told. */
   readonly sentForMs?: number;
+  /** Requests of the reporting daemon with this part that were in flight on other upstreams. */
+  readonly elsewhere?: number;
 }
 
 /** Crash of one incarnation of an upstream, with the requests that one daemon had there. */
 export interface CrashReport {
   readonly lifeId: string;
   readonly suspects: readonly Suspect[];
+  /** All requests of the reporting daemon with parts that were in flight on other upstreams. */
+  readonly inFlightElsewhere?: number;
 }
