--- a/packages/forwarding/src/runs/forwardRun.ts
+++ b/packages/forwarding/src/runs/forwardRun.ts
@@ -423,7 +423,8 @@
       const isRest =
         this.#attempt?.isResumed === true || this.#request.options.lastEventId !== undefined;
       const suspects = isRest ? [this.digest] : this.#suspects;
-      const beganAtMs = this.#attempt?.beganAtMs ?? performance.now();
+      // An answer without a body began no later than now, but it is not known when.
+      const beganAtMs = this.#attempt?.beganAtMs ?? this.#attempt?.sentAtMs ?? -Infinity;
       this.#dependencies.crashes.recordSuccess({ suspects, beganAtMs });
     }
   }
