--- a/packages/forwarding/src/crashes/crashTracker.ts
+++ b/packages/forwarding/src/crashes/crashTracker.ts
@@ -66,13 +66,13 @@
 /** Crashes, one after the other, from which what was answered lately goes its own way. */
 const MIN_SUCCESSIVE_CRASHES = 2;
 
-const addElsewhere = (suspect: Suspect, others: readonly InFlightRequest[]): Suspect =>
-  isPartDigest(suspect.digest)
-    ? {
-        ...suspect,
-        elsewhere: others.filter(({ partDigests }) => partDigests.includes(suspect.digest)).length,
-      }
-    : suspect;
+const countParts = (requests: readonly InFlightRequest[]): ReadonlyMap<RequestDigest, number> => {
+  const counts = new Map<RequestDigest, number>();
+  requests
+    .flatMap(({ partDigests }) => partDigests)
+    .forEach((part) => counts.set(part, (counts.get(part) ?? 0) + 1));
+  return counts;
+};
 
 export class CrashTracker {
   readonly #options: CrashTrackerOptions;
@@ -157,9 +157,14 @@
     const others = this.#options
       .listInFlight()
       .filter((one) => one.partDigests.length > 0 && !lost.has(one));
+    const elsewhere = countParts(others);
     const suspects = end.lost
       .flatMap((one) => this.#toSuspects(one, end, nowMs))
-      .map((suspect) => addElsewhere(suspect, others));
+      .map((suspect) =>
+        isPartDigest(suspect.digest)
+          ? { ...suspect, elsewhere: elsewhere.get(suspect.digest) ?? 0 }
+          : suspect,
+      );
     const report = { lifeId: end.lifeId, suspects, inFlightElsewhere: others.length };
     this.#options.broadcast({ ...EMPTY_CRASH_MESSAGE, ends: [report] });
     this.#recordEnd(report, 'own');
--- a/packages/policy/src/crashes/crashCounter.ts
+++ b/packages/policy/src/crashes/crashCounter.ts
@@ -138,15 +138,19 @@
       this.#recordCrash(digest, lifeId, { weight: weights[suspicion], attemptIds, ...times });
     }
     this.#evictLeastSuspect();
-    return suspects
-      .map(({ digest }) => digest)
-      .filter((digest) => this.hasReachedThreshold(digest));
+    return [...new Set(suspects.map(({ digest }) => digest))].filter((digest) =>
+      this.hasReachedThreshold(digest),
+    );
   }
 
   /**
    * Whether so many upstreams crashed under the request that it must not be sent to another one.
    */
   hasReachedThreshold(digest: RequestDigest): boolean {
+    // Most suspects are under one crash, and there are hundreds in a report.
+    if ((this.#crashes.get(digest)?.size ?? 0) < HOLD_THRESHOLD) {
+      return false;
+    }
     const bound = this.countAttempts(digest) > 1 ? HOLD_THRESHOLD : SINGLE_ATTEMPT_HOLD_THRESHOLD;
     return this.getWeight(digest) >= bound;
   }
