--- a/packages/policy/src/crashes/crashCounter.ts
+++ b/packages/policy/src/crashes/crashCounter.ts
@@ -327,7 +327,7 @@
     );
   }
 
-  /** Whether a suspect has more crashes than another one had when crashes were put down to that. */
+  /** Whether a suspect that is not on most upstreams anyway has more crashes than another one. */
   #isLikelier(digest: RequestDigest, other: RequestDigest): boolean {
     return !this.#isFrequent(digest) && this.#getRawWeight(other) < this.#getRawWeight(digest);
   }
