--- a/packages/policy/src/crashes/crashCounter.test.ts
+++ b/packages/policy/src/crashes/crashCounter.test.ts
@@ -147,6 +147,15 @@
   assert.not(counter.isOutweighed(A, () => true));
 });
 
+// Guards against taking a rack for crashes one after the other, where older daemons do not tell the times.
+test('crashes under requests whose times are not told do not follow one another', () => {
+  const counter = new CrashCounter();
+  ['u-1', 'u-2', 'u-3', 'u-4'].forEach((lifeId, index) =>
+    counter.recordReport(reportEnd(lifeId, [A]), index),
+  );
+  assert.is(counter.getSuccessiveWeight(A), 1);
+});
+
 test('crashes expire', () => {
   const counter = new CrashCounter();
   counter.recordReport(reportEnd('u-1', [A]), 0);
--- a/packages/policy/src/crashes/crashCounter.ts
+++ b/packages/policy/src/crashes/crashCounter.ts
@@ -132,7 +132,7 @@
   /** Records the crash for each suspect and returns those that have now reached their threshold. */
   recordReport({ lifeId, suspects }: CrashReport, nowMs: number): readonly RequestDigest[] {
     this.#dropExpired(nowMs);
-    for (const { digest, suspicion, attemptId, sentForMs = 0 } of suspects) {
+    for (const { digest, suspicion, attemptId, sentForMs = Infinity } of suspects) {
       const attemptIds = new Set([attemptId]);
       const times = { sentAtMs: nowMs - sentForMs, atMs: nowMs };
       this.#recordCrash(digest, lifeId, { weight: weights[suspicion], attemptIds, ...times });
--- a/packages/policy/src/crashes/types.ts
+++ b/packages/policy/src/crashes/types.ts
@@ -13,7 +13,7 @@
   /** The caller's attempt that sent the request to this upstream. */
   readonly attemptId: string;
   readonly suspicion: Suspicion;
-  /** Time in ms from the sending of the request until the crash was noticed; 0 if it is not told. */
+  /** Time in ms from the sending of the request until the crash was noticed; undefined if it is not told. */
   readonly sentForMs?: number;
   /** Requests of the reporting daemon with this part that were in flight on other upstreams. */
   readonly elsewhere?: number;
