Test runner: failures that are not excused come last, with the time of each file

Change: after the known red lines, the output of each file that is not excused is printed again; a known red line is printed once; each file's line has the time that it took.

--- a/tools/runTests.mjs
+++ b/tools/runTests.mjs
@@ -48,13 +48,20 @@
     };
     child.stdout.on('data', take);
     child.stderr.on('data', take);
+    const startedAtMs = Date.now();
     const timer = setTimeout(() => child.kill('SIGKILL'), PER_FILE_TIMEOUT_MS);
     child.on('close', (code, signal) => {
       clearTimeout(timer);
       const total = readCount(output, 'Total');
       const passed = readCount(output, 'Passed');
       const failed = Math.max(total - passed, code === 0 ? 0 : 1);
-      resolve({ file, passed, failed, output: signal ? `${output}\nended by ${signal}` : output });
+      resolve({
+        file,
+        passed,
+        failed,
+        output: signal ? `${output}\nended by ${signal}` : output,
+        tookMs: Date.now() - startedAtMs,
+      });
     });
   });
 
@@ -64,7 +71,8 @@
   for (let file = queue.shift(); file; file = queue.shift()) {
     const result = await runFile(file);
     results.push(result);
-    console.log(`${result.failed === 0 ? 'ok  ' : 'FAIL'} ${file} (${result.passed})`);
+    const tookS = (result.tookMs / 1000).toFixed(1);
+    console.log(`${result.failed === 0 ? 'ok  ' : 'FAIL'} ${file} (${result.passed}, ${tookS} s)`);
     if (result.failed > 0) console.log(result.output);
   }
 };
@@ -90,7 +98,11 @@
 
 const red = results.filter((result) => result.failed > 0);
 const excused = process.env.CI === 'true' ? red.filter(isExcused) : [];
-excused.flatMap(findKnownRedLines).forEach((line) => console.log(`known red: ${line}`));
+new Set(excused.flatMap(findKnownRedLines)).forEach((line) => console.log(`known red: ${line}`));
+/** At the end, because a long log is often kept without its middle. */
+red
+  .filter((result) => !excused.includes(result))
+  .forEach((result) => console.log(`not excused: ${result.file}\n${result.output}`));
 const passed = results.reduce((sum, result) => sum + result.passed, 0);
 const failed = red.reduce((sum, result) => sum + result.failed, 0);
 console.log(`${passed} passed, ${failed} failed`);
