--- a/packages/proofs/src/platformSoak/constants.ts
+++ b/packages/proofs/src/platformSoak/constants.ts
@@ -33,6 +33,13 @@
 /** Until a daemon knows that an upstream has turned cold by itself. */
 export const COLD_NOTICE_MS = 1_000;
 
+/** Slots of an upstream of the plain service. */
+export const PLAIN_SLOTS = 4;
+
+/** How often brittle upstreams may fall over in one time, and in addition by this share of their number. */
+export const MAX_FALLS = 2;
+export const MAX_FALLS_SHARE = 0.1;
+
 /** An upstream's rate limit is counted over this, and so much more than it is allowed. */
 export const LIMIT_WINDOW_MS = 4_000;
 export const LIMIT_OVERAGE = 1.5;
--- a/packages/proofs/src/platformSoak/faults/deadlyQuestions.ts
+++ b/packages/proofs/src/platformSoak/faults/deadlyQuestions.ts
@@ -21,11 +21,11 @@
 const BACK_MS = 600;
 const LAPSES_MS = 1_500;
 
-/** Another upstream takes its place, and the list drops it late. */
-export const endUnderQuestion = (world: SoakWorld, backEnd: BackEnd): void => {
+/** Ends it; another upstream takes its place, and the list drops it late. */
+export const replaceCrashed = (world: SoakWorld, backEnd: BackEnd): void => {
   const { backEnds, operator, faultLog } = world;
   backEnds.stop(backEnd);
-  void faultLog.during('upstreams', 'endUnderQuestion', async () => {
+  void faultLog.during('upstreams', 'replaceCrashed', async () => {
     await sleep(BACK_MS);
     await operator.addBackEnd(backEnd.service, backEnd.version);
     await sleep(LAPSES_MS - BACK_MS);
--- a/packages/proofs/src/platformSoak/faults/index.ts
+++ b/packages/proofs/src/platformSoak/faults/index.ts
@@ -1,13 +1,16 @@
 /** All faults by name, and the lanes that strike with them. */
 import type { Fault } from '../world.js';
-import { deadlyQuestion, endUnderQuestion } from './deadlyQuestions.js';
+import { brittle } from './brittle.js';
+import { deadlyQuestion, replaceCrashed } from './deadlyQuestions.js';
 import * as network from './networkFaults.js';
 import * as operators from './operatorFaults.js';
 import * as processes from './processFaults.js';
 import * as stores from './storeFaults.js';
 
+type Lanes = readonly (readonly Fault[])[];
+
 /** A lane strikes one after the other; lanes overlap. A lane for roll-outs: there is one at a time. */
-export const lanes: readonly (readonly Fault[])[] = [
+const allLanes: Lanes = [
   [
     processes.kill,
     processes.killHerd,
@@ -29,6 +32,7 @@
   [operators.evacuate, operators.turnCold],
   [operators.evacuateAnother],
   [deadlyQuestion],
+  [brittle],
   [operators.limitRate],
   [operators.shed, operators.replaceUnannounced],
   [processes.losePaths],
@@ -36,10 +40,25 @@
 ];
 
 /** Work that an operator plans; nothing fails by itself. */
-export const plannedLanes: readonly (readonly Fault[])[] = [
+const plannedLanes: Lanes = [
   [processes.restartInTurn, processes.restartAndReload, processes.reload],
   [operators.stormConfiguration, operators.revokeKey, operators.replaceUpstream],
   [operators.goodRollout],
 ];
 
-export { endUnderQuestion };
+/** Upstreams that end by what they are sent, while daemons come and go. */
+const crashLanes: Lanes = [
+  [processes.kill, processes.pause, processes.restartInTurn],
+  [brittle],
+  [operators.crashUpstream, operators.replaceUpstream],
+];
+
+export type Scenario = 'all' | 'planned' | 'crashes';
+
+export const lanesOf: Readonly<Record<Scenario, Lanes>> = {
+  all: allLanes,
+  planned: plannedLanes,
+  crashes: crashLanes,
+};
+
+export { replaceCrashed };
--- a/packages/proofs/src/platformSoak/judge/promises.test.ts
+++ b/packages/proofs/src/platformSoak/judge/promises.test.ts
@@ -120,6 +120,20 @@
   assert.equal(listBroken({ ...evidence, attempts: [{ ...ATTEMPT, endedAtMs: 1e9 }] }), []);
 });
 
+test('brittle upstreams that fell over three times, and the same under requests of a VM that was disturbed', () => {
+  const evidence = createEvidence([ATTEMPT], [RUN]);
+  const { operator, backEnds, faultLog } = evidence.world;
+  operator.brittleSpans.push({ service: 'plain', upstreams: 3, fromMs: 5_000, toMs: 20_000 });
+  const rejections = [{ attemptId: 's-1', atMs: 10_010 }];
+  const fall = { upstream: 'plain-1', atMs: 10_010, rejections };
+  backEnds.falls.push(fall, fall, { ...fall, atMs: 7_000 });
+  assert.equal(listBroken(evidence), []);
+  backEnds.falls.push(fall);
+  assert.equal(listBroken(evidence), ['fellOver']);
+  faultLog.begin('vm-a-1', 'pause');
+  assert.equal(listBroken(evidence), []);
+});
+
 test('a request at an upstream that the operator evacuated, and too many at a cold one', async () => {
   const evidence = createEvidence([ATTEMPT], [RUN]);
   const { operator, backEnds } = evidence.world;
--- a/packages/proofs/src/platformSoak/judge/promises.ts
+++ b/packages/proofs/src/platformSoak/judge/promises.ts
@@ -18,6 +18,7 @@
 import { brokeBackOff } from './backOffs.js';
 import { isCalmBetween, isSuccess, type Evidence } from './evidence.js';
 import { listUnservedVms } from './calmService.js';
+import { fellOver } from './falls.js';
 import { reachedToldLeaving } from './leavings.js';
 import { overranLimit } from './rateLimits.js';
 import { sessionMoved } from './sessionMoves.js';
@@ -270,6 +271,7 @@
   denied,
   notHealed,
   deadlyWentOn,
+  fellOver,
   heldWrongly,
   sessionMoved,
 };
--- a/packages/proofs/src/platformSoak/main.ts
+++ b/packages/proofs/src/platformSoak/main.ts
@@ -1,12 +1,13 @@
 /**
  * `npm run soak:platform -- [--seed N] [--seeds COUNT] [--seconds S] [--vms PER_DATA_CENTRE] [--callers N]
- * [--folder DIR] [--planned] [--regressions]`; exit code 1 where a promise broke. Logs of the daemons stay
- * in the folder.
+ * [--folder DIR] [--scenario all|planned|crashes] [--regressions]`; exit code 1 where a promise broke. Logs
+ * of the daemons stay in the folder.
  */
 import { mkdirSync, mkdtempSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { parseArgs } from 'node:util';
+import { lanesOf, type Scenario } from './faults/index.js';
 import { regressionSeeds } from './regressionSeeds.js';
 import { runSoak, type SoakOutcome } from './soakRun.js';
 
@@ -18,11 +19,19 @@
     vms: { type: 'string', default: '2' },
     callers: { type: 'string', default: '24' },
     folder: { type: 'string' },
-    planned: { type: 'boolean', default: false },
+    scenario: { type: 'string', default: 'all' },
     regressions: { type: 'boolean', default: false },
   },
 });
 
+const isScenario = (name: string): name is Scenario => Object.hasOwn(lanesOf, name);
+
+const { scenario } = values;
+if (!isScenario(scenario)) {
+  console.error(`unknown scenario "${scenario}"; one of ${Object.keys(lanesOf).join(', ')}`);
+  process.exit(2);
+}
+
 /** Blocks of 127.0.0.0/8 by the process's id, so that runs side by side do not meet. */
 const network = `127.${10 + (process.pid % 200)}`;
 const folder = values.folder ?? mkdtempSync(join(tmpdir(), 'snipehaven-platform-soak-'));
@@ -49,7 +58,7 @@
   const outcome = await runSoak({
     seed,
     seconds,
-    isPlanned: values.planned,
+    scenario,
     vmsPerDataCentre: Number(values.vms),
     callers: Number(values.callers),
     folder: ownFolder,
--- a/packages/proofs/src/platformSoak/outside/backEnds.ts
+++ b/packages/proofs/src/platformSoak/outside/backEnds.ts
@@ -12,7 +12,8 @@
   type SeenRequest,
 } from '@snipehaven/standins';
 import { DATA_CENTRES } from '../constants.js';
-import type { ArrivalRecord, DeadlyEnd, RunRecord } from '../types.js';
+import type { ArrivalRecord, DeadlyEnd, Fall, Rejection, RunRecord } from '../types.js';
+import { Admission, type Room } from './admission.js';
 import { renderStatement, type Statement, type Telling } from './statements.js';
 
 export type ServiceName = 'plain' | 'models';
@@ -24,6 +25,13 @@
   readonly backOffS: number;
 }
 
+/** While a service is brittle, its upstreams have little room and work slowly. */
+export interface Brittleness {
+  readonly room: Room;
+  readonly rejectionsPerS: number;
+  readonly workMs: number;
+}
+
 /** Of one upstream; `version` is that of its software. */
 export interface BackEnd {
   readonly id: string;
@@ -37,6 +45,9 @@
   failureShare: number;
   /** Said in all answers. */
   statement: Statement;
+  readonly admission: Admission;
+  /** Of the last second, for lack of room. */
+  rejections: readonly Rejection[];
   /** Undefined while it turns no requests away. */
   shedding: Shedding | undefined;
   isOpen: boolean;
@@ -47,6 +58,7 @@
 
 const PLAIN_WORK_MS = 25;
 const EVENT_GAP_MS = 15;
+const REJECTION_WINDOW_MS = 1_000;
 const MIN_EVENTS = 3;
 const EVENT_SPREAD = 14;
 
@@ -75,9 +87,14 @@
 
   readonly deadlyEnds: DeadlyEnd[] = [];
 
+  readonly falls: Fall[] = [];
+
+  /** Present ones only; upstreams that start meanwhile are brittle too. */
+  readonly brittle = new Map<ServiceName, Brittleness>();
+
   readonly tellings: Telling[] = [];
 
-  #onDeadly: (backEnd: BackEnd) => void = () => {};
+  #onCrash: (backEnd: BackEnd) => void = () => {};
 
   readonly #random: Random;
 
@@ -99,15 +116,22 @@
     const failureShare = USUAL_FAILURE_SHARE;
     const dataCentre = DATA_CENTRES[this.#started % DATA_CENTRES.length] ?? DATA_CENTRES[0];
     const place = { id, service, version, dataCentre };
-    const state = { failureShare, statement: {}, shedding: undefined, isOpen: true };
+    const state = {
+      failureShare,
+      statement: {},
+      admission: new Admission(),
+      rejections: [],
+      shedding: undefined,
+      isOpen: true,
+    };
     const backEnd = { ...place, ...state, upstream, forwarder };
     this.all.push(backEnd);
     return backEnd;
   }
 
-  /** Calls back when a deadly question begins to run. */
-  onDeadly(listener: (backEnd: BackEnd) => void): void {
-    this.#onDeadly = listener;
+  /** Calls back when an upstream ends by what it was sent. */
+  onCrash(listener: (backEnd: BackEnd) => void): void {
+    this.#onCrash = listener;
   }
 
   listOpen(service: ServiceName): readonly BackEnd[] {
@@ -139,7 +163,35 @@
     } else if (request.body.startsWith(DEADLY_PREFIX)) {
       this.#die(backEnd, request, attemptId);
     } else {
-      void this.#run(backEnd, request, socket, way);
+      this.#admit(backEnd, request, socket, way);
+    }
+  }
+
+  #admit(
+    backEnd: BackEnd,
+    request: SeenRequest,
+    socket: Socket,
+    way: FailureWay | undefined,
+  ): void {
+    const brittleness = this.brittle.get(backEnd.service);
+    const run = (): Promise<void> => this.#run(backEnd, request, socket, way);
+    if (brittleness === undefined) {
+      void run();
+    } else if (!backEnd.admission.admit(brittleness.room, run)) {
+      const headers = { 'X-Not-Executed': '1', 'Content-Length': '0' };
+      socket.write(this.#renderHead(backEnd, request, 503, headers));
+      this.#countRejection(backEnd, brittleness, request.headers.get('x-attempt-id') ?? '');
+    }
+  }
+
+  #countRejection(backEnd: BackEnd, { rejectionsPerS }: Brittleness, attemptId: string): void {
+    const nowMs = performance.now();
+    const recent = backEnd.rejections.filter(({ atMs }) => atMs > nowMs - REJECTION_WINDOW_MS);
+    const rejections = [...recent, { attemptId, atMs: nowMs }];
+    Object.assign(backEnd, { rejections });
+    if (rejections.length > rejectionsPerS && backEnd.isOpen) {
+      this.falls.push({ upstream: backEnd.id, atMs: nowMs, rejections });
+      this.#onCrash(backEnd);
     }
   }
 
@@ -150,11 +202,14 @@
   }
 
   #renderHead(
-    { id, statement }: BackEnd,
+    { id, service, statement: ownStatement }: BackEnd,
     request: SeenRequest,
     status: number,
     headers: Readonly<Record<string, string>>,
   ): string {
+    const rejectionsPerS = this.brittle.get(service)?.rejectionsPerS;
+    const statement =
+      rejectionsPerS === undefined ? ownStatement : { ...ownStatement, rejectionsPerS };
     const said = renderStatement(statement);
     if (Object.keys(said).length > 0) {
       const attemptId = request.headers.get('x-attempt-id') ?? '';
@@ -176,12 +231,14 @@
       endedAtMs: nowMs + DEADLY_MS,
       isFaulty: true,
     });
-    setTimeout(() => {
-      if (backEnd.isOpen) {
-        this.deadlyEnds.push({ question: body, upstream: backEnd.id, atMs: performance.now() });
-        this.#onDeadly(backEnd);
-      }
-    }, DEADLY_MS);
+    setTimeout(() => this.#crash(backEnd, body), DEADLY_MS);
+  }
+
+  #crash(backEnd: BackEnd, question: string): void {
+    if (backEnd.isOpen) {
+      this.deadlyEnds.push({ question, upstream: backEnd.id, atMs: performance.now() });
+      this.#onCrash(backEnd);
+    }
   }
 
   async #run(
@@ -223,7 +280,8 @@
     run: RunRecord,
     way: FailureWay | undefined,
   ): Promise<void> {
-    await sleep(PLAIN_WORK_MS * (0.5 + this.#random.next()));
+    const workMs = this.brittle.get(backEnd.service)?.workMs ?? PLAIN_WORK_MS;
+    await sleep(workMs * (0.5 + this.#random.next()));
     if (socket.destroyed) {
       return;
     }
--- a/packages/proofs/src/platformSoak/outside/operator.ts
+++ b/packages/proofs/src/platformSoak/outside/operator.ts
@@ -1,7 +1,7 @@
 /** The operator and the platform: configuration, keys, upstream entries, roll-outs, written to the store. */
 import { buildConfiguration, buildRoute, type StandinStore } from '@snipehaven/standins';
-import { COLD_MS, COLD_PER_S } from '../constants.js';
-import type { BackEnd, BackEnds, ServiceName } from './backEnds.js';
+import { COLD_MS, COLD_PER_S, PLAIN_SLOTS } from '../constants.js';
+import type { BackEnd, BackEnds, Brittleness, ServiceName } from './backEnds.js';
 
 interface Leaving {
   readonly upstream: string;
@@ -31,6 +31,14 @@
   toMs: number;
 }
 
+/** In that time the service's upstreams are brittle. */
+interface BrittleSpan {
+  readonly service: ServiceName;
+  readonly upstreams: number;
+  readonly fromMs: number;
+  toMs: number;
+}
+
 /** An order to move the service to another version. */
 export interface RolloutRecord {
   readonly service: ServiceName;
@@ -48,7 +56,7 @@
 }
 
 const TEAM_NAMES = ['north', 'south', 'east'];
-const SLOTS = 16;
+const SLOTS: Readonly<Record<ServiceName, number>> = { plain: PLAIN_SLOTS, models: 16 };
 const MS_PER_S = 1_000;
 const WARM_UP = { 'cold-s': COLD_MS / MS_PER_S, 'cold-per-s': COLD_PER_S };
 
@@ -76,6 +84,8 @@
 
   readonly limitSpans: LimitSpan[] = [];
 
+  readonly brittleSpans: BrittleSpan[] = [];
+
   readonly rollouts: RolloutRecord[] = [];
 
   constructor(store: StandinStore, backEnds: BackEnds) {
@@ -170,6 +180,18 @@
     };
   }
 
+  /** All upstreams of the service are brittle until what is returned is called. */
+  turnBrittle(service: ServiceName, brittleness: Brittleness): () => void {
+    const upstreams = this.#backEnds.listOpen(service).length;
+    const span = { service, upstreams, fromMs: performance.now(), toMs: Infinity };
+    this.brittleSpans.push(span);
+    this.#backEnds.brittle.set(service, brittleness);
+    return () => {
+      this.#backEnds.brittle.delete(service);
+      span.toMs = performance.now();
+    };
+  }
+
   /** The upstream says in its answers that it leaves. */
   sayLeaving(backEnd: BackEnd): void {
     Object.assign(backEnd, { statement: { ...backEnd.statement, isLeaving: true } });
@@ -216,7 +238,7 @@
       address: `${forwarder.address}:${forwarder.port}`,
       zone: dataCentre,
       version,
-      slots: SLOTS,
+      slots: SLOTS[service],
       state,
       'cold-remaining-ms': coldMs,
       sequence: 1,
--- a/packages/proofs/src/platformSoak/outside/statements.ts
+++ b/packages/proofs/src/platformSoak/outside/statements.ts
@@ -4,6 +4,8 @@
 export interface Statement {
   /** Requests per second that it accepts from all daemons together. */
   readonly rateLimitPerS?: number;
+  /** Requests per second that it can turn away for lack of room. */
+  readonly rejectionsPerS?: number;
   readonly isLeaving?: boolean;
   /** In seconds; only with a request that is turned away. */
   readonly backOffS?: number;
@@ -19,10 +21,12 @@
 
 export const renderStatement = ({
   rateLimitPerS,
+  rejectionsPerS,
   isLeaving,
   backOffS,
 }: Statement): Record<string, string> => ({
   ...(rateLimitPerS === undefined ? {} : { 'Server-Limit': String(rateLimitPerS) }),
+  ...(rejectionsPerS === undefined ? {} : { 'Server-Brittle': String(rejectionsPerS) }),
   ...(isLeaving === true ? { 'Server-Leaving': '1' } : {}),
   ...(backOffS === undefined ? {} : { 'Retry-After': String(backOffS) }),
 });
--- a/packages/proofs/src/platformSoak/plannedWork.test.ts
+++ b/packages/proofs/src/platformSoak/plannedWork.test.ts
@@ -17,7 +17,7 @@
   const { violations, served } = await runSoak({
     seed: SEED,
     seconds: 14,
-    isPlanned: true,
+    scenario: 'planned',
     vmsPerDataCentre: 2,
     callers: 24,
     folder,
--- a/packages/proofs/src/platformSoak/platformSoak.test.ts
+++ b/packages/proofs/src/platformSoak/platformSoak.test.ts
@@ -13,7 +13,7 @@
   const { violations, served } = await runSoak({
     seed: SEED,
     seconds: 8,
-    isPlanned: false,
+    scenario: 'all',
     vmsPerDataCentre: 1,
     callers: 12,
     folder,
--- a/packages/proofs/src/platformSoak/soakRun.ts
+++ b/packages/proofs/src/platformSoak/soakRun.ts
@@ -5,7 +5,7 @@
 import { Callers } from './callers/callers.js';
 import { CALM_MS, HEAL_MS } from './constants.js';
 import { FaultLog } from './faultLog.js';
-import { endUnderQuestion, lanes, plannedLanes } from './faults/index.js';
+import { lanesOf, replaceCrashed, type Scenario } from './faults/index.js';
 import { Fleet } from './fleet.js';
 import { judge } from './judge/judge.js';
 import { BackEnds, type ServiceName } from './outside/backEnds.js';
@@ -16,8 +16,7 @@
 export interface SoakOptions {
   readonly seed: number;
   readonly seconds: number;
-  /** Only work that an operator plans, no failures. */
-  readonly isPlanned: boolean;
+  readonly scenario: Scenario;
   readonly vmsPerDataCentre: number;
   readonly callers: number;
   /** For settings and logs. */
@@ -67,7 +66,7 @@
   const { store, operator, fleet, backEnds } = world;
   await store.start();
   operator.apply();
-  backEnds.onDeadly((backEnd) => endUnderQuestion(world, backEnd));
+  backEnds.onCrash((backEnd) => replaceCrashed(world, backEnd));
   for (const [service, count] of Object.entries(FIRST_BACK_ENDS)) {
     for (let index = 0; index < count; index += 1) {
       await operator.addBackEnd(service as ServiceName);
@@ -77,10 +76,10 @@
 };
 
 const strike = async (world: SoakWorld, options: SoakOptions): Promise<void> => {
-  const { seed, seconds, isPlanned } = options;
+  const { seed, seconds, scenario } = options;
   const endAtMs = performance.now() + seconds * MS_PER_S;
   await Promise.all(
-    (isPlanned ? plannedLanes : lanes).map((faults, index) =>
+    lanesOf[scenario].map((faults, index) =>
       strikeUntil(endAtMs, faults, world, createRandom(seed + index * LANE_SEED_STEP)),
     ),
   );
--- a/packages/proofs/src/platformSoak/types.ts
+++ b/packages/proofs/src/platformSoak/types.ts
@@ -56,6 +56,19 @@
   readonly atMs: number;
 }
 
+/** A request that a brittle upstream turned away for lack of room. */
+export interface Rejection {
+  readonly attemptId: string;
+  readonly atMs: number;
+}
+
+/** A brittle upstream fell over under the requests that it turned away in the last second. */
+export interface Fall {
+  readonly upstream: string;
+  readonly atMs: number;
+  readonly rejections: readonly Rejection[];
+}
+
 export interface VmState {
   readonly name: string;
   readonly dataCentre: string;
