--- a/packages/proofs/src/platformSoak/callers/sendAttempt.ts
+++ b/packages/proofs/src/platformSoak/callers/sendAttempt.ts
@@ -15,6 +15,8 @@
   readonly vm: VmState;
   readonly agent: Agent;
   readonly session?: string;
+  /** Part of the prompt, after the one that all prompts begin with. */
+  readonly part?: string;
   /** In place of the usual one; sent with a body. */
   readonly question?: string;
   /** The caller leaves after this. */
@@ -38,7 +40,7 @@
     ? {
         'X-Model': '*',
         'X-Token-Usage': '300,40',
-        'X-Prompt-Prefix': `5c:200,${plan.id.length}:100`,
+        'X-Prompt-Prefix': `5c:200,${plan.part ?? plan.id.length}:100,${plan.id}:20`,
       }
     : {}),
 });
@@ -78,6 +80,7 @@
       team: plan.team.name,
       vm: plan.vm.name,
       ...(plan.question === undefined ? {} : { question: plan.question }),
+      ...(plan.part === undefined ? {} : { part: plan.part }),
       ...(plan.session === undefined ? {} : { session: plan.session }),
       sentAtMs: performance.now(),
       endedAtMs: undefined,
--- a/packages/proofs/src/platformSoak/crashingUpstreams.test.ts
+++ b/packages/proofs/src/platformSoak/crashingUpstreams.test.ts
@@ -11,8 +11,8 @@
 /** Other runs of the soak use the blocks below. */
 const BLOCK = 250;
 
-// Guards against limits that a daemon that has just started does not know of.
-test('brittle upstreams fell over', async () => {
+// Guards against limits and suspicions that a daemon that has just started does not know of.
+test('brittle upstreams fell over, or a part of prompts that crashes upstreams went on', async () => {
   const folder = mkdtempSync(join(tmpdir(), 'snipehaven-crashing-upstreams-'));
   const { violations, faults } = await runSoak({
     seed: SEED,
@@ -24,7 +24,7 @@
     network: `127.${BLOCK}`,
   });
   assert.equal(violations, [], `logs in ${folder}`);
-  assert.ok((faults.brittle ?? 0) > 0);
+  assert.ok((faults.brittle ?? 0) > 0 && (faults.deadlyPart ?? 0) > 0);
   rmSync(folder, { recursive: true });
 });
 
--- a/packages/proofs/src/platformSoak/faults/index.ts
+++ b/packages/proofs/src/platformSoak/faults/index.ts
@@ -1,6 +1,7 @@
 /** All faults by name, and the lanes that strike with them. */
 import type { Fault } from '../world.js';
 import { brittle } from './brittle.js';
+import { deadlyPart } from './deadlyParts.js';
 import { deadlyQuestion, replaceCrashed } from './deadlyQuestions.js';
 import * as network from './networkFaults.js';
 import * as operators from './operatorFaults.js';
@@ -31,7 +32,7 @@
   [operators.goodRollout, operators.badRollout],
   [operators.evacuate, operators.turnCold],
   [operators.evacuateAnother],
-  [deadlyQuestion],
+  [deadlyQuestion, deadlyPart],
   [brittle],
   [operators.limitRate],
   [operators.shed, operators.replaceUnannounced],
@@ -50,6 +51,7 @@
 const crashLanes: Lanes = [
   [processes.kill, processes.pause, processes.restartInTurn],
   [brittle],
+  [deadlyPart],
   [operators.crashUpstream, operators.replaceUpstream],
 ];
 
--- a/packages/proofs/src/platformSoak/judge/promises.test.ts
+++ b/packages/proofs/src/platformSoak/judge/promises.test.ts
@@ -134,6 +134,20 @@
   assert.equal(listBroken(evidence), []);
 });
 
+test('a part of prompts that went on after the fifth upstream had ended under it', () => {
+  const attempt = { ...ATTEMPT, kind: 'read' as const, part: 'deadly-part' };
+  const evidence = createEvidence([attempt], [RUN]);
+  const { backEnds } = evidence.world;
+  backEnds.deadlyParts.set('deadly-part', { name: 'deadly-part', endsAfterMs: 20, fromMs: 0 });
+  const end = { cause: 'deadly-part', upstream: 'plain-1', atMs: 5_000 };
+  backEnds.deadlyEnds.push(end, end, end, end);
+  const arrival = { attemptId: 's-1', upstream: 'plain-1', atMs: 10_010 };
+  backEnds.arrivals.push(arrival, arrival, arrival, arrival);
+  assert.equal(listBroken(evidence), []);
+  backEnds.deadlyEnds.push(end);
+  assert.equal(listBroken(evidence), ['deadlyWentOn']);
+});
+
 test('a request at an upstream that the operator evacuated, and too many at a cold one', async () => {
   const evidence = createEvidence([ATTEMPT], [RUN]);
   const { operator, backEnds } = evidence.world;
--- a/packages/proofs/src/platformSoak/judge/promises.ts
+++ b/packages/proofs/src/platformSoak/judge/promises.ts
@@ -211,21 +211,27 @@
 const notHealed: PromiseCheck = (evidence) =>
   listUnservedVms(evidence).map((line) => `${line} after ${CONTACT_MS} ms of calm`);
 
-/** Sendings of one question that reach upstreams after all who are in touch must know of three ends. */
+/** Sendings of one question or part that reach upstreams after all who are in touch must know of its ends. */
 const MAX_LATE_SENDINGS = 3;
 
+/** Upstreams that may end before a question or a part of prompts is known for the cause. */
+const FREE_QUESTION_ENDS = 3;
+const FREE_PART_ENDS = 5;
+
 const deadlyWentOn: PromiseCheck = (evidence) => {
   const { world, attempts } = evidence;
   const { arrivals, deadlyEnds } = world.backEnds;
   const byId = new Map(attempts.map((attempt) => [attempt.id, attempt]));
-  const questions = new Set(deadlyEnds.map(({ question }) => question));
-  return [...questions].flatMap((question) => {
-    const ends = deadlyEnds.filter((end) => end.question === question);
-    const fromMs = (ends[2]?.atMs ?? Infinity) + CONTACT_MS;
+  const causes = new Set(deadlyEnds.map(({ cause }) => cause));
+  return [...causes].flatMap((cause) => {
+    const ends = deadlyEnds.filter((end) => end.cause === cause);
+    const freeEnds = world.backEnds.deadlyParts.has(cause) ? FREE_PART_ENDS : FREE_QUESTION_ENDS;
+    const fromMs = (ends[freeEnds - 1]?.atMs ?? Infinity) + CONTACT_MS;
     const late = arrivals.filter(({ attemptId, atMs }) => {
       const attempt = byId.get(attemptId);
       return (
-        attempt?.question === question &&
+        attempt !== undefined &&
+        [attempt.question, attempt.part].includes(cause) &&
         atMs > fromMs &&
         [attempt.vm, 'store'].every((target) =>
           world.faultLog.isCalm(target, attempt.sentAtMs, atMs),
@@ -233,7 +239,7 @@
       );
     });
     return late.length > MAX_LATE_SENDINGS
-      ? [`${question}: ${late.length} late sendings, ${ends.length} upstreams ended`]
+      ? [`${cause}: ${late.length} late sendings, ${ends.length} upstreams ended`]
       : [];
   });
 };
@@ -242,7 +248,9 @@
 const MAX_HELD_SHARE = 0.01;
 
 const heldWrongly: PromiseCheck = ({ attempts }) => {
-  const ordinary = attempts.filter(({ question }) => question === undefined);
+  const ordinary = attempts.filter(
+    ({ question, part }) => question === undefined && part === undefined,
+  );
   const held = ordinary.filter(({ body }) => body.includes('"reason":"held'));
   return held.length > ordinary.length * MAX_HELD_SHARE
     ? [`${held.length} of ${ordinary.length} ordinary requests were held back`]
--- a/packages/proofs/src/platformSoak/outside/backEnds.ts
+++ b/packages/proofs/src/platformSoak/outside/backEnds.ts
@@ -12,7 +12,7 @@
   type SeenRequest,
 } from '@snipehaven/standins';
 import { DATA_CENTRES } from '../constants.js';
-import type { ArrivalRecord, DeadlyEnd, Fall, Rejection, RunRecord } from '../types.js';
+import type { ArrivalRecord, DeadlyEnd, DeadlyPart, Fall, Rejection, RunRecord } from '../types.js';
 import { Admission, type Room } from './admission.js';
 import { renderStatement, type Statement, type Telling } from './statements.js';
 
@@ -92,6 +92,8 @@
   /** Present ones only; upstreams that start meanwhile are brittle too. */
   readonly brittle = new Map<ServiceName, Brittleness>();
 
+  readonly deadlyParts = new Map<string, DeadlyPart>();
+
   readonly tellings: Telling[] = [];
 
   #onCrash: (backEnd: BackEnd) => void = () => {};
@@ -234,13 +236,21 @@
     setTimeout(() => this.#crash(backEnd, body), DEADLY_MS);
   }
 
-  #crash(backEnd: BackEnd, question: string): void {
+  #crash(backEnd: BackEnd, cause: string): void {
     if (backEnd.isOpen) {
-      this.deadlyEnds.push({ question, upstream: backEnd.id, atMs: performance.now() });
+      this.deadlyEnds.push({ cause, upstream: backEnd.id, atMs: performance.now() });
       this.#onCrash(backEnd);
     }
   }
 
+  #findDeadlyPart({ headers }: SeenRequest): DeadlyPart | undefined {
+    const prefix = headers.get('x-prompt-prefix') ?? '';
+    return prefix
+      .split(',')
+      .map((part) => this.deadlyParts.get(part.split(':')[0] ?? ''))
+      .find((part) => part !== undefined && part.fromMs <= performance.now());
+  }
+
   async #run(
     backEnd: BackEnd,
     request: SeenRequest,
@@ -259,6 +269,15 @@
       isFaulty: way !== undefined,
     };
     this.runs.push(run);
+    const deadlyPart = this.#findDeadlyPart(request);
+    if (deadlyPart !== undefined) {
+      run.isFaulty = true;
+      setTimeout(() => {
+        if (!socket.destroyed) {
+          this.#crash(backEnd, deadlyPart.name);
+        }
+      }, deadlyPart.endsAfterMs);
+    }
     const end = (): void => {
       run.endedAtMs ??= performance.now();
     };
@@ -267,7 +286,7 @@
       return;
     }
     await (backEnd.service === 'models'
-      ? this.#stream(backEnd, request, socket, run, way)
+      ? this.#stream(backEnd, request, socket, run, deadlyPart === undefined ? way : 'crash')
       : this.#answer(backEnd, request, socket, run, way));
     end();
     socket.off('close', end);
@@ -303,7 +322,7 @@
     request: SeenRequest,
     socket: Socket,
     run: RunRecord,
-    way: FailureWay | undefined,
+    way: FailureWay | 'crash' | undefined,
   ): Promise<void> {
     await sleep(EVENT_GAP_MS);
     if (way === 'fail') {
@@ -319,17 +338,21 @@
     );
     const from = Number(request.headers.get('last-event-id') ?? 0);
     const count = countEvents(run.attemptId);
-    const cutAt = way === undefined ? Infinity : from + 1 + this.#random.nextInt(count);
+    const cutAt =
+      way === undefined || way === 'crash' ? Infinity : from + 1 + this.#random.nextInt(count);
     for (let id = from + 1; id <= count && !socket.destroyed; id += 1) {
       if (id >= cutAt) {
         socket.write(renderChunk(renderEvent(id).slice(0, 7)));
         socket.resetAndDestroy();
         return;
       }
+      if (way === 'crash' && id === count) {
+        return;
+      }
       socket.write(renderChunk(renderEvent(id)));
       await sleep(EVENT_GAP_MS);
     }
-    if (!socket.destroyed) {
+    if (!socket.destroyed && way !== 'crash') {
       socket.write('0\r\n\r\n');
     }
   }
--- a/packages/proofs/src/platformSoak/types.ts
+++ b/packages/proofs/src/platformSoak/types.ts
@@ -15,6 +15,8 @@
   readonly session?: string;
   /** What was asked; absent for the usual question. */
   readonly question?: string;
+  /** Part of the prompt that may crash upstreams. */
+  readonly part?: string;
   readonly sentAtMs: number;
   endedAtMs: number | undefined;
   /** Undefined when the connection ended without the head of an answer. */
@@ -49,9 +51,9 @@
   readonly isUsualFailure?: boolean;
 }
 
-/** An upstream ended under a deadly question. */
+/** An upstream ended under a deadly question or part of a prompt. */
 export interface DeadlyEnd {
-  readonly question: string;
+  readonly cause: string;
   readonly upstream: string;
   readonly atMs: number;
 }
@@ -69,6 +71,14 @@
   readonly rejections: readonly Rejection[];
 }
 
+/** A part of prompts that ends upstreams some time after they begin to answer. */
+export interface DeadlyPart {
+  readonly name: string;
+  readonly endsAfterMs: number;
+  /** Sound until then. */
+  readonly fromMs: number;
+}
+
 export interface VmState {
   readonly name: string;
   readonly dataCentre: string;
