--- a/packages/proofs/src/platformSoak/faults/index.ts
+++ b/packages/proofs/src/platformSoak/faults/index.ts
@@ -10,7 +10,10 @@
 
 type Lanes = readonly (readonly Fault[])[];
 
-/** A lane strikes one after the other; lanes overlap. A lane for roll-outs: there is one at a time. */
+/**
+ * A lane strikes one after the other; lanes overlap. A lane for roll-outs: there is one at a time. New lanes
+ * go last, as a lane's place decides its random numbers.
+ */
 const allLanes: Lanes = [
   [
     processes.kill,
@@ -32,12 +35,12 @@
   [operators.goodRollout, operators.badRollout],
   [operators.evacuate, operators.turnCold],
   [operators.evacuateAnother],
-  [deadlyQuestion, deadlyPart],
-  [brittle],
+  [deadlyQuestion],
   [operators.limitRate],
   [operators.shed, operators.replaceUnannounced],
   [processes.losePaths],
   [stores.restoreStore],
+  [brittle, deadlyPart],
 ];
 
 /** Work that an operator plans; nothing fails by itself. */
