--- a/packages/forwarding/src/rollouts/rolloutTracker.ts
+++ b/packages/forwarding/src/rollouts/rolloutTracker.ts
@@ -3,6 +3,7 @@
  * about it.
  */
 import type { Logger } from '@snipehaven/common';
+import type { RolloutPosition } from '@snipehaven/policy';
 import type { Freshness } from '../configuration/freshness.js';
 import type { StoreClock } from '../configuration/storeClock.js';
 import type { BadVersionMessage, RolloutCounts, ServiceRolloutCounts } from '../peers/index.js';
@@ -81,6 +82,9 @@
 
   readonly #countSessionMove: (stage: RolloutStage) => void;
 
+  /** The position of each running roll-out that was logged last. */
+  readonly #loggedPlaces = new WeakMap<ServiceRollout, RolloutPosition>();
+
   #onBadAnswer: (rollout: ServiceRollout) => void = () => {};
 
   #onOrder: () => void = () => {};
@@ -244,7 +248,10 @@
 
   /** Re-evaluates all roll-outs with the latest counts of the peers. */
   judgeAll(): void {
-    [...this.#rollouts.values()].forEach((rollout) => this.#judge(rollout));
+    for (const rollout of this.#rollouts.values()) {
+      this.#judge(rollout);
+      this.#logStep(rollout);
+    }
   }
 
   /** Counts an answer if a roll-out is running. */
@@ -427,6 +434,33 @@
     }
   }
 
+  /** Logs what is known of both versions when the share of the new one changes. */
+  #logStep(rollout: ServiceRollout): void {
+    const { order, orderRevision, state, elapsed, stats } = rollout;
+    const place = rollout.getPlace(this.#freshness.ageMs);
+    const known = this.#loggedPlaces.get(rollout);
+    const isSame = known?.newShare === place.newShare && known.sessionShare === place.sessionShare;
+    if (state !== 'running' || isSame) {
+      return;
+    }
+    this.#loggedPlaces.set(rollout, place);
+    this.#logger.info(
+      {
+        event: 'rolloutStep',
+        service: order.service,
+        toVersion: order.toVersion,
+        orderRevision,
+        ...place,
+        atLeastMs: Math.round(elapsed.atLeastMs),
+        candidate: stats.candidate,
+        present: stats.present,
+        fleet: describeCounts(rollout.fleetCounts),
+        storeAgeMs: Math.round(this.#freshness.ageMs),
+      },
+      'share of the new version changed',
+    );
+  }
+
   #logState(rollout: ServiceRollout, source: string): void {
     const { order, state, stats } = rollout;
     this.#logger.info(
