--- a/packages/forwarding/src/rollouts/rolloutStart.ts
+++ b/packages/forwarding/src/rollouts/rolloutStart.ts
@@ -69,8 +69,8 @@
     if (this.#stored === undefined) {
       return;
     }
-    const latestMs = this.#clock.toLatestSteadyMs(this.#stored.beforeStoreMs);
-    this.#latestMs = Math.min(this.#latestMs, latestMs ?? Infinity);
+    // Replaces a closer bound of this daemon: all daemons are to take steps at the same time.
+    this.#latestMs = this.#clock.toLatestSteadyMs(this.#stored.beforeStoreMs) ?? this.#latestMs;
     this.#earliestMs = this.#clock.toSteadyMs(this.#stored.afterStoreMs) ?? this.#earliestMs;
   }
 }
--- a/packages/forwarding/src/rollouts/sessionMoves.test.ts
+++ b/packages/forwarding/src/rollouts/sessionMoves.test.ts
@@ -243,4 +243,36 @@
   );
 });
 
+test('a daemon that learned of the order sooner than the writer of its status takes no step before the others', () => {
+  const clock = FakeTimers.install({ now: 1_700_000_000_000 });
+  try {
+    const [early, writer] = [new SimulatedDaemon('early'), new SimulatedDaemon('writer')];
+    early.learnOrder(ORDER, ORDER_REVISION, 0);
+    clock.tick(PROPAGATION_MS);
+    [early, writer].forEach((daemon) => daemon.confirmStore(1));
+    writer.learnOrder(ORDER, ORDER_REVISION, PROPAGATION_MS);
+    const [rollout] = writer.tracker.rollouts;
+    const status = {
+      service: 's',
+      toVersion: 'v2',
+      state: 'running' as const,
+      orderRevision: ORDER_REVISION,
+      ...rollout?.storedStart,
+    };
+    [early, writer].forEach((daemon) =>
+      daemon.learnStatus(status as RolloutStatus, STATUS_REVISION),
+    );
+    for (let passedMs = PROPAGATION_MS; passedMs < ORDER.durationMs; passedMs += 100) {
+      clock.tick(100);
+      [early, writer].forEach((daemon) => daemon.confirmStore(1));
+      const shares = [early, writer].map(
+        ({ tracker }) => tracker.findObservedRollout('s')?.sessionShare,
+      );
+      assert.is(shares[0], shares[1], `${passedMs} ms after the order`);
+    }
+  } finally {
+    clock.uninstall();
+  }
+});
+
 test.run();
