--- a/packages/forwarding/src/daemon/forwardDaemon.ts
+++ b/packages/forwarding/src/daemon/forwardDaemon.ts
@@ -207,7 +207,7 @@
       processId: this.#processId,
       getExchange: () => this.#exchange,
     });
-    const { vmName, sessionTtlMs, allowedExposure } = adapter.settings;
+    const { vmName, sessionTtlMs, allowedExposure, exposureSlack } = adapter.settings;
     this.#readerRegistry = new ReaderRegistry(vmName, adapter.settings.dataCentre, this.#storeEra);
     this.#rollouts = new RolloutTracker({
       logger,
@@ -216,6 +216,7 @@
       clock: this.#storeClock,
       sessionTtlMs,
       allowedExposure,
+      exposureSlack,
       countSessionMove: (stage) => this.#metrics.countSessionMove(stage),
       storeEra: this.#storeEra,
       findPeerCounts: (service, orderRevision) =>
--- a/packages/forwarding/src/daemon/types.ts
+++ b/packages/forwarding/src/daemon/types.ts
@@ -41,6 +41,8 @@
    * Maximum share of all requests during a roll-out that may reach a version that turns out bad.
    */
   readonly allowedExposure: number;
+  /** Requests that such a version may get beyond that share. */
+  readonly exposureSlack: number;
   readonly repeatBudget: RepeatBudgetSettings;
 }
 
--- a/packages/forwarding/src/peers/index.ts
+++ b/packages/forwarding/src/peers/index.ts
@@ -5,7 +5,7 @@
 export { PeerLoads } from './peerLoads.js';
 export {
   NO_ROLLOUT_COUNTS,
-  combineRolloutCounts,
+  addRolloutCounts,
   type SharedStatistics,
   type RolloutCounts,
   type ServiceRolloutCounts,
--- a/packages/forwarding/src/peers/loadMessage.ts
+++ b/packages/forwarding/src/peers/loadMessage.ts
@@ -2,14 +2,16 @@
  * Load messages between daemons: the loads at the upstreams, reader reports and shared statistics.
  * Encoded as JSON.
  */
-import type { VersionCounts } from '@snipehaven/policy';
+import { LATENCY_BINS, type LatencyProfile, type VersionCounts } from '@snipehaven/policy';
 import { isEra, isEraAge, type EraAge } from '../store/storeEra.js';
 import { compressDatagram } from './datagram.js';
-import type {
-  SharedStatistics,
-  ServiceModelWork,
-  ServicePace,
-  ServiceRolloutCounts,
+import {
+  NO_ROLLOUT_TIMES,
+  type RolloutTimes,
+  type SharedStatistics,
+  type ServiceModelWork,
+  type ServicePace,
+  type ServiceRolloutCounts,
 } from './sharedStatistics.js';
 
 /** Work and requests of one daemon at one upstream. */
@@ -82,6 +84,16 @@
 type WireDemand = readonly [service: string, work: number, always: 0, model: string];
 type WireCounts = readonly [answers: number, bad: number];
 type WireDataCentreCounts = readonly [dataCentre: string, answers: number, bad: number];
+/** The weights of the bins in tenths, up to the last bin that is not empty. */
+type WireProfile = readonly number[];
+type WireTimes = readonly [
+  candidate: WireProfile,
+  present: WireProfile,
+  candidateRequests: number,
+  presentRequests: number,
+  candidateBodies: WireProfile,
+  presentBodies: WireProfile,
+];
 type WireRollout = readonly [
   service: string,
   orderVersion: number,
@@ -89,6 +101,8 @@
   present: WireCounts,
   candidateAtFullShare: readonly WireDataCentreCounts[],
   era?: number,
+  times?: WireTimes,
+  step?: number,
 ];
 type WireEraAge = readonly [era: number, ageMs: number];
 type WireMessage = readonly [
@@ -107,6 +121,9 @@
   eraAge?: WireEraAge,
 ];
 
+/** Weights of bins are told in this fraction. */
+const PROFILE_SCALE = 10;
+
 /** The index of a scope is its number on the wire. */
 const SCOPES: readonly LoadScope[] = ['own', 'dataCentre', 'fleet'];
 
@@ -136,6 +153,20 @@
 
 const toWireCounts = ({ answers, bad }: VersionCounts): WireCounts => [answers, bad];
 
+const toWireProfile = (profile: LatencyProfile): WireProfile => {
+  const tenths = profile.map((weight) => Math.round(weight * PROFILE_SCALE));
+  return tenths.slice(0, tenths.findLastIndex((weight) => weight > 0) + 1);
+};
+
+const toWireTimes = (times: RolloutTimes): WireTimes => [
+  toWireProfile(times.candidate),
+  toWireProfile(times.present),
+  times.candidateRequests,
+  times.presentRequests,
+  toWireProfile(times.candidateBodies),
+  toWireProfile(times.presentBodies),
+];
+
 const toWireRollout = (counts: ServiceRolloutCounts): WireRollout => [
   counts.service,
   counts.orderRevision.version,
@@ -146,6 +177,8 @@
     ...toWireCounts(dataCentreCounts),
   ]),
   counts.orderRevision.era,
+  toWireTimes(counts.times),
+  counts.step,
 ];
 
 /** Left out while it is unknown, as before the store first comes back from a copy. */
@@ -230,6 +263,36 @@
 
 const toCounts = ([answers, bad]: WireCounts): VersionCounts => ({ answers, bad });
 
+const isWireProfile = (value: unknown): value is WireProfile =>
+  Array.isArray(value) && value.length <= LATENCY_BINS && value.every(isNonNegative);
+
+const isWireTimes = (value: unknown): value is WireTimes =>
+  Array.isArray(value) &&
+  isWireProfile(value[0]) &&
+  isWireProfile(value[1]) &&
+  isNonNegative(value[2]) &&
+  isNonNegative(value[3]) &&
+  isWireProfile(value[4]) &&
+  isWireProfile(value[5]);
+
+const toProfile = (tenths: WireProfile): LatencyProfile =>
+  Array.from({ length: LATENCY_BINS }, (_, bin) => (tenths[bin] ?? 0) / PROFILE_SCALE);
+
+/** Daemons that do not compare answer times name none. */
+const toTimes = (value: unknown): RolloutTimes =>
+  isWireTimes(value)
+    ? {
+        candidate: toProfile(value[0]),
+        present: toProfile(value[1]),
+        candidateRequests: value[2],
+        presentRequests: value[3],
+        candidateBodies: toProfile(value[4]),
+        presentBodies: toProfile(value[5]),
+      }
+    : NO_ROLLOUT_TIMES;
+
+const toStep = (value: unknown): number => (isNonNegative(value) ? Number(value) : 0);
+
 const toRollout = ([
   service,
   version,
@@ -237,6 +300,8 @@
   present,
   candidateAtFullShare,
   era,
+  times,
+  step,
 ]: WireRollout): ServiceRolloutCounts => ({
   service,
   orderRevision: { era: toEra(era), version },
@@ -245,6 +310,8 @@
   candidateAtFullShare: new Map(
     candidateAtFullShare.map(([dataCentre, answers, bad]) => [dataCentre, { answers, bad }]),
   ),
+  times: toTimes(times),
+  step: toStep(step),
 });
 
 const toPace = ([
--- a/packages/forwarding/src/peers/sharedStatistics.ts
+++ b/packages/forwarding/src/peers/sharedStatistics.ts
@@ -5,8 +5,10 @@
  */
 import {
   NO_ANSWERS,
-  addVersionCounts,
+  NO_LATENCIES,
   addPaces,
+  combineLatencies,
+  type LatencyProfile,
   type ModelWork,
   type PaceSum,
   type VersionCounts,
@@ -23,12 +25,28 @@
   readonly service: string;
 }
 
+/** How long the answers of both versions take, relative to the time expected of each. */
+export interface RolloutTimes {
+  /** Until the answer begins. */
+  readonly candidate: LatencyProfile;
+  readonly present: LatencyProfile;
+  /** From the beginning of the answer on. */
+  readonly candidateBodies: LatencyProfile;
+  readonly presentBodies: LatencyProfile;
+  /** Requests sent to each version since the order. */
+  readonly candidateRequests: number;
+  readonly presentRequests: number;
+}
+
 /** Answer counts of both versions during a roll-out. */
 export interface RolloutCounts {
   readonly candidate: VersionCounts;
   readonly present: VersionCounts;
   /** The candidate's answers since all requests were directed to it, keyed by the upstream's data centre. */
   readonly candidateAtFullShare: ReadonlyMap<string, VersionCounts>;
+  readonly times: RolloutTimes;
+  /** The highest step of the schedule that any of the daemons has reached. */
+  readonly step: number;
 }
 
 export interface ServiceRolloutCounts extends RolloutCounts {
@@ -37,10 +55,21 @@
   readonly orderRevision: StoreRevision;
 }
 
+export const NO_ROLLOUT_TIMES: RolloutTimes = {
+  candidate: NO_LATENCIES,
+  present: NO_LATENCIES,
+  candidateBodies: NO_LATENCIES,
+  presentBodies: NO_LATENCIES,
+  candidateRequests: 0,
+  presentRequests: 0,
+};
+
 export const NO_ROLLOUT_COUNTS: RolloutCounts = {
   candidate: NO_ANSWERS,
   present: NO_ANSWERS,
   candidateAtFullShare: new Map(),
+  times: NO_ROLLOUT_TIMES,
+  step: 0,
 };
 
 export interface SharedStatistics {
@@ -69,31 +98,55 @@
 const getRolloutKey = ({ service, orderRevision }: ServiceRolloutCounts): string =>
   `${service}/${orderRevision.era}/${orderRevision.version}`;
 
-export const combineRolloutCounts = (
+type CombineNumbers = (a: number, b: number) => number;
+
+const combineCounts = (
+  a: VersionCounts,
+  b: VersionCounts,
+  combine: CombineNumbers,
+): VersionCounts => ({
+  answers: combine(a.answers, b.answers),
+  bad: combine(a.bad, b.bad),
+});
+
+const combineTimes = (a: RolloutTimes, b: RolloutTimes, combine: CombineNumbers): RolloutTimes => ({
+  candidate: combineLatencies(a.candidate, b.candidate, combine),
+  present: combineLatencies(a.present, b.present, combine),
+  candidateBodies: combineLatencies(a.candidateBodies, b.candidateBodies, combine),
+  presentBodies: combineLatencies(a.presentBodies, b.presentBodies, combine),
+  candidateRequests: combine(a.candidateRequests, b.candidateRequests),
+  presentRequests: combine(a.presentRequests, b.presentRequests),
+});
+
+const combineRolloutCounts = (
   a: RolloutCounts,
   b: RolloutCounts,
-  combine: (a: VersionCounts, b: VersionCounts) => VersionCounts,
+  combine: CombineNumbers,
 ): RolloutCounts => {
   const dataCentres = new Set([...a.candidateAtFullShare.keys(), ...b.candidateAtFullShare.keys()]);
   const combineDataCentre = (dataCentre: string): VersionCounts =>
-    combine(
+    combineCounts(
       a.candidateAtFullShare.get(dataCentre) ?? NO_ANSWERS,
       b.candidateAtFullShare.get(dataCentre) ?? NO_ANSWERS,
+      combine,
     );
   return {
-    candidate: combine(a.candidate, b.candidate),
-    present: combine(a.present, b.present),
+    candidate: combineCounts(a.candidate, b.candidate, combine),
+    present: combineCounts(a.present, b.present, combine),
     candidateAtFullShare: new Map(
       [...dataCentres].map((dataCentre) => [dataCentre, combineDataCentre(dataCentre)]),
     ),
+    times: combineTimes(a.times, b.times, combine),
+    step: Math.max(a.step, b.step),
   };
 };
 
-/** Clamped at zero: `b` may be newer, and larger, than the contribution included in `a`. */
-const subtractCounts = (a: VersionCounts, b: VersionCounts): VersionCounts => ({
-  answers: Math.max(0, a.answers - b.answers),
-  bad: Math.max(0, a.bad - b.bad),
-});
+export const addRolloutCounts = (a: RolloutCounts, b: RolloutCounts): RolloutCounts =>
+  combineRolloutCounts(a, b, (one, other) => one + other);
+
+/** Clamped at zero: `part` may be newer, and larger, than the contribution included in `sum`. */
+const subtractPart = (sum: RolloutCounts, part: RolloutCounts): RolloutCounts =>
+  combineRolloutCounts(sum, part, (one, other) => Math.max(0, one - other));
 
 export const sumStatistics = (all: readonly SharedStatistics[]): SharedStatistics => ({
   paces: sumBy(
@@ -109,7 +162,7 @@
   rollouts: sumBy(
     all.flatMap(({ rollouts }) => rollouts),
     getRolloutKey,
-    (a, b) => ({ ...a, ...combineRolloutCounts(a, b, addVersionCounts) }),
+    (a, b) => ({ ...a, ...addRolloutCounts(a, b) }),
   ),
 });
 
@@ -124,6 +177,6 @@
   const own = new Map(part.map((one) => [getRolloutKey(one), one]));
   return sum.map((one) => ({
     ...one,
-    ...combineRolloutCounts(one, own.get(getRolloutKey(one)) ?? NO_ROLLOUT_COUNTS, subtractCounts),
+    ...subtractPart(one, own.get(getRolloutKey(one)) ?? NO_ROLLOUT_COUNTS),
   }));
 };
--- a/packages/forwarding/src/peers/testSupport/daemonFleet.ts
+++ b/packages/forwarding/src/peers/testSupport/daemonFleet.ts
@@ -7,7 +7,11 @@
 import type { RetentionPolicy } from '../../store/rowRetention.js';
 import { StoreEra } from '../../store/storeEra.js';
 import { MemoryStore } from '../../store/testSupport/memoryStore.js';
-import type { SharedStatistics, RolloutCounts } from '../sharedStatistics.js';
+import {
+  NO_ROLLOUT_TIMES,
+  type SharedStatistics,
+  type RolloutCounts,
+} from '../sharedStatistics.js';
 import type { UpstreamLoad } from '../loadMessage.js';
 import { ReaderRegistry } from '../readerRegistry.js';
 import { PeerDirectory, type Peer } from '../peerDirectory.js';
@@ -92,6 +96,8 @@
   candidate: { answers: 3, bad: 1 },
   present: { answers: 5, bad: 0 },
   candidateAtFullShare: new Map([['dc-0', { answers: 2, bad: 0.5 }]]),
+  times: NO_ROLLOUT_TIMES,
+  step: 0,
 };
 
 export class DaemonFleet {
--- a/packages/forwarding/src/rollouts/filterByVersion.ts
+++ b/packages/forwarding/src/rollouts/filterByVersion.ts
@@ -41,7 +41,13 @@
   return orIfEmpty(listOfVersion(present, fromVersion ?? ranOn), present);
 };
 
-const isAssignedToNewVersion = ({ toVersion, place, ranOn, options }: VersionQuery): boolean => {
+/** Whether a request belongs to the share that goes to the new version. */
+export const isAssignedToNewVersion = ({
+  toVersion,
+  place,
+  ranOn,
+  options,
+}: VersionQuery): boolean => {
   const { session, attemptId } = options;
   const share = session === undefined ? place.newShare : place.sessionShare;
   const weight = getAffinityWeight(hashAffinityKey(session ?? attemptId), SHARE_SALT);
--- a/packages/forwarding/src/rollouts/rolloutKeeper.test.ts
+++ b/packages/forwarding/src/rollouts/rolloutKeeper.test.ts
@@ -90,6 +90,7 @@
     clock: createStoreClock(),
     sessionTtlMs: 5_000,
     allowedExposure: 0.1,
+    exposureSlack: 0,
     countSessionMove: () => {},
     findPeerCounts,
     countUpstreams: () => upstreamsByDataCentre,
--- a/packages/forwarding/src/rollouts/rolloutTracker.test.ts
+++ b/packages/forwarding/src/rollouts/rolloutTracker.test.ts
@@ -40,6 +40,7 @@
     storeEra: { ageMs: eraAgeMs },
     sessionTtlMs: 5_000,
     allowedExposure: 0.15,
+    exposureSlack: 0,
     countSessionMove: () => {},
     findPeerCounts: () => undefined,
     countUpstreams: () => new Map([['a', 1]]),
--- a/packages/forwarding/src/rollouts/rolloutTracker.ts
+++ b/packages/forwarding/src/rollouts/rolloutTracker.ts
@@ -3,15 +3,17 @@
  * about it.
  */
 import type { Logger } from '@snipehaven/common';
-import type { RolloutPosition } from '@snipehaven/policy';
+import { isMainPhase, type RolloutPosition } from '@snipehaven/policy';
 import type { Freshness } from '../configuration/freshness.js';
 import type { StoreClock } from '../configuration/storeClock.js';
 import type { BadVersionMessage, RolloutCounts, ServiceRolloutCounts } from '../peers/index.js';
 import { StoreEra, isSameRevision, type StoreRevision } from '../store/index.js';
 import type { RequestOptions, RolloutOrder } from '../types.js';
 import type { UpstreamEntry } from '../upstreams/index.js';
+import type { AwaitedAnswer } from './answerTimes.js';
 import { describeCounts } from './describeCounts.js';
 import {
+  isAssignedToNewVersion,
   isSessionVersionEvacuated,
   filterByVersion,
   type VersionQuery,
@@ -47,6 +49,8 @@
   readonly sessionTtlMs: number;
   /** Share of all requests during a roll-out that a version may get that turns out to be bad. */
   readonly allowedExposure: number;
+  /** Requests that such a version may get beyond that share. */
+  readonly exposureSlack: number;
   countSessionMove(stage: RolloutStage): void;
   /** The roll-out's answer counts, summed over the reachable peers. */
   findPeerCounts(service: string, orderRevision: StoreRevision): RolloutCounts | undefined;
@@ -91,6 +95,8 @@
 
   readonly #allowedExposure: number;
 
+  readonly #exposureSlack: number;
+
   readonly #findPeerCounts: RolloutTrackerOptions['findPeerCounts'];
 
   readonly #countUpstreams: RolloutTrackerOptions['countUpstreams'];
@@ -106,6 +112,7 @@
     this.#sessionVersions = new SessionVersions(options.sessionTtlMs);
     this.#countSessionMove = options.countSessionMove;
     this.#allowedExposure = options.allowedExposure;
+    this.#exposureSlack = options.exposureSlack;
     this.#countUpstreams = (service, version) => options.countUpstreams(service, version);
     this.#hasEvacuatedUpstreams = (service, version) =>
       options.hasEvacuatedUpstreams(service, version);
@@ -166,6 +173,7 @@
       givenWithinMs,
       clock: this.#clock,
       allowedExposure: this.#allowedExposure,
+      exposureSlack: this.#exposureSlack,
       findPeerCounts: (revision) => this.#findPeerCounts(order.service, revision),
       countUpstreams: () => this.#countUpstreams(order.service, order.toVersion),
     });
@@ -237,12 +245,10 @@
   get ownCounts(): readonly ServiceRolloutCounts[] {
     return [...this.#rollouts.values()]
       .filter(({ isStoredStateFinal }) => !isStoredStateFinal)
-      .map(({ order, orderRevision, stats }) => ({
+      .map(({ order, orderRevision, ownCounts }) => ({
         service: order.service,
         orderRevision,
-        candidate: stats.candidate,
-        present: stats.present,
-        candidateAtFullShare: stats.candidateAtFullShare,
+        ...ownCounts,
       }));
   }
 
@@ -254,6 +260,29 @@
     }
   }
 
+  /** Starts to time an answer; returns nothing unless a roll-out is running. */
+  startAnswer(
+    work: RolloutWork,
+    expected: Pick<AwaitedAnswer, 'expectedMs' | 'isUpstreamSilent'>,
+  ): AwaitedAnswer | undefined {
+    return this.#rollouts.get(work.service)?.startAnswer(work, expected);
+  }
+
+  /** The answer has begun. */
+  finishAnswer({ service }: RolloutWork, answer: AwaitedAnswer): void {
+    this.#rollouts.get(service)?.times.finish(answer);
+  }
+
+  /** Nobody waits for the answer any more. */
+  abandonAnswer({ service }: RolloutWork, answer: AwaitedAnswer): void {
+    this.#rollouts.get(service)?.times.abandon(answer);
+  }
+
+  /** The request did not run, or its outcome is no matter of time. */
+  dropAnswer({ service }: RolloutWork, answer: AwaitedAnswer): void {
+    this.#rollouts.get(service)?.times.drop(answer);
+  }
+
   /** Counts an answer if a roll-out is running. */
   recordAnswer(answer: RolloutAnswer): void {
     const rollout = this.#rollouts.get(answer.service);
@@ -277,6 +306,11 @@
     }
   }
 
+  /** Records how long an answer, or a part of it, took; to be called once per answer. */
+  recordBodyTime(work: RolloutWork, body: BodyProgress): void {
+    this.#rollouts.get(work.service)?.recordBodyTime(work, body);
+  }
+
   /** Updates the expected rate from a complete answer. */
   recordBodyRate(work: RolloutWork, body: BodyProgress): void {
     this.#rollouts.get(work.service)?.recordBodyRate(work, body);
@@ -342,7 +376,7 @@
     const left = filterByVersion(query, entries);
     const isNew = ({ upstream }: UpstreamEntry): boolean =>
       upstream.softwareVersion === query.toVersion;
-    if (query.place.newShare === 1 && !left.some(isNew)) {
+    if (isMainPhase(query.place.phase) && isAssignedToNewVersion(query) && !left.some(isNew)) {
       rollout.resetFullShare();
     }
     return left;
@@ -455,6 +489,7 @@
         candidate: stats.candidate,
         present: stats.present,
         fleet: describeCounts(rollout.fleetCounts),
+        slowness: rollout.slownessEvidence,
         storeAgeMs: Math.round(this.#freshness.ageMs),
       },
       'share of the new version changed',
@@ -473,6 +508,7 @@
         candidate: stats.candidate,
         present: stats.present,
         fleet: describeCounts(rollout.fleetCounts),
+        slowness: rollout.slownessEvidence,
         storeAgeMs: Math.round(this.#freshness.ageMs),
       },
       'roll-out state changed',
--- a/packages/forwarding/src/rollouts/serviceRollout.ts
+++ b/packages/forwarding/src/rollouts/serviceRollout.ts
@@ -1,18 +1,30 @@
 /** State of one service's roll-out, as this daemon knows it. */
 import {
   NO_ANSWERS,
+  LAST_STEP,
   ROLLOUT_NOT_BEGUN,
   addVersionCounts,
+  combineEvidence,
+  findAllowedStep,
+  findDueStep,
   getRolloutPosition,
+  getSlownessEvidence,
+  isExposureHarmless,
+  isMainPhase,
   isVersionBad,
   isVersionProvenAcrossDataCentres,
+  isVersionTooSlow,
+  maySlownessBeExcluded,
+  type RolloutExposure,
   type RolloutElapsed,
   type RolloutPosition,
+  type VersionCounts,
 } from '@snipehaven/policy';
 import type { StoreClock } from '../configuration/storeClock.js';
-import { NO_ROLLOUT_COUNTS, combineRolloutCounts, type RolloutCounts } from '../peers/index.js';
+import { NO_ROLLOUT_COUNTS, addRolloutCounts, type RolloutCounts } from '../peers/index.js';
 import type { StoreRevision } from '../store/index.js';
 import type { RolloutOrder, RolloutState } from '../types.js';
+import { AnswerTimes, type AwaitedAnswer } from './answerTimes.js';
 import { refersTo } from './orderIdentity.js';
 import type {
   BodyProgress,
@@ -21,9 +33,10 @@
   RolloutStatus,
   RolloutWork,
   StoredStart,
+  VersionRole,
 } from './types.js';
 import { RolloutStart } from './rolloutStart.js';
-import { VersionStats, type VersionRole } from './versionStats.js';
+import { VersionStats } from './versionStats.js';
 
 /**
  * A daemon that has not heard from the store for longer than this no longer raises the share of the
@@ -31,6 +44,12 @@
  */
 const MAX_STORE_SILENCE_MS = 3_500;
 
+/** The times of bodies that are expected to be shorter depend on how their bytes happen to be split. */
+const MIN_BODY_MS = 50;
+
+/** Interval of checks whether the evidence allows a step that is due. */
+const STEP_CHECK_INTERVAL_MS = 100;
+
 /**
  * Fraction of a roll-out's duration for which the version must have had all requests before the
  * roll-out is completed.
@@ -45,6 +64,8 @@
   readonly clock: StoreClock;
   /** Share of all requests during a roll-out that a version may get that turns out to be bad. */
   readonly allowedExposure: number;
+  /** Requests that such a version may get beyond that share. */
+  readonly exposureSlack: number;
   /** This roll-out's answer counts, summed over the reachable peers. */
   findPeerCounts(orderRevision: StoreRevision): RolloutCounts | undefined;
   /** Number of ready upstreams of the new version per data centre, including evacuated ones. */
@@ -56,6 +77,8 @@
 
   readonly stats = new VersionStats();
 
+  readonly times: AnswerTimes;
+
   #orderRevision: StoreRevision;
 
   readonly #peerEvidence = new Map<string, RolloutEvidence>();
@@ -73,6 +96,17 @@
    */
   #maxElapsed: RolloutElapsed = { atLeastMs: 0, atMostMs: 0 };
 
+  /** Highest step of the schedule that was due and allowed by the evidence so far. */
+  #reachedStep = 0;
+
+  /** The step that was due when the evidence was last compared, and when that was. */
+  #checkedStep = 0;
+
+  #stepCheckedAtMs = -Infinity;
+
+  /** Logarithm of the likelihood ratio of a slow to a good version; undefined if it is unknown. */
+  #slownessEvidence: number | undefined;
+
   #state: RolloutState = 'running';
 
   /** Of the status row; version 0 if there is none. */
@@ -88,6 +122,8 @@
 
   readonly #allowedExposure: number;
 
+  readonly #exposureSlack: number;
+
   readonly #findPeerCounts: (orderRevision: StoreRevision) => RolloutCounts | undefined;
 
   readonly #countUpstreams: () => ReadonlyMap<string, number>;
@@ -101,6 +137,8 @@
     this.#countUpstreams = () => facts.countUpstreams();
     this.#start = new RolloutStart(clock, givenWithinMs);
     this.#allowedExposure = allowedExposure;
+    this.#exposureSlack = facts.exposureSlack;
+    this.times = new AnswerTimes(order.durationMs);
   }
 
   /** Revision of the order's row; another one when the operator has written the order again. */
@@ -207,6 +245,14 @@
     return role === 'candidate';
   }
 
+  /** Records how long an answer, or a part of it, took from its beginning on. */
+  recordBodyTime(work: RolloutWork, { bytes, tookMs }: BodyProgress): void {
+    const expectedMs = this.stats.getExpectedBodyMs(work.workKind, bytes);
+    if (this.#state === 'running' && expectedMs !== undefined && expectedMs >= MIN_BODY_MS) {
+      this.times.recordBody(this.#getRole(work), tookMs, expectedMs);
+    }
+  }
+
   recordBodyRate(work: RolloutWork, { bytes, tookMs }: BodyProgress): void {
     if (this.#getRole(work) === 'present' && bytes > 0) {
       this.stats.recordBodyRate(work.workKind, tookMs / bytes);
@@ -221,16 +267,13 @@
     if (this.#state !== 'running') {
       return false;
     }
-    const storedEvidence = [...this.#peerEvidence.values()];
-    const candidate = storedEvidence
-      .map((one) => one.candidate)
-      .reduce(addVersionCounts, this.stats.candidate);
-    const present = storedEvidence
-      .map((one) => one.present)
-      .reduce(addVersionCounts, this.stats.present);
     const { fleetCounts } = this;
+    this.#updateStep(fleetCounts);
+    const { candidate, present } = this.#storedCounts;
     const isBad =
-      isVersionBad(candidate, present) || isVersionBad(fleetCounts.candidate, fleetCounts.present);
+      isVersionBad(candidate, present) ||
+      isVersionBad(fleetCounts.candidate, fleetCounts.present) ||
+      isVersionTooSlow(this.#slownessEvidence, this.#getExposure(fleetCounts), this.#reachedStep);
     this.#state = isBad ? 'rolledBack' : this.#state;
     return isBad;
   }
@@ -260,12 +303,14 @@
       atLeastMs: Math.max(this.#maxElapsed.atLeastMs, atLeastMs - blindMs),
       atMostMs: Math.max(this.#maxElapsed.atMostMs, atMostMs - blindMs),
     };
+    this.#takeDueStep();
     const place = getRolloutPosition(
       this.#maxElapsed,
       this.order.durationMs,
       this.#allowedExposure,
+      this.#allowedStep,
     );
-    if (place.newShare === 1) {
+    if (isMainPhase(place.phase)) {
       this.#fullShareSinceMs ??= performance.now();
       this.stats.startFullShare();
     }
@@ -285,10 +330,34 @@
     return seenMs >= MIN_FULL_SHARE_FRACTION * this.order.durationMs;
   }
 
+  /** This daemon's own counts. */
+  get ownCounts(): RolloutCounts {
+    const { candidate, present, candidateAtFullShare } = this.stats;
+    return {
+      candidate,
+      present,
+      candidateAtFullShare,
+      times: {
+        candidate: this.times.getProfile('candidate'),
+        present: this.times.getProfile('present'),
+        candidateBodies: this.times.getBodyProfile('candidate'),
+        presentBodies: this.times.getBodyProfile('present'),
+        candidateRequests: this.times.getRequests('candidate'),
+        presentRequests: this.times.getRequests('present'),
+      },
+      step: this.#reachedStep,
+    };
+  }
+
   /** Answer counts of this daemon and its reachable peers. */
   get fleetCounts(): RolloutCounts {
     const peers = this.#findPeerCounts(this.#orderRevision) ?? NO_ROLLOUT_COUNTS;
-    return combineRolloutCounts(peers, this.stats, addVersionCounts);
+    return addRolloutCounts(peers, this.ownCounts);
+  }
+
+  /** Logarithm of the likelihood ratio of a slow to a good version, at the last judgement. */
+  get slownessEvidence(): number | undefined {
+    return this.#slownessEvidence;
   }
 
   /** Whether the answers show that the new version is good; always true for a service without answers. */
@@ -301,7 +370,93 @@
       upstreams,
       counts: candidateAtFullShare.get(dataCentre) ?? NO_ANSWERS,
     }));
-    return isVersionProvenAcrossDataCentres(dataCentres, present);
+    return (
+      maySlownessBeExcluded(this.#slownessEvidence) &&
+      isVersionProvenAcrossDataCentres(dataCentres, present)
+    );
+  }
+
+  /**
+   * Counts by the rows in the store, for a daemon that hears no other one. Daemons write theirs after
+   * a bad answer of the new version, so that those without any are missing.
+   */
+  get #storedCounts(): Readonly<Record<VersionRole, VersionCounts>> {
+    const rows = [...this.#peerEvidence.values()];
+    return {
+      candidate: rows.map((one) => one.candidate).reduce(addVersionCounts, this.stats.candidate),
+      present: rows.map((one) => one.present).reduce(addVersionCounts, this.stats.present),
+    };
+  }
+
+  /** Starts to time an answer. Undefined if the roll-out has ended. */
+  startAnswer(
+    work: RolloutWork,
+    expected: Pick<AwaitedAnswer, 'expectedMs' | 'isUpstreamSilent'>,
+  ): AwaitedAnswer | undefined {
+    if (this.#state !== 'running') {
+      return undefined;
+    }
+    const answer = { ...expected, role: this.#getRole(work), sentAtMs: performance.now() };
+    this.times.start(answer);
+    return answer;
+  }
+
+  /**
+   * A daemon that learns of the order in the second half, as it was restarted, follows the schedule
+   * until it hears how far the others are: sessions that have moved must not come back.
+   */
+  get #allowedStep(): number {
+    const isUninformed =
+      this.#isLateComer && this.#findPeerCounts(this.#orderRevision) === undefined;
+    return isUninformed ? LAST_STEP : this.#reachedStep;
+  }
+
+  /** Whether the second half had begun when this daemon learned of the order. */
+  get #isLateComer(): boolean {
+    const sinceOrderMs = performance.now() - this.#orderTakenAtMs;
+    const { atMostMs } = this.#start.elapsed;
+    return atMostMs - sinceOrderMs >= this.order.durationMs / 2;
+  }
+
+  #getExposure({ times }: RolloutCounts): RolloutExposure {
+    const { candidateRequests, presentRequests } = times;
+    return {
+      candidateRequests,
+      presentRequests,
+      allowedShare: this.#allowedExposure,
+      slackRequests: this.#exposureSlack,
+    };
+  }
+
+  /** Takes a step when it is due; one that the evidence does not allow yet is checked again at intervals. */
+  #takeDueStep(): void {
+    const due = findDueStep(this.#maxElapsed, this.order.durationMs);
+    const nowMs = performance.now();
+    const isCheckDue =
+      due > this.#checkedStep || nowMs - this.#stepCheckedAtMs >= STEP_CHECK_INTERVAL_MS;
+    if (due > this.#reachedStep && isCheckDue) {
+      this.#updateStep(this.fleetCounts);
+    }
+  }
+
+  #updateStep(counts: RolloutCounts): void {
+    const { times, step } = counts;
+    const evidence = combineEvidence([
+      getSlownessEvidence(times.candidate, times.present),
+      getSlownessEvidence(times.candidateBodies, times.presentBodies),
+    ]);
+    this.#slownessEvidence = evidence;
+    const { durationMs } = this.order;
+    const leftShare = Math.max(0, durationMs / Math.max(1, this.#maxElapsed.atLeastMs) - 1);
+    const isHarmless =
+      (evidence ?? 0) <= 0 && isExposureHarmless(this.#getExposure(counts), leftShare);
+    const allowed = isHarmless ? LAST_STEP : findAllowedStep(evidence);
+    // Steps that others have taken are taken too, as sessions come to any daemon.
+    const taken = (evidence ?? 0) <= 0 ? step : 0;
+    const due = findDueStep(this.#maxElapsed, durationMs);
+    this.#checkedStep = due;
+    this.#stepCheckedAtMs = performance.now();
+    this.#reachedStep = Math.max(this.#reachedStep, Math.min(due, Math.max(allowed, taken)));
   }
 
   #getRole({ softwareVersion }: RolloutWork): VersionRole {
--- a/packages/forwarding/src/rollouts/testSupport/simulatedDaemon.ts
+++ b/packages/forwarding/src/rollouts/testSupport/simulatedDaemon.ts
@@ -110,6 +110,7 @@
       clock: this.#clock,
       sessionTtlMs: SESSION_TTL_MS,
       allowedExposure: 0.15,
+      exposureSlack: 0,
       countSessionMove: () => {},
       findPeerCounts: () => undefined,
       countUpstreams: () => new Map([['a', 1]]),
--- a/packages/forwarding/src/rollouts/types.ts
+++ b/packages/forwarding/src/rollouts/types.ts
@@ -28,6 +28,9 @@
   readonly orderRevision: OrderReference;
 }
 
+/** The version that is brought in, or the one that served before. */
+export type VersionRole = 'candidate' | 'present';
+
 /** Phase of a roll-out, or its final state. */
 export type RolloutStage = SchedulePhase | Exclude<RolloutState, 'running'> | 'none';
 
--- a/packages/forwarding/src/rollouts/versionStats.test.ts
+++ b/packages/forwarding/src/rollouts/versionStats.test.ts
@@ -2,7 +2,8 @@
 import { isVersionBad } from '@snipehaven/policy';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { VersionStats, type VersionRole } from './versionStats.js';
+import type { VersionRole } from './types.js';
+import { VersionStats } from './versionStats.js';
 
 const BASELINE_MS = 100;
 const SLOW_MS = 1_060;
--- a/packages/forwarding/src/rollouts/versionStats.ts
+++ b/packages/forwarding/src/rollouts/versionStats.ts
@@ -3,7 +3,7 @@
  * the old version.
  */
 import { NO_ANSWERS, addVersionCounts, type VersionCounts } from '@snipehaven/policy';
-import type { RolloutAnswer, RolloutWork } from './types.js';
+import type { RolloutAnswer, RolloutWork, VersionRole } from './types.js';
 
 /** An answer this many times slower than the old version's average is bad. */
 const SLOW_FACTOR = 4;
@@ -28,8 +28,6 @@
  */
 const MAX_ANSWERS = 80;
 
-export type VersionRole = 'candidate' | 'present';
-
 const decay = (counts: VersionCounts): VersionCounts =>
   counts.answers < MAX_ANSWERS ? counts : { answers: counts.answers / 2, bad: counts.bad / 2 };
 
@@ -93,6 +91,12 @@
     return baselineMs * SLOW_FACTOR + SLOW_SLACK_MS;
   }
 
+  /** Expected time of a body of this size; undefined before the old version has sent one. */
+  getExpectedBodyMs(workKind: string, bytes: number): number | undefined {
+    const msPerByte = this.#baselineMsPerByte.get(workKind);
+    return msPerByte === undefined ? undefined : msPerByte * bytes;
+  }
+
   /** Counts a slow body of an answer that is already counted. */
   countSlowBody(role: VersionRole, { dataCentre }: RolloutWork): void {
     this.#add(role, dataCentre, { answers: 0, bad: SLOW_WEIGHT });
--- a/packages/forwarding/src/runs/attempt.ts
+++ b/packages/forwarding/src/runs/attempt.ts
@@ -112,7 +112,8 @@
     this.#request = request;
     this.#listener = listener;
     this.#plan = plan;
-    this.#reporter = new VersionReporter(dependencies, request, plan);
+    const expectedMs = dependencies.getWorkPace(plan.service).estimateStartMs(plan.workAhead);
+    this.#reporter = new VersionReporter(dependencies, request, { ...plan, expectedMs });
     this.#silenceMs = getInitialSilenceMs(plan.route);
     this.#exchange = new Exchange(
       plan.entry.pool,
@@ -394,7 +395,7 @@
   }
 
   #releaseLoad(): void {
-    this.#reporter.clearSlowTimer();
+    this.#reporter.onReleased();
     if (this.#isLoadCounted) {
       this.#isLoadCounted = false;
       this.#plan.entry.finishRequest(this.#countedWork);
--- a/packages/forwarding/src/runs/versionReporter.ts
+++ b/packages/forwarding/src/runs/versionReporter.ts
@@ -2,16 +2,21 @@
  * Reports to the roll-out how one attempt went on its software version, and which session it
  * served.
  */
-import type { BodyProgress, RolloutWork } from '../rollouts/index.js';
+import type { AwaitedAnswer, BodyProgress, RolloutWork } from '../rollouts/index.js';
 import type { UpstreamEntry, UpstreamOutcome } from '../upstreams/index.js';
 import type { CallerRequest } from './callerRequest.js';
 import { RECENT_ACTIVITY_MS } from './constants.js';
 import type { ForwardDependencies } from './dependencies.js';
 
+/** The pace of a longer answer is known after this time. */
+const TIMED_BODY_MS = 500;
+
 export interface ReportedAttempt {
   readonly entry: UpstreamEntry;
   readonly route: { readonly name: string };
   readonly model: string | undefined;
+  /** Expected time until the answer begins. */
+  readonly expectedMs: number;
 }
 
 export class VersionReporter {
@@ -23,6 +28,10 @@
 
   readonly #work: RolloutWork;
 
+  readonly #expectedMs: number;
+
+  #awaited: AwaitedAnswer | undefined;
+
   #sentAtMs = performance.now();
 
   #slowMs = Infinity;
@@ -37,17 +46,20 @@
 
   #isThroughputValid = true;
 
+  #isBodyTimed = false;
+
   #bytes = 0;
 
   constructor(
     dependencies: ForwardDependencies,
     request: CallerRequest,
-    { entry, route, model }: ReportedAttempt,
+    { entry, route, model, expectedMs }: ReportedAttempt,
   ) {
     const { service, softwareVersion, dataCentre } = entry.upstream;
     this.#dependencies = dependencies;
     this.#request = request;
     this.#entry = entry;
+    this.#expectedMs = expectedMs;
     const workKind = `${route.name}|${model ?? ''}`;
     this.#work = { service, softwareVersion, dataCentre, workKind };
   }
@@ -58,6 +70,10 @@
    */
   onSent(): void {
     this.#sentAtMs = performance.now();
+    this.#awaited = this.#dependencies.rollouts.startAnswer(this.#work, {
+      expectedMs: this.#expectedMs,
+      isUpstreamSilent: () => this.#isUpstreamSilent,
+    });
     this.#slowMs = this.#dependencies.rollouts.getSlowMs(this.#work);
     if (Number.isFinite(this.#slowMs)) {
       this.#slowTimer = setTimeout(() => this.#reportSlow(), this.#slowMs + 1);
@@ -80,6 +96,9 @@
       this.excludeThroughput();
     }
     const { rollouts } = this.#dependencies;
+    if (this.#body.tookMs >= TIMED_BODY_MS) {
+      this.#recordBodyTime();
+    }
     if (
       this.#isThroughputValid &&
       !this.#isReportedSlow &&
@@ -91,6 +110,7 @@
   }
 
   onResponseComplete(): void {
+    this.#recordBodyTime();
     if (this.#isThroughputValid) {
       this.#dependencies.rollouts.recordBodyRate(this.#work, this.#body);
     }
@@ -109,11 +129,20 @@
     clearTimeout(this.#slowTimer);
   }
 
+  /** The attempt no longer waits for an answer. */
+  onReleased(): void {
+    this.clearSlowTimer();
+    if (this.#awaited !== undefined) {
+      this.#dependencies.rollouts.abandonAnswer(this.#work, this.#awaited);
+    }
+  }
+
   /**
    * Reports only outcomes that the upstream's software may have caused: not refusals or unreachable
    * machines.
    */
   reportOutcome(outcome: UpstreamOutcome): void {
+    this.#settleAwaited(outcome);
     if (outcome === 'failed') {
       this.#dependencies.rollouts.recordAnswer({ ...this.#work, isFailed: true });
     }
@@ -135,9 +164,32 @@
     }
   }
 
+  #recordBodyTime(): void {
+    if (this.#isThroughputValid && !this.#isBodyTimed) {
+      this.#isBodyTimed = true;
+      this.#dependencies.rollouts.recordBodyTime(this.#work, this.#body);
+    }
+  }
+
+  #settleAwaited(outcome: UpstreamOutcome): void {
+    const { rollouts } = this.#dependencies;
+    if (this.#awaited === undefined) {
+      return;
+    }
+    if (outcome === 'answered') {
+      rollouts.finishAnswer(this.#work, this.#awaited);
+    } else {
+      rollouts.dropAnswer(this.#work, this.#awaited);
+    }
+  }
+
+  get #isUpstreamSilent(): boolean {
+    return performance.now() - this.#entry.lastBytesAtMs >= RECENT_ACTIVITY_MS;
+  }
+
   /** Skipped when the whole upstream machine is silent, as its software may not be the cause. */
   #reportSlow(): void {
-    if (performance.now() - this.#entry.lastBytesAtMs < RECENT_ACTIVITY_MS) {
+    if (!this.#isUpstreamSilent) {
       this.#isReportedSlow = true;
       this.#reportHeadTime();
     }
--- a/packages/policy/src/forward/rolloutSchedule.ts
+++ b/packages/policy/src/forward/rolloutSchedule.ts
@@ -1,10 +1,11 @@
 /**
- * Computes the progress of a roll-out from its start time alone, so that all daemons follow the
- * same schedule without communication; any daemon can stop the roll-out permanently. The share is
- * small and constant at first, so that a version that turns out bad gets few requests. The move
- * happens late enough for the version to have been observed, and early enough for the longest
- * streams on the old version to end before its upstreams are stopped.
+ * Computes the progress of a roll-out from its start time, so that all daemons follow the same
+ * schedule, and from the highest step that the evidence allows; any daemon can stop the roll-out
+ * permanently. The share is small and constant at first, so that a version that turns out bad gets
+ * few requests. The move happens late enough for the version to have been observed, and early enough
+ * for the longest streams on the old version to end before its upstreams are stopped.
  */
+import { LAST_STEP } from './rolloutGate.js';
 
 export type SchedulePhase = 'trying' | 'moving' | 'moved' | 'closing';
 
@@ -22,6 +23,8 @@
   readonly newShare: number;
   /** Share of the sessions that have been moved to the new version. */
   readonly sessionShare: number;
+  /** Number of the step, from 0. */
+  readonly step: number;
 }
 
 /** Steps by the fraction of the roll-out's duration that has elapsed. */
@@ -36,48 +39,64 @@
 
 /**
  * A new session cannot be distinguished from one that ran at another daemon, so sessions only move
- * in the second half, each one once, by a hash that all daemons share. Each step lasts long enough
- * to observe three bad answers at a few requests per second. With a lower exposure limit, all
- * shares except the last shrink with it.
+ * in the second half, each one once, by a hash that all daemons share. A version that never gets
+ * beyond the second step stays within the exposure limit to the end. A tenth of the requests stays
+ * on the old version for comparison until shortly before the end. With a lower exposure limit, the
+ * shares of the first two steps shrink with it.
  */
 const STEPS: readonly ScheduleStep[] = [
   { fromFraction: 0, phase: 'trying', newShare: 0.06, sessionShare: 0 },
-  { fromFraction: 0.515, phase: 'moving', newShare: 0.06, sessionShare: 0.06 },
-  { fromFraction: 0.585, phase: 'moving', newShare: 0.2, sessionShare: 0.2 },
-  { fromFraction: 0.62, phase: 'moving', newShare: 0.5, sessionShare: 0.5 },
-  { fromFraction: 0.65, phase: 'moved', newShare: 1, sessionShare: 1 },
-];
+  { fromFraction: 0.515, phase: 'moving', newShare: 0.25, sessionShare: 0.25 },
+  { fromFraction: 0.65, phase: 'moved', newShare: 0.9, sessionShare: 0.9 },
+  { fromFraction: 0.82, phase: 'moved', newShare: 1, sessionShare: 1 },
+].map((step, index) => ({ ...step, phase: step.phase as SchedulePhase, step: index }));
 
 /** Final phase, with all requests on the new version. */
 const CLOSING_FRACTION = 0.93;
-const CLOSING: RolloutPosition = { phase: 'closing', newShare: 1, sessionShare: 1 };
+const CLOSING: RolloutPosition = {
+  phase: 'closing',
+  newShare: 1,
+  sessionShare: 1,
+  step: LAST_STEP,
+};
 
 /** No requests go to the new version. */
-export const ROLLOUT_NOT_BEGUN: RolloutPosition = { phase: 'trying', newShare: 0, sessionShare: 0 };
+export const ROLLOUT_NOT_BEGUN: RolloutPosition = {
+  phase: 'trying',
+  newShare: 0,
+  sessionShare: 0,
+  step: 0,
+};
+
+/** Whether most requests go to the new version in this phase. */
+export const isMainPhase = (phase: SchedulePhase): boolean =>
+  phase === 'moved' || phase === 'closing';
 
-const scaleToExposure = (share: number, exposure: number): number =>
-  share < 1 ? share * Math.min(1, exposure / DEFAULT_EXPOSURE) : share;
+/** The step whose time has certainly come, so that no session moves in the first half. */
+export const findDueStep = ({ atLeastMs }: RolloutElapsed, durationMs: number): number =>
+  Math.max(
+    0,
+    STEPS.findLastIndex(({ fromFraction }) => atLeastMs >= fromFraction * durationMs),
+  );
 
 /**
- * A step begins when its time has certainly come, so that no session moves in the first half. The
- * final phase begins when its time may have come, so that the roll-out ends in time.
+ * The final phase begins when its time may have come, so that the roll-out ends in time.
+ * `allowedStep`: the highest step that the evidence allows.
  */
 export const getRolloutPosition = (
-  { atLeastMs, atMostMs }: RolloutElapsed,
+  elapsed: RolloutElapsed,
   durationMs: number,
   exposure: number = DEFAULT_EXPOSURE,
+  allowedStep: number = LAST_STEP,
 ): RolloutPosition => {
-  const step = STEPS.findLast(({ fromFraction }) => atLeastMs >= fromFraction * durationMs);
-  if (step === undefined) {
+  const place = STEPS[Math.min(findDueStep(elapsed, durationMs), allowedStep)];
+  if (place === undefined || elapsed.atLeastMs < 0) {
     return ROLLOUT_NOT_BEGUN;
   }
-  if (step.phase !== 'trying' && atMostMs >= CLOSING_FRACTION * durationMs) {
+  const { phase, newShare, sessionShare, step } = place;
+  if (step === LAST_STEP && elapsed.atMostMs >= CLOSING_FRACTION * durationMs) {
     return CLOSING;
   }
-  const { phase, newShare, sessionShare } = step;
-  return {
-    phase,
-    newShare: scaleToExposure(newShare, exposure),
-    sessionShare: scaleToExposure(sessionShare, exposure),
-  };
+  const factor = isMainPhase(phase) ? 1 : Math.min(1, exposure / DEFAULT_EXPOSURE);
+  return { phase, newShare: newShare * factor, sessionShare: sessionShare * factor, step };
 };
