--- a/packages/forwarding/src/rollouts/rolloutTracker.test.ts
+++ b/packages/forwarding/src/rollouts/rolloutTracker.test.ts
@@ -4,6 +4,7 @@
 import * as assert from 'uvu/assert';
 import { Freshness } from '../configuration/freshness.js';
 import { StoreClock, readClocks } from '../configuration/storeClock.js';
+import { NO_ROLLOUT_COUNTS, type RolloutCounts } from '../peers/index.js';
 import type { RequestOptions, RolloutOrder } from '../types.js';
 import { RolloutTracker } from './rolloutTracker.js';
 import { createEntry } from './testSupport/simulatedDaemon.js';
@@ -29,7 +30,10 @@
   beforeStoreMs: 0,
 });
 
-const createTracker = (eraAgeMs = Infinity): RolloutTracker => {
+const createTracker = (
+  eraAgeMs = Infinity,
+  peerCounts: RolloutCounts | undefined = undefined,
+): RolloutTracker => {
   const freshness = new Freshness();
   freshness.confirm({ asked: readClocks(), serverTimeMs: 0 });
   return new RolloutTracker({
@@ -42,7 +46,7 @@
     allowedExposure: 0.15,
     exposureSlack: 0,
     countSessionMove: () => {},
-    findPeerCounts: () => undefined,
+    findPeerCounts: () => peerCounts,
     countUpstreams: () => new Map([['a', 1]]),
     hasEvacuatedUpstreams: () => false,
   });
@@ -189,4 +193,23 @@
   assert.not(rollout?.isStoredStateFinal);
 });
 
+test('a version is not judged by the rows of daemons with bad answers while all daemons are heard', () => {
+  const tracker = createTracker(Infinity, {
+    ...NO_ROLLOUT_COUNTS,
+    candidate: { answers: 38, bad: 3 },
+    present: { answers: 170, bad: 12 },
+  });
+  tracker.applyOrder(ORDER, ORDER_REVISION, 0);
+  ['vm-1', 'vm-2', 'vm-3'].forEach((vm) =>
+    tracker.addEvidence({
+      service: 's',
+      vm,
+      orderRevision: ORDER_REVISION,
+      candidate: { answers: 4, bad: 1 },
+      present: { answers: 10, bad: 0 },
+    }),
+  );
+  assert.is(tracker.findObservedRollout('s')?.stage, 'trying');
+});
+
 test.run();
--- a/packages/forwarding/src/rollouts/serviceRollout.ts
+++ b/packages/forwarding/src/rollouts/serviceRollout.ts
@@ -269,10 +269,10 @@
     }
     const { fleetCounts } = this;
     this.#updateStep(fleetCounts);
-    const { candidate, present } = this.#storedCounts;
+    const { candidate, present } =
+      this.#findPeerCounts(this.#orderRevision) === undefined ? this.#storedCounts : fleetCounts;
     const isBad =
       isVersionBad(candidate, present) ||
-      isVersionBad(fleetCounts.candidate, fleetCounts.present) ||
       isVersionTooSlow(this.#slownessEvidence, this.#getExposure(fleetCounts), this.#reachedStep);
     this.#state = isBad ? 'rolledBack' : this.#state;
     return isBad;
