--- a/packages/forwarding/src/constants.ts
+++ b/packages/forwarding/src/constants.ts
@@ -6,6 +6,9 @@
  */
 export const CONNECT_TIMEOUT_MS = 300;
 
+/** An answer that goes on beyond this size is taken for one without end. */
+export const MAX_ANSWER_BYTES = 67_108_864;
+
 /**
  * Complete answers up to this size are buffered until their end, so that the request can be
  * repeated if an answer breaks off.
--- a/packages/forwarding/src/exchange/exchange.ts
+++ b/packages/forwarding/src/exchange/exchange.ts
@@ -2,6 +2,7 @@
 import { getErrorMessage } from '@snipehaven/common';
 import type { Dispatcher } from 'undici';
 import type { HeaderDialect, HeaderMap } from '../types.js';
+import { MAX_ANSWER_BYTES } from '../constants.js';
 import type { ConnectionPool } from './connectionPool.js';
 import type {
   ConnectionPath,
@@ -12,6 +13,15 @@
 } from './types.js';
 import type { UpstreamConnection } from './upstreamConnection.js';
 
+/** Interim responses (status 1xx) that an upstream may send to one request. */
+const MAX_INTERIM_RESPONSES = 8;
+
+/** Bytes of a response besides its body: the head, chunk sizes, trailers and what is being read. */
+const MAX_FRAMING_BYTES = 262_144;
+
+/** Framing bytes for each byte of the body that arrives in chunks of one byte, with a margin. */
+const MAX_FRAMING_PER_BODY_BYTE = 16;
+
 type Phase = 'connecting' | 'sent' | 'answering' | 'over';
 
 const verdictByPhase: Readonly<Record<Exclude<Phase, 'over'>, ExchangeVerdict>> = {
@@ -49,6 +59,10 @@
 
   #framing: ResponseFraming = 'length';
 
+  #interimResponses = 0;
+
+  #bodyBytes = 0;
+
   constructor(
     pool: ConnectionPool,
     request: UpstreamRequest,
@@ -106,6 +120,7 @@
       return;
     }
     this.#phase = 'sent';
+    this.#connection.watchBytes((received) => this.#checkFraming(received));
   }
 
   onResponseStart(
@@ -113,7 +128,11 @@
     status: number,
     headers: Record<string, string | string[]>,
   ): void {
-    if (this.#phase !== 'sent' || status < 200) {
+    if (this.#phase !== 'sent') {
+      return;
+    }
+    if (status < 200) {
+      this.#countInterimResponse();
       return;
     }
     const facts = this.#dialect.readAnswer(status, headers);
@@ -125,14 +144,24 @@
       return;
     }
     this.#phase = 'answering';
+    if (Number(headers['content-length'] ?? 0) > MAX_ANSWER_BYTES) {
+      this.#fail(`response is longer than ${MAX_ANSWER_BYTES} bytes`);
+      return;
+    }
     this.#framing = getResponseFraming(status, headers);
     this.#listener.onHead({ status, headers, facts, framing: this.#framing });
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    if (this.#phase === 'answering') {
-      this.#listener.onData(chunk);
+    if (this.#phase !== 'answering') {
+      return;
+    }
+    this.#bodyBytes += chunk.length;
+    if (this.#bodyBytes > MAX_ANSWER_BYTES) {
+      this.#fail(`response is longer than ${MAX_ANSWER_BYTES} bytes`);
+      return;
     }
+    this.#listener.onData(chunk);
   }
 
   onResponseEnd(): void {
@@ -152,6 +181,21 @@
     this.#fail(getErrorMessage(error));
   }
 
+  #countInterimResponse(): void {
+    this.#interimResponses += 1;
+    if (this.#interimResponses > MAX_INTERIM_RESPONSES) {
+      this.#fail('too many interim responses');
+    }
+  }
+
+  /** `received`: bytes that arrived on the connection since the request was sent. */
+  #checkFraming(received: number): void {
+    const allowed = MAX_FRAMING_BYTES + this.#bodyBytes * (1 + MAX_FRAMING_PER_BODY_BYTE);
+    if (received > allowed) {
+      this.#fail('too many bytes that belong to no body');
+    }
+  }
+
   #fail(cause: string): void {
     const phase = this.#phase;
     if (phase === 'over') {
--- a/packages/forwarding/src/exchange/types.ts
+++ b/packages/forwarding/src/exchange/types.ts
@@ -67,8 +67,13 @@
 /** `relayed`: through another daemon. */
 export type ConnectionPath = 'direct' | 'relayed';
 
+/** A socket, or a stream that may count its bytes like one. */
+export interface CountingStream extends Duplex {
+  readonly bytesRead?: number;
+}
+
 export interface OpenedConnection {
-  readonly stream: Duplex;
+  readonly stream: CountingStream;
   readonly path: ConnectionPath;
 }
 
--- a/packages/forwarding/src/exchange/upstreamConnection.ts
+++ b/packages/forwarding/src/exchange/upstreamConnection.ts
@@ -3,9 +3,14 @@
  * a hidden queue of the library and the state of the socket is known.
  */
 import type { Socket } from 'node:net';
-import type { Duplex } from 'node:stream';
 import { Client, type Dispatcher } from 'undici';
-import type { ConnectCallback, ConnectionPath, Connector, OpenedConnection } from './types.js';
+import type {
+  ConnectCallback,
+  ConnectionPath,
+  Connector,
+  CountingStream,
+  OpenedConnection,
+} from './types.js';
 
 /**
  * Margin before the upstream's announced idle time-out at which the connection is closed on this
@@ -22,7 +27,7 @@
 
   readonly #onConnected: (tookMs: number) => void;
 
-  #stream: Duplex | undefined;
+  #stream: CountingStream | undefined;
 
   #path: ConnectionPath | undefined;
 
@@ -34,6 +39,8 @@
 
   #idleSinceMs = 0;
 
+  #onReadable = (): void => {};
+
   /** `onConnected` receives the set-up time of each direct connection. */
   constructor(connector: Connector, onConnected: (tookMs: number) => void) {
     this.#onConnected = onConnected;
@@ -80,6 +87,12 @@
     return this.#hasEnded;
   }
 
+  /** Reports how many bytes have arrived since now, whenever more of them arrive. */
+  watchBytes(onBytes: (received: number) => void): void {
+    const before = this.#receivedBytes;
+    this.#onReadable = () => onBytes(this.#receivedBytes - before);
+  }
+
   get idleMs(): number {
     return performance.now() - this.#idleSinceMs;
   }
@@ -100,6 +113,10 @@
     });
   }
 
+  get #receivedBytes(): number {
+    return this.#stream?.bytesRead ?? 0;
+  }
+
   #open(connector: Connector, callback: ConnectCallback): void {
     const startedAtMs = performance.now();
     this.#giveUp = connector.open((error, opened) => {
@@ -127,5 +144,6 @@
     stream.on('end', () => {
       this.#hasEnded = true;
     });
+    stream.on('readable', () => this.#onReadable());
   }
 }
--- a/packages/forwarding/src/relay/relayedStream.ts
+++ b/packages/forwarding/src/relay/relayedStream.ts
@@ -10,11 +10,14 @@
 
   readonly #response: IncomingMessage;
 
+  #bytesRead = 0;
+
   constructor(request: ClientRequest, response: IncomingMessage) {
     super({ allowHalfOpen: false });
     this.#request = request;
     this.#response = response;
     response.on('data', (chunk: Buffer) => {
+      this.#bytesRead += chunk.length;
       if (!this.push(chunk)) {
         response.pause();
       }
@@ -27,6 +30,11 @@
     request.on('error', fail);
   }
 
+  /** Bytes received, as of a socket. */
+  get bytesRead(): number {
+    return this.#bytesRead;
+  }
+
   override _read(): void {
     this.#response.resume();
   }
--- a/packages/forwarding/src/relay/types.ts
+++ b/packages/forwarding/src/relay/types.ts
@@ -1,5 +1,5 @@
 /** Types of connections to upstreams through other daemons. */
-import type { Duplex } from 'node:stream';
+import type { CountingStream } from '../exchange/index.js';
 
 /** The upstream that a connection is wanted to. */
 export interface RelayTarget {
@@ -17,5 +17,5 @@
 export interface RelayResult {
   readonly outcome: RelayOutcome;
   /** Set if connected. */
-  readonly stream?: Duplex;
+  readonly stream?: CountingStream;
 }
