--- a/packages/forwarding/src/edge/httpCallerPort.ts
+++ b/packages/forwarding/src/edge/httpCallerPort.ts
@@ -27,9 +27,7 @@
     framing: ResponseFraming,
   ): void {
     this.#announceClose();
-    // Chunks tell a broken answer from a complete one, which the end of a connection does not: some
-    // clients take a reset for the end.
-    if (framing === 'untilClose' && this.#request.httpVersion === '1.0') {
+    if (framing === 'untilClose') {
       this.#endsWithConnection = true;
       this.#response.useChunkedEncodingByDefault = false;
       this.#response.setHeader('Connection', 'close');
