--- a/packages/forwarding/src/rollouts/serviceRollout.ts
+++ b/packages/forwarding/src/rollouts/serviceRollout.ts
@@ -15,6 +15,7 @@
   isVersionProvenAcrossDataCentres,
   isVersionTooSlow,
   maySlownessBeExcluded,
+  sumLatencies,
   type RolloutExposure,
   type RolloutElapsed,
   type RolloutPosition,
@@ -450,7 +451,9 @@
     const leftShare = Math.max(0, durationMs / Math.max(1, this.#maxElapsed.atLeastMs) - 1);
     const isHarmless =
       (evidence ?? 0) <= 0 && isExposureHarmless(this.#getExposure(counts), leftShare);
-    const allowed = isHarmless ? LAST_STEP : findAllowedStep(evidence);
+    const allowed = isHarmless
+      ? LAST_STEP
+      : findAllowedStep(evidence, sumLatencies(times.candidate));
     // Steps that others have taken are taken too, as sessions come to any daemon.
     const taken = (evidence ?? 0) <= 0 ? step : 0;
     const due = findDueStep(this.#maxElapsed, durationMs);
--- a/packages/policy/src/forward/forward.test.ts
+++ b/packages/policy/src/forward/forward.test.ts
@@ -3,8 +3,10 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import {
+  LAST_STEP,
   RepeatBudget,
   chooseNextModel,
+  findAllowedStep,
   getConfidenceThreshold,
   getRolloutPosition,
   isVersionBad,
@@ -121,6 +123,13 @@
   }
 });
 
+test('after a restart of all daemons a version goes no further before it can be compared', () => {
+  assert.is(findAllowedStep(undefined, 0), 1);
+  assert.is(findAllowedStep(undefined, 20), LAST_STEP, 'the old version serves no longer');
+  assert.is(findAllowedStep(0, 20), 1);
+  assert.is(findAllowedStep(-Math.log(50), 20), LAST_STEP);
+});
+
 test('a bad version is distinguished from one that fails no more often than the current one', () => {
   assert.ok(isVersionBad({ answers: 10, bad: 4 }, { answers: 100, bad: 1 }));
   assert.not(isVersionBad({ answers: 10, bad: 4 }, { answers: 100, bad: 30 }), 'both fail');
--- a/packages/policy/src/forward/rolloutGate.ts
+++ b/packages/policy/src/forward/rolloutGate.ts
@@ -54,15 +54,23 @@
   return used <= MAX_HARMLESS_EXPOSURE;
 };
 
+/** The highest step that needs no evidence. */
+const FREE_STEP = MIN_RATIO_OF_STEP.lastIndexOf(0);
+
+/** With this many answers of the new version and none of the present one, there is nothing to compare. */
+const ANSWERS_WITHOUT_COMPARISON = 20;
+
 /**
  * The highest step that the evidence allows. `evidence`: logarithm of the likelihood ratio of a slow
- * to a good version; undefined if nothing is known of the present version, which then proves nothing
- * either way.
+ * to a good version; undefined if nothing is known of the present version, as after a restart of all
+ * daemons, or because it serves no longer.
  */
-export const findAllowedStep = (evidence: number | undefined): number =>
-  evidence === undefined
-    ? LAST_STEP
-    : MIN_RATIO_OF_STEP.findLastIndex((ratio) => ratio === 0 || evidence <= -Math.log(ratio));
+export const findAllowedStep = (evidence: number | undefined, candidateAnswers: number): number => {
+  if (evidence === undefined) {
+    return candidateAnswers >= ANSWERS_WITHOUT_COMPARISON ? LAST_STEP : FREE_STEP;
+  }
+  return MIN_RATIO_OF_STEP.findLastIndex((ratio) => ratio === 0 || evidence <= -Math.log(ratio));
+};
 
 /** Of several measures of slowness, the one that speaks most for it counts. */
 export const combineEvidence = (all: readonly (number | undefined)[]): number | undefined => {
