--- a/review/1/play.mjs
+++ b/review/1/play.mjs
@@ -1,8 +1,4 @@
-/**
- * MIXED: a large answer that breaks off is asked for again, and the second answer is written behind what the
- * caller has of the first one. `TROUBLE=silence`: no worker crashes, but one is silent for 1.2 s.
- */
-import { createHash } from 'node:crypto';
+/** TWICE and REFUSED: a late second rejection is taken for the answer to the next request. */
 import {
   RawUpstream,
   buildConfiguration,
@@ -12,93 +8,114 @@
   sleep,
 } from '../standins/standins.mjs';
 
-const CALLS = 20;
-const BODY_BYTES = 600_000;
-/** The worker that crashes has sent this much of its answer. */
-const SENT_BEFORE_TROUBLE = 400_000;
-const SILENCE_MS = 1_200;
-const isSilence = process.env.TROUBLE === 'silence';
+const WORKERS = ['w1', 'w2', 'w3', 'w4'];
+/** Half of the workers are faulty: `share` of `garble` is .5 at most. */
+const FAULTY = new Set(['w1', 'w3']);
+/** One in 50 answers of a faulty worker comes a second time: `x` of `garble` is .02. */
+const ANSWERS_PER_EXTRA = 50;
+const SLOTS = 4;
+const RUN_MS = 60;
+const CALLERS = 24;
+const PLAY_MS = 20_000;
 
-const hash = (bytes) => createHash('sha256').update(bytes).digest('hex').slice(0, 12);
-
-/** A report whose lines are all different, the same at each worker. */
-const renderReport = (target) => {
-  const lines = [];
-  for (let bytes = 0, index = 0; bytes < BODY_BYTES; index += 1) {
-    const line = `${target} line ${String(index).padStart(8, '0')}\n`;
-    lines.push(line);
-    bytes += line.length;
-  }
-  return Buffer.from(lines.join('')).subarray(0, BODY_BYTES);
-};
+const events = [1, 2, 3].map((id) => `id: ${id}\ndata: piece ${id}\n\n`).join('');
 
 await runCase(process.argv[2], async (world) => {
+  const runs = new Map();
+  const counts = { answers: 0, extras: 0 };
+  const createWorker = (name) => {
+    let running = 0;
+    let answers = 0;
+    /** By connection, until the next request arrives on it. */
+    const extras = new WeakMap();
+    const answer = (request, socket, head, body = '') => {
+      socket.write(head + body);
+      answers += 1;
+      counts.answers += 1;
+      // The extra answer arrives late, at the point where the next response is expected.
+      if (hasTrouble && FAULTY.has(name) && answers % ANSWERS_PER_EXTRA === 0) {
+        extras.set(socket, { id: request.id, bytes: head + body, kind: head.slice(9, 12) });
+      }
+    };
+    return new RawUpstream(async (request, socket) => {
+      const extra = extras.get(socket);
+      if (extra !== undefined) {
+        extras.delete(socket);
+        counts.extras += 1;
+        world.note(
+          `${name} sends its ${extra.kind} to ${extra.id} once more, as ${request.id} arrives`,
+        );
+        socket.write(extra.bytes);
+      }
+      if (running >= SLOTS) {
+        const head = renderAnswerHead(request, 503, {
+          'X-Not-Executed': '1',
+          'Content-Length': '0',
+        });
+        answer(request, socket, head);
+        return;
+      }
+      running += 1;
+      runs.set(request.id, [...(runs.get(request.id) ?? []), name]);
+      world.note(`${name} runs ${request.id}`);
+      await sleep(RUN_MS);
+      running -= 1;
+      const head = renderAnswerHead(request, 200, {
+        'X-Response-Signature': `signed-by-${name}`,
+        'Content-Type': 'text/event-stream',
+        'Content-Length': String(events.length),
+      });
+      answer(request, socket, head, events);
+    });
+  };
   await world.start(
     buildConfiguration([
       {
-        name: 'report',
-        'path-prefix': '/report/',
-        kind: 'idempotent',
+        name: 'note',
+        'path-prefix': '/note/',
+        kind: 'streaming',
+        resumable: false,
         'timeout-ms': 4_000,
-        'target-latency-ms': 400,
-        'max-attempts': 3,
-        service: 'plain',
+        'target-latency-ms': 1_000,
+        'target-gap-ms': 1_000,
+        'max-attempts': 2,
+        service: 'models',
       },
     ]),
   );
-  let troubleAt;
-  const createWorker = (name) => {
-    const worker = new RawUpstream((request, socket) => {
-      const report = renderReport(request.target);
-      world.note(`${name} runs ${request.id}`);
-      socket.write(
-        renderAnswerHead(request, 200, {
-          'X-Response-Signature': `signed-by-${name}`,
-          'Content-Length': String(report.length),
-        }),
-      );
-      if (troubleAt === request.id) {
-        troubleAt = undefined;
-        socket.write(report.subarray(0, SENT_BEFORE_TROUBLE), async () => {
-          if (isSilence) {
-            world.note(`${name} is silent for ${SILENCE_MS} ms in its answer to ${request.id}`);
-            await sleep(SILENCE_MS);
-            socket.write(report.subarray(SENT_BEFORE_TROUBLE));
-            return;
-          }
-          await sleep(100);
-          world.note(`${name} crashes in the middle of its answer to ${request.id}`);
-          worker.crash();
-        });
-        return;
-      }
-      socket.write(report);
-    });
-    return worker;
-  };
-  for (const name of ['w1', 'w2', 'w3', 'w4', 'w5', 'w6', 'w7']) {
-    await world.addUpstream(createWorker(name), { id: name, service: 'plain' });
+  for (const name of WORKERS) {
+    await world.addUpstream(createWorker(name), { id: name, service: 'models', slots: SLOTS });
   }
   await world.startDaemons(2);
-  let wrong = 0;
-  for (let index = 0; index < CALLS; index += 1) {
-    const id = `attempt-${index}`;
-    const target = `/report/${index}`;
-    if (hasTrouble && index === CALLS / 2) {
-      troubleAt = id;
-    }
-    const answer = await world.call(index % 2, { method: 'GET', target, id });
-    const expected = renderReport(target);
-    const isWhole = answer.body.equals(expected);
-    const looksComplete = answer.status === 200 && answer.isComplete;
-    world.note(
-      `caller ${id}: status ${answer.status}, complete ${answer.isComplete}, ${answer.body.length} bytes, ` +
-        `sha256 ${hash(answer.body)}, the worker's whole body ${hash(expected)}`,
-    );
-    if (looksComplete && !isWhole) {
-      wrong += 1;
+
+  const statuses = new Map();
+  let attempts = 0;
+  const endAtMs = performance.now() + PLAY_MS;
+  const callAgain = async (caller) => {
+    while (performance.now() < endAtMs) {
+      attempts += 1;
+      const id = `attempt-${attempts}`;
+      const answer = await world.call(caller % 2, { target: `/note/${id}`, id, body: 'x' });
+      statuses.set(id, answer.status);
+      world.note(`caller ${id}: status ${answer.status}, complete ${answer.isComplete}`);
+      await sleep(20);
     }
-  }
-  world.note(`successes that look complete with a body that isn't the worker's: ${wrong}`);
-  return wrong > 0;
+  };
+  await Promise.all(Array.from({ length: CALLERS }, (_, caller) => callAgain(caller)));
+  await sleep(300);
+
+  const twice = [...runs].filter(([, workers]) => workers.length > 1);
+  const refused = [...statuses].filter(
+    ([id, status]) => [429, 503].includes(status) && runs.has(id),
+  );
+  twice.forEach(([id, workers]) => world.note(`TWICE: ${id} ran at ${workers.join(' and ')}`));
+  refused.forEach(([id, status]) =>
+    world.note(`REFUSED: ${id} was answered ${status} and has run`),
+  );
+  const refusals = [...statuses.values()].filter((status) => status === 503).length;
+  world.note(
+    `${attempts} attempts, ${refusals} refused, ${counts.answers} answers of workers, ` +
+      `${counts.extras} extra answers, ${twice.length} ran twice, ${refused.length} refused though run`,
+  );
+  return twice.length > 0 || refused.length > 0;
 });
