--- a/review/1/play.mjs
+++ b/review/1/play.mjs
@@ -13,6 +13,9 @@
 const FAULTY = new Set(['w1', 'w3']);
 /** One in 50 answers of a faulty worker comes a second time: `x` of `garble` is .02. */
 const ANSWERS_PER_EXTRA = 50;
+/** The workers are faulty three times for 5 s: `for_s` of `garble` is 5. */
+const FAULTY_MS = 5_000;
+const FAULTY_EVERY_MS = 7_000;
 const SLOTS = 4;
 const RUN_MS = 60;
 const CALLERS = 24;
@@ -23,6 +26,11 @@
 await runCase(process.argv[2], async (world) => {
   const runs = new Map();
   const counts = { answers: 0, extras: 0 };
+  let playsSinceMs = Infinity;
+  const isFaulty = (name) => {
+    const sinceMs = performance.now() - playsSinceMs;
+    return hasTrouble && FAULTY.has(name) && sinceMs >= 0 && sinceMs % FAULTY_EVERY_MS < FAULTY_MS;
+  };
   const createWorker = (name) => {
     let running = 0;
     let answers = 0;
@@ -33,7 +41,7 @@
       answers += 1;
       counts.answers += 1;
       // The extra answer arrives late, at the point where the next response is expected.
-      if (hasTrouble && FAULTY.has(name) && answers % ANSWERS_PER_EXTRA === 0) {
+      if (isFaulty(name) && answers % ANSWERS_PER_EXTRA === 0) {
         extras.set(socket, { id: request.id, bytes: head + body, kind: head.slice(9, 12) });
       }
     };
@@ -90,7 +98,8 @@
 
   const statuses = new Map();
   let attempts = 0;
-  const endAtMs = performance.now() + PLAY_MS;
+  playsSinceMs = performance.now();
+  const endAtMs = playsSinceMs + PLAY_MS;
   const callAgain = async (caller) => {
     while (performance.now() < endAtMs) {
       attempts += 1;
