--- a/packages/forwarding/src/edge/forwardMetrics.ts
+++ b/packages/forwarding/src/edge/forwardMetrics.ts
@@ -24,6 +24,8 @@
 
   readonly #connections: Counter;
 
+  readonly #foreignAnswers: Counter;
+
   readonly #relayedForPeers: Counter;
 
   readonly #sessionMoves: Counter;
@@ -64,6 +66,12 @@
       labelNames: ['path', 'outcome'],
       registers,
     });
+    this.#foreignAnswers = new Counter({
+      name: 'snipehaven_foreign_answers_total',
+      help: 'Answers of upstreams turned down, as they name another attempt or none.',
+      labelNames: ['service', 'reason'],
+      registers,
+    });
     this.#relayedForPeers = new Counter({
       name: 'snipehaven_relayed_for_peers_total',
       help: 'Connections to upstreams that other daemons asked this one to relay, by outcome.',
@@ -138,6 +146,10 @@
     this.#connections.inc({ path, outcome });
   }
 
+  countForeignAnswer(service: string, reason: 'otherAttempt' | 'noId'): void {
+    this.#foreignAnswers.inc({ service, reason });
+  }
+
   countRelayedForPeer(outcome: string): void {
     this.#relayedForPeers.inc({ outcome });
   }
--- a/packages/forwarding/src/exchange/connectionPool.ts
+++ b/packages/forwarding/src/exchange/connectionPool.ts
@@ -22,10 +22,11 @@
   /**
    * Returns a connection for one request. A non-idempotent request gets a new one: a reused
    * connection may hold bytes of an earlier, duplicated response or close while the request is
-   * written, and either leaves it unknown whether the request ran.
+   * written, and either leaves it unknown whether the request ran. No request gets one of the
+   * connections in `used`.
    */
-  acquire(isFreshNeeded: boolean): UpstreamConnection {
-    const idle = isFreshNeeded ? undefined : this.#popIdle();
+  acquire(isFreshNeeded: boolean, used: ReadonlySet<UpstreamConnection>): UpstreamConnection {
+    const idle = isFreshNeeded ? undefined : this.#popIdle(used);
     return (
       idle ?? new UpstreamConnection(this.#connector, (tookMs) => this.#recordConnectTime(tookMs))
     );
@@ -68,9 +69,10 @@
     this.#shortestConnectMs = Math.min(this.#shortestConnectMs ?? Infinity, tookMs);
   }
 
-  #popIdle(): UpstreamConnection | undefined {
+  #popIdle(used: ReadonlySet<UpstreamConnection>): UpstreamConnection | undefined {
     this.#closeExpired();
-    return this.#idle.pop();
+    const index = this.#idle.findLastIndex((connection) => !used.has(connection));
+    return index < 0 ? undefined : this.#idle.splice(index, 1)[0];
   }
 
   #closeExpired(): void {
--- a/packages/forwarding/src/exchange/endlessAnswer.test.ts
+++ b/packages/forwarding/src/exchange/endlessAnswer.test.ts
@@ -7,6 +7,7 @@
 import { ConnectionPool } from './connectionPool.js';
 import { DirectConnector } from './directConnector.js';
 import { Exchange } from './exchange.js';
+import type { UpstreamConnection } from './upstreamConnection.js';
 
 const MIB = 1_048_576;
 const MAX_WAIT_MS = 20_000;
@@ -121,6 +122,7 @@
         body: Buffer.alloc(0),
         attemptId: 'a',
         isFreshConnectionNeeded: false,
+        usedConnections: new Set<UpstreamConnection>(),
       };
       new Exchange(pool, request, dialect, {
         onHead: () => {},
--- a/packages/forwarding/src/exchange/exchange.ts
+++ b/packages/forwarding/src/exchange/exchange.ts
@@ -1,7 +1,7 @@
 /** Sends one request to one upstream and reports how far it got. */
 import { getErrorMessage } from '@snipehaven/common';
 import type { Dispatcher } from 'undici';
-import type { HeaderDialect, HeaderMap } from '../types.js';
+import type { AnswerMetadata, HeaderDialect, HeaderMap } from '../types.js';
 import { MAX_ANSWER_BYTES } from '../constants.js';
 import type { ConnectionPool } from './connectionPool.js';
 import type {
@@ -9,6 +9,7 @@
   ResponseFraming,
   ExchangeListener,
   ExchangeVerdict,
+  ForeignAnswer,
   UpstreamRequest,
 } from './types.js';
 import type { UpstreamConnection } from './upstreamConnection.js';
@@ -73,7 +74,8 @@
     this.#request = request;
     this.#dialect = dialect;
     this.#listener = listener;
-    this.#connection = pool.acquire(request.isFreshConnectionNeeded);
+    this.#connection = pool.acquire(request.isFreshConnectionNeeded, request.usedConnections);
+    request.usedConnections.add(this.#connection);
   }
 
   start(): this {
@@ -136,11 +138,12 @@
       return;
     }
     const facts = this.#dialect.readAnswer(status, headers);
-    // An upstream may send a response twice, and the second one arrives where the response to the
-    // next request is expected. Only the echoed attempt id tells them apart, and the connection
-    // must not be reused.
-    if (facts.attemptId !== this.#request.attemptId && !facts.isNotRun) {
-      this.#fail(`response belongs to another attempt: ${facts.attemptId ?? 'none'}`);
+    if (!this.#isOwnAnswer(facts)) {
+      const { attemptId } = facts;
+      this.#fail(`response belongs to another attempt: ${attemptId ?? 'none'}`, {
+        status,
+        ...(attemptId === undefined ? {} : { attemptId }),
+      });
       return;
     }
     this.#phase = 'answering';
@@ -181,6 +184,17 @@
     this.#fail(getErrorMessage(error));
   }
 
+  /**
+   * An upstream may send an answer twice, a rejection too, and the second one arrives where the
+   * answer to the next request is expected. An upstream that cannot read a request rejects it
+   * without an id.
+   */
+  #isOwnAnswer({ attemptId, isNotRun }: AnswerMetadata): boolean {
+    return attemptId === undefined
+      ? isNotRun && this.#connection.isFirstRequest
+      : attemptId === this.#request.attemptId;
+  }
+
   #countInterimResponse(): void {
     this.#interimResponses += 1;
     if (this.#interimResponses > MAX_INTERIM_RESPONSES) {
@@ -196,13 +210,17 @@
     }
   }
 
-  #fail(cause: string): void {
+  #fail(cause: string, foreignAnswer?: ForeignAnswer): void {
     const phase = this.#phase;
     if (phase === 'over') {
       return;
     }
     this.#phase = 'over';
     this.#connection.destroy();
-    this.#listener.onFailure({ verdict: verdictByPhase[phase], cause });
+    this.#listener.onFailure({
+      verdict: verdictByPhase[phase],
+      cause,
+      ...(foreignAnswer === undefined ? {} : { foreignAnswer }),
+    });
   }
 }
--- a/packages/forwarding/src/exchange/index.ts
+++ b/packages/forwarding/src/exchange/index.ts
@@ -2,4 +2,5 @@
 export { DirectConnector, classifyConnectError } from './directConnector.js';
 export { Exchange } from './exchange.js';
 export type * from './types.js';
+export type { UpstreamConnection } from './upstreamConnection.js';
 export { openSocket, ConnectTimedOutError } from './openSocket.js';
--- a/packages/forwarding/src/exchange/types.ts
+++ b/packages/forwarding/src/exchange/types.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 import type { AnswerMetadata, HeaderMap } from '../types.js';
+import type { UpstreamConnection } from './upstreamConnection.js';
 
 /**
  * Outcome of a request without a complete response. `notSent`: no byte was written. `unknown`: it
@@ -9,10 +10,18 @@
  */
 export type ExchangeVerdict = 'notSent' | 'unknown' | 'broken';
 
+/** An answer that does not belong to the request that it arrived for. */
+export interface ForeignAnswer {
+  readonly status: number;
+  /** The attempt that it names; absent if it names none. */
+  readonly attemptId?: string;
+}
+
 export interface ExchangeFailure {
   readonly verdict: ExchangeVerdict;
   /** Reason for the log. */
   readonly cause: string;
+  readonly foreignAnswer?: ForeignAnswer;
 }
 
 /**
@@ -48,6 +57,11 @@
   readonly body: Buffer;
   readonly attemptId: string;
   readonly isFreshConnectionNeeded: boolean;
+  /**
+   * The connections on which this attempt was sent before, to which this one is added. A late copy
+   * of its earlier answer may still arrive there, and bears the same attempt id.
+   */
+  readonly usedConnections: Set<UpstreamConnection>;
 }
 
 /** The callback is called once, with an error or with the connected socket. */
--- a/packages/forwarding/src/exchange/upstreamConnection.ts
+++ b/packages/forwarding/src/exchange/upstreamConnection.ts
@@ -39,6 +39,8 @@
 
   #idleSinceMs = 0;
 
+  #requests = 0;
+
   #onReadable = (): void => {};
 
   /** `onConnected` receives the set-up time of each direct connection. */
@@ -87,6 +89,11 @@
     return this.#hasEnded;
   }
 
+  /** Whether the request on it is the first one, so that it holds no bytes of an earlier answer. */
+  get isFirstRequest(): boolean {
+    return this.#requests === 1;
+  }
+
   /** Reports how many bytes have arrived since now, whenever more of them arrive. */
   watchBytes(onBytes: (received: number) => void): void {
     const before = this.#receivedBytes;
@@ -102,6 +109,7 @@
   }
 
   dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void {
+    this.#requests += 1;
     this.#client.dispatch(options, handler);
   }
 
--- a/packages/forwarding/src/runs/attempt.ts
+++ b/packages/forwarding/src/runs/attempt.ts
@@ -11,6 +11,8 @@
   type ResponseHead,
   type ExchangeFailure,
   type ExchangeListener,
+  type ForeignAnswer,
+  type UpstreamConnection,
 } from '../exchange/index.js';
 import type { Place } from '../places/index.js';
 import type { ForwardRoute, UpstreamHeaderValues } from '../types.js';
@@ -41,6 +43,8 @@
   readonly isResumed: boolean;
   /** At an upstream that can turn few requests away. */
   readonly place: Place | undefined;
+  /** Connections on which the request was sent before. */
+  readonly usedConnections: Set<UpstreamConnection>;
 }
 
 export interface AttemptListener extends ExchangeListener {
@@ -127,6 +131,7 @@
         body: request.body,
         attemptId: request.options.attemptId,
         isFreshConnectionNeeded: plan.route.kind === 'nonIdempotent',
+        usedConnections: plan.usedConnections,
       },
       dependencies.dialect,
       {
@@ -320,6 +325,9 @@
     this.#plan.place?.release(failure.verdict === 'notSent' ? 'unused' : 'abandoned');
     clearTimeout(this.#pathTimer);
     clearTimeout(this.#silenceTimer);
+    if (failure.foreignAnswer !== undefined) {
+      this.#reportForeignAnswer(failure.foreignAnswer);
+    }
     if (this.#isListening) {
       this.#isListening = false;
       if (failure.verdict === 'notSent') {
@@ -346,6 +354,19 @@
     }
   }
 
+  #reportForeignAnswer({ status, attemptId }: ForeignAnswer): void {
+    const { entry, service } = this.#plan;
+    const { logger, metrics } = this.#dependencies;
+    metrics.countForeignAnswer(service, attemptId === undefined ? 'noId' : 'otherAttempt');
+    logger.warn({
+      event: 'foreignAnswer',
+      request: this.attemptId,
+      answered: attemptId,
+      status,
+      upstream: entry.id,
+    });
+  }
+
   /** A misdirected request was answered by another upstream at the address. */
   #recordStatements({ facts }: ResponseHead): void {
     if (facts.isMisdirected) {
--- a/packages/forwarding/src/runs/forwardRun.ts
+++ b/packages/forwarding/src/runs/forwardRun.ts
@@ -9,7 +9,7 @@
 } from '@snipehaven/policy';
 import { MIN_ATTEMPT_MS, MIN_RETRY_AFTER_S } from '../constants.js';
 import { digestRequest, digestSharedParts, type Hold, type MainSuspect } from '../crashes/index.js';
-import type { ResponseHead, ExchangeFailure } from '../exchange/index.js';
+import type { ResponseHead, ExchangeFailure, UpstreamConnection } from '../exchange/index.js';
 import type { ForwardRoute } from '../types.js';
 import type { HoldOff } from '../upstreams/index.js';
 import type { Place } from '../places/index.js';
@@ -90,6 +90,8 @@
 
   readonly #usedUpstreams = new Set<string>();
 
+  readonly #usedConnections = new Set<UpstreamConnection>();
+
   /** Incarnations of upstreams that have no free place for the next attempt. */
   readonly #fullUpstreams = new Set<string>();
 
@@ -486,6 +488,7 @@
       remainingMs: this.#getRemainingMs(),
       isResumed: this.#relay.hasBegun,
       place,
+      usedConnections: this.#usedConnections,
     });
     this.#log('sent', {
       ...describePlacement(this.#dependencies, placement, query),
