--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -11,4 +11,5 @@
 export * from './random.js';
 export * from './rendezvous.js';
 export * from './sleep.js';
+export * from './stallMonitor.js';
 export * from './withTimeout.js';
--- a/packages/forwarding/src/daemon/forwardDaemon.ts
+++ b/packages/forwarding/src/daemon/forwardDaemon.ts
@@ -1,5 +1,12 @@
 /** A daemon of the forward path. All daemons are alike and keep no state beyond the process. */
-import { createRandom, getEntropySeed, sleep, type Logger, type Random } from '@snipehaven/common';
+import {
+  createRandom,
+  getEntropySeed,
+  sleep,
+  StallMonitor,
+  type Logger,
+  type Random,
+} from '@snipehaven/common';
 import { ModelDemand, RepeatBudget, WorkPace } from '@snipehaven/policy';
 import { AbsenceCheck } from '../configuration/absenceCheck.js';
 import { ConfigurationHolder } from '../configuration/configurationHolder.js';
@@ -30,7 +37,7 @@
 import { announcePeer } from './announcePeer.js';
 import { createWatchers } from './createWatchers.js';
 import { CrashCoordinator } from './crashCoordinator.js';
-import { MeteredStore } from './meteredStore.js';
+import { MeteredStore, type StoreMeter } from './meteredStore.js';
 import { PerService } from './perService.js';
 import { PlaceCoordinator } from './placeCoordinator.js';
 import { RelayCoordinator } from './relayCoordinator.js';
@@ -119,6 +126,11 @@
 
   readonly #metrics = new ForwardMetrics();
 
+  readonly #stalls = new StallMonitor((stall) => {
+    this.#metrics.countStall(stall);
+    this.#logger.warn({ event: 'stalled', ...stall }, 'the event loop stood still');
+  });
+
   readonly #budgets = new PerService(() => new RepeatBudget(this.#settings.repeatBudget));
 
   readonly #paces = new PerService(
@@ -249,6 +261,7 @@
       crashes: this.#crashes.tracker,
       metrics: this.#metrics,
       logger,
+      stalls: this.#stalls,
       random: this.#random,
       localDataCentre: adapter.settings.dataCentre,
       getRepeatBudget: (service) => this.#budgets.get(service),
@@ -275,6 +288,7 @@
   }
 
   async start(): Promise<void> {
+    this.#stalls.start();
     const { callerAddress, readinessAddress, metricsAddress } = this.#settings;
     await this.#front.listen(callerAddress, this.#options.listener);
     await this.#readiness.listen(readinessAddress);
@@ -348,6 +362,7 @@
   /** Stops at once and aborts running requests. */
   stop(): void {
     this.#stopping.abort();
+    this.#stalls.stop();
     this.#watchers.forEach((watcher) => watcher.stop());
     this.#crashes.holdPersister.stop();
     this.#stores.forEach((store) => store.close());
@@ -366,7 +381,13 @@
 
   #createStore(purpose: string): RowStore {
     const client = this.#adapter.createStore((era) => this.#storeEra.observe(era, purpose));
-    const store = new MeteredStore(client, this.#metrics, this.#logger, purpose, this.#storeEra);
+    const meter: StoreMeter = {
+      countStoreCall: (...call) => {
+        this.#stalls.note('storeAnswer', purpose);
+        this.#metrics.countStoreCall(...call);
+      },
+    };
+    const store = new MeteredStore(client, meter, this.#logger, purpose, this.#storeEra);
     this.#stores.push(store);
     return store;
   }
@@ -424,7 +445,9 @@
   #createExchange(): PeerExchange {
     return new PeerExchange({
       directory: this.#peerDirectory,
-      port: createUdpPort(this.#peerDirectory.self, this.#logger),
+      port: createUdpPort(this.#peerDirectory.self, this.#logger, (host) =>
+        this.#stalls.note('datagram', host),
+      ),
       clock: this.#storeClock,
       storeEra: this.#storeEra,
       seeds: this.#settings.seedAddresses,
--- a/packages/forwarding/src/edge/forwardMetrics.ts
+++ b/packages/forwarding/src/edge/forwardMetrics.ts
@@ -1,7 +1,12 @@
 /**
  * Counters by `prom-client` and latencies by `hdr-histogram-js`, rendered for the metrics endpoint.
  */
-import { LATENCY_QUANTILES, createLatencyHistogram, type Histogram } from '@snipehaven/common';
+import {
+  LATENCY_QUANTILES,
+  createLatencyHistogram,
+  type Histogram,
+  type Stall,
+} from '@snipehaven/common';
 import { Counter, Gauge, Registry } from 'prom-client';
 import type { ConnectionPath, ConnectOutcome } from '../exchange/index.js';
 import type { RolloutStage } from '../rollouts/types.js';
@@ -26,6 +31,10 @@
 
   readonly #foreignAnswers: Counter;
 
+  readonly #stalls: Counter;
+
+  readonly #stalledMs: Counter;
+
   readonly #relayedForPeers: Counter;
 
   readonly #sessionMoves: Counter;
@@ -72,6 +81,18 @@
       labelNames: ['service', 'reason'],
       registers,
     });
+    this.#stalls = new Counter({
+      name: 'snipehaven_stalls_total',
+      help: 'Times the event loop stood still, by the work that held it up.',
+      labelNames: ['activity'],
+      registers,
+    });
+    this.#stalledMs = new Counter({
+      name: 'snipehaven_stalled_ms_total',
+      help: 'Time for which the event loop stood still, in milliseconds.',
+      labelNames: ['activity'],
+      registers,
+    });
     this.#relayedForPeers = new Counter({
       name: 'snipehaven_relayed_for_peers_total',
       help: 'Connections to upstreams that other daemons asked this one to relay, by outcome.',
@@ -150,6 +171,11 @@
     this.#foreignAnswers.inc({ service, reason });
   }
 
+  countStall({ activity, stalledMs }: Stall): void {
+    this.#stalls.inc({ activity });
+    this.#stalledMs.inc({ activity }, stalledMs);
+  }
+
   countRelayedForPeer(outcome: string): void {
     this.#relayedForPeers.inc({ outcome });
   }
--- a/packages/forwarding/src/edge/frontServer.ts
+++ b/packages/forwarding/src/edge/frontServer.ts
@@ -142,6 +142,7 @@
     const { configuration, dialect } = this.#dependencies;
     const { table } = configuration;
     const options = dialect.readRequest(request.headers);
+    this.#dependencies.stalls.note('callerRequest', options.attemptId);
     if (table === undefined) {
       this.#refuse(port, options, { reason: 'notReady', retryAfterS: NOT_READY_RETRY_AFTER_S });
       return;
--- a/packages/forwarding/src/exchange/endlessAnswer.test.ts
+++ b/packages/forwarding/src/exchange/endlessAnswer.test.ts
@@ -125,6 +125,7 @@
         usedConnections: new Set<UpstreamConnection>(),
       };
       new Exchange(pool, request, dialect, {
+        onReadable: () => {},
         onHead: () => {},
         onData: () => {},
         onEnd: () => settle('complete'),
--- a/packages/forwarding/src/exchange/exchange.ts
+++ b/packages/forwarding/src/exchange/exchange.ts
@@ -122,7 +122,7 @@
       return;
     }
     this.#phase = 'sent';
-    this.#connection.watchBytes((received) => this.#checkFraming(received));
+    this.#connection.watchBytes((received) => this.#onReadable(received));
   }
 
   onResponseStart(
@@ -203,7 +203,8 @@
   }
 
   /** `received`: bytes that arrived on the connection since the request was sent. */
-  #checkFraming(received: number): void {
+  #onReadable(received: number): void {
+    this.#listener.onReadable();
     const allowed = MAX_FRAMING_BYTES + this.#bodyBytes * (1 + MAX_FRAMING_PER_BODY_BYTE);
     if (received > allowed) {
       this.#fail('too many bytes that belong to no body');
--- a/packages/forwarding/src/exchange/types.ts
+++ b/packages/forwarding/src/exchange/types.ts
@@ -38,6 +38,8 @@
 }
 
 export interface ExchangeListener {
+  /** Bytes have arrived and are about to be read. */
+  onReadable(): void;
   onHead(head: ResponseHead): void;
   onData(bytes: Buffer): void;
   /** The response is complete. */
--- a/packages/forwarding/src/peers/datagramPort.ts
+++ b/packages/forwarding/src/peers/datagramPort.ts
@@ -11,15 +11,22 @@
   close(): void;
 }
 
-/** Opens a UDP socket bound to the address. */
-export const createUdpPort = (address: SocketAddress, logger: Logger): DatagramPort => {
+/** Opens a UDP socket bound to the address; `onReceived` is called before each datagram is read. */
+export const createUdpPort = (
+  address: SocketAddress,
+  logger: Logger,
+  onReceived: (host: string) => void = () => {},
+): DatagramPort => {
   const socket = createSocket('udp4');
   const logFailure = (error: Error): void => {
     logger.warn({ event: 'datagramFailed', cause: getErrorMessage(error) }, 'datagram failed');
   };
   return {
     open: async (onDatagram) => {
-      socket.on('message', (bytes, { address: host }) => onDatagram(bytes, host));
+      socket.on('message', (bytes, { address: host }) => {
+        onReceived(host);
+        onDatagram(bytes, host);
+      });
       const opened = once(socket, 'listening');
       socket.bind(address.port, address.host);
       await opened;
--- a/packages/forwarding/src/runs/attempt.ts
+++ b/packages/forwarding/src/runs/attempt.ts
@@ -47,7 +47,7 @@
   readonly usedConnections: Set<UpstreamConnection>;
 }
 
-export interface AttemptListener extends ExchangeListener {
+export interface AttemptListener extends Omit<ExchangeListener, 'onReadable'> {
   /** Returns true if the attempt was abandoned because of the silence. */
   onSilence(silentMs: number): boolean;
   /** Digest of the request content; computed on first use. */
@@ -135,6 +135,7 @@
       },
       dependencies.dialect,
       {
+        onReadable: () => dependencies.stalls.note('upstreamAnswer', this.attemptId),
         onHead: (head) => this.#onHead(head),
         onData: (bytes) => this.#onData(bytes),
         onEnd: () => this.#onEnd(),
--- a/packages/forwarding/src/runs/dependencies.ts
+++ b/packages/forwarding/src/runs/dependencies.ts
@@ -1,5 +1,5 @@
 /** Dependencies shared by all request runs of a daemon. */
-import type { Logger, Random } from '@snipehaven/common';
+import type { Logger, Random, StallMonitor } from '@snipehaven/common';
 import type { ModelDemand, RepeatBudget, WorkPace } from '@snipehaven/policy';
 import type { AbsenceCheck } from '../configuration/absenceCheck.js';
 import type { ConfigurationHolder } from '../configuration/configurationHolder.js';
@@ -38,6 +38,7 @@
   readonly crashes: CrashTracker;
   readonly metrics: ForwardMetrics;
   readonly logger: Logger;
+  readonly stalls: StallMonitor;
   readonly random: Random;
   readonly localDataCentre: string;
   /** The retry budget of a service, shared by its requests at this daemon. */
