--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,4 +1,5 @@
 export * from './afterPendingReads.js';
+export * from './byteCollector.js';
 export * from './connectionErrors.js';
 export * from './errors.js';
 export * from './forgetOldest.js';
--- a/packages/forwarding/src/constants.ts
+++ b/packages/forwarding/src/constants.ts
@@ -15,6 +15,15 @@
  */
 export const MAX_HELD_ANSWER_BYTES = 262_144;
 
+/** An event of a stream that goes on beyond this size is taken for one without end. */
+export const MAX_EVENT_BYTES = 1_048_576;
+
+/** What each stream may hold of an incomplete event whatever the others hold. */
+export const OWN_EVENT_BYTES = 65_536;
+
+/** What all streams of a daemon together may hold of incomplete events beyond that. */
+export const MAX_SHARED_EVENT_BYTES = 16_777_216;
+
 /**
  * A kept-alive connection may be closed while a request is being written. Upstreams announce their
  * idle time-out in whole seconds, if at all, and may close earlier; connections that have been idle
--- a/packages/forwarding/src/daemon/addGauges.ts
+++ b/packages/forwarding/src/daemon/addGauges.ts
@@ -2,6 +2,7 @@
 import type { ConfigurationHolder } from '../configuration/configurationHolder.js';
 import type { ForwardMetrics, FrontServer } from '../edge/index.js';
 import type { PeerExchange } from '../peers/index.js';
+import type { EventMemory } from '../runs/index.js';
 import type { StoreEra, TableWatcher } from '../store/index.js';
 import type { UpstreamDirectory } from '../upstreams/index.js';
 
@@ -11,12 +12,13 @@
   readonly front: FrontServer;
   readonly configuration: ConfigurationHolder;
   readonly storeEra: StoreEra;
+  readonly eventMemory: EventMemory;
   readonly watchers: readonly TableWatcher[];
 }
 
 export const addGauges = (
   metrics: ForwardMetrics,
-  { exchange, directory, front, configuration, storeEra, watchers }: GaugeSources,
+  { exchange, directory, front, configuration, storeEra, eventMemory, watchers }: GaugeSources,
 ): void => {
   metrics.addGauge(
     'snipehaven_daemons_known',
@@ -41,6 +43,11 @@
       [...directory.entries].filter(({ statements }) => statements.leavingSinceMs !== undefined)
         .length,
   );
+  metrics.addGauge(
+    'snipehaven_long_event_bytes',
+    'Bytes that streams hold of incomplete events beyond what each has of its own.',
+    () => eventMemory.sharedBytes,
+  );
   metrics.addGauge('snipehaven_in_flight', 'Requests in flight.', () => front.inFlight);
   metrics.addGauge(
     'snipehaven_configuration_version',
--- a/packages/forwarding/src/daemon/forwardDaemon.ts
+++ b/packages/forwarding/src/daemon/forwardDaemon.ts
@@ -15,6 +15,7 @@
 import { ForwardMetrics, FrontServer, StatusServer, type CallerListener } from '../edge/index.js';
 import type { OpenSocket } from '../exchange/index.js';
 import { RolloutTracker, RolloutKeeper } from '../rollouts/index.js';
+import { EventMemory } from '../runs/index.js';
 import { StoreEra, type RowStore, type TableWatcher } from '../store/index.js';
 import {
   BackOffTracker,
@@ -126,6 +127,8 @@
 
   readonly #metrics = new ForwardMetrics();
 
+  readonly #eventMemory = new EventMemory();
+
   readonly #stalls = new StallMonitor((stall) => {
     this.#metrics.countStall(stall);
     this.#logger.warn({ event: 'stalled', ...stall }, 'the event loop stood still');
@@ -262,6 +265,7 @@
       metrics: this.#metrics,
       logger,
       stalls: this.#stalls,
+      eventMemory: this.#eventMemory,
       random: this.#random,
       localDataCentre: adapter.settings.dataCentre,
       getRepeatBudget: (service) => this.#budgets.get(service),
@@ -283,6 +287,7 @@
       front: this.#front,
       configuration: this.#configuration,
       storeEra: this.#storeEra,
+      eventMemory: this.#eventMemory,
       watchers: this.#watchers,
     });
   }
--- a/packages/forwarding/src/edge/readCallerBody.ts
+++ b/packages/forwarding/src/edge/readCallerBody.ts
@@ -1,5 +1,6 @@
 /** Reads the complete body of a request, so that it can be sent again. */
 import type { IncomingMessage } from 'node:http';
+import { ByteCollector } from '@snipehaven/common';
 
 export type BodyResult = Buffer | 'tooLarge' | 'gone';
 
@@ -19,8 +20,7 @@
     onResult(EMPTY);
     return;
   }
-  const chunks: Buffer[] = [];
-  let sizeBytes = 0;
+  const body = new ByteCollector();
   let isDone = false;
   const finish = (result: BodyResult): void => {
     if (!isDone) {
@@ -29,13 +29,12 @@
     }
   };
   request.on('data', (chunk: Buffer) => {
-    sizeBytes += chunk.length;
-    if (sizeBytes > maxBytes) {
+    if (body.sizeBytes + chunk.length > maxBytes) {
       finish('tooLarge');
       return;
     }
-    chunks.push(chunk);
+    body.append(chunk);
   });
-  request.on('end', () => finish(Buffer.concat(chunks, sizeBytes)));
+  request.on('end', () => finish(body.take()));
   request.on('close', () => finish('gone'));
 };
--- a/packages/forwarding/src/exchange/exchange.ts
+++ b/packages/forwarding/src/exchange/exchange.ts
@@ -23,6 +23,9 @@
 /** Framing bytes for each byte of the body that arrives in chunks of one byte, with a margin. */
 const MAX_FRAMING_PER_BODY_BYTE = 16;
 
+/** Pieces of a body that are read before other work gets its turn; chunks may be as small as a byte. */
+const MAX_PIECES_PER_TURN = 4_096;
+
 type Phase = 'connecting' | 'sent' | 'answering' | 'over';
 
 const verdictByPhase: Readonly<Record<Exclude<Phase, 'over'>, ExchangeVerdict>> = {
@@ -64,6 +67,11 @@
 
   #bodyBytes = 0;
 
+  #piecesLeft = MAX_PIECES_PER_TURN;
+
+  /** The listener wants no bytes at present. */
+  #isPaused = false;
+
   constructor(
     pool: ConnectionPool,
     request: UpstreamRequest,
@@ -108,11 +116,15 @@
   }
 
   pause(): void {
+    this.#isPaused = true;
     this.#controller?.pause();
   }
 
   resume(): void {
-    this.#controller?.resume();
+    this.#isPaused = false;
+    if (this.#piecesLeft > 0) {
+      this.#controller?.resume();
+    }
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -165,6 +177,7 @@
       return;
     }
     this.#listener.onData(chunk);
+    this.#takeTurn();
   }
 
   onResponseEnd(): void {
@@ -184,6 +197,21 @@
     this.#fail(getErrorMessage(error));
   }
 
+  /** Reads on in the next turn of the event loop once enough pieces were read in this one. */
+  #takeTurn(): void {
+    this.#piecesLeft -= 1;
+    if (this.#piecesLeft > 0 || this.#phase !== 'answering') {
+      return;
+    }
+    this.#controller?.pause();
+    setImmediate(() => {
+      this.#piecesLeft = MAX_PIECES_PER_TURN;
+      if (!this.#isPaused && this.#phase === 'answering') {
+        this.#controller?.resume();
+      }
+    });
+  }
+
   /**
    * An upstream may send an answer twice, a rejection too, and the second one arrives where the
    * answer to the next request is expected. An upstream that cannot read a request rejects it
--- a/packages/forwarding/src/runs/attempt.ts
+++ b/packages/forwarding/src/runs/attempt.ts
@@ -234,6 +234,12 @@
     this.#reporter.reportOutcome(outcome);
   }
 
+  /** Closes the connection of an answer that can't be used, as if it had been lost. */
+  breakOff(cause: string): void {
+    this.#exchange.abort();
+    this.#onFailure({ verdict: 'broken', cause });
+  }
+
   /** Ignores the rest of the exchange, which ends by itself. */
   detach(): void {
     this.#isListening = false;
--- a/packages/forwarding/src/runs/dependencies.ts
+++ b/packages/forwarding/src/runs/dependencies.ts
@@ -16,6 +16,7 @@
   UpstreamDirectory,
   UpstreamGate,
 } from '../upstreams/index.js';
+import type { EventMemory } from './eventMemory.js';
 
 export interface ForwardDependencies {
   readonly configuration: ConfigurationHolder;
@@ -39,6 +40,8 @@
   readonly metrics: ForwardMetrics;
   readonly logger: Logger;
   readonly stalls: StallMonitor;
+  /** Memory of the incomplete events of all streams. */
+  readonly eventMemory: EventMemory;
   readonly random: Random;
   readonly localDataCentre: string;
   /** The retry budget of a service, shared by its requests at this daemon. */
--- a/packages/forwarding/src/runs/eventSplitter.ts
+++ b/packages/forwarding/src/runs/eventSplitter.ts
@@ -2,10 +2,16 @@
  * Splits an event stream at event boundaries. An incomplete event is held back: if its upstream is
  * lost, the resumed stream sends that event again, and the caller must not see it twice.
  */
+import { ByteCollector } from '@snipehaven/common';
 
 const NEWLINE = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const ID_FIELD = Buffer.from('id:');
+const ID_LINE = Buffer.from('\nid:');
+const EMPTY = Buffer.alloc(0);
+
+/** Bytes before a newline that decide whether its line is blank. */
+const CONTEXT_BYTES = 2;
 
 export interface CompleteEvents {
   readonly bytes: Buffer;
@@ -13,14 +19,17 @@
   readonly lastEventId?: number;
 }
 
-/** Index after the last blank line; 0 if there is none. */
-const findEndOfCompleteEvents = (bytes: Buffer): number => {
-  for (let index = bytes.length - 1; index > 0; index -= 1) {
+const NO_EVENTS: CompleteEvents = { bytes: EMPTY };
+
+/** Index after the last blank line in `bytes`, which follow `context`; 0 if there is none. */
+const findEndOfCompleteEvents = (context: Buffer, bytes: Buffer): number => {
+  const getByte = (index: number): number | undefined =>
+    index < 0 ? context[context.length + index] : bytes[index];
+  for (let index = bytes.length - 1; index >= 0; index -= 1) {
     if (bytes[index] === NEWLINE) {
-      const before = bytes[index - 1];
+      const before = getByte(index - 1);
       const isBlank =
-        before === NEWLINE ||
-        (before === CARRIAGE_RETURN && index > 1 && bytes[index - 2] === NEWLINE);
+        before === NEWLINE || (before === CARRIAGE_RETURN && getByte(index - 2) === NEWLINE);
       if (isBlank) {
         return index + 1;
       }
@@ -30,13 +39,11 @@
 };
 
 const findLastId = (bytes: Buffer): number | undefined => {
-  let at = bytes.lastIndexOf(ID_FIELD);
-  while (at > 0 && bytes[at - 1] !== NEWLINE) {
-    at = bytes.lastIndexOf(ID_FIELD, at - 1);
-  }
-  if (at < 0) {
+  const newline = bytes.lastIndexOf(ID_LINE);
+  if (newline < 0 && !bytes.subarray(0, ID_FIELD.length).equals(ID_FIELD)) {
     return undefined;
   }
+  const at = newline + 1;
   const end = bytes.indexOf(NEWLINE, at);
   const id = Number(
     bytes.toString('latin1', at + ID_FIELD.length, end < 0 ? undefined : end).trim(),
@@ -45,27 +52,49 @@
 };
 
 export class EventSplitter {
-  #partial: Buffer = Buffer.alloc(0);
+  readonly #partial = new ByteCollector();
 
-  /** Whether the last event is incomplete. */
-  get hasRest(): boolean {
-    return this.#partial.length > 0;
+  /** The last bytes of the incomplete event. */
+  #context = EMPTY;
+
+  /** Bytes of the last event, which is incomplete. */
+  get restBytes(): number {
+    return this.#partial.sizeBytes;
   }
 
-  /** Returns the events that these bytes complete. */
+  /** Returns the events that these bytes complete. Only the new bytes are searched. */
   push(bytes: Buffer): CompleteEvents {
-    const all = this.#partial.length > 0 ? Buffer.concat([this.#partial, bytes]) : bytes;
-    const end = findEndOfCompleteEvents(all);
-    this.#partial = all.subarray(end);
-    const whole = all.subarray(0, end);
+    const end = findEndOfCompleteEvents(this.#context, bytes);
+    if (end === 0) {
+      this.#hold(bytes);
+      return NO_EVENTS;
+    }
+    const whole = this.#takeWith(bytes.subarray(0, end));
+    this.#hold(bytes.subarray(end));
     const lastEventId = findLastId(whole);
     return { bytes: whole, ...(lastEventId === undefined ? {} : { lastEventId }) };
   }
 
   /** Returns and clears what is left after the last complete event. */
   takeRest(): Buffer {
-    const rest = this.#partial;
-    this.#partial = Buffer.alloc(0);
-    return rest;
+    return this.#takeWith(EMPTY);
+  }
+
+  #takeWith(bytes: Buffer): Buffer {
+    this.#context = EMPTY;
+    if (this.#partial.sizeBytes === 0) {
+      return bytes;
+    }
+    this.#partial.append(bytes);
+    return this.#partial.take();
+  }
+
+  #hold(bytes: Buffer): void {
+    if (bytes.length > 0) {
+      this.#partial.append(bytes);
+      this.#context = Buffer.concat([this.#context, bytes.subarray(-CONTEXT_BYTES)]).subarray(
+        -CONTEXT_BYTES,
+      );
+    }
   }
 }
--- a/packages/forwarding/src/runs/forwardRun.ts
+++ b/packages/forwarding/src/runs/forwardRun.ts
@@ -136,7 +136,12 @@
     const { route } = resolved;
     const { options, arrivedAtMs } = request;
     this.#timing = new ResponseTiming(arrivedAtMs);
-    this.#relay = relayFactories[route.kind](port, dependencies.dialect, options.lastEventId);
+    this.#relay = relayFactories[route.kind]({
+      port,
+      dialect: dependencies.dialect,
+      memory: dependencies.eventMemory,
+      lastEventId: options.lastEventId,
+    });
     [this.#model] = route.models;
     const waitMs = Math.min(route.timeoutMs, options.deadlineMs ?? Infinity);
     this.#deadlineAtMs = arrivedAtMs + waitMs;
@@ -193,8 +198,11 @@
 
   onData(bytes: Buffer): void {
     this.#timing.recordBytes(performance.now());
-    if (!this.#relay.relay(bytes)) {
+    const progress = this.#relay.relay(bytes);
+    if (progress === 'blocked') {
       this.#attempt?.pause();
+    } else if (progress === 'eventTooLong') {
+      this.#attempt?.breakOff('an event is too long');
     }
   }
 
@@ -603,6 +611,7 @@
     this.#isFinished = true;
     clearTimeout(this.#deadlineTimer);
     this.#attempt?.abort();
+    this.#relay.discardPending();
     const tookMs = performance.now() - this.#request.arrivedAtMs;
     this.#dependencies.metrics.countRequest(this.#resolved.route.kind, outcome, tookMs);
   }
--- a/packages/forwarding/src/runs/index.ts
+++ b/packages/forwarding/src/runs/index.ts
@@ -5,3 +5,4 @@
 export { refusalForms } from './refusals.js';
 export { isRefused, resolveRequest, type Resolution } from './resolveRequest.js';
 export type * from './types.js';
+export { EventMemory } from './eventMemory.js';
--- a/packages/forwarding/src/runs/relays.ts
+++ b/packages/forwarding/src/runs/relays.ts
@@ -1,10 +1,20 @@
 /** Relays response bytes to the caller: buffered until complete, or event by event. */
+import { ByteCollector } from '@snipehaven/common';
 import { MAX_HELD_ANSWER_BYTES } from '../constants.js';
 import type { ResponseFraming, ResponseHead } from '../exchange/index.js';
 import type { HeaderDialect, RouteKind } from '../types.js';
+import type { EventMemory } from './eventMemory.js';
 import { EventSplitter } from './eventSplitter.js';
 import type { CallerPort } from './types.js';
 
+/**
+ * `blocked`: the caller reads more slowly than bytes arrive. `eventTooLong`: the stream has an event
+ * without end, and is to be broken off.
+ */
+export type RelayProgress = 'flowing' | 'blocked' | 'eventTooLong';
+
+const toProgress = (isTaken: boolean): RelayProgress => (isTaken ? 'flowing' : 'blocked');
+
 export interface ResponseRelay {
   /** Whether the caller has received part of the response. */
   readonly hasBegun: boolean;
@@ -15,13 +25,21 @@
    * A response starts. When a stream is resumed, only the events of the new response are relayed.
    */
   begin(head: ResponseHead): void;
-  /** False when the caller reads more slowly than bytes arrive. */
-  relay(bytes: Buffer): boolean;
+  relay(bytes: Buffer): RelayProgress;
   finish(): void;
-  /** Abandons the current response and drops what has not been sent to the caller. */
+  /** Abandons the current response and frees what has not been sent to the caller. */
   discardPending(): void;
 }
 
+export interface RelayOptions {
+  readonly port: CallerPort;
+  readonly dialect: HeaderDialect;
+  /** Of the incomplete events of all streams. */
+  readonly memory: EventMemory;
+  /** The caller has received all events up to this one. */
+  readonly lastEventId: number | undefined;
+}
+
 /**
  * Buffers the complete response, so that a broken one can be requested again. A response above
  * `MAX_HELD_ANSWER_BYTES` is passed through.
@@ -37,13 +55,11 @@
 
   #head: ResponseHead | undefined;
 
-  #buffered: Buffer[] = [];
-
-  #bufferedBytes = 0;
+  readonly #buffered = new ByteCollector();
 
   #hasBegun = false;
 
-  constructor(port: CallerPort, dialect: HeaderDialect) {
+  constructor({ port, dialect }: RelayOptions) {
     this.#port = port;
     this.#dialect = dialect;
   }
@@ -56,13 +72,13 @@
     this.#head = head;
   }
 
-  relay(bytes: Buffer): boolean {
+  relay(bytes: Buffer): RelayProgress {
     if (this.#hasBegun) {
-      return this.#port.write(bytes);
+      return toProgress(this.#port.write(bytes));
     }
-    this.#buffered.push(bytes);
-    this.#bufferedBytes += bytes.length;
-    return this.#bufferedBytes > MAX_HELD_ANSWER_BYTES ? this.#flush() : true;
+    this.#buffered.append(bytes);
+    const isHeld = this.#buffered.sizeBytes <= MAX_HELD_ANSWER_BYTES;
+    return toProgress(isHeld || this.#flush());
   }
 
   finish(): void {
@@ -73,8 +89,7 @@
   }
 
   discardPending(): void {
-    this.#buffered = [];
-    this.#bufferedBytes = 0;
+    this.#buffered.take();
   }
 
   #flush(): boolean {
@@ -84,9 +99,8 @@
     }
     this.#hasBegun = true;
     this.#port.begin(head.status, this.#dialect.buildCallerHeaders(head.headers), head.framing);
-    const isTaken = this.#bufferedBytes === 0 || this.#port.write(Buffer.concat(this.#buffered));
-    this.discardPending();
-    return isTaken;
+    const bytes = this.#buffered.take();
+    return bytes.length === 0 || this.#port.write(bytes);
   }
 }
 
@@ -96,6 +110,8 @@
 
   readonly #dialect: HeaderDialect;
 
+  readonly #memory: EventMemory;
+
   #splitter = new EventSplitter();
 
   #lastEventId: number | undefined;
@@ -106,9 +122,10 @@
 
   #hasBegun = false;
 
-  constructor(port: CallerPort, dialect: HeaderDialect, lastEventId: number | undefined) {
+  constructor({ port, dialect, memory, lastEventId }: RelayOptions) {
     this.#port = port;
     this.#dialect = dialect;
+    this.#memory = memory;
     this.#lastEventId = lastEventId;
   }
 
@@ -122,19 +139,26 @@
 
   /** A response with a framed end is complete whatever it ends with. */
   get isInsideEvent(): boolean {
-    return this.#framing === 'untilClose' && this.#splitter.hasRest;
+    return this.#framing === 'untilClose' && this.#splitter.restBytes > 0;
   }
 
   begin(head: ResponseHead): void {
     this.#head ??= head;
     this.#framing = head.framing;
-    this.#splitter = new EventSplitter();
+    this.#dropRest();
   }
 
-  relay(bytes: Buffer): boolean {
+  relay(bytes: Buffer): RelayProgress {
+    const heldBytes = this.#splitter.restBytes;
     const whole = this.#splitter.push(bytes);
     this.#lastEventId = whole.lastEventId ?? this.#lastEventId;
-    return whole.bytes.length === 0 || this.#write(whole.bytes);
+    const isTaken = whole.bytes.length === 0 || this.#write(whole.bytes);
+    if (!this.#memory.resize(heldBytes, this.#splitter.restBytes)) {
+      this.#memory.resize(heldBytes, 0);
+      this.#splitter = new EventSplitter();
+      return 'eventTooLong';
+    }
+    return toProgress(isTaken);
   }
 
   finish(): void {
@@ -142,18 +166,24 @@
       this.#port.abort();
       return;
     }
+    this.#memory.resize(this.#splitter.restBytes, 0);
     const rest = this.#splitter.takeRest();
     this.#write(rest);
     this.#port.end();
   }
 
   discardPending(): void {
-    this.#splitter = new EventSplitter();
+    this.#dropRest();
     if (!this.#hasBegun) {
       this.#head = undefined;
     }
   }
 
+  #dropRest(): void {
+    this.#memory.resize(this.#splitter.restBytes, 0);
+    this.#splitter = new EventSplitter();
+  }
+
   /**
    * True when the resumed response ends by closing its connection, so that its completeness is
    * unknown, while the caller was promised a response with a framed end.
@@ -172,16 +202,11 @@
   }
 }
 
-type RelayFactory = (
-  port: CallerPort,
-  dialect: HeaderDialect,
-  lastEventId: number | undefined,
-) => ResponseRelay;
-
-const createBufferingRelay: RelayFactory = (port, dialect) => new BufferingRelay(port, dialect);
+const createBufferingRelay = (options: RelayOptions): ResponseRelay => new BufferingRelay(options);
 
-export const relayFactories: Readonly<Record<RouteKind, RelayFactory>> = {
-  idempotent: createBufferingRelay,
-  nonIdempotent: createBufferingRelay,
-  stream: (port, dialect, lastEventId) => new EventRelay(port, dialect, lastEventId),
-};
+export const relayFactories: Readonly<Record<RouteKind, (options: RelayOptions) => ResponseRelay>> =
+  {
+    idempotent: createBufferingRelay,
+    nonIdempotent: createBufferingRelay,
+    stream: (options) => new EventRelay(options),
+  };
--- a/packages/upstream/src/constants.ts
+++ b/packages/upstream/src/constants.ts
@@ -3,6 +3,8 @@
 export const KEEP_ALIVE_MS = 15_000;
 export const CONTROL_CALL_TIMEOUT_MS = 1_500;
 export const CONNECT_TIMEOUT_MS = 1_000;
+/** An answer that goes on beyond this size is taken for one without end. */
+export const MAX_ANSWER_BYTES = 67_108_864;
 export const MS_PER_SECOND = 1_000;
 
 export const STREAM_ID_HEADER = 'x-stream-id';
--- a/packages/upstream/src/engineClient.test.ts
+++ b/packages/upstream/src/engineClient.test.ts
@@ -21,6 +21,9 @@
 
 const SILENCE_MS = 150;
 
+/** The longest event, with what the buffers of the connection hold. */
+const MAX_ENDLESS_BYTES = 17 * 1_048_576;
+
 type Answer = (response: ServerResponse) => void;
 
 /** An upstream that answers each call as the test says, and remembers its connections. */
@@ -171,6 +174,24 @@
   assert.instance(await getError(readAll(later)), UpstreamNotStartedError, 'nothing listens');
 });
 
+// Guards against a daemon that runs out of memory by one stream without end.
+test('gives up a stream whose event has no end', async () => {
+  let sentBytes = 0;
+  const piece = 'data: no end '.repeat(5_000);
+  upstream.answer = (response) => {
+    response.writeHead(200);
+    const send = (): void => {
+      for (let isTaken = true; isTaken && !response.destroyed; sentBytes += piece.length) {
+        isTaken = response.write(piece);
+      }
+    };
+    response.on('drain', send);
+    send();
+  };
+  assert.instance(await getError(start()), UpstreamBrokenError);
+  assert.ok(sentBytes < MAX_ENDLESS_BYTES, `${sentBytes} bytes`);
+});
+
 test('never uses a connection again that was open during a silence', async () => {
   // Symptom: call after call to a healthy upstream times out.
   // Sequence: a kept-alive connection is forgotten by something between the ends; calls go into it.
--- a/packages/upstream/src/sseEvents.ts
+++ b/packages/upstream/src/sseEvents.ts
@@ -11,6 +11,9 @@
   return offset;
 };
 
+/** Characters of an event that has not ended; a longer one is taken for one without end. */
+const MAX_EVENT_CHARS = 1_048_576;
+
 /** Yields the events of each chunk of bytes together; offsets rise strictly. */
 export async function* readSseEvents(
   body: AsyncIterable<Uint8Array>,
@@ -20,6 +23,12 @@
   let batch: EngineEvent[] = [];
   let last = afterOffset;
   const parser = createParser({
+    maxBufferSize: MAX_EVENT_CHARS,
+    onError: (error) => {
+      if (error.type === 'max-buffer-size-exceeded') {
+        throw new UpstreamBrokenError(error.message, { cause: error });
+      }
+    },
     onEvent: (event) => {
       last = restoreOffset(event.id, last);
       batch.push({ offset: last, data: event.data });
--- a/packages/upstream/src/upstreamPools.ts
+++ b/packages/upstream/src/upstreamPools.ts
@@ -1,6 +1,11 @@
 /** Kept-alive connections to each upstream. */
 import { Pool } from 'undici';
-import { CONNECT_TIMEOUT_MS, KEEP_ALIVE_MS, MAX_CONNECTIONS_PER_UPSTREAM } from './constants.js';
+import {
+  CONNECT_TIMEOUT_MS,
+  KEEP_ALIVE_MS,
+  MAX_ANSWER_BYTES,
+  MAX_CONNECTIONS_PER_UPSTREAM,
+} from './constants.js';
 
 /**
  * One pool for each upstream URL.
@@ -23,6 +28,7 @@
       connections: MAX_CONNECTIONS_PER_UPSTREAM,
       keepAliveTimeout: KEEP_ALIVE_MS,
       connectTimeout: CONNECT_TIMEOUT_MS,
+      maxResponseSize: MAX_ANSWER_BYTES,
     });
     this.#pools.set(url, pool);
     return pool;
