--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -24,6 +24,8 @@
   undici: resolve('tools/undiciClient.cjs'),
   'prom-client': resolve('tools/metricsParts.cjs'),
   'node:http2': resolve('tools/noHttp2.cjs'),
+  'node:assert': resolve('tools/assert.cjs'),
+  assert: resolve('tools/assert.cjs'),
   'hdr-histogram-js': resolve('node_modules/hdr-histogram-js/dist/HistogramBuilder.js'),
 };
 
