--- a/packages/forwarding/src/exchange/exchange.ts
+++ b/packages/forwarding/src/exchange/exchange.ts
@@ -59,8 +59,6 @@
 
   #phase: Phase = 'connecting';
 
-  #controller: Dispatcher.DispatchController | undefined;
-
   #framing: ResponseFraming = 'length';
 
   #interimResponses = 0;
@@ -115,20 +113,22 @@
     }
   }
 
+  /** What has been read from the connection already is delivered all the same. */
   pause(): void {
-    this.#isPaused = true;
-    this.#controller?.pause();
+    if (this.#phase === 'answering') {
+      this.#isPaused = true;
+      this.#connection.pause();
+    }
   }
 
   resume(): void {
     this.#isPaused = false;
-    if (this.#piecesLeft > 0) {
-      this.#controller?.resume();
+    if (this.#phase === 'answering' && this.#piecesLeft > 0) {
+      this.#connection.resume();
     }
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
-    this.#controller = controller;
     if (this.#phase === 'over') {
       controller.abort(new Error('request aborted'));
       return;
@@ -200,14 +200,14 @@
   /** Reads on in the next turn of the event loop once enough pieces were read in this one. */
   #takeTurn(): void {
     this.#piecesLeft -= 1;
-    if (this.#piecesLeft > 0 || this.#phase !== 'answering') {
+    if (this.#piecesLeft !== 0 || this.#phase !== 'answering') {
       return;
     }
-    this.#controller?.pause();
+    this.#connection.pause();
     setImmediate(() => {
       this.#piecesLeft = MAX_PIECES_PER_TURN;
       if (!this.#isPaused && this.#phase === 'answering') {
-        this.#controller?.resume();
+        this.#connection.resume();
       }
     });
   }
--- a/packages/forwarding/src/exchange/upstreamConnection.ts
+++ b/packages/forwarding/src/exchange/upstreamConnection.ts
@@ -41,6 +41,8 @@
 
   #requests = 0;
 
+  #isPaused = false;
+
   #onReadable = (): void => {};
 
   /** `onConnected` receives the set-up time of each direct connection. */
@@ -100,11 +102,24 @@
     this.#onReadable = () => onBytes(this.#receivedBytes - before);
   }
 
+  pause(): void {
+    this.#isPaused = true;
+  }
+
+  resume(): void {
+    if (this.#isPaused) {
+      this.#isPaused = false;
+      // Announced before, and left unread.
+      this.#stream?.emit('readable');
+    }
+  }
+
   get idleMs(): number {
     return performance.now() - this.#idleSinceMs;
   }
 
   markIdle(): void {
+    this.#isPaused = false;
     this.#idleSinceMs = performance.now();
   }
 
@@ -137,12 +152,16 @@
     });
   }
 
-  #adopt({ stream, path }: OpenedConnection, startedAtMs: number): void {
+  #adopt(opened: OpenedConnection, startedAtMs: number): void {
+    const { stream, path } = opened;
     this.#stream = stream;
     this.#path = path;
     if (path === 'direct') {
       this.#onConnected(performance.now() - startedAtMs);
     }
+    // The client must not be paused itself: it then throws when the connection ends or is closed.
+    const read = stream.read.bind(stream);
+    stream.read = (size?: number): unknown => (this.#isPaused ? null : read(size));
     // These listeners run before the library's own. undici reports a response without a length, or
     // a chunked one on a connection that closes, as complete when the socket is reset or ends
     // early; the exchange reads these flags to recognize an incomplete response.
--- a/packages/forwarding/src/runs/attempt.ts
+++ b/packages/forwarding/src/runs/attempt.ts
@@ -204,6 +204,9 @@
    * paused.
    */
   resume(): void {
+    if (!this.#isListening) {
+      return;
+    }
     this.#lastHeardAtMs = performance.now();
     this.#armSilenceTimer();
     this.#exchange.resume();
