--- a/packages/forwarding/src/runs/forwardRun.ts
+++ b/packages/forwarding/src/runs/forwardRun.ts
@@ -376,15 +376,18 @@
   }
 
   #canTryAgain(outcome: AttemptOutcome): boolean {
-    return mayTryAgain({
-      outcome,
-      isRepeatable: isRepeatable(this.#resolved.route),
-      sent: this.#countedAttempts,
-      maxAttempts: this.#resolved.route.maxAttempts,
-      unsent: this.#uncountedAttempts,
-      remainingMs: this.#getRemainingMs(),
-      minAttemptMs: MIN_ATTEMPT_MS,
-    });
+    return (
+      this.#relay.canGoOn &&
+      mayTryAgain({
+        outcome,
+        isRepeatable: isRepeatable(this.#resolved.route),
+        sent: this.#countedAttempts,
+        maxAttempts: this.#resolved.route.maxAttempts,
+        unsent: this.#uncountedAttempts,
+        remainingMs: this.#getRemainingMs(),
+        minAttemptMs: MIN_ATTEMPT_MS,
+      })
+    );
   }
 
   #tryTakeRetryBudget(purpose: RepeatPurpose): boolean {
--- a/packages/forwarding/src/runs/relays.ts
+++ b/packages/forwarding/src/runs/relays.ts
@@ -18,6 +18,8 @@
 export interface ResponseRelay {
   /** Whether the caller has received part of the response. */
   readonly hasBegun: boolean;
+  /** Whether another response can follow what the caller has received of this one. */
+  readonly canGoOn: boolean;
   readonly lastEventId: number | undefined;
   /** Whether the response would be cut off if its connection ended now. */
   readonly isInsideEvent: boolean;
@@ -68,6 +70,10 @@
     return this.#hasBegun;
   }
 
+  get canGoOn(): boolean {
+    return !this.#hasBegun;
+  }
+
   begin(head: ResponseHead): void {
     this.#head = head;
   }
@@ -133,6 +139,10 @@
     return this.#hasBegun;
   }
 
+  get canGoOn(): boolean {
+    return !this.#hasBegun || this.#lastEventId !== undefined;
+  }
+
   get lastEventId(): number | undefined {
     return this.#lastEventId;
   }
