--- a/packages/proofs/src/platformSoak/faults/index.ts
+++ b/packages/proofs/src/platformSoak/faults/index.ts
@@ -41,6 +41,7 @@
   [processes.losePaths],
   [stores.restoreStore],
   [brittle, deadlyPart],
+  [operators.garbleUpstream],
 ];
 
 /** Work that an operator plans; nothing fails by itself. */
--- a/packages/proofs/src/platformSoak/faults/operatorFaults.ts
+++ b/packages/proofs/src/platformSoak/faults/operatorFaults.ts
@@ -100,6 +100,15 @@
   }),
 );
 
+/** An upstream sends answers twice, bytes that are no answer, and events without end. */
+export const garbleUpstream: Fault = withBackEnd(({ faultLog }, backEnd) =>
+  faultLog.during('upstreams', 'garbleUpstream', async () => {
+    Object.assign(backEnd, { isGarbling: true });
+    await sleep(GREY_MS);
+    Object.assign(backEnd, { isGarbling: false });
+  }),
+);
+
 const RATE_LIMITS_PER_S = [0.3, 1, 2.7, 8];
 const MIN_LIMIT_MS = 4_500;
 const LIMIT_SPREAD_MS = 6_000;
--- a/packages/proofs/src/platformSoak/outside/backEnds.ts
+++ b/packages/proofs/src/platformSoak/outside/backEnds.ts
@@ -43,6 +43,8 @@
   readonly forwarder: SilentForwarder;
   /** Share of requests that fail on it in some way of `FailureWay`. */
   failureShare: number;
+  /** Requests fail on it in the ways of `garbleWays` instead. */
+  isGarbling: boolean;
   /** Said in all answers. */
   statement: Statement;
   readonly admission: Admission;
@@ -53,8 +55,17 @@
   isOpen: boolean;
 }
 
-type FailureWay = 'refuse' | 'fail' | 'reset' | 'cut' | 'hang';
+/**
+ * `late`: the last answer on the connection comes once more before this one. `status`: one that HTTP doesn't
+ * know. `endless`: an event without end.
+ */
+type FailureWay = 'refuse' | 'fail' | 'reset' | 'cut' | 'hang' | 'late' | 'status' | 'endless';
 const failureWays: readonly FailureWay[] = ['refuse', 'fail', 'reset', 'cut', 'hang'];
+const garbleWays: readonly FailureWay[] = ['late', 'late', 'status', 'endless'];
+
+const GARBLE_SHARE = 0.1;
+const GARBLED_STATUS = 'HTTP/1.1 000 \r\n\r\n';
+const ENDLESS_PIECE = 'data: no end here '.repeat(3_000);
 
 const PLAIN_WORK_MS = 25;
 const EVENT_GAP_MS = 15;
@@ -100,6 +111,8 @@
 
   readonly #random: Random;
 
+  readonly #lastAnswers = new WeakMap<Socket, string>();
+
   #started = 0;
 
   constructor(seed: number) {
@@ -120,6 +133,7 @@
     const place = { id, service, version, dataCentre };
     const state = {
       failureShare,
+      isGarbling: false,
       statement: {},
       admission: new Admission(),
       rejections: [],
@@ -148,11 +162,16 @@
 
   #serve(backEnd: BackEnd, request: SeenRequest, socket: Socket): void {
     const attemptId = request.headers.get('x-attempt-id') ?? '';
+    const { isGarbling } = backEnd;
+    const failureShare = isGarbling ? GARBLE_SHARE : backEnd.failureShare;
     const way =
-      this.#random.next() < backEnd.failureShare
-        ? pickRandom(failureWays, this.#random)
+      this.#random.next() < failureShare
+        ? pickRandom(isGarbling ? garbleWays : failureWays, this.#random)
         : undefined;
-    const isUsualFailure = way !== undefined && backEnd.failureShare === USUAL_FAILURE_SHARE;
+    const isUsualFailure = way !== undefined && failureShare === USUAL_FAILURE_SHARE;
+    if (way === 'late') {
+      socket.write(this.#lastAnswers.get(socket) ?? '');
+    }
     const atMs = performance.now();
     this.arrivals.push({ attemptId, upstream: backEnd.id, atMs, isUsualFailure });
     if (request.headers.get('x-expect-instance') !== backEnd.id) {
@@ -160,8 +179,7 @@
     } else if (backEnd.shedding !== undefined && this.#random.next() < backEnd.shedding.share) {
       this.#shed(backEnd, backEnd.shedding, request, socket);
     } else if (way === 'refuse') {
-      const headers = { 'X-Not-Executed': '1', 'Content-Length': '0' };
-      socket.write(this.#renderHead(backEnd, request, 503, headers));
+      this.#reject(backEnd, request, socket);
     } else if (request.body.startsWith(DEADLY_PREFIX)) {
       this.#die(backEnd, request, attemptId);
     } else {
@@ -180,8 +198,7 @@
     if (brittleness === undefined) {
       void run();
     } else if (!backEnd.admission.admit(brittleness.room, run)) {
-      const headers = { 'X-Not-Executed': '1', 'Content-Length': '0' };
-      socket.write(this.#renderHead(backEnd, request, 503, headers));
+      this.#reject(backEnd, request, socket);
       this.#countRejection(backEnd, brittleness, request.headers.get('x-attempt-id') ?? '');
     }
   }
@@ -199,8 +216,17 @@
 
   #shed(backEnd: BackEnd, { backOffS }: Shedding, request: SeenRequest, socket: Socket): void {
     const said = { ...backEnd, statement: { ...backEnd.statement, backOffS } };
+    this.#reject(said, request, socket);
+  }
+
+  #reject(backEnd: BackEnd, request: SeenRequest, socket: Socket): void {
     const headers = { 'X-Not-Executed': '1', 'Content-Length': '0' };
-    socket.write(this.#renderHead(said, request, 503, headers));
+    this.#reply(socket, this.#renderHead(backEnd, request, 503, headers));
+  }
+
+  #reply(socket: Socket, answer: string): void {
+    this.#lastAnswers.set(socket, answer);
+    socket.write(answer);
   }
 
   #renderHead(
@@ -285,6 +311,14 @@
     if (way === 'hang') {
       return;
     }
+    if (way === 'status') {
+      socket.write(GARBLED_STATUS);
+      return;
+    }
+    if (way === 'endless') {
+      this.#flood(backEnd, request, socket);
+      return;
+    }
     await (backEnd.service === 'models'
       ? this.#stream(backEnd, request, socket, run, deadlyPart === undefined ? way : 'crash')
       : this.#answer(backEnd, request, socket, run, way));
@@ -311,12 +345,23 @@
     const body = way === 'fail' ? 'failed' : renderPlainBody(run.attemptId);
     const length = { 'Content-Length': String(body.length) };
     const head = this.#renderHead(backEnd, request, run.status, length);
-    socket.write(way === 'cut' ? head + body.slice(1) : head + body);
     if (way === 'cut') {
-      socket.end();
+      socket.end(head + body.slice(1));
+    } else {
+      this.#reply(socket, head + body);
     }
   }
 
+  #flood(backEnd: BackEnd, request: SeenRequest, socket: Socket): void {
+    const type = { 'Content-Type': 'text/event-stream' };
+    socket.write(this.#renderHead(backEnd, request, 200, type));
+    const send = (): void => {
+      while (!socket.destroyed && socket.write(ENDLESS_PIECE));
+    };
+    socket.on('drain', send);
+    send();
+  }
+
   async #stream(
     backEnd: BackEnd,
     request: SeenRequest,
@@ -339,7 +384,9 @@
     const from = Number(request.headers.get('last-event-id') ?? 0);
     const count = countEvents(run.attemptId);
     const cutAt =
-      way === undefined || way === 'crash' ? Infinity : from + 1 + this.#random.nextInt(count);
+      way === undefined || way === 'late' || way === 'crash'
+        ? Infinity
+        : from + 1 + this.#random.nextInt(count);
     for (let id = from + 1; id <= count && !socket.destroyed; id += 1) {
       if (id >= cutAt) {
         socket.write(renderChunk(renderEvent(id).slice(0, 7)));
