--- a/packages/proofs/src/platformSoak/callers/sendAttempt.ts
+++ b/packages/proofs/src/platformSoak/callers/sendAttempt.ts
@@ -59,7 +59,7 @@
     Object.assign(record, { body: record.body + text });
   });
   response.on('error', () => {
-    // `complete` tells it.
+    // The error of the request, or `complete`, tells it.
   });
 };
 
@@ -103,13 +103,18 @@
       record.endedAtMs ??= performance.now();
       resolve(record);
     };
+    let hasFailed = false;
     request.on('response', (response) => {
       takeAnswer(record, response);
       response.on('close', () => {
-        record.isWhole = response.complete;
+        // An answer that ends with its connection counts as complete here even if that was reset.
+        record.isWhole = response.complete && !hasFailed;
         end();
       });
     });
-    request.on('error', end);
+    request.on('error', () => {
+      hasFailed = true;
+      end();
+    });
     request.end(plan.question ?? (plan.kind === 'read' ? undefined : USUAL_QUESTION));
   });
