--- a/packages/upstream/src/engineClient.test.ts
+++ b/packages/upstream/src/engineClient.test.ts
@@ -1,7 +1,7 @@
 import { createServer, type ServerResponse } from 'node:http';
 import { once } from 'node:events';
 import type { AddressInfo, Socket } from 'node:net';
-import { setInvariantsFatal } from '@snipehaven/common';
+import { setInvariantsFatal, sleep } from '@snipehaven/common';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 import { HttpEngineClient } from './engineClient.js';
@@ -192,6 +192,25 @@
   assert.ok(sentBytes < MAX_ENDLESS_BYTES, `${sentBytes} bytes`);
 });
 
+const readSlowly = async (end: (socket: Socket) => void): Promise<unknown> => {
+  const event = `data: ${'x'.repeat(90)}\n\n`;
+  const head = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n';
+  upstream.answer = ({ socket }) => {
+    socket?.write(head + event.repeat(1_500));
+    setTimeout(() => end(socket as Socket), SILENCE_MS);
+  };
+  const batches = upstream.engines.start(upstream.run, new AbortController().signal);
+  await batches.next();
+  await sleep(2 * SILENCE_MS);
+  return getError(readAll(batches));
+};
+
+// Guards against a process that ends by an assertion of the HTTP client, which was paused.
+test('a stream that is read slowly fails alone if its connection ends', async () => {
+  assert.instance(await readSlowly((socket) => socket.resetAndDestroy()), UpstreamBrokenError);
+  assert.instance(await readSlowly((socket) => socket.end()), UpstreamBrokenError);
+});
+
 test('never uses a connection again that was open during a silence', async () => {
   // Symptom: call after call to a healthy upstream times out.
   // Sequence: a kept-alive connection is forgotten by something between the ends; calls go into it.
--- a/packages/upstream/src/engineClient.ts
+++ b/packages/upstream/src/engineClient.ts
@@ -16,6 +16,7 @@
   isUpstreamError,
 } from './errors.js';
 import { cacheEventsSchema, loadSchema, streamStateSchema } from './schemas.js';
+import { readEagerly } from './readEagerly.js';
 import { readSseEvents } from './sseEvents.js';
 import type {
   CacheEvent,
@@ -130,7 +131,7 @@
     try {
       const response = await sendRequest(pool, url, options, signal);
       await throwUnlessOk(response, url);
-      for await (const batch of readSseEvents(response.body, afterOffset)) {
+      for await (const batch of readSseEvents(readEagerly(response.body), afterOffset)) {
         hasEnded = isDone(batch);
         yield batch;
       }
