--- a/packages/forwarding/src/exchange/upstreamConnection.ts
+++ b/packages/forwarding/src/exchange/upstreamConnection.ts
@@ -4,6 +4,7 @@
  */
 import type { Socket } from 'node:net';
 import { Client, type Dispatcher } from 'undici';
+import { isReset } from './isReset.js';
 import type {
   ConnectCallback,
   ConnectionPath,
@@ -170,6 +171,7 @@
     });
     stream.on('end', () => {
       this.#hasEnded = true;
+      this.#hasFailed ||= isReset(stream);
     });
     stream.on('readable', () => this.#onReadable());
   }
--- a/packages/forwarding/src/relay/relayServer.ts
+++ b/packages/forwarding/src/relay/relayServer.ts
@@ -8,7 +8,7 @@
 import type { Duplex } from 'node:stream';
 import { isRefusedConnection, type Logger } from '@snipehaven/common';
 import { listenOn } from '../edge/listenOn.js';
-import type { DirectConnector } from '../exchange/index.js';
+import { isReset, type DirectConnector } from '../exchange/index.js';
 import type { SocketAddress } from '../types.js';
 import {
   MAX_RELAY_HEADER_BYTES,
@@ -167,11 +167,16 @@
     (stream as Socket).setTimeout(RELAY_IDLE_MS, () => stream.destroy());
     response.writeHead(relayStatuses.connected, { Connection: 'close' });
     response.flushHeaders();
-    request.pipe(stream);
-    stream.pipe(response);
     const breakOff = (): void => {
       response.destroy();
     };
+    stream.once('end', () => {
+      if (isReset(stream)) {
+        breakOff();
+      }
+    });
+    request.pipe(stream);
+    stream.pipe(response);
     stream.on('error', breakOff);
     stream.on('close', () => {
       if (!stream.readableEnded) {
