--- a/packages/forwarding/src/constants.ts
+++ b/packages/forwarding/src/constants.ts
@@ -6,6 +6,12 @@
  */
 export const CONNECT_TIMEOUT_MS = 300;
 
+/** Ended connections that are remembered of each upstream. */
+export const MAX_REMEMBERED_ENDS = 32;
+
+/** Connections of an upstream that end within this time are taken to have one cause. */
+export const END_TOGETHER_MS = 20;
+
 /** An answer that goes on beyond this size is taken for one without end. */
 export const MAX_ANSWER_BYTES = 67_108_864;
 
--- a/packages/forwarding/src/exchange/connectionPool.ts
+++ b/packages/forwarding/src/exchange/connectionPool.ts
@@ -4,9 +4,10 @@
  */
 import { MAX_CONNECTION_IDLE_MS, MAX_IDLE_CONNECTIONS } from '../constants.js';
 import type { Connector } from './types.js';
-import { UpstreamConnection } from './upstreamConnection.js';
+import { ConnectionEnds, type ConnectionEnd } from './connectionEnds.js';
+import { UpstreamConnection, type ConnectionObserver } from './upstreamConnection.js';
 
-export class ConnectionPool {
+export class ConnectionPool implements ConnectionObserver {
   readonly #connector: Connector;
 
   #idle: UpstreamConnection[] = [];
@@ -15,8 +16,16 @@
 
   #shortestConnectMs: number | undefined;
 
-  constructor(connector: Connector) {
+  readonly ends = new ConnectionEnds();
+
+  readonly #open = new Set<UpstreamConnection>();
+
+  readonly #onLost: (end: ConnectionEnd) => void;
+
+  /** `onLost` is called for each connection that the upstream or the network ends. */
+  constructor(connector: Connector, onLost: (end: ConnectionEnd) => void = () => {}) {
     this.#connector = connector;
+    this.#onLost = onLost;
   }
 
   /**
@@ -27,9 +36,7 @@
    */
   acquire(isFreshNeeded: boolean, used: ReadonlySet<UpstreamConnection>): UpstreamConnection {
     const idle = isFreshNeeded ? undefined : this.#popIdle(used);
-    return (
-      idle ?? new UpstreamConnection(this.#connector, (tookMs) => this.#recordConnectTime(tookMs))
-    );
+    return idle ?? new UpstreamConnection(this.#connector, this);
   }
 
   /**
@@ -65,8 +72,22 @@
     this.#idle = [];
   }
 
-  #recordConnectTime(tookMs: number): void {
-    this.#shortestConnectMs = Math.min(this.#shortestConnectMs ?? Infinity, tookMs);
+  onOpened(connection: UpstreamConnection, startedAtMs: number): void {
+    this.#open.add(connection);
+    if (connection.path === 'direct') {
+      const tookMs = performance.now() - startedAtMs;
+      this.#shortestConnectMs = Math.min(this.#shortestConnectMs ?? Infinity, tookMs);
+    }
+  }
+
+  onEnded(connection: UpstreamConnection, end: ConnectionEnd): void {
+    this.#open.delete(connection);
+    this.ends.record(end);
+    this.#onLost(end);
+  }
+
+  onClosed(connection: UpstreamConnection): void {
+    this.#open.delete(connection);
   }
 
   #popIdle(used: ReadonlySet<UpstreamConnection>): UpstreamConnection | undefined {
--- a/packages/forwarding/src/exchange/exchange.ts
+++ b/packages/forwarding/src/exchange/exchange.ts
@@ -85,8 +85,9 @@
   }
 
   start(): this {
-    const { method, target, headers, body } = this.#request;
+    const { method, target, headers, body, attemptId } = this.#request;
     this.#connection.dispatch(
+      attemptId,
       {
         method,
         path: target,
--- a/packages/forwarding/src/exchange/index.ts
+++ b/packages/forwarding/src/exchange/index.ts
@@ -1,3 +1,4 @@
+export type { ConnectionEnd, ConnectionEnding } from './connectionEnds.js';
 export { ConnectionPool } from './connectionPool.js';
 export { DirectConnector, classifyConnectError } from './directConnector.js';
 export { Exchange } from './exchange.js';
--- a/packages/forwarding/src/exchange/upstreamConnection.ts
+++ b/packages/forwarding/src/exchange/upstreamConnection.ts
@@ -4,6 +4,7 @@
  */
 import type { Socket } from 'node:net';
 import { Client, type Dispatcher } from 'undici';
+import type { ConnectionEnd, ConnectionEnding } from './connectionEnds.js';
 import { isReset } from './isReset.js';
 import type {
   ConnectCallback,
@@ -23,10 +24,22 @@
 /** Required by the client, which neither resolves nor sends it: requests have a `Host` of their own. */
 const UPSTREAM_ORIGIN = 'http://upstream';
 
+export interface ConnectionObserver {
+  /** Called when it is open. `startedAtMs`: when it began to be opened. */
+  onOpened(connection: UpstreamConnection, startedAtMs: number): void;
+  /** Called when the upstream or the network ends it. */
+  onEnded(connection: UpstreamConnection, end: ConnectionEnd): void;
+  /** Called when it is closed, whoever ended it. */
+  onClosed(connection: UpstreamConnection): void;
+}
+
 export class UpstreamConnection {
   readonly #client: Client;
 
-  readonly #onConnected: (tookMs: number) => void;
+  readonly #observer: ConnectionObserver;
+
+  /** The attempt that it carries; undefined while it is idle. */
+  #attemptId: string | undefined;
 
   #stream: CountingStream | undefined;
 
@@ -46,9 +59,8 @@
 
   #onReadable = (): void => {};
 
-  /** `onConnected` receives the set-up time of each direct connection. */
-  constructor(connector: Connector, onConnected: (tookMs: number) => void) {
-    this.#onConnected = onConnected;
+  constructor(connector: Connector, observer: ConnectionObserver) {
+    this.#observer = observer;
     const open = (_options: unknown, callback: ConnectCallback): void => {
       this.#open(connector, callback);
     };
@@ -121,11 +133,17 @@
 
   markIdle(): void {
     this.#isPaused = false;
+    this.#attemptId = undefined;
     this.#idleSinceMs = performance.now();
   }
 
-  dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void {
+  dispatch(
+    attemptId: string,
+    options: Dispatcher.DispatchOptions,
+    handler: Dispatcher.DispatchHandler,
+  ): void {
     this.#requests += 1;
+    this.#attemptId = attemptId;
     this.#client.dispatch(options, handler);
   }
 
@@ -157,9 +175,8 @@
     const { stream, path } = opened;
     this.#stream = stream;
     this.#path = path;
-    if (path === 'direct') {
-      this.#onConnected(performance.now() - startedAtMs);
-    }
+    this.#observer.onOpened(this, startedAtMs);
+    stream.on('close', () => this.#observer.onClosed(this));
     // The client must not be paused itself: it then throws when the connection ends or is closed.
     const read = stream.read.bind(stream);
     stream.read = (size?: number): unknown => (this.#isPaused ? null : read(size));
@@ -168,11 +185,18 @@
     // early; the exchange reads these flags to recognize an incomplete response.
     stream.on('error', () => {
       this.#hasFailed = true;
+      this.#reportEnd('reset');
     });
     stream.on('end', () => {
       this.#hasEnded = true;
       this.#hasFailed ||= isReset(stream);
+      this.#reportEnd(this.#hasFailed ? 'reset' : 'closed');
     });
     stream.on('readable', () => this.#onReadable());
   }
+
+  #reportEnd(ending: ConnectionEnding): void {
+    const end = { atMs: performance.now(), ending, attemptId: this.#attemptId };
+    this.#observer.onEnded(this, end);
+  }
 }
--- a/packages/forwarding/src/runs/attempt.ts
+++ b/packages/forwarding/src/runs/attempt.ts
@@ -1,6 +1,7 @@
 /** Sends a request to one upstream and tracks its load, silence and outcome. */
 import type { RequestDigest } from '@snipehaven/common';
 import {
+  END_TOGETHER_MS,
   MIN_SILENCE_MS,
   SILENCE_TARGETS,
   STREAM_SILENCE_GAPS,
@@ -8,6 +9,8 @@
 } from '../constants.js';
 import {
   Exchange,
+  type ConnectionEnd,
+  type ResponseFraming,
   type ResponseHead,
   type ExchangeFailure,
   type ExchangeListener,
@@ -94,6 +97,8 @@
 
   #headMs: number | undefined;
 
+  #framing: ResponseFraming | undefined;
+
   #silenceMs: number;
 
   #isListening = true;
@@ -148,6 +153,17 @@
     return this.#request.options.attemptId;
   }
 
+  /** How the end of the response is marked; undefined before its headers. */
+  get framing(): ResponseFraming | undefined {
+    return this.#framing;
+  }
+
+  /** Other connections to the upstream that ended lately. */
+  listEndsBeside(): readonly ConnectionEnd[] {
+    const sinceMs = performance.now() - END_TOGETHER_MS;
+    return this.#plan.entry.pool.ends.listOthersSince(sinceMs, this.attemptId);
+  }
+
   /** Whether it goes on with a response that another upstream began. */
   get isResumed(): boolean {
     return this.#plan.isResumed;
@@ -275,6 +291,7 @@
 
   #onHead(head: ResponseHead): void {
     clearTimeout(this.#pathTimer);
+    this.#framing = head.framing;
     this.#reporter.onResponseStart();
     this.#recordActivity();
     this.#mayHaveRun = !head.facts.isNotRun;
--- a/packages/forwarding/src/runs/eventSplitter.ts
+++ b/packages/forwarding/src/runs/eventSplitter.ts
@@ -6,6 +6,7 @@
 
 const NEWLINE = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
+const BLANK_LINE_ENDS = ['\n\n', '\n\r\n'] as const;
 const ID_FIELD = Buffer.from('id:');
 const ID_LINE = Buffer.from('\nid:');
 const EMPTY = Buffer.alloc(0);
@@ -15,11 +16,12 @@
 
 export interface CompleteEvents {
   readonly bytes: Buffer;
+  readonly events: number;
   /** Id of the last numbered event among them. */
   readonly lastEventId?: number;
 }
 
-const NO_EVENTS: CompleteEvents = { bytes: EMPTY };
+const NO_EVENTS: CompleteEvents = { bytes: EMPTY, events: 0 };
 
 /** Index after the last blank line in `bytes`, which follow `context`; 0 if there is none. */
 const findEndOfCompleteEvents = (context: Buffer, bytes: Buffer): number => {
@@ -38,6 +40,16 @@
   return 0;
 };
 
+const countEvents = (bytes: Buffer): number => {
+  let events = 0;
+  for (const end of BLANK_LINE_ENDS) {
+    for (let at = bytes.indexOf(end); at >= 0; at = bytes.indexOf(end, at + end.length)) {
+      events += 1;
+    }
+  }
+  return events;
+};
+
 const findLastId = (bytes: Buffer): number | undefined => {
   const newline = bytes.lastIndexOf(ID_LINE);
   if (newline < 0 && !bytes.subarray(0, ID_FIELD.length).equals(ID_FIELD)) {
@@ -72,7 +84,11 @@
     const whole = this.#takeWith(bytes.subarray(0, end));
     this.#hold(bytes.subarray(end));
     const lastEventId = findLastId(whole);
-    return { bytes: whole, ...(lastEventId === undefined ? {} : { lastEventId }) };
+    return {
+      bytes: whole,
+      events: countEvents(whole),
+      ...(lastEventId === undefined ? {} : { lastEventId }),
+    };
   }
 
   /** Returns and clears what is left after the last complete event. */
--- a/packages/forwarding/src/runs/forwardRun.ts
+++ b/packages/forwarding/src/runs/forwardRun.ts
@@ -9,7 +9,12 @@
 } from '@snipehaven/policy';
 import { MIN_ATTEMPT_MS, MIN_RETRY_AFTER_S } from '../constants.js';
 import { digestRequest, digestSharedParts, type Hold, type MainSuspect } from '../crashes/index.js';
-import type { ResponseHead, ExchangeFailure, UpstreamConnection } from '../exchange/index.js';
+import type {
+  ConnectionEnd,
+  ResponseHead,
+  ExchangeFailure,
+  UpstreamConnection,
+} from '../exchange/index.js';
 import type { ForwardRoute } from '../types.js';
 import type { HoldOff } from '../upstreams/index.js';
 import type { Place } from '../places/index.js';
@@ -50,6 +55,7 @@
 
 /** Bounds the length of a log line. */
 const MAX_LOGGED_PARTS = 8;
+const MAX_LOGGED_ENDS = 4;
 
 /**
  * Share of the wait that is added at random to Retry-After. Without it, all callers that were refused
@@ -70,6 +76,13 @@
   readonly waitMs: number;
 }
 
+const describeEnds = (ends: readonly ConnectionEnd[]) =>
+  ends.slice(-MAX_LOGGED_ENDS).map(({ atMs, ending, attemptId }) => ({
+    request: attemptId,
+    ending,
+    beforeMs: Math.round(performance.now() - atMs),
+  }));
+
 const isSuccess = (status: number): boolean => status >= 200 && status < 300;
 
 const isRepeatable = (route: ForwardRoute): boolean =>
@@ -176,7 +189,7 @@
   /** Called when the caller closed its connection, as nobody waits for the response any more. */
   cancel(): void {
     if (!this.#isFinished) {
-      this.#log('callerGone', { attempts: this.#countedAttempts });
+      this.#log('callerGone', { attempts: this.#countedAttempts, ...this.#describeEnd() });
       this.#finish('callerGone');
     }
   }
@@ -220,6 +233,7 @@
       confidence: this.#confidence,
       upstreamMs: roundMs(this.#attempt?.headMs),
       ...this.#timing.describe(this.#resolved.route),
+      ...this.#describeEnd(),
     });
     this.#finish('answered');
   }
@@ -342,7 +356,13 @@
       (outcome === 'notSent' || this.#tryTakeRetryBudget('failure'));
     const content =
       outcome === 'unknown' ? { digest: this.digest, parts: this.#listLoggedParts() } : {};
-    this.#log('attemptFailed', { outcome, cause, repeated: canRepeat, ...content });
+    this.#log('attemptFailed', {
+      outcome,
+      cause,
+      repeated: canRepeat,
+      ...content,
+      ...this.#describeEnd(),
+    });
     this.#attempt?.detach();
     if (canRepeat) {
       this.#resend();
@@ -599,6 +619,7 @@
       begun: this.#relay.hasBegun,
       afterS,
       ...(hold === undefined ? {} : { digest: hold.digest, ended: hold.lives }),
+      ...this.#describeEnd(),
     });
     if (this.#relay.hasBegun) {
       this.#port.abort();
@@ -619,6 +640,18 @@
     this.#dependencies.metrics.countRequest(this.#resolved.route.kind, outcome, tookMs);
   }
 
+  /** Log fields: what marks the end of the response, and what the caller has of it. */
+  #describeEnd() {
+    const framing = this.#attempt?.framing;
+    const beside = framing === undefined ? [] : (this.#attempt?.listEndsBeside() ?? []);
+    return {
+      framing,
+      events: this.#relay.eventCount,
+      lastEventId: this.#relay.lastEventId,
+      ...(beside.length === 0 ? {} : { endedBeside: describeEnds(beside) }),
+    };
+  }
+
   #log(event: string, fields: Readonly<Record<string, unknown>>): void {
     this.#dependencies.logger.info({
       event,
--- a/packages/forwarding/src/runs/relays.ts
+++ b/packages/forwarding/src/runs/relays.ts
@@ -21,6 +21,8 @@
   /** Whether another response can follow what the caller has received of this one. */
   readonly canGoOn: boolean;
   readonly lastEventId: number | undefined;
+  /** Complete events that were relayed; undefined for responses that are no streams. */
+  readonly eventCount: number | undefined;
   /** Whether the response would be cut off if its connection ended now. */
   readonly isInsideEvent: boolean;
   /**
@@ -53,6 +55,8 @@
 
   readonly lastEventId = undefined;
 
+  readonly eventCount = undefined;
+
   readonly isInsideEvent = false;
 
   #head: ResponseHead | undefined;
@@ -122,6 +126,8 @@
 
   #lastEventId: number | undefined;
 
+  #eventCount = 0;
+
   #head: ResponseHead | undefined;
 
   #framing: ResponseFraming = 'chunked';
@@ -147,6 +153,10 @@
     return this.#lastEventId;
   }
 
+  get eventCount(): number {
+    return this.#eventCount;
+  }
+
   /** A response with a framed end is complete whatever it ends with. */
   get isInsideEvent(): boolean {
     return this.#framing === 'untilClose' && this.#splitter.restBytes > 0;
@@ -162,6 +172,7 @@
     const heldBytes = this.#splitter.restBytes;
     const whole = this.#splitter.push(bytes);
     this.#lastEventId = whole.lastEventId ?? this.#lastEventId;
+    this.#eventCount += whole.events;
     const isTaken = whole.bytes.length === 0 || this.#write(whole.bytes);
     if (!this.#memory.resize(heldBytes, this.#splitter.restBytes)) {
       this.#memory.resize(heldBytes, 0);
--- a/packages/forwarding/src/upstreams/upstreamDirectory.ts
+++ b/packages/forwarding/src/upstreams/upstreamDirectory.ts
@@ -3,6 +3,7 @@
 import { DirectConnector, type Connector } from '../exchange/index.js';
 import type { PeerLoads } from '../peers/index.js';
 import type { Upstream } from '../types.js';
+import { ConnectionEndReporter } from './connectionEndReporter.js';
 import { DataCentreMonitor } from './dataCentreMonitor.js';
 import type { InFlightRequest } from './exitDetector.js';
 import { getLifeId, UpstreamEntry, type ExitListener, type UpstreamExit } from './upstreamEntry.js';
@@ -277,9 +278,11 @@
   }
 
   #createEntry(upstream: Upstream): UpstreamEntry {
+    const endReporter = new ConnectionEndReporter(this.#logger, upstream.id);
     const listener: ExitListener = {
       onExit: (end) => this.#onExit(end),
       onAlive: (lifeId) => this.#exitListener.onAlive(lifeId),
+      onConnectionEnded: (end) => endReporter.record(end),
     };
     return new UpstreamEntry(
       upstream,
--- a/packages/forwarding/src/upstreams/upstreamEntry.ts
+++ b/packages/forwarding/src/upstreams/upstreamEntry.ts
@@ -2,6 +2,7 @@
 import {
   ConnectionPool,
   DirectConnector,
+  type ConnectionEnd,
   type ConnectionPath,
   type Connector,
 } from '../exchange/index.js';
@@ -38,6 +39,8 @@
   onExit(end: UpstreamExit): void;
   /** Called when an incarnation reported as exited responds again. */
   onAlive(lifeId: string): void;
+  /** Called for each connection that the upstream or the network ends. */
+  onConnectionEnded?(end: ConnectionEnd): void;
 }
 
 /** Identifies one incarnation of an upstream; its id alone where ids are not used again. */
@@ -90,7 +93,7 @@
     this.#peerLoads = peerLoads;
     this.#dataCentreMonitor = watch;
     this.#connector = connector;
-    this.pool = new ConnectionPool(connector);
+    this.pool = new ConnectionPool(connector, (end) => listener.onConnectionEnded?.(end));
     this.exitDetector = new ExitDetector({
       probe: () => connector.probe(),
       onExit: (lost) => {
