--- a/packages/forwarding/src/constants.ts
+++ b/packages/forwarding/src/constants.ts
@@ -12,6 +12,9 @@
 /** Connections of an upstream that end within this time are taken to have one cause. */
 export const END_TOGETHER_MS = 20;
 
+/** The connections of a process that exits end within this time of one another. */
+export const END_SETTLE_MS = 4;
+
 /** An answer that goes on beyond this size is taken for one without end. */
 export const MAX_ANSWER_BYTES = 67_108_864;
 
--- a/packages/forwarding/src/edge/forwardMetrics.ts
+++ b/packages/forwarding/src/edge/forwardMetrics.ts
@@ -11,6 +11,7 @@
 import type { ConnectionPath, ConnectOutcome } from '../exchange/index.js';
 import type { RolloutStage } from '../rollouts/types.js';
 import type { RouteKind } from '../types.js';
+import type { EndEvidence } from '../upstreams/index.js';
 
 const MAX_LATENCY_MS = 120_000;
 
@@ -31,6 +32,8 @@
 
   readonly #foreignAnswers: Counter;
 
+  readonly #unframedEnds: Counter;
+
   readonly #stalls: Counter;
 
   readonly #stalledMs: Counter;
@@ -81,6 +84,12 @@
       labelNames: ['service', 'reason'],
       registers,
     });
+    this.#unframedEnds = new Counter({
+      name: 'snipehaven_unframed_ends_total',
+      help: 'Answers of upstreams ended by their connection alone, by what showed whether they were whole.',
+      labelNames: ['service', 'evidence'],
+      registers,
+    });
     this.#stalls = new Counter({
       name: 'snipehaven_stalls_total',
       help: 'Times the event loop stood still, by the work that held it up.',
@@ -171,6 +180,10 @@
     this.#foreignAnswers.inc({ service, reason });
   }
 
+  countUnframedEnd(service: string, evidence: EndEvidence): void {
+    this.#unframedEnds.inc({ service, evidence });
+  }
+
   countStall({ activity, stalledMs }: Stall): void {
     this.#stalls.inc({ activity });
     this.#stalledMs.inc({ activity }, stalledMs);
--- a/packages/forwarding/src/exchange/connectionPool.ts
+++ b/packages/forwarding/src/exchange/connectionPool.ts
@@ -18,6 +18,8 @@
 
   readonly ends = new ConnectionEnds();
 
+  #lastAcceptedAtMs = -Infinity;
+
   readonly #open = new Set<UpstreamConnection>();
 
   readonly #onLost: (end: ConnectionEnd) => void;
@@ -47,6 +49,19 @@
     return this.#shortestConnectMs;
   }
 
+  /** When the newest direct connection that the upstream accepted was begun. */
+  get lastAcceptedAtMs(): number {
+    return this.#lastAcceptedAtMs;
+  }
+
+  listOpen(): readonly UpstreamConnection[] {
+    return [...this.#open];
+  }
+
+  isOpen(connection: UpstreamConnection): boolean {
+    return this.#open.has(connection);
+  }
+
   /** Returns a connection whose response was complete and belonged to its request. */
   release(connection: UpstreamConnection): void {
     const isKept = !this.#isClosed && this.#idle.length < MAX_IDLE_CONNECTIONS;
@@ -76,6 +91,7 @@
     this.#open.add(connection);
     if (connection.path === 'direct') {
       const tookMs = performance.now() - startedAtMs;
+      this.#lastAcceptedAtMs = Math.max(this.#lastAcceptedAtMs, startedAtMs);
       this.#shortestConnectMs = Math.min(this.#shortestConnectMs ?? Infinity, tookMs);
     }
   }
--- a/packages/forwarding/src/runs/attempt.ts
+++ b/packages/forwarding/src/runs/attempt.ts
@@ -19,15 +19,18 @@
 } from '../exchange/index.js';
 import type { Place } from '../places/index.js';
 import type { ForwardRoute, UpstreamHeaderValues } from '../types.js';
-import type {
-  ExitVerdict,
-  InFlightRequest,
-  UpstreamEntry,
-  UpstreamOutcome,
+import {
+  endVerdicts,
+  type EndEvidence,
+  type ExitVerdict,
+  type InFlightRequest,
+  type UpstreamEntry,
+  type UpstreamOutcome,
 } from '../upstreams/index.js';
 import type { CallerRequest } from './callerRequest.js';
 import { MIN_LOST_SILENCE_MS, PATH_CHECK_MS, RECENT_ACTIVITY_MS } from './constants.js';
 import type { ForwardDependencies } from './dependencies.js';
+import type { CutReason } from './relays.js';
 import { VersionReporter } from './versionReporter.js';
 
 export interface AttemptPlan {
@@ -57,14 +60,24 @@
   readonly digest: RequestDigest;
   /** Digests of the parts of its prompt that other requests may share; computed on first use. */
   readonly partDigests: readonly RequestDigest[];
-  /** Whether the response is cut off if its connection ends now. */
-  readonly isInsideEvent: boolean;
+  /** Why the end of its connection can't be the end of the response; undefined if it can be. */
+  readonly cutReason: CutReason | undefined;
+  /**
+   * The response has ended with its connection, and this does not prove that it is whole. Returns true if
+   * it is to count as lost.
+   */
+  isLostWhenUnproven(evidence: EndEvidence): boolean;
   /** Called when the request is held back and this attempt's response has not begun. */
   onHeld(): void;
 }
 
 const LOWEST_ENGINE_PRIORITY = 9;
 
+const cutCauses: Readonly<Record<CutReason, string>> = {
+  insideEvent: 'connection ended inside an event',
+  noEvent: 'connection ended before the first event',
+};
+
 const getInitialSilenceMs = ({ kind, targetLatencyMs }: ForwardRoute): number =>
   kind === 'stream'
     ? targetLatencyMs * STREAM_START_TARGETS
@@ -99,6 +112,11 @@
 
   #framing: ResponseFraming | undefined;
 
+  /** The response was read, and whether it is whole is being found out. */
+  #isEnding = false;
+
+  #endEvidence: EndEvidence | undefined;
+
   #silenceMs: number;
 
   #isListening = true;
@@ -158,6 +176,11 @@
     return this.#framing;
   }
 
+  /** What the upstream showed as it ended a response by its connection; undefined for any other. */
+  get endEvidence(): EndEvidence | undefined {
+    return this.#endEvidence;
+  }
+
   /** Other connections to the upstream that ended lately. */
   listEndsBeside(): readonly ConnectionEnd[] {
     const sinceMs = performance.now() - END_TOGETHER_MS;
@@ -332,10 +355,42 @@
   }
 
   #onEnd(): void {
-    if (this.#isListening && this.#listener.isInsideEvent) {
-      this.#onFailure({ verdict: 'broken', cause: 'connection ended inside an event' });
+    if (!this.#isListening || this.#framing !== 'untilClose') {
+      this.#complete();
       return;
     }
+    const { cutReason } = this.#listener;
+    if (cutReason !== undefined) {
+      this.#onFailure({ verdict: 'broken', cause: cutCauses[cutReason] });
+      return;
+    }
+    void this.#settleEnd();
+  }
+
+  /** The end of the connection is the end of the response only if the upstream's process lives on. */
+  async #settleEnd(): Promise<void> {
+    this.#isEnding = true;
+    clearTimeout(this.#silenceTimer);
+    const { entry, service } = this.#plan;
+    const evidence = await entry.endProver.prove(this.attemptId);
+    this.#endEvidence = evidence;
+    this.#dependencies.metrics.countUnframedEnd(service, evidence);
+    if (!this.#isLoadCounted) {
+      // Aborted meanwhile.
+      return;
+    }
+    const isLost =
+      this.#isListening &&
+      (endVerdicts[evidence] === 'cut' || this.#listener.isLostWhenUnproven(evidence));
+    if (isLost) {
+      const cause = `connection ended, which does not prove the end: ${evidence}`;
+      this.#onFailure({ verdict: 'broken', cause });
+    } else {
+      this.#complete();
+    }
+  }
+
+  #complete(): void {
     this.#reporter.onResponseComplete();
     this.#releaseLoad();
     this.#plan.place?.release('ended');
@@ -417,6 +472,9 @@
 
   #armSilenceTimer(): void {
     clearTimeout(this.#silenceTimer);
+    if (this.#isEnding) {
+      return;
+    }
     const dueInMs = this.#lastHeardAtMs + this.#silenceMs - performance.now();
     this.#silenceTimer = setTimeout(() => this.#checkSilence(), Math.max(1, dueInMs));
   }
--- a/packages/forwarding/src/runs/forwardRun.ts
+++ b/packages/forwarding/src/runs/forwardRun.ts
@@ -16,7 +16,7 @@
   UpstreamConnection,
 } from '../exchange/index.js';
 import type { ForwardRoute } from '../types.js';
-import type { HoldOff } from '../upstreams/index.js';
+import { endVerdicts, type EndEvidence, type HoldOff } from '../upstreams/index.js';
 import type { Place } from '../places/index.js';
 import { Attempt, type AttemptListener } from './attempt.js';
 import type { ForwardDependencies } from './dependencies.js';
@@ -34,9 +34,9 @@
 import { toReasonAfterRun } from './refusals.js';
 import type { PlacementQuery } from './placementQuery.js';
 import { ResponseTiming, roundMs } from './responseTiming.js';
-import { relayFactories, type ResponseRelay } from './relays.js';
+import { relayFactories, type CutReason, type ResponseRelay } from './relays.js';
 import { isRefused, resolveRequest, type ResolvedRequest } from './resolveRequest.js';
-import type { CallerPort, RefusalReason } from './types.js';
+import { isSuccess, type CallerPort, type RefusalReason } from './types.js';
 
 /**
  * Wait for the probe of an upstream's process. Its machine answers within a round trip; after a
@@ -83,8 +83,6 @@
     beforeMs: Math.round(performance.now() - atMs),
   }));
 
-const isSuccess = (status: number): boolean => status >= 200 && status < 300;
-
 const isRepeatable = (route: ForwardRoute): boolean =>
   route.kind === 'idempotent' || (route.kind === 'stream' && route.isResumable);
 
@@ -132,6 +130,9 @@
 
   #isFinished = false;
 
+  /** A response was ended by its connection without having brought anything. */
+  #hasEndedEmpty = false;
+
   #digest: RequestDigest | undefined;
 
   #partDigests: readonly RequestDigest[] | undefined;
@@ -219,8 +220,25 @@
     }
   }
 
-  get isInsideEvent(): boolean {
-    return this.#relay.isInsideEvent;
+  get cutReason(): CutReason | undefined {
+    return this.#relay.cutReason;
+  }
+
+  /**
+   * A repeatable request is asked again, and so is one whose response brought nothing, until a second one
+   * brings nothing either. A stream that can't be resumed here any more can be by its caller.
+   */
+  isLostWhenUnproven(evidence: EndEvidence): boolean {
+    const { route } = this.#resolved;
+    const isFirstEmpty = this.#relay.isEmpty && !this.#hasEndedEmpty;
+    this.#hasEndedEmpty ||= this.#relay.isEmpty;
+    if (!isRepeatable(route)) {
+      return false;
+    }
+    if (endVerdicts[evidence] === 'whole') {
+      return isFirstEmpty && isSuccess(this.#status ?? 0) && this.#canTryAgain('unknown');
+    }
+    return route.kind === 'stream' || this.#canTryAgain('unknown');
   }
 
   onEnd(): void {
@@ -646,6 +664,7 @@
     const beside = framing === undefined ? [] : (this.#attempt?.listEndsBeside() ?? []);
     return {
       framing,
+      endEvidence: this.#attempt?.endEvidence,
       events: this.#relay.eventCount,
       lastEventId: this.#relay.lastEventId,
       ...(beside.length === 0 ? {} : { endedBeside: describeEnds(beside) }),
--- a/packages/forwarding/src/runs/relays.ts
+++ b/packages/forwarding/src/runs/relays.ts
@@ -5,7 +5,7 @@
 import type { HeaderDialect, RouteKind } from '../types.js';
 import type { EventMemory } from './eventMemory.js';
 import { EventSplitter } from './eventSplitter.js';
-import type { CallerPort } from './types.js';
+import { isSuccess, type CallerPort } from './types.js';
 
 /**
  * `blocked`: the caller reads more slowly than bytes arrive. `eventTooLong`: the stream has an event
@@ -13,6 +13,8 @@
  */
 export type RelayProgress = 'flowing' | 'blocked' | 'eventTooLong';
 
+export type CutReason = 'insideEvent' | 'noEvent';
+
 const toProgress = (isTaken: boolean): RelayProgress => (isTaken ? 'flowing' : 'blocked');
 
 export interface ResponseRelay {
@@ -23,8 +25,10 @@
   readonly lastEventId: number | undefined;
   /** Complete events that were relayed; undefined for responses that are no streams. */
   readonly eventCount: number | undefined;
-  /** Whether the response would be cut off if its connection ended now. */
-  readonly isInsideEvent: boolean;
+  /** Why the end of its connection can't be the end of the response; undefined if it can be. */
+  readonly cutReason: CutReason | undefined;
+  /** Whether the caller gets nothing of the response, as if its upstream had had nothing to send. */
+  readonly isEmpty: boolean;
   /**
    * A response starts. When a stream is resumed, only the events of the new response are relayed.
    */
@@ -57,7 +61,7 @@
 
   readonly eventCount = undefined;
 
-  readonly isInsideEvent = false;
+  readonly cutReason = undefined;
 
   #head: ResponseHead | undefined;
 
@@ -78,6 +82,10 @@
     return !this.#hasBegun;
   }
 
+  get isEmpty(): boolean {
+    return !this.#hasBegun && this.#buffered.sizeBytes === 0;
+  }
+
   begin(head: ResponseHead): void {
     this.#head = head;
   }
@@ -108,7 +116,8 @@
       return true;
     }
     this.#hasBegun = true;
-    this.#port.begin(head.status, this.#dialect.buildCallerHeaders(head.headers), head.framing);
+    const headers = this.#dialect.buildCallerHeaders(head.headers);
+    this.#port.begin(head.status, headers, head.framing);
     const bytes = this.#buffered.take();
     return bytes.length === 0 || this.#port.write(bytes);
   }
@@ -128,6 +137,11 @@
 
   #eventCount = 0;
 
+  /** Events that were relayed before the current response. */
+  #eventCountBefore = 0;
+
+  #isSuccess = false;
+
   #head: ResponseHead | undefined;
 
   #framing: ResponseFraming = 'chunked';
@@ -158,13 +172,25 @@
   }
 
   /** A response with a framed end is complete whatever it ends with. */
-  get isInsideEvent(): boolean {
-    return this.#framing === 'untilClose' && this.#splitter.restBytes > 0;
+  get cutReason(): CutReason | undefined {
+    if (this.#framing !== 'untilClose' || !this.#isSuccess) {
+      return undefined;
+    }
+    if (this.#splitter.restBytes > 0) {
+      return 'insideEvent';
+    }
+    return this.#lastEventId === undefined && this.#eventCount === 0 ? 'noEvent' : undefined;
+  }
+
+  get isEmpty(): boolean {
+    return this.#eventCount === this.#eventCountBefore;
   }
 
   begin(head: ResponseHead): void {
     this.#head ??= head;
     this.#framing = head.framing;
+    this.#isSuccess = isSuccess(head.status);
+    this.#eventCountBefore = this.#eventCount;
     this.#dropRest();
   }
 
@@ -183,10 +209,6 @@
   }
 
   finish(): void {
-    if (this.#isEndUnknown()) {
-      this.#port.abort();
-      return;
-    }
     this.#memory.resize(this.#splitter.restBytes, 0);
     const rest = this.#splitter.takeRest();
     this.#write(rest);
@@ -205,19 +227,12 @@
     this.#splitter = new EventSplitter();
   }
 
-  /**
-   * True when the resumed response ends by closing its connection, so that its completeness is
-   * unknown, while the caller was promised a response with a framed end.
-   */
-  #isEndUnknown(): boolean {
-    return this.#hasBegun && this.#framing === 'untilClose' && this.#head?.framing !== 'untilClose';
-  }
-
   #write(bytes: Buffer): boolean {
     if (!this.#hasBegun && this.#head !== undefined) {
       this.#hasBegun = true;
       const { status, headers, framing } = this.#head;
-      this.#port.begin(status, this.#dialect.buildCallerHeaders(headers), framing);
+      const callerHeaders = this.#dialect.buildCallerHeaders(headers);
+      this.#port.begin(status, callerHeaders, framing);
     }
     return bytes.length === 0 || this.#port.write(bytes);
   }
--- a/packages/forwarding/src/runs/types.ts
+++ b/packages/forwarding/src/runs/types.ts
@@ -3,6 +3,8 @@
 import type { ResponseFraming } from '../exchange/index.js';
 import type { HoldOffReason } from '../upstreams/index.js';
 
+export const isSuccess = (status: number): boolean => status >= 200 && status < 300;
+
 /** Why a caller gets no response from an upstream. */
 export type RefusalReason =
   | 'notReady'
@@ -32,9 +34,8 @@
 /** The caller's side of one request. */
 export interface CallerPort {
   /**
-   * Starts the response. With `untilClose` the upstream marked its end by closing the connection,
-   * so that its completeness is unknown. The caller's connection is then closed in the same way,
-   * and no framing marks the response as complete.
+   * Starts the response. With `untilClose` it is not certain that the response is whole, and only the
+   * end of the caller's connection marks its end.
    */
   begin(
     status: number,
--- a/packages/forwarding/src/upstreams/exitDetector.ts
+++ b/packages/forwarding/src/upstreams/exitDetector.ts
@@ -86,10 +86,17 @@
    * result of the probe.
    */
   onConnectionLost(request: InFlightRequest): Promise<ExitVerdict> {
+    if (this.#exitedAtMs === undefined) {
+      this.#lost.push(request);
+    }
+    return this.checkProcess();
+  }
+
+  /** Probes the process unless it is known to have exited; requests in flight are lost if it has. */
+  checkProcess(): Promise<ExitVerdict> {
     if (this.#exitedAtMs !== undefined) {
       return Promise.resolve('ended');
     }
-    this.#lost.push(request);
     this.#pendingProbe ??= this.#probeProcess();
     return this.#pendingProbe;
   }
--- a/packages/forwarding/src/upstreams/index.ts
+++ b/packages/forwarding/src/upstreams/index.ts
@@ -1,3 +1,4 @@
+export { endVerdicts, type EndEvidence } from './endProver.js';
 export type { ExitVerdict, InFlightRequest } from './exitDetector.js';
 export { BackOffTracker } from './backOffTracker.js';
 export { BrittleTracker } from './brittleTracker.js';
--- a/packages/forwarding/src/upstreams/upstreamEntry.ts
+++ b/packages/forwarding/src/upstreams/upstreamEntry.ts
@@ -10,6 +10,7 @@
 import type { Upstream } from '../types.js';
 import { ColdState } from './coldState.js';
 import { DataCentreMonitor } from './dataCentreMonitor.js';
+import { EndProver } from './endProver.js';
 import { ExitDetector, type InFlightRequest } from './exitDetector.js';
 import type { RateLimitState } from './rateLimitState.js';
 import { UpstreamStatements } from './upstreamStatements.js';
@@ -52,6 +53,8 @@
 
   readonly exitDetector: ExitDetector;
 
+  readonly endProver: EndProver;
+
   readonly cold = new ColdState();
 
   readonly statements: UpstreamStatements;
@@ -102,6 +105,11 @@
       },
       onAlive: () => listener.onAlive(this.lifeId),
     });
+    this.endProver = new EndProver({
+      pool: this.pool,
+      checkProcess: () => this.exitDetector.checkProcess(),
+      isLeaving: () => this.#isExitExpected,
+    });
     connector.watchPath({ onLost: (isSilent) => this.#onPathLost(isSilent) });
   }
 
@@ -245,7 +253,11 @@
   }
 
   #describeExit(lost: readonly InFlightRequest[]): UpstreamExit {
-    const isExpected = !this.#isListed || this.#isDoubtful || !this.isReady;
+    const isExpected = this.#isExitExpected;
     return { upstream: this.#upstream, lifeId: this.lifeId, isExpected, lost };
   }
+
+  get #isExitExpected(): boolean {
+    return !this.#isListed || this.#isDoubtful || !this.isReady;
+  }
 }
