--- a/packages/forwarding/src/daemon/forwardDaemon.ts
+++ b/packages/forwarding/src/daemon/forwardDaemon.ts
@@ -357,6 +357,7 @@
     } while (this.#isBusy && performance.now() < endAtMs);
     // The process exits a few ms later; a request accepted in between would be lost.
     this.#front.stopTaking();
+    this.#front.abortUnframed();
     this.#logger.info({ event: 'stopped', inFlight: this.#front.inFlight }, 'stopped');
   }
 
--- a/packages/forwarding/src/edge/frontServer.ts
+++ b/packages/forwarding/src/edge/frontServer.ts
@@ -58,7 +58,7 @@
 
   #isClosed = false;
 
-  #inFlight = 0;
+  readonly #running = new Set<HttpCallerPort>();
 
   constructor(dependencies: ForwardDependencies) {
     this.#dependencies = dependencies;
@@ -91,7 +91,7 @@
   }
 
   get inFlight(): number {
-    return this.#inFlight;
+    return this.#running.size;
   }
 
   /** Adopts `listener` if it listens at this address. */
@@ -125,9 +125,18 @@
     this.#server.close();
   }
 
+  /**
+   * Aborts the responses that would look whole if this process exited now. The others are cut by its exit,
+   * and may still end before.
+   */
+  abortUnframed(): void {
+    this.#running.forEach((port) => port.abortUnframed());
+  }
+
   /** Closes all connections, including those with running requests. */
   destroy(): void {
     this.#server.close();
+    this.abortUnframed();
     this.#server.closeAllConnections();
   }
 
@@ -227,10 +236,10 @@
       resolution,
       port,
     );
-    this.#inFlight += 1;
+    this.#running.add(port);
     response.once('finish', () => this.#closeIfDraining(request.socket));
     response.once('close', () => {
-      this.#inFlight -= 1;
+      this.#running.delete(port);
       if (!response.writableFinished) {
         run.cancel();
       }
--- a/packages/forwarding/src/edge/httpCallerPort.ts
+++ b/packages/forwarding/src/edge/httpCallerPort.ts
@@ -27,7 +27,8 @@
     framing: ResponseFraming,
   ): void {
     this.#announceClose();
-    if (framing === 'untilClose') {
+    // Callers of HTTP/1.0 have no chunks.
+    if (framing === 'untilClose' || (framing === 'chunked' && this.#isHttp10)) {
       this.#endsWithConnection = true;
       this.#response.useChunkedEncodingByDefault = false;
       this.#response.setHeader('Connection', 'close');
@@ -55,6 +56,13 @@
     }
   }
 
+  /** Aborts a response that would look complete if its connection were closed. */
+  abortUnframed(): void {
+    if (this.#endsWithConnection && !this.#response.writableFinished) {
+      this.abort();
+    }
+  }
+
   refuse({ reason, retryAfterS }: Refusal): void {
     const { status, message, closesConnection } = refusalForms[reason];
     const body = Buffer.from(`${JSON.stringify({ error: message, reason })}\n`);
@@ -76,6 +84,10 @@
     this.#response.on('drain', listener);
   }
 
+  get #isHttp10(): boolean {
+    return this.#request.httpVersionMajor === 1 && this.#request.httpVersionMinor === 0;
+  }
+
   #announceClose(): void {
     if (this.#mustClose()) {
       this.#response.setHeader('Connection', 'close');
--- a/packages/forwarding/src/runs/relays.ts
+++ b/packages/forwarding/src/runs/relays.ts
@@ -48,6 +48,13 @@
   readonly lastEventId: number | undefined;
 }
 
+/**
+ * Framing of a response that begins before it is known to be whole. One that only the end of its
+ * connection ends would look whole to the caller if this process were killed.
+ */
+const toUnfinishedFraming = (framing: ResponseFraming): ResponseFraming =>
+  framing === 'untilClose' ? 'chunked' : framing;
+
 /**
  * Buffers the complete response, so that a broken one can be requested again. A response above
  * `MAX_HELD_ANSWER_BYTES` is passed through.
@@ -96,12 +103,12 @@
     }
     this.#buffered.append(bytes);
     const isHeld = this.#buffered.sizeBytes <= MAX_HELD_ANSWER_BYTES;
-    return toProgress(isHeld || this.#flush());
+    return toProgress(isHeld || this.#flush(toUnfinishedFraming));
   }
 
   finish(): void {
     if (!this.#hasBegun) {
-      this.#flush();
+      this.#flush((framing) => framing);
     }
     this.#port.end();
   }
@@ -110,14 +117,14 @@
     this.#buffered.take();
   }
 
-  #flush(): boolean {
+  #flush(toFraming: (framing: ResponseFraming) => ResponseFraming): boolean {
     const head = this.#head;
     if (head === undefined) {
       return true;
     }
     this.#hasBegun = true;
     const headers = this.#dialect.buildCallerHeaders(head.headers);
-    this.#port.begin(head.status, headers, head.framing);
+    this.#port.begin(head.status, headers, toFraming(head.framing));
     const bytes = this.#buffered.take();
     return bytes.length === 0 || this.#port.write(bytes);
   }
@@ -232,7 +239,7 @@
       this.#hasBegun = true;
       const { status, headers, framing } = this.#head;
       const callerHeaders = this.#dialect.buildCallerHeaders(headers);
-      this.#port.begin(status, callerHeaders, framing);
+      this.#port.begin(status, callerHeaders, toUnfinishedFraming(framing));
     }
     return bytes.length === 0 || this.#port.write(bytes);
   }
