--- a/packages/forwarding/src/relay/upstreamPath.ts
+++ b/packages/forwarding/src/relay/upstreamPath.ts
@@ -92,6 +92,9 @@
    */
   async probe(): Promise<ProbeOutcome> {
     const { relays, supervisor, target } = this.#options;
+    if (this.#isBlocked && relays.hasPeers) {
+      return relays.probe(target);
+    }
     const outcome = await this.probeDirect();
     if (outcome !== 'refused') {
       return outcome;
