--- a/packages/platform/src/httpCaller.test.ts
+++ b/packages/platform/src/httpCaller.test.ts
@@ -51,6 +51,18 @@
   server.close();
 });
 
+// Guards against a part of an object that is taken for the whole object.
+test('a read that is ended by its connection alone is no answer', async () => {
+  const caller = new HttpCaller(url, TIMEOUT_MS);
+  answer = (response) => {
+    Object.assign(response, { useChunkedEncodingByDefault: false });
+    response.writeHead(200, { connection: 'close' });
+    response.end('half');
+  };
+  assert.instance(await getError(caller.call(READ)), PlatformOutcomeUnknownError);
+  await caller.close();
+});
+
 test('tells what was surely not done from what may have been done', async () => {
   // Symptom: a write is taken for not done and made again, or the other way round.
   // Sequence: the platform refuses, breaks the connection after the write, or is not there.
--- a/packages/platform/src/httpCaller.ts
+++ b/packages/platform/src/httpCaller.ts
@@ -16,6 +16,7 @@
   readonly bytes: Uint8Array;
 }
 
+const HTTP_NO_CONTENT = 204;
 const HTTP_NOT_FOUND = 404;
 const HTTP_OK_LIMIT = 300;
 const ABSENCE_METHODS: ReadonlySet<PlatformCall['method']> = new Set(['GET', 'DELETE']);
@@ -25,6 +26,12 @@
   return Number.isFinite(seconds) ? { retryAfterMs: seconds * MS_PER_SECOND } : {};
 };
 
+/** A cut answer of this kind looks like a whole one, and objects don't tell. */
+const isUnframed = ({ statusCode, headers }: Dispatcher.ResponseData): boolean =>
+  statusCode !== HTTP_NO_CONTENT &&
+  headers['content-length'] === undefined &&
+  headers['transfer-encoding'] === undefined;
+
 /** Calls one platform service over kept-alive connections. */
 export class HttpCaller {
   readonly #baseUrl: string;
@@ -79,6 +86,9 @@
           : { body: call.body, headers: { 'content-type': 'application/json' } }),
       });
       const bytes = new Uint8Array(await response.body.arrayBuffer());
+      if (call.method === 'GET' && isUnframed(response)) {
+        throw new Error('the answer has neither a length nor chunks');
+      }
       return { status: response.statusCode, bytes, hint: getRetryAfter(response) };
     } catch (error) {
       this.#dropAgent(agent);
