--- a/packages/proofs/src/platformSoak/outside/backEnds.ts
+++ b/packages/proofs/src/platformSoak/outside/backEnds.ts
@@ -69,6 +69,10 @@
 /** In chunks: callers can't always tell an answer without a length that was cut from a whole one. */
 const ENDLESS_PIECE = renderChunk('data: no end here '.repeat(3_000));
 
+const UNFRAMED_ONE_IN = 4;
+const CLOSING = { Connection: 'close' };
+const CHUNKED = { 'Transfer-Encoding': 'chunked' };
+
 const PLAIN_WORK_MS = 25;
 const EVENT_GAP_MS = 15;
 const REJECTION_WINDOW_MS = 1_000;
@@ -82,9 +86,17 @@
 /** A little always fails, as in life. */
 export const USUAL_FAILURE_SHARE = 0.02;
 
+/** The hash is signed. */
+const hashModulo = (key: string, divisor: number): number =>
+  Math.abs(hashAffinityKey(key)) % divisor;
+
 /** How many events the attempt's whole stream has. */
 export const countEvents = (attemptId: string): number =>
-  MIN_EVENTS + (hashAffinityKey(attemptId) % EVENT_SPREAD);
+  MIN_EVENTS + hashModulo(attemptId, EVENT_SPREAD);
+
+/** Whether the attempt's answer has neither a length nor chunks, and ends with its connection. */
+const isUnframed = (attemptId: string): boolean =>
+  hashModulo(`framing of ${attemptId}`, UNFRAMED_ONE_IN) === 0;
 
 export const renderPlainBody = (attemptId: string): string => `answer of ${attemptId}`;
 
@@ -349,6 +361,8 @@
     const head = this.#renderHead(backEnd, request, run.status, length);
     if (way === 'cut') {
       socket.end(head + body.slice(1));
+    } else if (isUnframed(run.attemptId)) {
+      socket.end(this.#renderHead(backEnd, request, run.status, CLOSING) + body);
     } else {
       this.#reply(socket, head + body);
     }
@@ -376,11 +390,13 @@
       socket.write(this.#renderHead(backEnd, request, 500, { 'Content-Length': '0' }));
       return;
     }
+    const isClosing = isUnframed(run.attemptId);
+    const render = isClosing ? renderEvent : (id: number) => renderChunk(renderEvent(id));
     socket.write(
       this.#renderHead(backEnd, request, 200, {
         'Content-Type': 'text/event-stream',
-        'Transfer-Encoding': 'chunked',
-        'X-Confidence': String(hashAffinityKey(run.attemptId) % 100),
+        ...(isClosing ? CLOSING : CHUNKED),
+        'X-Confidence': String(hashModulo(run.attemptId, 100)),
       }),
     );
     const from = Number(request.headers.get('last-event-id') ?? 0);
@@ -391,17 +407,23 @@
         : from + 1 + this.#random.nextInt(count);
     for (let id = from + 1; id <= count && !socket.destroyed; id += 1) {
       if (id >= cutAt) {
-        socket.write(renderChunk(renderEvent(id).slice(0, 7)));
+        const part = renderEvent(id).slice(0, 7);
+        socket.write(isClosing ? part : renderChunk(part));
         socket.resetAndDestroy();
         return;
       }
       if (way === 'crash' && id === count) {
         return;
       }
-      socket.write(renderChunk(renderEvent(id)));
+      socket.write(render(id));
       await sleep(EVENT_GAP_MS);
     }
-    if (!socket.destroyed && way !== 'crash') {
+    if (socket.destroyed || way === 'crash') {
+      return;
+    }
+    if (isClosing) {
+      socket.end();
+    } else {
       socket.write('0\r\n\r\n');
     }
   }
