--- a/packages/forwarding/src/exchange/types.ts
+++ b/packages/forwarding/src/exchange/types.ts
@@ -42,7 +42,7 @@
   onReadable(): void;
   onHead(head: ResponseHead): void;
   onData(bytes: Buffer): void;
-  /** The response is complete. */
+  /** The response is complete, or has been ended by its connection (`untilClose`). */
   onEnd(): void;
   /** Called at most once, and never after `onEnd` or `abort`. */
   onFailure(failure: ExchangeFailure): void;
--- a/packages/forwarding/src/exchange/upstreamConnection.ts
+++ b/packages/forwarding/src/exchange/upstreamConnection.ts
@@ -24,6 +24,10 @@
 /** Required by the client, which neither resolves nor sends it: requests have a `Host` of their own. */
 const UPSTREAM_ORIGIN = 'http://upstream';
 
+/** Whether the HTTP client itself destroyed the connection, as after an idle time-out. */
+const isClientError = ({ code }: NodeJS.ErrnoException): boolean =>
+  code?.startsWith('UND_ERR') === true;
+
 export interface ConnectionObserver {
   /** Called when it is open. `startedAtMs`: when it began to be opened. */
   onOpened(connection: UpstreamConnection, startedAtMs: number): void;
@@ -183,9 +187,11 @@
     // These listeners run before the library's own. undici reports a response without a length, or
     // a chunked one on a connection that closes, as complete when the socket is reset or ends
     // early; the exchange reads these flags to recognize an incomplete response.
-    stream.on('error', () => {
+    stream.on('error', (error: NodeJS.ErrnoException) => {
       this.#hasFailed = true;
-      this.#reportEnd('reset');
+      if (!isClientError(error)) {
+        this.#reportEnd('reset');
+      }
     });
     stream.on('end', () => {
       this.#hasEnded = true;
