--- a/packages/forwarding/src/upstreams/endProver.ts
+++ b/packages/forwarding/src/upstreams/endProver.ts
@@ -50,7 +50,9 @@
       return 'accepting';
     }
     const ends = pool.ends.listOthersSince(endedAtMs - END_TOGETHER_MS, attemptId);
-    if (ends.length === 0 && others.some((connection) => pool.isOpen(connection))) {
+    const open = others.filter((connection) => pool.isOpen(connection));
+    // Some end by chance at the same time, and the end of one may be delayed on its way.
+    if (open.length > ends.length) {
       return 'connectionsOpen';
     }
     const evidence: Readonly<Record<ExitVerdict, EndEvidence>> = {
