--- a/packages/forwarding/src/runs/attempt.ts
+++ b/packages/forwarding/src/runs/attempt.ts
@@ -63,10 +63,10 @@
   /** Why the end of its connection can't be the end of the response; undefined if it can be. */
   readonly cutReason: CutReason | undefined;
   /**
-   * The response has ended with its connection, and this does not prove that it is whole. Returns true if
-   * it is to count as lost.
+   * The response has ended with its connection, and the upstream showed no sign that it is cut. Returns
+   * true if it is to count as lost all the same.
    */
-  isLostWhenUnproven(evidence: EndEvidence): boolean;
+  isLostAtEnd(evidence: EndEvidence): boolean;
   /** Called when the request is held back and this attempt's response has not begun. */
   onHeld(): void;
 }
@@ -381,7 +381,7 @@
     }
     const isLost =
       this.#isListening &&
-      (endVerdicts[evidence] === 'cut' || this.#listener.isLostWhenUnproven(evidence));
+      (endVerdicts[evidence] === 'cut' || this.#listener.isLostAtEnd(evidence));
     if (isLost) {
       const cause = `connection ended, which does not prove the end: ${evidence}`;
       this.#onFailure({ verdict: 'broken', cause });
--- a/packages/forwarding/src/runs/forwardRun.ts
+++ b/packages/forwarding/src/runs/forwardRun.ts
@@ -228,7 +228,7 @@
    * A repeatable request is asked again, and so is one whose response brought nothing, until a second one
    * brings nothing either. A stream that can't be resumed here any more can be by its caller.
    */
-  isLostWhenUnproven(evidence: EndEvidence): boolean {
+  isLostAtEnd(evidence: EndEvidence): boolean {
     const { route } = this.#resolved;
     const isFirstEmpty = this.#relay.isEmpty && !this.#hasEndedEmpty;
     this.#hasEndedEmpty ||= this.#relay.isEmpty;
--- a/packages/forwarding/src/runs/relays.ts
+++ b/packages/forwarding/src/runs/relays.ts
@@ -27,7 +27,7 @@
   readonly eventCount: number | undefined;
   /** Why the end of its connection can't be the end of the response; undefined if it can be. */
   readonly cutReason: CutReason | undefined;
-  /** Whether the caller gets nothing of the response, as if its upstream had had nothing to send. */
+  /** Whether the response has brought nothing that the caller can get. */
   readonly isEmpty: boolean;
   /**
    * A response starts. When a stream is resumed, only the events of the new response are relayed.
--- a/packages/forwarding/src/upstreams/exitDetector.ts
+++ b/packages/forwarding/src/upstreams/exitDetector.ts
@@ -92,7 +92,7 @@
     return this.checkProcess();
   }
 
-  /** Probes the process unless it is known to have exited; requests in flight are lost if it has. */
+  /** Probes the process unless it is known to have exited. If it has, its requests in flight are lost. */
   checkProcess(): Promise<ExitVerdict> {
     if (this.#exitedAtMs !== undefined) {
       return Promise.resolve('ended');
