--- a/packages/forwarding/src/runs/forwardRun.ts
+++ b/packages/forwarding/src/runs/forwardRun.ts
@@ -130,9 +130,14 @@
 
   #isFinished = false;
 
-  /** A response was ended by its connection without having brought anything. */
+  /** Of a whole response that brought nothing and is asked for once more; undefined once one brings more. */
+  #emptyHead: ResponseHead | undefined;
+
   #hasEndedEmpty = false;
 
+  /** Of the current response. */
+  #head: ResponseHead | undefined;
+
   #digest: RequestDigest | undefined;
 
   #partDigests: readonly RequestDigest[] | undefined;
@@ -211,6 +216,7 @@
   }
 
   onData(bytes: Buffer): void {
+    this.#emptyHead = undefined;
     this.#timing.recordBytes(performance.now());
     const progress = this.#relay.relay(bytes);
     if (progress === 'blocked') {
@@ -230,18 +236,27 @@
    */
   isLostAtEnd(evidence: EndEvidence): boolean {
     const { route } = this.#resolved;
-    const isFirstEmpty = this.#relay.isEmpty && !this.#hasEndedEmpty;
-    this.#hasEndedEmpty ||= this.#relay.isEmpty;
     if (!isRepeatable(route)) {
       return false;
     }
     if (endVerdicts[evidence] === 'whole') {
-      return isFirstEmpty && isSuccess(this.#status ?? 0) && this.#canTryAgain('unknown');
+      return this.#asksAgainAfterEmpty();
     }
     return route.kind === 'stream' || this.#canTryAgain('unknown');
   }
 
+  #asksAgainAfterEmpty(): boolean {
+    const isSure = this.#hasEndedEmpty || !this.#relay.isEmpty;
+    if (isSure || !isSuccess(this.#status ?? 0) || !this.#canTryAgain('unknown')) {
+      return false;
+    }
+    this.#hasEndedEmpty = true;
+    this.#emptyHead = this.#head;
+    return true;
+  }
+
   onEnd(): void {
+    this.#emptyHead = undefined;
     this.#relay.finish();
     this.#reportSuccess();
     this.#log('answered', {
@@ -328,6 +343,7 @@
       return;
     }
     this.#status = head.status;
+    this.#head = head;
     this.#confidence = head.facts.confidence;
     this.#relay.begin(head);
   }
@@ -628,6 +644,10 @@
     if (this.#isFinished) {
       return;
     }
+    if (this.#emptyHead !== undefined) {
+      this.#concludeEmpty(this.#emptyHead, reason);
+      return;
+    }
     const finalReason = this.#mayHaveRun ? toReasonAfterRun(reason) : reason;
     const hold = reason === 'held' ? this.#hold : undefined;
     const afterS = finalReason === reason ? knownAfterS : undefined;
@@ -649,6 +669,19 @@
     this.#finish(finalReason);
   }
 
+  /** The response that brought nothing was whole, and asking once more has failed for this reason. */
+  #concludeEmpty(head: ResponseHead, reason: RefusalReason): void {
+    this.#relay.begin(head);
+    this.#relay.finish();
+    this.#log('answered', {
+      status: head.status,
+      attempts: this.#countedAttempts,
+      notConfirmed: reason,
+      ...this.#describeEnd(),
+    });
+    this.#finish('answered');
+  }
+
   #finish(outcome: string): void {
     this.#isFinished = true;
     clearTimeout(this.#deadlineTimer);
