--- a/packages/forwarding/src/runs/forwardRun.ts
+++ b/packages/forwarding/src/runs/forwardRun.ts
@@ -135,6 +135,9 @@
 
   #hasEndedEmpty = false;
 
+  /** A response was lost inside an event that none has brought since. */
+  #isEventMissing = false;
+
   /** Of the current response. */
   #head: ResponseHead | undefined;
 
@@ -240,11 +243,20 @@
       return false;
     }
     if (endVerdicts[evidence] === 'whole') {
-      return this.#asksAgainAfterEmpty();
+      return this.#isStillMissingEvent || this.#asksAgainAfterEmpty();
     }
     return route.kind === 'stream' || this.#canTryAgain('unknown');
   }
 
+  #dropPending(): void {
+    this.#isEventMissing = this.#relay.isInsideEvent || this.#isStillMissingEvent;
+    this.#relay.discardPending();
+  }
+
+  get #isStillMissingEvent(): boolean {
+    return this.#isEventMissing && this.#relay.isEmpty;
+  }
+
   #asksAgainAfterEmpty(): boolean {
     const isSure = this.#hasEndedEmpty || !this.#relay.isEmpty;
     if (isSure || !isSuccess(this.#status ?? 0) || !this.#canTryAgain('unknown')) {
@@ -277,7 +289,7 @@
       return;
     }
     this.#mayHaveRun = true;
-    this.#relay.discardPending();
+    this.#dropPending();
     void this.#retryOrConcludeAfterLoss(cause);
   }
 
@@ -301,7 +313,7 @@
     }
     this.#attempt?.abort();
     this.#mayHaveRun = true;
-    this.#relay.discardPending();
+    this.#dropPending();
     this.#log('movedOnSilence', { silentMs: Math.round(silentMs) });
     this.#resend();
     return true;
--- a/packages/forwarding/src/runs/relays.ts
+++ b/packages/forwarding/src/runs/relays.ts
@@ -27,6 +27,8 @@
   readonly eventCount: number | undefined;
   /** Why the end of its connection can't be the end of the response; undefined if it can be. */
   readonly cutReason: CutReason | undefined;
+  /** Whether a part of an event is held, whose rest must follow. */
+  readonly isInsideEvent: boolean;
   /** Whether the response has brought nothing that the caller can get. */
   readonly isEmpty: boolean;
   /**
@@ -70,6 +72,8 @@
 
   readonly cutReason = undefined;
 
+  readonly isInsideEvent = false;
+
   #head: ResponseHead | undefined;
 
   readonly #buffered = new ByteCollector();
@@ -183,12 +187,16 @@
     if (this.#framing !== 'untilClose' || !this.#isSuccess) {
       return undefined;
     }
-    if (this.#splitter.restBytes > 0) {
+    if (this.isInsideEvent) {
       return 'insideEvent';
     }
     return this.#lastEventId === undefined && this.#eventCount === 0 ? 'noEvent' : undefined;
   }
 
+  get isInsideEvent(): boolean {
+    return this.#splitter.restBytes > 0;
+  }
+
   get isEmpty(): boolean {
     return this.#eventCount === this.#eventCountBefore;
   }
