--- a/packages/standins/src/published/standinDocuments.ts
+++ b/packages/standins/src/published/standinDocuments.ts
@@ -16,8 +16,17 @@
   readonly store: string;
   /** `host:port` of VMs that may know the others. */
   readonly seeds?: readonly string[];
+  readonly memoryLimitMb?: number;
+  readonly maxDescriptors?: number;
 }
 
+const renderLimits = ({ memoryLimitMb, maxDescriptors }: VmFacts): string =>
+  [
+    '[limits]',
+    ...(memoryLimitMb === undefined ? [] : [`memory-limit-mb = ${memoryLimitMb}`]),
+    ...(maxDescriptors === undefined ? [] : [`max-fds = ${maxDescriptors}`]),
+  ].join('\n');
+
 export const renderSettings = (vm: VmFacts): string => `
 node-name = "${vm.name}"
 bind-ip = "${vm.address}"
@@ -37,6 +46,7 @@
 canary-slack = 30
 [platform]
 address = "${vm.store}"
+${renderLimits(vm)}
 `;
 
 export type RouteName = 'read' | 'write' | 'chat';
@@ -84,6 +94,7 @@
     readonly routes?: readonly Readonly<Record<string, unknown>>[];
     /** Of the plain service. */
     readonly plain?: Readonly<Record<string, unknown>>;
+    readonly limits?: Readonly<Record<string, number>>;
   } = {},
 ) => ({
   version,
@@ -108,6 +119,7 @@
     'max-body-bytes': 10_000,
     'header-timeout-ms': 1_000,
     'idle-timeout-ms': 4_000,
+    ...changes.limits,
   },
   tenants: [{ name: 'north', 'api-keys': changes.keys ?? [KEY] }],
 });
--- a/tools/runTests.mjs
+++ b/tools/runTests.mjs
@@ -1,6 +1,7 @@
 /**
  * Runs every compiled test file in a process of its own, some at a time, and closes with one line
- * of counts. Usage: node tools/runTests.mjs [package ...] . With CI=true, a failing file does not
+ * of counts. Files named `*.alone.test.ts` run after the others, one at a time.
+ * Usage: node tools/runTests.mjs [package ...] . With CI=true, a failing file does not
  * fail the run if KNOWN-RED.txt lists every failed test in it; the matching lines are printed. Line
  * format: `test file, "test name", command, what was seen, issue`.
  */
@@ -66,8 +67,8 @@
   });
 
 const results = [];
-const queue = [...files];
-const work = async () => {
+const isAlone = (file) => file.endsWith('.alone.test.js');
+const runQueue = async (queue) => {
   for (let file = queue.shift(); file; file = queue.shift()) {
     const result = await runFile(file);
     results.push(result);
@@ -76,7 +77,9 @@
     if (result.failed > 0) console.log(result.output);
   }
 };
-await Promise.all(Array.from({ length: parallel }, work));
+const shared = files.filter((file) => !isAlone(file));
+await Promise.all(Array.from({ length: parallel }, () => runQueue(shared)));
+await runQueue(files.filter(isAlone));
 
 /** Parses the failed test names from the output of `uvu`. */
 const listFailedTests = (output) =>
