--- a/platform/src/testSupport/hostileCrowd.ts
+++ b/packages/standins/src/published/hostileCrowd.ts
@@ -1,13 +1,17 @@
 /** Clients that keep no limits, on raw connections: what they send is bounded, what they read is nothing. */
 import { connect, type Socket } from 'node:net';
 import { sleep } from '@snipehaven/common';
-import type { SocketAddress } from '@snipehaven/forwarding';
 
 const SETTLE_CHECK_MS = 100;
 const CALM_CHECKS = 6;
 const MAX_CHECKS = 300;
 const RECONNECT_MS = 20;
 
+interface Target {
+  readonly host: string;
+  readonly port: number;
+}
+
 /** All that one client sends. */
 export type ClientScript = () => Iterable<Buffer>;
 
@@ -38,7 +42,7 @@
   () => [Buffer.from(text, 'latin1')];
 
 export class HostileCrowd {
-  readonly #target: SocketAddress;
+  readonly #target: Target;
 
   readonly #options: CrowdOptions;
 
@@ -48,7 +52,7 @@
 
   #isClosed = false;
 
-  constructor(target: SocketAddress, options: CrowdOptions = {}) {
+  constructor(target: Target, options: CrowdOptions = {}) {
     this.#target = target;
     this.#options = options;
   }
@@ -70,6 +74,11 @@
     }
   }
 
+  /** Ends the connections in order: what they have sent is still read. */
+  leave(): void {
+    this.#sockets.forEach((socket) => socket.destroy());
+  }
+
   close(): void {
     this.#isClosed = true;
     this.#sockets.forEach((socket) => socket.resetAndDestroy());
--- a/packages/standins/src/published/index.ts
+++ b/packages/standins/src/published/index.ts
@@ -2,3 +2,10 @@
 export * from './standinDocuments.js';
 export * from './standinStore.js';
 export * from './standinUpstream.js';
+export {
+  HostileCrowd,
+  sendOnce,
+  sendRepeated,
+  type ClientScript,
+  type CrowdOptions,
+} from './hostileCrowd.js';
