--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -11,6 +11,7 @@
 export * from './logger.js';
 export * from './random.js';
 export * from './rendezvous.js';
+export * from './shortenName.js';
 export * from './sleep.js';
 export * from './stallMonitor.js';
 export * from './withTimeout.js';
--- a/packages/forwarding/src/edge/frontServer.ts
+++ b/packages/forwarding/src/edge/frontServer.ts
@@ -1,5 +1,5 @@
 /** The HTTP/1.1 server for callers. */
-import { afterPendingReads } from '@snipehaven/common';
+import { afterPendingReads, shortenName } from '@snipehaven/common';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { RouteTable } from '../configuration/routeTable.js';
@@ -151,7 +151,7 @@
     const { configuration, dialect } = this.#dependencies;
     const { table } = configuration;
     const options = dialect.readRequest(request.headers);
-    this.#dependencies.stalls.note('callerRequest', options.attemptId);
+    this.#dependencies.stalls.note('callerRequest', shortenName(options.attemptId));
     if (table === undefined) {
       this.#refuse(port, options, { reason: 'notReady', retryAfterS: NOT_READY_RETRY_AFTER_S });
       return;
@@ -271,7 +271,7 @@
     const { logger, metrics, configuration } = this.#dependencies;
     logger.info({
       event: 'refusedAtOnce',
-      request: options.attemptId,
+      request: shortenName(options.attemptId),
       reason: refusal.reason,
       configuration: configuration.table?.configuration.version,
       configurationAgeMs: Math.round(configuration.freshness.ageMs),
--- a/packages/forwarding/src/exchange/exchange.ts
+++ b/packages/forwarding/src/exchange/exchange.ts
@@ -1,5 +1,5 @@
 /** Sends one request to one upstream and reports how far it got. */
-import { getErrorMessage } from '@snipehaven/common';
+import { getErrorMessage, shortenName } from '@snipehaven/common';
 import type { Dispatcher } from 'undici';
 import type { AnswerMetadata, HeaderDialect, HeaderMap } from '../types.js';
 import { MAX_ANSWER_BYTES } from '../constants.js';
@@ -87,7 +87,7 @@
   start(): this {
     const { method, target, headers, body, attemptId } = this.#request;
     this.#connection.dispatch(
-      attemptId,
+      shortenName(attemptId),
       {
         method,
         path: target,
--- a/packages/forwarding/src/runs/attempt.ts
+++ b/packages/forwarding/src/runs/attempt.ts
@@ -1,5 +1,5 @@
 /** Sends a request to one upstream and tracks its load, silence and outcome. */
-import type { RequestDigest } from '@snipehaven/common';
+import { shortenName, type RequestDigest } from '@snipehaven/common';
 import {
   END_TOGETHER_MS,
   MIN_SILENCE_MS,
@@ -167,8 +167,9 @@
     );
   }
 
+  /** Of bounded length, as it is logged and remembered. */
   get attemptId(): string {
-    return this.#request.options.attemptId;
+    return shortenName(this.#request.options.attemptId);
   }
 
   /** How the end of the response is marked; undefined before its headers. */
--- a/packages/forwarding/src/runs/forwardRun.ts
+++ b/packages/forwarding/src/runs/forwardRun.ts
@@ -1,5 +1,5 @@
 /** Handles one caller attempt, from the complete request to the final response. */
-import { sleep, type RequestDigest } from '@snipehaven/common';
+import { shortenName, sleep, type RequestDigest } from '@snipehaven/common';
 import {
   isUnspent,
   mayTryAgain,
@@ -719,7 +719,7 @@
   #log(event: string, fields: Readonly<Record<string, unknown>>): void {
     this.#dependencies.logger.info({
       event,
-      request: this.#request.options.attemptId,
+      request: shortenName(this.#request.options.attemptId),
       route: this.#resolved.route.name,
       atMs: Math.round(performance.now() - this.#request.arrivedAtMs),
       ...fields,
--- a/packages/forwarding/src/runs/versionReporter.ts
+++ b/packages/forwarding/src/runs/versionReporter.ts
@@ -2,6 +2,7 @@
  * Reports to the roll-out how one attempt went on its software version, and which session it
  * served.
  */
+import { shortenName } from '@snipehaven/common';
 import type { AwaitedAnswer, BodyProgress, RolloutWork } from '../rollouts/index.js';
 import type { UpstreamEntry, UpstreamOutcome } from '../upstreams/index.js';
 import type { CallerRequest } from './callerRequest.js';
@@ -159,7 +160,7 @@
     const { session, attemptId } = this.#request.options;
     const { service, softwareVersion } = this.#work;
     if (session !== undefined) {
-      const answer = { service, session, softwareVersion, request: attemptId };
+      const answer = { service, session, softwareVersion, request: shortenName(attemptId) };
       this.#dependencies.rollouts.recordSessionRun(answer);
     }
   }
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -124,6 +124,7 @@
 }
 
 export interface PromptPart {
+  /** In a form of bounded length. */
   readonly id: string;
   readonly tokens: number;
 }
@@ -137,6 +138,7 @@
    */
   readonly deadlineMs?: number;
   readonly teamKey?: string;
+  /** In a form of bounded length. */
   readonly session?: string;
   readonly promptTokens: number;
   readonly maxOutputTokens: number;
