--- a/packages/forwarding/src/peers/roster.ts
+++ b/packages/forwarding/src/peers/roster.ts
@@ -13,6 +13,9 @@
  */
 const EXPIRY_MS = 120_000;
 
+/** Several times the daemons of the largest fleet; others can't make the roster grow beyond. */
+const MAX_MEMBERS = 2_000;
+
 export class Roster {
   readonly #directory: PeerDirectory;
 
@@ -25,7 +28,9 @@
   /** Records that the daemon was heard of at that time, directly or through a roster. */
   record(peer: Peer, heardAtMs: number): void {
     const known = this.#heardAtMs.get(peer.vm);
-    if (known !== undefined && known >= heardAtMs) {
+    const isUnwanted =
+      known === undefined ? this.#heardAtMs.size >= MAX_MEMBERS : known >= heardAtMs;
+    if (isUnwanted) {
       return;
     }
     this.#heardAtMs.set(peer.vm, heardAtMs);
