--- a/packages/forwarding/src/daemon/addGauges.ts
+++ b/packages/forwarding/src/daemon/addGauges.ts
@@ -49,6 +49,11 @@
     () => eventMemory.sharedBytes,
   );
   metrics.addGauge('snipehaven_in_flight', 'Requests in flight.', () => front.inFlight);
+  metrics.addGauge(
+    'snipehaven_caller_connections',
+    'Open connections of callers.',
+    () => front.connections,
+  );
   metrics.addGauge(
     'snipehaven_configuration_version',
     'Version of the configuration in force.',
--- a/packages/forwarding/src/daemon/forwardDaemon.ts
+++ b/packages/forwarding/src/daemon/forwardDaemon.ts
@@ -1,4 +1,5 @@
 /** A daemon of the forward path. All daemons are alike and keep no state beyond the process. */
+import { getHeapStatistics } from 'node:v8';
 import {
   createRandom,
   getEntropySeed,
@@ -12,7 +13,15 @@
 import { ConfigurationHolder } from '../configuration/configurationHolder.js';
 import { Freshness } from '../configuration/freshness.js';
 import { StoreClock } from '../configuration/storeClock.js';
-import { ForwardMetrics, FrontServer, StatusServer, type CallerListener } from '../edge/index.js';
+import {
+  findCallerLimits,
+  ForwardMetrics,
+  FrontServer,
+  LimitReporter,
+  StatusServer,
+  type CallerListener,
+  type CountLimited,
+} from '../edge/index.js';
 import type { OpenSocket } from '../exchange/index.js';
 import { RolloutTracker, RolloutKeeper } from '../rollouts/index.js';
 import { EventMemory } from '../runs/index.js';
@@ -146,13 +155,9 @@
 
   readonly #front: FrontServer;
 
-  readonly #readiness = new StatusServer(() => this.#renderReadiness());
+  readonly #readiness: StatusServer;
 
-  readonly #metricsServer = new StatusServer(async () => ({
-    status: 200,
-    contentType: 'text/plain; version=0.0.4',
-    body: await this.#metrics.render(),
-  }));
+  readonly #metricsServer: StatusServer;
 
   readonly #watchers: readonly TableWatcher[];
 
@@ -250,7 +255,21 @@
       onPeer: (peer) => this.#exchange.addPeer(peer),
     });
     this.#exchange = this.#createExchange();
-    this.#front = new FrontServer({
+    this.#readiness = new StatusServer(
+      () => this.#renderReadiness(),
+      this.#createReporter('readiness'),
+    );
+    this.#metricsServer = new StatusServer(
+      async () => ({
+        status: 200,
+        contentType: 'text/plain; version=0.0.4',
+        body: await this.#metrics.render(),
+      }),
+      this.#createReporter('metrics'),
+    );
+    const { processLimits } = adapter.settings;
+    const limits = findCallerLimits(processLimits, getHeapStatistics().heap_size_limit);
+    this.#front = new FrontServer(this.#createReporter('callers'), limits, {
       configuration: this.#configuration,
       directory: this.#directory,
       upstreamGate: new UpstreamGate(this.#exchange, this.#places.borrower),
@@ -398,6 +417,11 @@
     return store;
   }
 
+  #createReporter(port: string): LimitReporter {
+    const count: CountLimited = (limit) => this.#metrics.countLimited(limit, port);
+    return new LimitReporter(this.#logger, count, port);
+  }
+
   #renderReadiness() {
     const isReady = this.#leaving === undefined && this.#front.isInformed;
     return {
--- a/packages/forwarding/src/daemon/types.ts
+++ b/packages/forwarding/src/daemon/types.ts
@@ -5,6 +5,7 @@
 import type { RequestDigest } from '@snipehaven/common';
 import type { RepeatBudgetSettings } from '@snipehaven/policy';
 import type { StatusDocument } from './statusDocument.js';
+import type { ProcessLimits } from '../edge/index.js';
 import type { EraObserver, RowStore, StoreRow } from '../store/index.js';
 import type { HoldRecord } from '../crashes/index.js';
 import type { Peer } from '../peers/index.js';
@@ -44,6 +45,7 @@
   /** Requests that such a version may get beyond that share. */
   readonly exposureSlack: number;
   readonly repeatBudget: RepeatBudgetSettings;
+  readonly processLimits: ProcessLimits;
 }
 
 export type OperatorDocument =
--- a/packages/forwarding/src/edge/forwardMetrics.ts
+++ b/packages/forwarding/src/edge/forwardMetrics.ts
@@ -12,6 +12,7 @@
 import type { RolloutStage } from '../rollouts/types.js';
 import type { RouteKind } from '../types.js';
 import type { EndEvidence } from '../upstreams/index.js';
+import type { CallerLimit } from './limits/index.js';
 
 const MAX_LATENCY_MS = 120_000;
 
@@ -42,6 +43,8 @@
 
   readonly #sessionMoves: Counter;
 
+  readonly #limited: Counter;
+
   readonly #latency: Gauge;
 
   readonly #histograms = new Map<RouteKind, Histogram>();
@@ -114,6 +117,12 @@
       labelNames: ['stage'],
       registers,
     });
+    this.#limited = new Counter({
+      name: 'snipehaven_limited_total',
+      help: 'Times that clients met a limit of what they may make this process hold, by limit and port.',
+      labelNames: ['limit', 'port'],
+      registers,
+    });
     this.#latency = new Gauge({
       name: 'snipehaven_forward_ms',
       help: 'Time to the end of whole answers, in milliseconds.',
@@ -197,6 +206,10 @@
     this.#sessionMoves.inc({ stage });
   }
 
+  countLimited(limit: CallerLimit, port: string): void {
+    this.#limited.inc({ limit, port });
+  }
+
   async render(): Promise<string> {
     this.#histograms.forEach((histogram, kind) => {
       LATENCY_QUANTILES.forEach((quantile) => {
--- a/packages/forwarding/src/edge/frontServer.ts
+++ b/packages/forwarding/src/edge/frontServer.ts
@@ -1,6 +1,6 @@
 /** The HTTP/1.1 server for callers. */
 import { afterPendingReads, shortenName } from '@snipehaven/common';
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { RouteTable } from '../configuration/routeTable.js';
 import { LEAVING_RETRY_AFTER_S, NOT_READY_RETRY_AFTER_S } from '../constants.js';
@@ -16,6 +16,14 @@
 } from '../runs/index.js';
 import type { RequestOptions, SocketAddress } from '../types.js';
 import { HttpCallerPort } from './httpCallerPort.js';
+import {
+  createBoundedServer,
+  findCallerConnection,
+  type CallerConnections,
+  type CallerLimit,
+  type CallerLimits,
+  type LimitReporter,
+} from './limits/index.js';
 import { listenOn, adoptListener } from './listenOn.js';
 import { readCallerBody } from './readCallerBody.js';
 import { StartupQueue } from './startupQueue.js';
@@ -60,21 +68,34 @@
 
   readonly #running = new Set<HttpCallerPort>();
 
-  constructor(dependencies: ForwardDependencies) {
+  readonly #limits: CallerLimits;
+
+  readonly #reporter: LimitReporter;
+
+  readonly #connections: CallerConnections;
+
+  constructor(reporter: LimitReporter, limits: CallerLimits, dependencies: ForwardDependencies) {
     this.#dependencies = dependencies;
     this.#startupQueue = new StartupQueue(() => this.isInformed);
-    this.#server = createServer(
+    this.#limits = limits;
+    this.#reporter = reporter;
+    const { server, connections } = createBoundedServer(
       {
         maxHeaderSize: MAX_PARSED_HEADER_BYTES,
         connectionsCheckingInterval: HEADER_TIMEOUT_CHECK_MS,
         requestTimeout: 0,
+        requireHostHeader: false,
         noDelay: true,
       },
+      this.#limits.maxConnections,
+      this.#reporter,
       (request, response) => {
         const arrivedAtMs = performance.now();
         this.#startupQueue.enqueue(() => this.#handle(request, response, arrivedAtMs));
       },
     );
+    this.#server = server;
+    this.#connections = connections;
     this.#server.on('clientError', (error, socket) =>
       this.#answerClientError(error, socket as Socket),
     );
@@ -94,6 +115,11 @@
     return this.#running.size;
   }
 
+  /** Open connections of callers. */
+  get connections(): number {
+    return this.#connections.size;
+  }
+
   /** Adopts `listener` if it listens at this address. */
   listen(address: SocketAddress, listener?: CallerListener): Promise<void> {
     const isAlreadyListening = listener?.host === address.host && listener.port === address.port;
@@ -146,6 +172,10 @@
     this.#server.keepAliveTimeout = idleTimeoutMs + IDLE_MARGIN_MS;
   }
 
+  #report(limit: CallerLimit, { remoteAddress }: Socket): void {
+    this.#reporter.report(limit, remoteAddress);
+  }
+
   #handle(request: IncomingMessage, response: ServerResponse, arrivedAtMs: number): void {
     const port = new HttpCallerPort(request, response, () => this.#isDraining);
     const { configuration, dialect } = this.#dependencies;
@@ -179,9 +209,17 @@
     table: RouteTable,
     options: RequestOptions,
   ): RefusalReason | undefined {
-    if (getHeaderBytes(request.rawHeaders) > table.configuration.limits.maxHeaderBytes) {
+    const { headers, rawHeaders, httpVersion } = request;
+    if (getHeaderBytes(rawHeaders) > table.configuration.limits.maxHeaderBytes) {
       return 'headersTooLarge';
     }
+    if (headers.host === undefined && httpVersion === '1.1') {
+      return 'badRequest';
+    }
+    if (this.#connections.requests > this.#limits.maxRequests) {
+      this.#report('requests', request.socket);
+      return 'overloaded';
+    }
     const resolution = this.#resolve(request, table, options);
     if (isRefused(resolution)) {
       return resolution;
@@ -238,11 +276,20 @@
     );
     this.#running.add(port);
     response.once('finish', () => this.#closeIfDraining(request.socket));
-    response.once('close', () => {
-      this.#running.delete(port);
+    const connection = findCallerConnection(request.socket);
+    const endRun = connection?.beginRun();
+    const end = (): void => {
+      if (this.#running.delete(port)) {
+        endRun?.();
+      }
       if (!response.writableFinished) {
         run.cancel();
       }
+    };
+    const forgetClose = connection?.onClose(end);
+    response.once('close', () => {
+      forgetClose?.();
+      end();
     });
     // A busy daemon may read a request long after it arrived, when its caller has already
     // disconnected. The end of the connection follows the request in the socket buffer, so pending
--- /dev/null
+++ b/packages/forwarding/src/edge/limits/index.ts
@@ -0,0 +1,6 @@
+export { findCallerConnection, type CallerConnections } from './callerConnections.js';
+export * from './constants.js';
+export { createBoundedServer } from './createBoundedServer.js';
+export { findCallerLimits } from './findCallerLimits.js';
+export { LimitReporter, type CountLimited } from './limitReporter.js';
+export type { CallerLimit, CallerLimits, ProcessLimits } from './types.js';
--- a/packages/forwarding/src/runs/buildRefusal.ts
+++ b/packages/forwarding/src/runs/buildRefusal.ts
@@ -6,6 +6,7 @@
 const defaultRetryAfterS: Readonly<Partial<Record<RefusalReason, number>>> = {
   notReady: NOT_READY_RETRY_AFTER_S,
   staleConfiguration: NOT_READY_RETRY_AFTER_S,
+  overloaded: BUSY_RETRY_AFTER_S,
   noUpstream: NOT_READY_RETRY_AFTER_S,
   upstreamsBusy: BUSY_RETRY_AFTER_S,
   deadlineNotRun: BUSY_RETRY_AFTER_S,
--- a/packages/forwarding/src/runs/refusals.ts
+++ b/packages/forwarding/src/runs/refusals.ts
@@ -26,6 +26,11 @@
   badRequest: { status: 400, message: 'malformed request', closesConnection: true },
   headersTooLarge: { status: 431, message: 'headers too large', closesConnection: true },
   bodyTooLarge: { status: 413, message: 'body too large', closesConnection: true },
+  overloaded: {
+    status: 503,
+    message: 'not run: this VM holds as many requests as it can; retry on a new connection',
+    closesConnection: true,
+  },
   noUpstream: { status: 503, message: 'no upstream for this service' },
   warmingUp: {
     status: 503,
--- a/packages/forwarding/src/runs/types.ts
+++ b/packages/forwarding/src/runs/types.ts
@@ -15,6 +15,7 @@
   | 'badRequest'
   | 'headersTooLarge'
   | 'bodyTooLarge'
+  | 'overloaded'
   | 'noUpstream'
   | HoldOffReason
   | 'versionEvacuated'
