--- a/packages/forwarding/src/edge/frontServer.ts
+++ b/packages/forwarding/src/edge/frontServer.ts
@@ -19,6 +19,10 @@
 import {
   createBoundedServer,
   findCallerConnection,
+  HEAD_PER_HEADER_LIMIT,
+  INITIAL_HEADER_TIMEOUT_MS,
+  INITIAL_MAX_HEADER_BYTES,
+  LINGER_MS,
   type CallerConnections,
   type CallerLimit,
   type CallerLimits,
@@ -29,12 +33,6 @@
 import { StartupQueue } from './startupQueue.js';
 import type { CallerListener } from './types.js';
 
-/**
- * Parser limit, above any limit that a configuration may set; the configured limit is checked for
- * each request.
- */
-const MAX_PARSED_HEADER_BYTES = 262_144;
-
 /** Interval at which Node checks for callers that send their headers too slowly. */
 const HEADER_TIMEOUT_CHECK_MS = 500;
 
@@ -44,11 +42,37 @@
  */
 const IDLE_MARGIN_MS = 1_000;
 
-const clientErrorStatus: Readonly<Record<string, string>> = {
-  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
-  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+const BAD_REQUEST = { status: '400 Bad Request', message: 'malformed request' };
+
+/** By the runtime's error code. */
+const clientErrors: Readonly<Record<string, typeof BAD_REQUEST>> = {
+  HPE_HEADER_OVERFLOW: {
+    status: '431 Request Header Fields Too Large',
+    message: 'headers or trailers too large',
+  },
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: {
+    status: '413 Content Too Large',
+    message: 'extensions of chunks too large',
+  },
+  ERR_HTTP_REQUEST_TIMEOUT: {
+    status: '408 Request Timeout',
+    message: 'not run: the request did not arrive in time',
+  },
+};
+
+const renderClientError = ({ status, message }: typeof BAD_REQUEST): string => {
+  const body = `${JSON.stringify({ error: message })}\n`;
+  const lines = [
+    `HTTP/1.1 ${status}`,
+    'Connection: close',
+    'Content-Type: application/json',
+    `Content-Length: ${Buffer.byteLength(body)}`,
+  ];
+  return `${lines.join('\r\n')}\r\n\r\n${body}`;
 };
-const DEFAULT_CLIENT_ERROR = '400 Bad Request';
+
+/** The shortest header: a name of one character, and the four that enclose names and values. */
+const MIN_HEADER_BYTES = 5;
 
 const getHeaderBytes = (rawHeaders: readonly string[]): number =>
   rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
@@ -74,6 +98,13 @@
 
   readonly #connections: CallerConnections;
 
+  #maxHeaderBytes = INITIAL_MAX_HEADER_BYTES;
+
+  #headerLimitRaisedAtMs = -Infinity;
+
+  /** Connections on which the body of a request is being received. */
+  readonly #receiving = new WeakSet<Socket>();
+
   constructor(reporter: LimitReporter, limits: CallerLimits, dependencies: ForwardDependencies) {
     this.#dependencies = dependencies;
     this.#startupQueue = new StartupQueue(() => this.isInformed);
@@ -81,9 +112,8 @@
     this.#reporter = reporter;
     const { server, connections } = createBoundedServer(
       {
-        maxHeaderSize: MAX_PARSED_HEADER_BYTES,
+        headersTimeout: INITIAL_HEADER_TIMEOUT_MS,
         connectionsCheckingInterval: HEADER_TIMEOUT_CHECK_MS,
-        requestTimeout: 0,
         requireHostHeader: false,
         noDelay: true,
       },
@@ -96,6 +126,7 @@
     );
     this.#server = server;
     this.#connections = connections;
+    this.#applyHeaderLimit(this.#maxHeaderBytes);
     this.#server.on('clientError', (error, socket) =>
       this.#answerClientError(error, socket as Socket),
     );
@@ -167,9 +198,33 @@
   }
 
   #applyLimits({ configuration }: RouteTable): void {
-    const { headerTimeoutMs, idleTimeoutMs } = configuration.limits;
+    const { headerTimeoutMs, idleTimeoutMs, maxHeaderBytes } = configuration.limits;
     this.#server.headersTimeout = headerTimeoutMs;
     this.#server.keepAliveTimeout = idleTimeoutMs + IDLE_MARGIN_MS;
+    // A request that takes longer to arrive than any may take to be answered can't be served.
+    this.#server.requestTimeout = Math.max(
+      headerTimeoutMs,
+      ...configuration.routes.map(({ timeoutMs }) => timeoutMs),
+    );
+    this.#applyHeaderLimit(maxHeaderBytes);
+  }
+
+  /** The runtime reads it for each new connection, and keeps it for that. */
+  #applyHeaderLimit(maxHeaderBytes: number): void {
+    if (maxHeaderBytes > this.#maxHeaderBytes) {
+      this.#headerLimitRaisedAtMs = performance.now();
+    }
+    this.#maxHeaderBytes = maxHeaderBytes;
+    Object.assign(this.#server, {
+      maxHeaderSize: maxHeaderBytes * HEAD_PER_HEADER_LIMIT,
+      maxHeadersCount: Math.ceil(maxHeaderBytes / MIN_HEADER_BYTES),
+    });
+  }
+
+  /** Whether longer headers are allowed than on this connection. */
+  #hasOldHeaderLimit(socket: Socket): boolean {
+    const openedAtMs = findCallerConnection(socket)?.openedAtMs ?? Infinity;
+    return openedAtMs < this.#headerLimitRaisedAtMs;
   }
 
   #report(limit: CallerLimit, { remoteAddress }: Socket): void {
@@ -177,7 +232,8 @@
   }
 
   #handle(request: IncomingMessage, response: ServerResponse, arrivedAtMs: number): void {
-    const port = new HttpCallerPort(request, response, () => this.#isDraining);
+    const mustClose = () => this.#isDraining || this.#hasOldHeaderLimit(request.socket);
+    const port = new HttpCallerPort(request, response, mustClose);
     const { configuration, dialect } = this.#dependencies;
     const { table } = configuration;
     const options = dialect.readRequest(request.headers);
@@ -195,7 +251,9 @@
       this.#refuse(port, options, buildRefusal(reason));
       return;
     }
+    this.#receiving.add(request.socket);
     readCallerBody(request, table.configuration.limits.maxBodyBytes, (body) => {
+      this.#receiving.delete(request.socket);
       if (body === 'tooLarge') {
         this.#refuse(port, options, { reason: 'bodyTooLarge' });
       } else if (body !== 'gone') {
@@ -327,12 +385,26 @@
     port.refuse(refusal);
   }
 
+  /** Answers in place of a request that can't be read, unless another one's answer is due first. */
   #answerClientError(error: Error & { code?: string }, socket: Socket): void {
-    if (socket.destroyed || !socket.writable) {
+    if (socket.destroyed) {
+      return;
+    }
+    const cause = clientErrors[error.code ?? ''] ?? BAD_REQUEST;
+    const { logger, metrics } = this.#dependencies;
+    logger.info({ event: 'malformedRequest', code: error.code, status: cause.status });
+    metrics.countRefused('malformed');
+    if (!socket.writable || !this.#isAnswerExpected(socket)) {
+      socket.destroy();
       return;
     }
-    const status = clientErrorStatus[error.code ?? ''] ?? DEFAULT_CLIENT_ERROR;
-    this.#dependencies.logger.info({ event: 'malformedRequest', code: error.code, status });
-    socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+    socket.end(renderClientError(cause));
+    socket.pause();
+    setTimeout(() => socket.destroy(), LINGER_MS).unref();
+  }
+
+  #isAnswerExpected(socket: Socket): boolean {
+    const unanswered = findCallerConnection(socket)?.unanswered ?? 0;
+    return unanswered === 0 || (unanswered === 1 && this.#receiving.has(socket));
   }
 }
