--- a/packages/forwarding/src/daemon/addGauges.ts
+++ b/packages/forwarding/src/daemon/addGauges.ts
@@ -54,6 +54,11 @@
     'Open connections of callers.',
     () => front.connections,
   );
+  metrics.addGauge(
+    'snipehaven_request_body_bytes',
+    'Bytes of request bodies that are held.',
+    () => front.bodyBytes,
+  );
   metrics.addGauge(
     'snipehaven_configuration_version',
     'Version of the configuration in force.',
--- a/packages/forwarding/src/edge/frontServer.ts
+++ b/packages/forwarding/src/edge/frontServer.ts
@@ -15,21 +15,24 @@
   type Resolution,
 } from '../runs/index.js';
 import type { RequestOptions, SocketAddress } from '../types.js';
-import { HttpCallerPort } from './httpCallerPort.js';
+import { HttpCallerPort, type CallerPortContext } from './httpCallerPort.js';
 import {
+  BodyMemory,
   createBoundedServer,
   findCallerConnection,
   HEAD_PER_HEADER_LIMIT,
   INITIAL_HEADER_TIMEOUT_MS,
+  INITIAL_MAX_BODY_BYTES,
   INITIAL_MAX_HEADER_BYTES,
   LINGER_MS,
+  ReadingTurns,
   type CallerConnections,
   type CallerLimit,
   type CallerLimits,
   type LimitReporter,
 } from './limits/index.js';
 import { listenOn, adoptListener } from './listenOn.js';
-import { readCallerBody } from './readCallerBody.js';
+import { CallerBodyReader, type CallerBody } from './callerBodyReader.js';
 import { StartupQueue } from './startupQueue.js';
 import type { CallerListener } from './types.js';
 
@@ -98,6 +101,12 @@
 
   readonly #connections: CallerConnections;
 
+  readonly #bodies: BodyMemory;
+
+  readonly #turns = new ReadingTurns();
+
+  readonly #portContext: CallerPortContext;
+
   #maxHeaderBytes = INITIAL_MAX_HEADER_BYTES;
 
   #headerLimitRaisedAtMs = -Infinity;
@@ -110,6 +119,8 @@
     this.#startupQueue = new StartupQueue(() => this.isInformed);
     this.#limits = limits;
     this.#reporter = reporter;
+    this.#bodies = new BodyMemory(this.#limits);
+    this.#portContext = this.#createPortContext();
     const { server, connections } = createBoundedServer(
       {
         headersTimeout: INITIAL_HEADER_TIMEOUT_MS,
@@ -119,10 +130,7 @@
       },
       this.#limits.maxConnections,
       this.#reporter,
-      (request, response) => {
-        const arrivedAtMs = performance.now();
-        this.#startupQueue.enqueue(() => this.#handle(request, response, arrivedAtMs));
-      },
+      (request, response) => this.#receive(request, response),
     );
     this.#server = server;
     this.#connections = connections;
@@ -151,6 +159,11 @@
     return this.#connections.size;
   }
 
+  /** Bytes of request bodies that are held. */
+  get bodyBytes(): number {
+    return this.#bodies.heldBytes;
+  }
+
   /** Adopts `listener` if it listens at this address. */
   listen(address: SocketAddress, listener?: CallerListener): Promise<void> {
     const isAlreadyListening = listener?.host === address.host && listener.port === address.port;
@@ -198,7 +211,7 @@
   }
 
   #applyLimits({ configuration }: RouteTable): void {
-    const { headerTimeoutMs, idleTimeoutMs, maxHeaderBytes } = configuration.limits;
+    const { headerTimeoutMs, idleTimeoutMs, maxHeaderBytes, maxBodyBytes } = configuration.limits;
     this.#server.headersTimeout = headerTimeoutMs;
     this.#server.keepAliveTimeout = idleTimeoutMs + IDLE_MARGIN_MS;
     // A request that takes longer to arrive than any may take to be answered can't be served.
@@ -206,6 +219,7 @@
       headerTimeoutMs,
       ...configuration.routes.map(({ timeoutMs }) => timeoutMs),
     );
+    this.#bodies.maxBodyBytes = maxBodyBytes;
     this.#applyHeaderLimit(maxHeaderBytes);
   }
 
@@ -227,34 +241,60 @@
     return openedAtMs < this.#headerLimitRaisedAtMs;
   }
 
+  #createPortContext(): CallerPortContext {
+    const getLimits = () => this.#dependencies.configuration.table?.configuration.limits;
+    return {
+      mustClose: ({ socket }) => this.#isDraining || this.#hasOldHeaderLimit(socket),
+      getMaxBodyBytes: () => getLimits()?.maxBodyBytes ?? 0,
+      onEndlessBody: ({ socket }) => this.#report('bodyAfterRefusal', socket),
+    };
+  }
+
   #report(limit: CallerLimit, { remoteAddress }: Socket): void {
     this.#reporter.report(limit, remoteAddress);
   }
 
-  #handle(request: IncomingMessage, response: ServerResponse, arrivedAtMs: number): void {
-    const mustClose = () => this.#isDraining || this.#hasOldHeaderLimit(request.socket);
-    const port = new HttpCallerPort(request, response, mustClose);
+  #receive(request: IncomingMessage, response: ServerResponse): void {
+    const arrivedAtMs = performance.now();
+    // The runtime would collect what arrives while the request waits, however small its pieces are.
+    const early = this.isInformed ? undefined : this.#readBody(request, INITIAL_MAX_BODY_BYTES);
+    this.#startupQueue.enqueue(() => this.#handle(request, response, arrivedAtMs, early));
+  }
+
+  #readBody(request: IncomingMessage, maxBytes: number): CallerBodyReader {
+    return new CallerBodyReader(request, maxBytes, this.#bodies, this.#turns);
+  }
+
+  /** `early`: reads the body already, up to a limit that the configuration may not have. */
+  #handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+    arrivedAtMs: number,
+    early: CallerBodyReader | undefined,
+  ): void {
+    const port = new HttpCallerPort(request, response, this.#portContext);
     const { configuration, dialect } = this.#dependencies;
-    const { table } = configuration;
     const options = dialect.readRequest(request.headers);
     this.#dependencies.stalls.note('callerRequest', shortenName(options.attemptId));
-    if (table === undefined) {
-      this.#refuse(port, options, { reason: 'notReady', retryAfterS: NOT_READY_RETRY_AFTER_S });
-      return;
-    }
-    if (this.#isClosed) {
-      this.#refuse(port, options, { reason: 'leaving', retryAfterS: LEAVING_RETRY_AFTER_S });
-      return;
-    }
-    const reason = this.#findRefusalReason(request, table, options);
-    if (reason !== undefined) {
-      this.#refuse(port, options, buildRefusal(reason));
+    const refusal = this.#findRefusal(request, options);
+    if (refusal !== undefined) {
+      early?.cancel();
+      this.#refuse(port, options, refusal);
       return;
     }
+    const maxBodyBytes = configuration.table?.configuration.limits.maxBodyBytes ?? 0;
+    const reader = early ?? this.#readBody(request, maxBodyBytes);
     this.#receiving.add(request.socket);
-    readCallerBody(request, table.configuration.limits.maxBodyBytes, (body) => {
+    reader.deliver((body) => {
       this.#receiving.delete(request.socket);
-      if (body === 'tooLarge') {
+      const isBeyondLimit = early === undefined || maxBodyBytes <= INITIAL_MAX_BODY_BYTES;
+      if (body === 'tooLarge' && isBeyondLimit) {
+        this.#refuse(port, options, { reason: 'bodyTooLarge' });
+      } else if (body === 'tooLarge' || body === 'noMemory') {
+        this.#report('bodyBytes', request.socket);
+        this.#refuse(port, options, buildRefusal('overloaded'));
+      } else if (body !== 'gone' && body.bytes.length > maxBodyBytes) {
+        body.release();
         this.#refuse(port, options, { reason: 'bodyTooLarge' });
       } else if (body !== 'gone') {
         this.#run(request, response, port, options, body, arrivedAtMs);
@@ -262,6 +302,18 @@
     });
   }
 
+  #findRefusal(request: IncomingMessage, options: RequestOptions): Refusal | undefined {
+    const { table } = this.#dependencies.configuration;
+    if (table === undefined) {
+      return { reason: 'notReady', retryAfterS: NOT_READY_RETRY_AFTER_S };
+    }
+    if (this.#isClosed) {
+      return { reason: 'leaving', retryAfterS: LEAVING_RETRY_AFTER_S };
+    }
+    const reason = this.#findRefusalReason(request, table, options);
+    return reason === undefined ? undefined : buildRefusal(reason);
+  }
+
   #findRefusalReason(
     request: IncomingMessage,
     table: RouteTable,
@@ -304,17 +356,19 @@
     response: ServerResponse,
     port: HttpCallerPort,
     options: RequestOptions,
-    body: Buffer,
+    body: CallerBody,
     arrivedAtMs: number,
   ): void {
     // The server may have stopped accepting requests while the body was being read.
     if (this.#isClosed) {
+      body.release();
       this.#refuse(port, options, { reason: 'leaving', retryAfterS: LEAVING_RETRY_AFTER_S });
       return;
     }
     const { table } = this.#dependencies.configuration;
     const resolution = table ? this.#resolve(request, table, options) : 'notReady';
     if (isRefused(resolution)) {
+      body.release();
       this.#refuse(port, options, buildRefusal(resolution));
       return;
     }
@@ -326,7 +380,7 @@
         target: request.url ?? '/',
         headers: request.headers,
         options,
-        body,
+        body: body.bytes,
         arrivedAtMs,
       },
       resolution,
@@ -339,6 +393,7 @@
     const end = (): void => {
       if (this.#running.delete(port)) {
         endRun?.();
+        body.release();
       }
       if (!response.writableFinished) {
         run.cancel();
--- a/packages/forwarding/src/edge/httpCallerPort.ts
+++ b/packages/forwarding/src/edge/httpCallerPort.ts
@@ -2,23 +2,34 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { ResponseFraming } from '../exchange/index.js';
 import { refusalForms, type CallerPort, type Refusal } from '../runs/index.js';
+import { lingerOn, skipRest } from './limits/index.js';
 
 /** Standard HTTP header that tells a refused caller when to retry. */
 const RETRY_AFTER = 'Retry-After';
 
+/** What the ports of a server have in common. */
+export interface CallerPortContext {
+  /** Whether a response announces that its connection closes. */
+  mustClose(request: IncomingMessage): boolean;
+  /** The most that is read of a refused request whose connection stays open. */
+  getMaxBodyBytes(): number;
+  /** A refused request goes on beyond the longest body. */
+  onEndlessBody(request: IncomingMessage): void;
+}
+
 export class HttpCallerPort implements CallerPort {
   readonly #request: IncomingMessage;
 
   readonly #response: ServerResponse;
 
-  readonly #mustClose: () => boolean;
+  readonly #context: CallerPortContext;
 
   #endsWithConnection = false;
 
-  constructor(request: IncomingMessage, response: ServerResponse, mustClose: () => boolean) {
+  constructor(request: IncomingMessage, response: ServerResponse, context: CallerPortContext) {
     this.#request = request;
     this.#response = response;
-    this.#mustClose = mustClose;
+    this.#context = context;
   }
 
   begin(
@@ -63,6 +74,7 @@
     }
   }
 
+  /** A refusal that closes the connection does so when its caller has had time to read it. */
   refuse({ reason, retryAfterS }: Refusal): void {
     const { status, message, closesConnection } = refusalForms[reason];
     const body = Buffer.from(`${JSON.stringify({ error: message, reason })}\n`);
@@ -77,7 +89,18 @@
       'Content-Type': 'application/json',
       'Content-Length': body.length,
     });
-    this.#response.end(body);
+    if (this.#request.complete) {
+      this.#response.end(body);
+    } else if (closesConnection) {
+      this.#response.write(body);
+      lingerOn(this.#request, () => this.#response.end());
+    } else {
+      this.#response.end(body);
+      skipRest(this.#request, this.#context.getMaxBodyBytes(), () => {
+        this.#context.onEndlessBody(this.#request);
+        this.#request.socket.destroy();
+      });
+    }
   }
 
   onDrain(listener: () => void): void {
@@ -89,7 +112,7 @@
   }
 
   #announceClose(): void {
-    if (this.#mustClose()) {
+    if (this.#context.mustClose(this.#request)) {
       this.#response.setHeader('Connection', 'close');
     }
   }
