--- a/packages/forwarding/src/daemon/addGauges.ts
+++ b/packages/forwarding/src/daemon/addGauges.ts
@@ -59,6 +59,11 @@
     'Bytes of request bodies that are held.',
     () => front.bodyBytes,
   );
+  metrics.addGauge(
+    'snipehaven_unread_answer_bytes',
+    'Bytes of answers that wait for their callers to read them.',
+    () => front.unreadBytes,
+  );
   metrics.addGauge(
     'snipehaven_configuration_version',
     'Version of the configuration in force.',
--- a/packages/forwarding/src/daemon/forwardDaemon.ts
+++ b/packages/forwarding/src/daemon/forwardDaemon.ts
@@ -24,7 +24,7 @@
 } from '../edge/index.js';
 import type { OpenSocket } from '../exchange/index.js';
 import { RolloutTracker, RolloutKeeper } from '../rollouts/index.js';
-import { EventMemory } from '../runs/index.js';
+import { AnswerMemory, EventMemory } from '../runs/index.js';
 import { StoreEra, type RowStore, type TableWatcher } from '../store/index.js';
 import {
   BackOffTracker,
@@ -285,6 +285,7 @@
       logger,
       stalls: this.#stalls,
       eventMemory: this.#eventMemory,
+      answerMemory: new AnswerMemory(limits.maxHeldAnswerBytes),
       random: this.#random,
       localDataCentre: adapter.settings.dataCentre,
       getRepeatBudget: (service) => this.#budgets.get(service),
--- a/packages/forwarding/src/edge/frontServer.ts
+++ b/packages/forwarding/src/edge/frontServer.ts
@@ -26,6 +26,7 @@
   INITIAL_MAX_HEADER_BYTES,
   LINGER_MS,
   ReadingTurns,
+  UnreadAnswers,
   type CallerConnections,
   type CallerLimit,
   type CallerLimits,
@@ -103,6 +104,8 @@
 
   readonly #bodies: BodyMemory;
 
+  readonly #unreadAnswers: UnreadAnswers;
+
   readonly #turns = new ReadingTurns();
 
   readonly #portContext: CallerPortContext;
@@ -120,6 +123,7 @@
     this.#limits = limits;
     this.#reporter = reporter;
     this.#bodies = new BodyMemory(this.#limits);
+    this.#unreadAnswers = new UnreadAnswers(this.#limits.maxUnreadBytes);
     this.#portContext = this.#createPortContext();
     const { server, connections } = createBoundedServer(
       {
@@ -164,6 +168,11 @@
     return this.#bodies.heldBytes;
   }
 
+  /** Bytes of responses that wait for their callers to read them. */
+  get unreadBytes(): number {
+    return this.#unreadAnswers.heldBytes;
+  }
+
   /** Adopts `listener` if it listens at this address. */
   listen(address: SocketAddress, listener?: CallerListener): Promise<void> {
     const isAlreadyListening = listener?.host === address.host && listener.port === address.port;
@@ -244,8 +253,11 @@
   #createPortContext(): CallerPortContext {
     const getLimits = () => this.#dependencies.configuration.table?.configuration.limits;
     return {
+      unreadAnswers: this.#unreadAnswers,
       mustClose: ({ socket }) => this.#isDraining || this.#hasOldHeaderLimit(socket),
+      getIdleTimeoutMs: () => getLimits()?.idleTimeoutMs ?? INITIAL_HEADER_TIMEOUT_MS,
       getMaxBodyBytes: () => getLimits()?.maxBodyBytes ?? 0,
+      onUnreadDropped: ({ socket }) => this.#report('unreadBytes', socket),
       onEndlessBody: ({ socket }) => this.#report('bodyAfterRefusal', socket),
     };
   }
@@ -399,7 +411,10 @@
         run.cancel();
       }
     };
-    const forgetClose = connection?.onClose(end);
+    const forgetClose = connection?.onClose(() => {
+      port.forgetUnread();
+      end();
+    });
     response.once('close', () => {
       forgetClose?.();
       end();
--- a/packages/forwarding/src/edge/httpCallerPort.ts
+++ b/packages/forwarding/src/edge/httpCallerPort.ts
@@ -2,22 +2,27 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { ResponseFraming } from '../exchange/index.js';
 import { refusalForms, type CallerPort, type Refusal } from '../runs/index.js';
-import { lingerOn, skipRest } from './limits/index.js';
+import { lingerOn, skipRest, type AnswerHolder, type UnreadAnswers } from './limits/index.js';
 
 /** Standard HTTP header that tells a refused caller when to retry. */
 const RETRY_AFTER = 'Retry-After';
 
 /** What the ports of a server have in common. */
 export interface CallerPortContext {
+  readonly unreadAnswers: UnreadAnswers;
   /** Whether a response announces that its connection closes. */
   mustClose(request: IncomingMessage): boolean;
+  /** How long a caller may read nothing of a response that is written whole, in ms. */
+  getIdleTimeoutMs(): number;
   /** The most that is read of a refused request whose connection stays open. */
   getMaxBodyBytes(): number;
+  /** The caller left too much unread. */
+  onUnreadDropped(request: IncomingMessage): void;
   /** A refused request goes on beyond the longest body. */
   onEndlessBody(request: IncomingMessage): void;
 }
 
-export class HttpCallerPort implements CallerPort {
+export class HttpCallerPort implements CallerPort, AnswerHolder {
   readonly #request: IncomingMessage;
 
   readonly #response: ServerResponse;
@@ -26,12 +31,28 @@
 
   #endsWithConnection = false;
 
+  #isUnreadWatched = false;
+
   constructor(request: IncomingMessage, response: ServerResponse, context: CallerPortContext) {
     this.#request = request;
     this.#response = response;
     this.#context = context;
   }
 
+  get unreadBytes(): number {
+    return this.#response.writableLength;
+  }
+
+  dropUnread(): void {
+    this.#context.onUnreadDropped(this.#request);
+    this.abort();
+  }
+
+  /** To be called when the connection has closed. */
+  forgetUnread(): void {
+    this.#context.unreadAnswers.remove(this);
+  }
+
   begin(
     status: number,
     headers: Readonly<Record<string, string | string[]>>,
@@ -48,11 +69,15 @@
   }
 
   write(bytes: Buffer): boolean {
-    return this.#response.write(bytes);
+    const isTaken = this.#response.write(bytes);
+    this.#countUnread();
+    return isTaken;
   }
 
   end(): void {
     this.#response.end();
+    this.#countUnread();
+    this.#limitReadingTime();
   }
 
   /**
@@ -101,6 +126,8 @@
         this.#request.socket.destroy();
       });
     }
+    this.#countUnread();
+    this.#limitReadingTime();
   }
 
   onDrain(listener: () => void): void {
@@ -116,4 +143,22 @@
       this.#response.setHeader('Connection', 'close');
     }
   }
+
+  #countUnread(): void {
+    if (!this.#isUnreadWatched && this.unreadBytes > 0) {
+      this.#isUnreadWatched = true;
+      this.#response.on('drain', () => this.#context.unreadAnswers.update(this));
+      this.#response.once('close', () => this.forgetUnread());
+    }
+    if (this.#isUnreadWatched) {
+      this.#context.unreadAnswers.update(this);
+    }
+  }
+
+  /** Nothing else ends a connection whose caller does not read the end of a response. */
+  #limitReadingTime(): void {
+    if (this.unreadBytes > 0) {
+      this.#request.socket.setTimeout(this.#context.getIdleTimeoutMs());
+    }
+  }
 }
--- a/packages/forwarding/src/edge/limits/index.ts
+++ b/packages/forwarding/src/edge/limits/index.ts
@@ -7,3 +7,4 @@
 export { lingerOn, skipRest } from './lingering.js';
 export { ReadingTurns } from './readingTurns.js';
 export type { CallerLimit, CallerLimits, ProcessLimits } from './types.js';
+export { UnreadAnswers, type AnswerHolder } from './unreadAnswers.js';
--- a/packages/forwarding/src/runs/dependencies.ts
+++ b/packages/forwarding/src/runs/dependencies.ts
@@ -16,6 +16,7 @@
   UpstreamDirectory,
   UpstreamGate,
 } from '../upstreams/index.js';
+import type { AnswerMemory } from './answerMemory.js';
 import type { EventMemory } from './eventMemory.js';
 
 export interface ForwardDependencies {
@@ -42,6 +43,8 @@
   readonly stalls: StallMonitor;
   /** Memory of the incomplete events of all streams. */
   readonly eventMemory: EventMemory;
+  /** Memory of the answers of all requests that are held until they are whole. */
+  readonly answerMemory: AnswerMemory;
   readonly random: Random;
   readonly localDataCentre: string;
   /** The retry budget of a service, shared by its requests at this daemon. */
--- a/packages/forwarding/src/runs/forwardRun.ts
+++ b/packages/forwarding/src/runs/forwardRun.ts
@@ -162,6 +162,7 @@
       port,
       dialect: dependencies.dialect,
       memory: dependencies.eventMemory,
+      answerMemory: dependencies.answerMemory,
       lastEventId: options.lastEventId,
     });
     [this.#model] = route.models;
--- a/packages/forwarding/src/runs/index.ts
+++ b/packages/forwarding/src/runs/index.ts
@@ -5,4 +5,5 @@
 export { refusalForms } from './refusals.js';
 export { isRefused, resolveRequest, type Resolution } from './resolveRequest.js';
 export type * from './types.js';
+export { AnswerMemory } from './answerMemory.js';
 export { EventMemory } from './eventMemory.js';
--- a/packages/forwarding/src/runs/relays.ts
+++ b/packages/forwarding/src/runs/relays.ts
@@ -3,6 +3,7 @@
 import { MAX_HELD_ANSWER_BYTES } from '../constants.js';
 import type { ResponseFraming, ResponseHead } from '../exchange/index.js';
 import type { HeaderDialect, RouteKind } from '../types.js';
+import type { AnswerMemory } from './answerMemory.js';
 import type { EventMemory } from './eventMemory.js';
 import { EventSplitter } from './eventSplitter.js';
 import { isSuccess, type CallerPort } from './types.js';
@@ -46,6 +47,7 @@
   readonly dialect: HeaderDialect;
   /** Of the incomplete events of all streams. */
   readonly memory: EventMemory;
+  readonly answerMemory: AnswerMemory;
   /** The caller has received all events up to this one. */
   readonly lastEventId: number | undefined;
 }
@@ -59,7 +61,7 @@
 
 /**
  * Buffers the complete response, so that a broken one can be requested again. A response above
- * `MAX_HELD_ANSWER_BYTES` is passed through.
+ * `MAX_HELD_ANSWER_BYTES`, or for which there is no memory, is passed through.
  */
 export class BufferingRelay implements ResponseRelay {
   readonly #port: CallerPort;
@@ -76,13 +78,18 @@
 
   #head: ResponseHead | undefined;
 
+  readonly #memory: AnswerMemory;
+
   readonly #buffered = new ByteCollector();
 
+  #heldBytes = 0;
+
   #hasBegun = false;
 
-  constructor({ port, dialect }: RelayOptions) {
+  constructor({ port, dialect, answerMemory }: RelayOptions) {
     this.#port = port;
     this.#dialect = dialect;
+    this.#memory = answerMemory;
   }
 
   get hasBegun(): boolean {
@@ -106,8 +113,19 @@
       return toProgress(this.#port.write(bytes));
     }
     this.#buffered.append(bytes);
-    const isHeld = this.#buffered.sizeBytes <= MAX_HELD_ANSWER_BYTES;
-    return toProgress(isHeld || this.#flush(toUnfinishedFraming));
+    return toProgress(this.#tryHold(bytes.length) || this.#flush(toUnfinishedFraming));
+  }
+
+  #tryHold(bytes: number): boolean {
+    const isHeld = this.#buffered.sizeBytes <= MAX_HELD_ANSWER_BYTES && this.#memory.tryHold(bytes);
+    this.#heldBytes += isHeld ? bytes : 0;
+    return isHeld;
+  }
+
+  #takeBuffered(): Buffer {
+    this.#memory.release(this.#heldBytes);
+    this.#heldBytes = 0;
+    return this.#buffered.take();
   }
 
   finish(): void {
@@ -118,7 +136,7 @@
   }
 
   discardPending(): void {
-    this.#buffered.take();
+    this.#takeBuffered();
   }
 
   #flush(toFraming: (framing: ResponseFraming) => ResponseFraming): boolean {
@@ -129,7 +147,7 @@
     this.#hasBegun = true;
     const headers = this.#dialect.buildCallerHeaders(head.headers);
     this.#port.begin(head.status, headers, toFraming(head.framing));
-    const bytes = this.#buffered.take();
+    const bytes = this.#takeBuffered();
     return bytes.length === 0 || this.#port.write(bytes);
   }
 }
