--- a/packages/proofs/src/platformSoak/constants.ts
+++ b/packages/proofs/src/platformSoak/constants.ts
@@ -15,6 +15,9 @@
 /** A VM or the store counts as calm this long after its last fault. */
 export const CONTACT_MS = 3_000;
 
+/** Of the smallest VM; daemons take it for theirs where the settings name none. */
+export const MEMORY_LIMIT_BYTES = 250_000_000;
+
 /** Bounds that the settings tell the daemons. */
 export const REVOKE_DEADLINE_MS = 5_000;
 export const DRAIN_MS = 2_000;
--- a/packages/proofs/src/platformSoak/faults/index.ts
+++ b/packages/proofs/src/platformSoak/faults/index.ts
@@ -3,6 +3,7 @@
 import { brittle } from './brittle.js';
 import { deadlyPart } from './deadlyParts.js';
 import { deadlyQuestion, replaceCrashed } from './deadlyQuestions.js';
+import { hostileCallers } from './hostileCallers.js';
 import * as network from './networkFaults.js';
 import * as operators from './operatorFaults.js';
 import * as processes from './processFaults.js';
@@ -42,6 +43,7 @@
   [stores.restoreStore],
   [brittle, deadlyPart],
   [operators.garbleUpstream],
+  [hostileCallers],
 ];
 
 /** Work that an operator plans; nothing fails by itself. */
@@ -59,12 +61,21 @@
   [operators.crashUpstream, operators.replaceUpstream],
 ];
 
-export type Scenario = 'all' | 'planned' | 'crashes';
+/** Crowds of callers that keep no limits, also two at a time, while daemons come and go. */
+const hostileLanes: Lanes = [
+  [processes.kill, processes.pause, processes.restartInTurn, processes.reload],
+  [hostileCallers],
+  [hostileCallers],
+  [operators.stormConfiguration, operators.revokeKey, operators.replaceUpstream],
+];
+
+export type Scenario = 'all' | 'planned' | 'crashes' | 'hostile';
 
 export const lanesOf: Readonly<Record<Scenario, Lanes>> = {
   all: allLanes,
   planned: plannedLanes,
   crashes: crashLanes,
+  hostile: hostileLanes,
 };
 
 export { replaceCrashed };
--- a/packages/proofs/src/platformSoak/judge/judge.ts
+++ b/packages/proofs/src/platformSoak/judge/judge.ts
@@ -1,6 +1,7 @@
 /** Judges a run by what callers and upstreams saw. */
 import type { AttemptRecord, RunRecord, Violation } from '../types.js';
 import type { SoakWorld } from '../world.js';
+import { listOverMemory } from './memory.js';
 import { promises } from './promises.js';
 
 const groupRuns = (runs: readonly RunRecord[]): ReadonlyMap<string, readonly RunRecord[]> => {
@@ -29,5 +30,9 @@
   const notReady = readiness
     .filter(({ isReady }) => !isReady)
     .map(({ vm }): Violation => ({ promise: 'notReady', detail: vm.name }));
-  return [...broken, ...notReady];
+  const overMemory = (await listOverMemory(world.fleet.vms)).map((detail): Violation => ({
+    promise: 'overMemory',
+    detail,
+  }));
+  return [...broken, ...notReady, ...overMemory];
 };
--- a/packages/proofs/src/platformSoak/main.ts
+++ b/packages/proofs/src/platformSoak/main.ts
@@ -1,7 +1,7 @@
 /**
  * `npm run soak:platform -- [--seed N] [--seeds COUNT] [--seconds S] [--vms PER_DATA_CENTRE] [--callers N]
- * [--folder DIR] [--scenario all|planned|crashes] [--regressions]`; exit code 1 where a promise broke. Logs
- * of the daemons stay in the folder.
+ * [--folder DIR] [--scenario all|planned|crashes|hostile] [--regressions]`; exit code 1 where a promise
+ * broke. Logs of the daemons stay in the folder.
  */
 import { mkdirSync, mkdtempSync } from 'node:fs';
 import { tmpdir } from 'node:os';
