--- a/packages/forwarding/src/edge/frontServer.ts
+++ b/packages/forwarding/src/edge/frontServer.ts
@@ -256,7 +256,7 @@
       unreadAnswers: this.#unreadAnswers,
       mustClose: ({ socket }) => this.#isDraining || this.#hasOldHeaderLimit(socket),
       getIdleTimeoutMs: () => getLimits()?.idleTimeoutMs ?? INITIAL_HEADER_TIMEOUT_MS,
-      getMaxBodyBytes: () => getLimits()?.maxBodyBytes ?? 0,
+      getMaxBodyBytes: () => getLimits()?.maxBodyBytes ?? INITIAL_MAX_BODY_BYTES,
       onUnreadDropped: ({ socket }) => this.#report('unreadBytes', socket),
       onEndlessBody: ({ socket }) => this.#report('bodyAfterRefusal', socket),
     };
