--- a/packages/forwarding/src/edge/callerBodyReader.ts
+++ b/packages/forwarding/src/edge/callerBodyReader.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage } from 'node:http';
 import { ByteCollector } from '@snipehaven/common';
 import type { BodyMemory, HeldBody, ReadingTurns } from './limits/index.js';
+import { getAnnouncedBytes, hasBody } from './requestBody.js';
 
 export interface CallerBody {
   readonly bytes: Buffer;
@@ -14,12 +15,6 @@
 
 const EMPTY: CallerBody = { bytes: Buffer.alloc(0), release: () => {} };
 
-const getAnnouncedBytes = ({ headers }: IncomingMessage): number =>
-  Number(headers['content-length'] ?? 0);
-
-const hasBody = (request: IncomingMessage): boolean =>
-  request.headers['transfer-encoding'] !== undefined || getAnnouncedBytes(request) > 0;
-
 export class CallerBodyReader {
   readonly #request: IncomingMessage;
 
--- a/packages/forwarding/src/edge/httpCallerPort.ts
+++ b/packages/forwarding/src/edge/httpCallerPort.ts
@@ -3,6 +3,7 @@
 import type { ResponseFraming } from '../exchange/index.js';
 import { refusalForms, type CallerPort, type Refusal } from '../runs/index.js';
 import { lingerOn, skipRest, type AnswerHolder, type UnreadAnswers } from './limits/index.js';
+import { hasBody } from './requestBody.js';
 
 /** Standard HTTP header that tells a refused caller when to retry. */
 const RETRY_AFTER = 'Retry-After';
@@ -70,7 +71,10 @@
 
   write(bytes: Buffer): boolean {
     const isTaken = this.#response.write(bytes);
-    this.#countUnread();
+    // The runtime passes on what it has taken at the end of this turn.
+    if (!isTaken || this.#isUnreadWatched) {
+      this.#countUnread();
+    }
     return isTaken;
   }
 
@@ -114,7 +118,7 @@
       'Content-Type': 'application/json',
       'Content-Length': body.length,
     });
-    if (this.#request.complete) {
+    if (this.#request.complete || !hasBody(this.#request)) {
       this.#response.end(body);
     } else if (closesConnection) {
       this.#response.write(body);
--- a/packages/forwarding/src/edge/statusServer.ts
+++ b/packages/forwarding/src/edge/statusServer.ts
@@ -1,5 +1,5 @@
 /** HTTP servers for readiness checks of the load balancer and for metrics. */
-import type { IncomingMessage, Server } from 'node:http';
+import type { Server } from 'node:http';
 import type { SocketAddress } from '../types.js';
 import {
   createBoundedServer,
@@ -9,6 +9,7 @@
   type LimitReporter,
 } from './limits/index.js';
 import { listenOn } from './listenOn.js';
+import { hasBody } from './requestBody.js';
 
 export interface StatusAnswer {
   readonly status: number;
@@ -20,9 +21,6 @@
 
 const CONTENT_TOO_LARGE = 413;
 
-const hasBody = ({ headers }: IncomingMessage): boolean =>
-  headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
-
 export class StatusServer {
   readonly #server: Server;
 
