--- a/packages/forwarding/src/edge/callerBodyReader.ts
+++ b/packages/forwarding/src/edge/callerBodyReader.ts
@@ -1,8 +1,8 @@
-/** Reads the complete body of a request, so that it can be sent again. */
+/** Reads the complete body of a request that has one, so that it can be sent again. */
 import type { IncomingMessage } from 'node:http';
 import { ByteCollector } from '@snipehaven/common';
 import type { BodyMemory, HeldBody, ReadingTurns } from './limits/index.js';
-import { getAnnouncedBytes, hasBody } from './requestBody.js';
+import { getAnnouncedBytes } from './requestBody.js';
 
 export interface CallerBody {
   readonly bytes: Buffer;
@@ -13,7 +13,7 @@
 /** `noMemory`: too much is held of this and other bodies. `gone`: the caller has closed the connection. */
 export type BodyResult = CallerBody | 'tooLarge' | 'noMemory' | 'gone';
 
-const EMPTY: CallerBody = { bytes: Buffer.alloc(0), release: () => {} };
+export const NO_BODY: CallerBody = { bytes: Buffer.alloc(0), release: () => {} };
 
 export class CallerBodyReader {
   readonly #request: IncomingMessage;
@@ -36,10 +36,7 @@
     this.#maxBytes = maxBytes;
     this.#held = memory.open(() => this.#finish('noMemory'));
     this.#countPiece = turns.countPieces(request, () => this.#held.giveUp());
-    if (!hasBody(request)) {
-      request.resume();
-      this.#result = EMPTY;
-    } else if (getAnnouncedBytes(request) > maxBytes) {
+    if (getAnnouncedBytes(request) > maxBytes) {
       this.#result = 'tooLarge';
     } else {
       request.on('data', this.#onData).on('end', this.#onEnd).on('close', this.#onClose);
--- a/packages/forwarding/src/edge/frontServer.ts
+++ b/packages/forwarding/src/edge/frontServer.ts
@@ -33,7 +33,8 @@
   type LimitReporter,
 } from './limits/index.js';
 import { listenOn, adoptListener } from './listenOn.js';
-import { CallerBodyReader, type CallerBody } from './callerBodyReader.js';
+import { CallerBodyReader, NO_BODY, type CallerBody } from './callerBodyReader.js';
+import { hasBody } from './requestBody.js';
 import { StartupQueue } from './startupQueue.js';
 import type { CallerListener } from './types.js';
 
@@ -269,7 +270,10 @@
   #receive(request: IncomingMessage, response: ServerResponse): void {
     const arrivedAtMs = performance.now();
     // The runtime would collect what arrives while the request waits, however small its pieces are.
-    const early = this.isInformed ? undefined : this.#readBody(request, INITIAL_MAX_BODY_BYTES);
+    const early =
+      this.isInformed || !hasBody(request)
+        ? undefined
+        : this.#readBody(request, INITIAL_MAX_BODY_BYTES);
     this.#startupQueue.enqueue(() => this.#handle(request, response, arrivedAtMs, early));
   }
 
@@ -294,6 +298,11 @@
       this.#refuse(port, options, refusal);
       return;
     }
+    if (!hasBody(request)) {
+      request.resume();
+      this.#run(request, response, port, options, NO_BODY, arrivedAtMs);
+      return;
+    }
     const maxBodyBytes = configuration.table?.configuration.limits.maxBodyBytes ?? 0;
     const reader = early ?? this.#readBody(request, maxBodyBytes);
     this.#receiving.add(request.socket);
@@ -401,24 +410,18 @@
     this.#running.add(port);
     response.once('finish', () => this.#closeIfDraining(request.socket));
     const connection = findCallerConnection(request.socket);
-    const endRun = connection?.beginRun();
     const end = (): void => {
+      connection?.endRun(end);
       if (this.#running.delete(port)) {
-        endRun?.();
+        port.forgetUnread();
         body.release();
       }
       if (!response.writableFinished) {
         run.cancel();
       }
     };
-    const forgetClose = connection?.onClose(() => {
-      port.forgetUnread();
-      end();
-    });
-    response.once('close', () => {
-      forgetClose?.();
-      end();
-    });
+    connection?.beginRun(end);
+    response.once('close', end);
     // A busy daemon may read a request long after it arrived, when its caller has already
     // disconnected. The end of the connection follows the request in the socket buffer, so pending
     // reads are processed first; otherwise upstreams would work for nobody.
--- a/packages/forwarding/src/edge/limits/boundedMessages.ts
+++ b/packages/forwarding/src/edge/limits/boundedMessages.ts
@@ -25,13 +25,16 @@
   }
 }
 
+const endRequest = function endRequest(this: ServerResponse): void {
+  findCallerConnection(this.req.socket)?.endRequest();
+};
+
 class BoundedResponse extends ServerResponse<BoundedRequest> {
   constructor(...options: ConstructorParameters<typeof ServerResponse<BoundedRequest>>) {
     super(...options);
     const [request] = options;
-    const connection = findCallerConnection(request.socket);
-    connection?.beginRequest();
-    this.once('close', () => connection?.endRequest());
+    findCallerConnection(request.socket)?.beginRequest();
+    this.once('close', endRequest);
   }
 }
 
--- a/packages/forwarding/src/edge/limits/callerConnections.ts
+++ b/packages/forwarding/src/edge/limits/callerConnections.ts
@@ -21,8 +21,7 @@
 
   readonly openedAtMs = performance.now();
 
-  /** Since when no request of it has been running. */
-  waitingSinceMs = this.openedAtMs;
+  #waitingSinceMs = this.openedAtMs;
 
   #unanswered = 0;
 
@@ -48,8 +47,9 @@
     return this.#unanswered < MAX_REQUESTS_AHEAD;
   }
 
-  get isWaiting(): boolean {
-    return this.#running === 0;
+  /** Since when no request of it has been running. */
+  get waitingSinceMs(): number {
+    return this.#waitingSinceMs;
   }
 
   /** A request is read, as far as its head. */
@@ -61,26 +61,31 @@
   endRequest(): void {
     this.#unanswered -= 1;
     this.#registry.countRequests(this, -1);
-    this.#registry.updateWaiting(this);
+    this.#waitIfNoneRuns();
   }
 
-  /** A request that is read whole begins to run; call the returned function once when it has ended. */
-  beginRun(): () => void {
+  /**
+   * A request that is read whole begins to run. `onClose` is called if the connection closes before `endRun`:
+   * a response that waits for an earlier one of its connection is not told of the close.
+   */
+  beginRun(onClose: () => void): void {
     this.#running += 1;
-    this.#registry.updateWaiting(this);
-    return () => {
+    this.#closeListeners.add(onClose);
+    this.#registry.noteRunning(this);
+  }
+
+  endRun(onClose: () => void): void {
+    if (this.#closeListeners.delete(onClose)) {
       this.#running -= 1;
-      this.#registry.updateWaiting(this);
-    };
+      this.#waitIfNoneRuns();
+    }
   }
 
-  /**
-   * Calls back when the connection closes, until the returned function is called. A response that waits for
-   * an earlier one of its connection is not told of the close.
-   */
-  onClose(listener: () => void): () => void {
-    this.#closeListeners.add(listener);
-    return () => this.#closeListeners.delete(listener);
+  #waitIfNoneRuns(): void {
+    if (this.#running === 0) {
+      this.#waitingSinceMs = performance.now();
+      this.#registry.noteWaiting(this);
+    }
   }
 }
 
@@ -126,11 +131,14 @@
     }
   }
 
-  /** Called when requests of the connection have begun or ended. */
-  updateWaiting(connection: CallerConnection): void {
+  noteRunning(connection: CallerConnection): void {
     this.#waiting.delete(connection);
-    if (connection.isWaiting && this.#all.has(connection)) {
-      Object.assign(connection, { waitingSinceMs: performance.now() });
+  }
+
+  /** Called when the connection has ended a request and runs no other. */
+  noteWaiting(connection: CallerConnection): void {
+    this.#waiting.delete(connection);
+    if (this.#all.has(connection)) {
       this.#waiting.add(connection);
     }
   }
