--- a/packages/forwarding/src/edge/frontServer.ts
+++ b/packages/forwarding/src/edge/frontServer.ts
@@ -3,7 +3,11 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { RouteTable } from '../configuration/routeTable.js';
-import { LEAVING_RETRY_AFTER_S, NOT_READY_RETRY_AFTER_S } from '../constants.js';
+import {
+  BUSY_RETRY_AFTER_S,
+  LEAVING_RETRY_AFTER_S,
+  NOT_READY_RETRY_AFTER_S,
+} from '../constants.js';
 import {
   ForwardRun,
   buildRefusal,
@@ -47,10 +51,17 @@
  */
 const IDLE_MARGIN_MS = 1_000;
 
-const BAD_REQUEST = { status: '400 Bad Request', message: 'malformed request' };
+interface ClientError {
+  readonly status: string;
+  readonly message: string;
+  /** Only where the request has not run and may be sent again. */
+  readonly retryAfterS?: number;
+}
+
+const BAD_REQUEST: ClientError = { status: '400 Bad Request', message: 'malformed request' };
 
 /** By the runtime's error code. */
-const clientErrors: Readonly<Record<string, typeof BAD_REQUEST>> = {
+const clientErrors: Readonly<Record<string, ClientError>> = {
   HPE_HEADER_OVERFLOW: {
     status: '431 Request Header Fields Too Large',
     message: 'headers or trailers too large',
@@ -62,16 +73,18 @@
   ERR_HTTP_REQUEST_TIMEOUT: {
     status: '408 Request Timeout',
     message: 'not run: the request did not arrive in time',
+    retryAfterS: BUSY_RETRY_AFTER_S,
   },
 };
 
-const renderClientError = ({ status, message }: typeof BAD_REQUEST): string => {
+const renderClientError = ({ status, message, retryAfterS }: ClientError): string => {
   const body = `${JSON.stringify({ error: message })}\n`;
   const lines = [
     `HTTP/1.1 ${status}`,
     'Connection: close',
     'Content-Type: application/json',
     `Content-Length: ${Buffer.byteLength(body)}`,
+    ...(retryAfterS === undefined ? [] : [`Retry-After: ${retryAfterS}`]),
   ];
   return `${lines.join('\r\n')}\r\n\r\n${body}`;
 };
