--- a/packages/forwarding/src/edge/limits/constants.ts
+++ b/packages/forwarding/src/edge/limits/constants.ts
@@ -3,7 +3,7 @@
 /** Memory of a process besides what callers make it hold: runtime, code, tables, garbage. */
 export const PROCESS_BYTES = 110_000_000;
 
-/** Memory left for callers on a VM that has less than that and this. */
+/** Memory for callers where a VM has too little for more. */
 export const MIN_CALLER_BYTES = 24_000_000;
 
 /** The part of the runtime's heap that the daemon itself needs. */
--- a/packages/proofs/src/platformSoak/faults/hostileCallers.ts
+++ b/packages/proofs/src/platformSoak/faults/hostileCallers.ts
@@ -1,11 +1,10 @@
 /** Callers that keep no limits: crowds that send more than they may, and read nothing. */
 import { pickRandom, sleep, type Random } from '@snipehaven/common';
 import {
-  HOST,
   HostileCrowd,
-  KEY,
   sendOnce,
   sendRepeated,
+  VALID_HEADERS,
   type ClientScript,
 } from '@snipehaven/standins';
 import { Fleet } from '../fleet.js';
@@ -16,15 +15,14 @@
 const HELD_SPREAD_MS = 1_500;
 const MEBIBYTE = 1_048_576;
 
-const VALID = `Host: ${HOST}\r\nAuthorization: Token ${KEY}\r\nX-Attempt-Id: hostile\r\n`;
-const CHUNKED = `POST /read/a HTTP/1.1\r\n${VALID}Transfer-Encoding: chunked\r\n\r\n`;
-const GET = `GET /read/a HTTP/1.1\r\n${VALID}\r\n`;
+const CHUNKED = `POST /read/a HTTP/1.1\r\n${VALID_HEADERS}Transfer-Encoding: chunked\r\n\r\n`;
+const GET = `GET /read/a HTTP/1.1\r\n${VALID_HEADERS}\r\n`;
 
 const scripts: readonly ClientScript[] = [
   sendRepeated(CHUNKED, `10000\r\n${'x'.repeat(65_536)}\r\n`, 8 * MEBIBYTE),
   sendRepeated(CHUNKED, '1\r\nx\r\n', MEBIBYTE),
   sendRepeated(`${CHUNKED}0\r\n`, 'a: b\r\n', MEBIBYTE),
-  sendRepeated(`POST /read/a HTTP/1.1\r\n${VALID}Content-Length: 9999\r\n\r\n`, 'x', 9_998),
+  sendRepeated(`POST /read/a HTTP/1.1\r\n${VALID_HEADERS}Content-Length: 9999\r\n\r\n`, 'x', 9_998),
   sendRepeated('GET /read/a HTTP/1.1\r\n', 'ab: cd\r\n', MEBIBYTE),
   sendRepeated('', 'GET / HTTP/1.1\r\n\r\n', MEBIBYTE),
   sendRepeated('', GET, MEBIBYTE),
--- a/packages/standins/src/published/hostileCrowd.ts
+++ b/packages/standins/src/published/hostileCrowd.ts
@@ -1,6 +1,10 @@
 /** Clients that keep no limits, on raw connections: what they send is bounded, what they read is nothing. */
 import { connect, type Socket } from 'node:net';
 import { sleep } from '@snipehaven/common';
+import { HOST, KEY } from './standinDocuments.js';
+
+/** Headers of a request that has a route and a key. */
+export const VALID_HEADERS = `Host: ${HOST}\r\nAuthorization: Token ${KEY}\r\nX-Attempt-Id: hostile\r\n`;
 
 const SETTLE_CHECK_MS = 100;
 const CALM_CHECKS = 6;
--- a/packages/standins/src/published/index.ts
+++ b/packages/standins/src/published/index.ts
@@ -6,6 +6,7 @@
   HostileCrowd,
   sendOnce,
   sendRepeated,
+  VALID_HEADERS,
   type ClientScript,
   type CrowdOptions,
 } from './hostileCrowd.js';
